--- /dev/null
+++ b/internal/tree/match.go
@@ -0,0 +1,57 @@
+package tree
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Match is a request's service, route and rank.
+type Match struct {
+	Service *Service
+	Route   *Route
+	Rank    Rank
+}
+
+// Match finds the route of a request, and false where no service has one.
+// The port of the host is ignored.
+func (t *Tree) Match(host, method, path string) (Match, bool) {
+	name := hostName(host)
+	for _, s := range t.Services {
+		if !slices.Contains(s.Hosts, name) {
+			continue
+		}
+		if m, ok := s.match(method, path); ok {
+			return m, true
+		}
+	}
+	return Match{}, false
+}
+
+func (s *Service) match(method, path string) (Match, bool) {
+	for _, r := range s.Routes {
+		if !r.matches(method, path) {
+			continue
+		}
+		rank, ok := s.Rank(r.Rank)
+		return Match{Service: s, Route: r, Rank: rank}, ok
+	}
+	return Match{}, false
+}
+
+func (r *Route) matches(method, path string) bool {
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	prefix := strings.TrimSuffix(r.PathPrefix, "/")
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+func hostName(host string) string {
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		name = host
+	}
+	return strings.ToLower(name)
+}
