Add the balancer and the rank queue in thin form

Cause: entry and attempt need Pick, Admit and Grant to be built against. The metric queue_refusals is new in internal/metrics, as entry counts the answers and a refused hedge reaches no caller. Not done yet: reports, ejection, limits, hedging latency, probes.

--- /dev/null
+++ b/internal/admission/line.go
@@ -0,0 +1,77 @@
+package admission
+
+import (
+	"container/list"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// intervalWeight is the weight of the newest sample in the mean dispatch interval.
+const intervalWeight = 0.1
+
+// line is the waiting requests of one rank, oldest first.
+type line struct {
+	rank    tree.Rank
+	items   list.List
+	bytes   int64
+	streams int     // uploads in progress
+	share   float64 // share of the recent dispatches of all ranks
+
+	interval     time.Duration // mean time between dispatches while requests wait
+	lastDispatch time.Time     // zero unless requests have waited ever since
+}
+
+func (l *line) push(i *Item) {
+	i.line = l
+	i.element = l.items.PushBack(i)
+	l.bytes += i.Bytes
+	if l.lastDispatch.IsZero() {
+		l.lastDispatch = i.enqueued
+	}
+}
+
+func (l *line) remove(i *Item) {
+	l.items.Remove(i.element)
+	i.element = nil
+	l.bytes -= i.Bytes
+	if l.items.Len() == 0 {
+		l.lastDispatch = time.Time{}
+	}
+}
+
+// dispatched accounts a dispatch from this line.
+func (l *line) dispatched(i *Item, now time.Time) {
+	l.learnInterval(now)
+	l.remove(i)
+	if i.Upload {
+		l.streams++
+	}
+}
+
+func (l *line) learnInterval(now time.Time) {
+	sample := float64(now.Sub(l.lastDispatch))
+	l.lastDispatch = now
+	if l.interval == 0 {
+		l.interval = time.Duration(sample)
+		return
+	}
+	l.interval += time.Duration(intervalWeight * (sample - float64(l.interval)))
+}
+
+// wait estimates how long a request that joins now would wait.
+func (l *line) wait(now time.Time) time.Duration {
+	waiting := l.items.Len()
+	if waiting == 0 {
+		return 0
+	}
+	interval := max(l.interval, now.Sub(l.lastDispatch))
+	return time.Duration(waiting+1) * interval
+}
+
+func (l *line) streamsUsedUp(i *Item) bool {
+	return i.Upload && l.rank.Streams > 0 && l.streams >= l.rank.Streams
+}
+
+// belowShare reports whether the rank got less than its kept share of late.
+func (l *line) belowShare() bool { return l.share < l.rank.KeptShare }
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,95 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+	"github.com/uber-go/tally/v4"
+)
+
+func shop() *tree.Service {
+	return &tree.Service{
+		Member: "glazenpot", Name: "shop", SlotsPerServer: 1, ConnectionsPerServer: 250,
+		Ranks: []tree.Rank{
+			{Name: "payments", Order: 1, Target: time.Second, QueueLength: 10, QueueBytes: 1 << 20},
+			{Name: "lookups", Order: 2, Target: time.Second, QueueLength: 10, QueueBytes: 1 << 20},
+			{Name: "uploads", Order: 3, Target: time.Minute, QueueLength: 2, QueueBytes: 1 << 10, Streams: 1},
+		},
+	}
+}
+
+// newQueue returns a queue over the named servers of one slot each, with a
+// running pool that ends with the test.
+func newQueue(t *testing.T, scope tally.Scope, servers ...string) *Queue {
+	b := balancer.New(balancer.Options{Zone: "a"})
+	var vms []fleet.VM
+	for _, name := range servers {
+		vms = append(vms, fleet.VM{Name: name, Address: name + ":80", Zone: "a", State: fleet.Live})
+	}
+	b.Update(vms, shop())
+	workers := NewWorkers(scope)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { workers.Run(ctx, 2); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	q := workers.Queue(shop().Key(), b)
+	q.Update(shop())
+	return q
+}
+
+func TestAdmitWaitsForAPlaceAndServesTheUrgentFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(t, tally.NoopScope, "s1")
+		held, refusal := q.Admit(t.Context(), Request{Rank: "lookups"})
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		order := make(chan string, 2)
+		for _, rank := range []string{"lookups", "payments"} {
+			go func() {
+				g, refusal := q.Admit(t.Context(), Request{Rank: rank})
+				if refusal != nil {
+					t.Error(refusal)
+					return
+				}
+				order <- rank
+				g.Done(balancer.Result{Latency: time.Millisecond})
+			}()
+			synctest.Wait()
+		}
+		held.Done(balancer.Result{Latency: time.Millisecond})
+		if first, second := <-order, <-order; first != "payments" || second != "lookups" {
+			t.Fatalf("served %s before %s", first, second)
+		}
+	})
+}
+
+func TestAdmitEndsWithTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(t, tally.NoopScope, "s1")
+		held, _ := q.Admit(t.Context(), Request{Rank: "lookups"})
+		timeout, cancelTimeout := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancelTimeout()
+		gone, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Millisecond, cancel)
+		for _, c := range []struct {
+			ctx    context.Context
+			reason outcome.Reason
+		}{{timeout, outcome.ReasonDeadline}, {gone, outcome.ReasonCallerGone}} {
+			_, refusal := q.Admit(c.ctx, Request{Rank: "lookups"})
+			if refusal == nil || refusal.Outcome != outcome.NotRun || refusal.Reason != c.reason {
+				t.Fatalf("refusal %v, want not-run %s", refusal, c.reason)
+			}
+		}
+		held.Done(balancer.Result{})
+		if _, refusal := q.Admit(t.Context(), Request{Rank: "lookups"}); refusal != nil {
+			t.Fatalf("the place was lost: %v", refusal)
+		}
+	})
+}
--- /dev/null
+++ b/internal/admission/refuse.go
@@ -0,0 +1,43 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+)
+
+// minRetryAfter is the shortest wait asked of a refused caller, in whole
+// seconds because Retry-After has no finer unit.
+const minRetryAfter = time.Second
+
+func refuse(reason outcome.Reason, detail string) *outcome.Refusal {
+	return outcome.NewNotRun(http.StatusServiceUnavailable, reason, detail)
+}
+
+func refuseBusy(reason outcome.Reason, detail string, wait time.Duration) *outcome.Refusal {
+	return refuse(reason, detail).WithRetryAfter(max(wait, minRetryAfter))
+}
+
+func refuseUnknownRank() *outcome.Refusal {
+	return outcome.NewNotRun(http.StatusNotFound, outcome.ReasonNoRoute, "the service has no such rank")
+}
+
+func refuseDeadline() *outcome.Refusal {
+	const detail = "the deadline passed before the request was sent to a backend server"
+	return outcome.NewNotRun(http.StatusGatewayTimeout, outcome.ReasonDeadline, detail)
+}
+
+func refuseGone() *outcome.Refusal {
+	return refuse(outcome.ReasonCallerGone, "the caller went away before the request was sent to a backend server")
+}
+
+// refusalOf tells a passed deadline from a caller that went away.
+func refusalOf(ctx context.Context) *outcome.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuseDeadline()
+	}
+	return refuseGone()
+}
--- /dev/null
+++ b/internal/admission/request.go
@@ -0,0 +1,42 @@
+package admission
+
+import (
+	"container/list"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+)
+
+// Request is what the queue needs to know about a caller's request.
+type Request struct {
+	// Rank names a rank of the service.
+	Rank string
+	// Bytes is the request body buffered at this entry while the request waits.
+	Bytes int64
+	// Deadline is when the caller gives up; zero sets none.
+	Deadline time.Time
+	// Upload counts the request against the rank's streams.
+	Upload bool
+	// Exclude names the servers that must not get the request, such as tried ones.
+	Exclude []string
+}
+
+// Item is a request in a Scheduler.
+type Item struct {
+	Request
+	enqueued time.Time
+	line     *line
+	element  *list.Element // nil when not waiting
+	ready    chan Decision
+}
+
+// Decision ends the wait of an item: exactly one of Server and Refusal is set.
+type Decision struct {
+	// Item is the request that was decided.
+	Item *Item
+	// Server is the granted place.
+	Server *balancer.Server
+	// Refusal says why the request was not run.
+	Refusal *outcome.Refusal
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,97 @@
+// Package balancer chooses the backend server of a request.
+//
+// A Balancer serves one service. Pick reads an immutable snapshot of the
+// servers that Update swaps whole, and the atomic counters of each server; it
+// takes no lock and allocates nothing. Update and Done may run at the same time
+// as picks. Update takes the Balancer's mutex, which guards only the making of
+// snapshots; no other lock is taken under it.
+package balancer
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+	"github.com/uber-go/tally/v4"
+)
+
+// Options are the settings of a Balancer.
+type Options struct {
+	// Zone is the entry's own availability zone.
+	Zone string
+	// Scope receives the counters; nil counts nowhere.
+	Scope tally.Scope
+}
+
+// Balancer chooses among the backend servers of one service.
+type Balancer struct {
+	options  Options
+	snapshot atomic.Pointer[snapshot]
+	mu       sync.Mutex // guards making a new snapshot
+}
+
+// New returns a balancer without servers.
+func New(options Options) *Balancer {
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	b := &Balancer{options: options}
+	b.snapshot.Store(&snapshot{})
+	return b
+}
+
+// Update replaces the set of servers. What is known about a server that stays
+// is kept; a server that left takes no new request.
+func (b *Balancer) Update(servers []fleet.VM, svc *tree.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.snapshot.Store(b.snapshot.Load().next(servers, svc))
+}
+
+// Len is the number of servers.
+func (b *Balancer) Len() int { return len(b.snapshot.Load().hosts) }
+
+// MeanLatency is the mean latency of recent answers, zero before the first.
+func (b *Balancer) MeanLatency() time.Duration { return 0 }
+
+// HedgeAfter is how long an idempotent request may stay unanswered before a
+// second attempt is worth its cost. It is false when too little was measured
+// or the servers are too busy for second attempts.
+func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) { return 0, false }
+
+// Pick reserves a place at the server with the shortest estimated wait. It is
+// false when no server that is not excluded by name has a free slot.
+func (b *Balancer) Pick(now time.Time, exclude []string) (*Server, bool) {
+	s := b.snapshot.Load()
+	at := now.UnixNano()
+	for range maxReserveTries {
+		h, mask := s.best(at, exclude)
+		if h == nil {
+			return nil, false
+		}
+		if place, ok := h.reserve(mask, at); ok {
+			return place, true
+		}
+	}
+	return nil, false
+}
+
+// maxReserveTries bounds how often a pick starts over when others reserve at
+// the same moment.
+const maxReserveTries = 8
+
+// Done ends the reservation with what the attempt showed. It must be called
+// exactly once for each pick.
+func (b *Balancer) Done(s *Server, _ time.Time, r Result) {
+	if r.HasReport {
+		s.host.news.hear(r.Report)
+	}
+	s.host.release(s)
+}
+
+func excluded(exclude []string, name string) bool {
+	return len(exclude) > 0 && slices.Contains(exclude, name)
+}
--- /dev/null
+++ b/internal/balancer/host.go
@@ -0,0 +1,60 @@
+package balancer
+
+import (
+	"math/bits"
+	"sync/atomic"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+)
+
+// maxPlaces is the most requests that one entry has in progress at one backend server.
+const maxPlaces = 16
+
+// Server is a backend server with one place reserved for a request. It is
+// valid from Pick to Done.
+type Server struct {
+	// VM is the backend server.
+	VM fleet.VM
+
+	host    *host
+	index   int
+	started atomic.Int64 // nanoseconds since the Unix epoch
+}
+
+// host is what this entry knows about one backend server. Picks read it
+// without a lock.
+type host struct {
+	vm     fleet.VM
+	places [maxPlaces]Server
+	busy   atomic.Uint32 // one bit for each reserved place
+	news   news
+}
+
+func newHost(vm fleet.VM) *host {
+	h := &host{vm: vm}
+	for i := range h.places {
+		h.places[i].VM = vm
+		h.places[i].host = h
+		h.places[i].index = i
+	}
+	return h
+}
+
+// reserve takes a free place if the busy mask still is the one that was judged.
+func (h *host) reserve(seen uint32, now int64) (*Server, bool) {
+	index := bits.TrailingZeros32(^seen)
+	if index >= maxPlaces {
+		return nil, false
+	}
+	if !h.busy.CompareAndSwap(seen, seen|1<<index) {
+		return nil, false
+	}
+	s := &h.places[index]
+	s.started.Store(now)
+	return s, true
+}
+
+// release frees the place.
+func (h *host) release(s *Server) {
+	h.busy.And(^(uint32(1) << s.index))
+}
--- /dev/null
+++ b/internal/balancer/snapshot.go
@@ -0,0 +1,57 @@
+package balancer
+
+import (
+	"math/bits"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// defaultSlots is assumed where the service names no slots per server.
+const defaultSlots = 3
+
+// snapshot is an immutable set of servers with the service's limits.
+type snapshot struct {
+	hosts []*host
+	slots int
+}
+
+// next returns the snapshot of the given servers; known hosts are carried over.
+func (s *snapshot) next(servers []fleet.VM, svc *tree.Service) *snapshot {
+	known := make(map[string]*host, len(s.hosts))
+	for _, h := range s.hosts {
+		known[h.vm.Name] = h
+	}
+	n := &snapshot{slots: defaultSlots}
+	if svc.SlotsPerServer > 0 {
+		n.slots = svc.SlotsPerServer
+	}
+	for _, vm := range servers {
+		if vm.State == fleet.Leaving {
+			continue
+		}
+		h := known[vm.Name]
+		if h == nil || h.vm.Address != vm.Address {
+			h = newHost(vm)
+		}
+		n.hosts = append(n.hosts, h)
+	}
+	return n
+}
+
+// best returns the host with the least own in-flight requests and a free slot,
+// with the busy mask that was judged, or nil.
+func (s *snapshot) best(_ int64, exclude []string) (*host, uint32) {
+	var best *host
+	var bestMask uint32
+	least := s.slots
+	for _, h := range s.hosts {
+		mask := h.busy.Load()
+		own := bits.OnesCount32(mask)
+		if own >= least || h.news.draining.Load() || excluded(exclude, h.vm.Name) {
+			continue
+		}
+		best, bestMask, least = h, mask, own
+	}
+	return best, bestMask
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,8 @@
 const (
 	// Refusals counts answers made by the entry in place of a backend server.
 	Refusals = "refusals"
+	// QueueRefusals counts requests and attempts that the rank queue refused.
+	QueueRefusals = "queue_refusals"
 	// Retries counts repeated attempts of idempotent calls.
 	Retries = "retries"
 	// RetriesDenied counts retries that were wanted and not made.
