--- /dev/null
+++ b/bench/engine/result.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the latency histograms, in microseconds.
+const (
+	shortestLatency = 1
+	longestLatency  = 60_000_000
+	latencyDigits   = 3
+)
+
+// Phase is a part of the measured time.
+type Phase int
+
+// Phases of a run with a flood; a run without one is all Before.
+const (
+	Before Phase = iota
+	During
+	After
+	phases
+)
+
+// RankFigures are the figures of one rank in one phase, by time of arrival.
+type RankFigures struct {
+	Offered, Served, Failed, Refused int64
+	latency                          *hdrhistogram.Histogram
+}
+
+// Quantile is the latency in milliseconds below which q percent were served.
+func (f *RankFigures) Quantile(q float64) float64 {
+	return float64(f.latency.ValueAtQuantile(q)) / 1000
+}
+
+// Result is the figures of one run.
+type Result struct {
+	// Ranks holds the figures by phase and rank.
+	Ranks [phases]map[string]*RankFigures
+	// Refusals counts by reason.
+	Refusals map[outcome.Reason]int64
+	// Retries, Hedges and Probes count extra work over the whole run.
+	Retries, Hedges, Probes int64
+	// Bytes of measuring: load reports and probes in the measured time.
+	Bytes int64
+	// ServedInSecond counts the calls of each rank by the second in which they ended.
+	ServedInSecond map[string][]int64
+
+	scenario *Scenario
+}
+
+func newResult(s *Scenario) *Result {
+	r := &Result{Refusals: make(map[outcome.Reason]int64), ServedInSecond: make(map[string][]int64), scenario: s}
+	for p := range r.Ranks {
+		r.Ranks[p] = make(map[string]*RankFigures)
+		for _, rank := range []string{Payments, Lookups, Uploads} {
+			r.Ranks[p][rank] = &RankFigures{latency: hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)}
+		}
+	}
+	return r
+}
+
+// figures is where a call is counted, nil in the warm-up.
+func (r *Result) figures(c *call) *RankFigures {
+	at := c.arrived - r.scenario.WarmUp
+	if at < 0 {
+		return nil
+	}
+	return r.Ranks[r.phase(at)][c.rank]
+}
+
+func (r *Result) phase(at time.Duration) Phase {
+	f := r.scenario.Flood
+	switch {
+	case f.Rank == "" || at < f.From:
+		return Before
+	case at < f.Until:
+		return During
+	default:
+		return After
+	}
+}
+
+func (r *Result) offered(c *call) {
+	if f := r.figures(c); f != nil {
+		f.Offered++
+	}
+}
+
+func (r *Result) finished(c *call, kind balancer.ResultKind) {
+	f := r.figures(c)
+	if f == nil {
+		return
+	}
+	if kind != balancer.OK {
+		f.Failed++
+		return
+	}
+	f.Served++
+	latency := c.entry.run.clock.now - c.arrived
+	_ = f.latency.RecordValue(max(latency.Microseconds(), shortestLatency))
+	r.countSecond(c)
+}
+
+func (r *Result) countSecond(c *call) {
+	second := int((c.entry.run.clock.now - r.scenario.WarmUp) / time.Second)
+	counts := r.ServedInSecond[c.rank]
+	for len(counts) <= second {
+		counts = append(counts, 0)
+	}
+	counts[second]++
+	r.ServedInSecond[c.rank] = counts
+}
+
+func (r *Result) refused(c *call, refusal *outcome.Refusal) {
+	f := r.figures(c)
+	if f == nil {
+		return
+	}
+	f.Refused++
+	r.Refusals[refusal.Reason]++
+}
+
+// Total sums the figures of a rank over the phases.
+func (r *Result) Total(rank string) *RankFigures {
+	sum := &RankFigures{latency: hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)}
+	for p := range r.Ranks {
+		f := r.Ranks[p][rank]
+		sum.Offered += f.Offered
+		sum.Served += f.Served
+		sum.Failed += f.Failed
+		sum.Refused += f.Refused
+		sum.latency.Merge(f.latency)
+	}
+	return sum
+}
--- /dev/null
+++ b/bench/engine/scenario.go
@@ -0,0 +1,146 @@
+package engine
+
+import (
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// Names of the three ranks of work.
+const (
+	Payments = "payments"
+	Lookups  = "lookups"
+	Uploads  = "uploads"
+)
+
+// Policy names a way to choose the backend server.
+type Policy string
+
+// Policies of a run. All but Real send each call at once, without a queue.
+const (
+	Random     Policy = "random"
+	RoundRobin Policy = "round robin"
+	LeastOwn   Policy = "least own in-flight"
+	TwoChoices Policy = "two choices"
+	Real       Policy = "chestnutrouter"
+)
+
+// Scenario describes one run.
+type Scenario struct {
+	Policy  Policy
+	Seed    uint64
+	Entries int
+	Servers int
+	Zones   int
+	// Load is the offered work as a share of the capacity of all slots.
+	Load float64
+	// Mix is the share of each rank in the calls of the base load.
+	Mix map[string]float64
+	// Flood adds calls of one rank for a while.
+	Flood Flood
+	// Uneven gives the entries calls in proportion to 1, 1/2, 1/3 and so on.
+	Uneven bool
+	// Faults of backend servers.
+	Faults Faults
+	// NoHedges turns second attempts off.
+	NoHedges bool
+	// Service holds the ranks and budgets; the zero value takes DefaultService.
+	Service *tree.Service
+	// WarmUp is left out of the figures.
+	WarmUp time.Duration
+	// Length is the measured time after the warm-up.
+	Length time.Duration
+}
+
+// Flood is extra work of one rank.
+type Flood struct {
+	Rank string
+	// Load is the extra work as a share of capacity.
+	Load float64
+	// From and Until are measured from the end of the warm-up.
+	From, Until time.Duration
+}
+
+// Faults of backend servers and their reports.
+type Faults struct {
+	// Quiet turns noisy neighbours off.
+	Quiet bool
+	// SlowZone multiplies the work of all servers of zone 0; zero means none.
+	SlowZone float64
+	// FailFast makes server 0 answer every request with an error at once.
+	FailFast bool
+	// ReportAge is how old a load report is when it leaves the server.
+	ReportAge time.Duration
+	// ReportIdle makes every report say that the server is idle.
+	ReportIdle bool
+	// NoReports leaves the reports off the answers.
+	NoReports bool
+	// Restarts makes a server drain and a cold one join every so often; zero means never.
+	Restarts time.Duration
+}
+
+// Sizes of the fake servers and of the network between VMs.
+const (
+	slotsPerServer = 3
+	meanWork       = 10 * time.Millisecond
+	uploadWork     = 5 * meanWork
+	oneWayZones    = 500 * time.Microsecond // between availability zones
+	oneWayLocal    = 100 * time.Microsecond // inside an availability zone
+	failFastDelay  = 200 * time.Microsecond
+	callerPatience = 2 * time.Second
+	shedQueue      = 60 // requests that wait at a server before it sheds
+	reportBytes    = 52 // header line of one load report
+	probeBytes     = 260
+)
+
+// DefaultService is the shop service of the brief with three ranks.
+func DefaultService() *tree.Service {
+	const mib = 1 << 20
+	return &tree.Service{
+		Member: "glazenpot", Name: "shop",
+		SlotsPerServer: slotsPerServer, ConnectionsPerServer: 250,
+		Ranks: []tree.Rank{
+			{Name: Payments, Order: 1, Target: 500 * time.Millisecond, QueueLength: 500, QueueBytes: 16 * mib, KeptShare: 0.1},
+			{Name: Lookups, Order: 2, Target: 250 * time.Millisecond, QueueLength: 500, QueueBytes: 16 * mib, KeptShare: 0.2},
+			{Name: Uploads, Order: 3, Target: 10 * time.Second, QueueLength: 100, QueueBytes: 64 * mib, KeptShare: 0.05, Streams: 20},
+		},
+		Budgets: tree.Budgets{ProbesPerSecond: 5, RetryShare: 0.1, HedgeShare: 0.05},
+	}
+}
+
+// workOf is the mean time that a call of the rank holds a slot.
+func workOf(rank string) time.Duration {
+	if rank == Uploads {
+		return uploadWork
+	}
+	return meanWork
+}
+
+// capacity is the slot time that all servers give in a second, in seconds.
+func (s *Scenario) capacity() float64 { return float64(s.Servers * slotsPerServer) }
+
+// rate is the calls a second of a rank in the base load.
+func (s *Scenario) rate(rank string) float64 {
+	perCall := 0.0
+	for name, share := range s.Mix {
+		perCall += share * workOf(name).Seconds()
+	}
+	return s.Load * s.capacity() / perCall * s.Mix[rank]
+}
+
+// floodRate is the extra calls a second in the flood.
+func (s *Scenario) floodRate() float64 {
+	return s.Flood.Load * s.capacity() / workOf(s.Flood.Rank).Seconds()
+}
+
+// weight is the share of all calls that the entry receives.
+func (s *Scenario) weight(entry int) float64 {
+	if !s.Uneven {
+		return 1 / float64(s.Entries)
+	}
+	sum := 0.0
+	for i := range s.Entries {
+		sum += 1 / float64(i+1)
+	}
+	return 1 / float64(entry+1) / sum
+}
--- /dev/null
+++ b/bench/policy/faults.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/bench/engine"
+)
+
+// fault is one row group of the fault table.
+type fault struct {
+	name   string
+	change func(*engine.Scenario)
+}
+
+var faultCases = []fault{
+	{"none", func(*engine.Scenario) {}},
+	{"uneven callers", func(s *engine.Scenario) { s.Uneven = true }},
+	{"quiet neighbours", func(s *engine.Scenario) { s.Faults.Quiet = true }},
+	{"zone 0 slowed 2x, 70% load", func(s *engine.Scenario) { s.Faults.SlowZone, s.Load = 2, 0.7 }},
+	{"one server fails fast", func(s *engine.Scenario) { s.Faults.FailFast = true }},
+	{"reports 50 ms old", func(s *engine.Scenario) { s.Faults.ReportAge = 50 * time.Millisecond }},
+	{"reports 200 ms old", func(s *engine.Scenario) { s.Faults.ReportAge = 200 * time.Millisecond }},
+	{"reports 2 s old", func(s *engine.Scenario) { s.Faults.ReportAge = 2 * time.Second }},
+	{"reports say idle", func(s *engine.Scenario) { s.Faults.ReportIdle = true }},
+	{"no reports", func(s *engine.Scenario) { s.Faults.NoReports = true }},
+	{"restart every 5 s", func(s *engine.Scenario) { s.Faults.Restarts = 5 * time.Second }},
+	{"no hedges", func(s *engine.Scenario) { s.NoHedges = true }},
+}
+
+// faultTable compares the policy with the best simple one under faults.
+func faultTable(seed uint64, length time.Duration) Table {
+	t := Table{
+		Title: fmt.Sprintf("Lookups under faults, 85%% load, 19 entries, seed %d", seed),
+		Header: []string{
+			"fault", "policy", "p50 ms", "p99 ms", "p99.9 ms", "served/s",
+			"refused", "failed", "hedges", "measuring B/s",
+		},
+	}
+	var scenarios []engine.Scenario
+	var names []string
+	for _, c := range faultCases {
+		for _, p := range []engine.Policy{engine.LeastOwn, engine.Real} {
+			s := base(seed, length)
+			s.Policy = p
+			c.change(&s)
+			scenarios = append(scenarios, s)
+			names = append(names, c.name)
+		}
+	}
+	for i, r := range runAll(scenarios) {
+		cells := []string{names[i], string(scenarios[i].Policy)}
+		t.Rows = append(t.Rows, append(cells, lookupCells(r, length)...))
+	}
+	return t
+}
--- /dev/null
+++ b/bench/policy/load.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/bench/engine"
+)
+
+var allPolicies = []engine.Policy{
+	engine.Random, engine.RoundRobin, engine.TwoChoices, engine.LeastOwn, engine.Real,
+}
+
+// base is the shop service of the brief.
+func base(seed uint64, length time.Duration) engine.Scenario {
+	return engine.Scenario{
+		Policy: engine.Real, Seed: seed, Entries: 19, Servers: 30, Zones: 4, Load: 0.85,
+		Mix:    map[string]float64{engine.Payments: 0.1, engine.Lookups: 0.9},
+		WarmUp: 3 * time.Second, Length: length,
+	}
+}
+
+// loadTable compares all policies from half load to a flood.
+func loadTable(seed uint64, length time.Duration) Table {
+	t := Table{
+		Title: fmt.Sprintf("Lookups by load, noisy neighbours, seed %d", seed),
+		Header: []string{
+			"entries", "load", "policy", "p50 ms", "p99 ms", "p99.9 ms", "served/s",
+			"refused", "failed", "hedges", "measuring B/s",
+		},
+	}
+	var scenarios []engine.Scenario
+	for _, entries := range []int{13, 19} {
+		for _, load := range []float64{0.5, 0.7, 0.85, 0.95, 1.5} {
+			for _, p := range allPolicies {
+				s := base(seed, length)
+				s.Entries, s.Load, s.Policy = entries, load, p
+				scenarios = append(scenarios, s)
+			}
+		}
+	}
+	for i, r := range runAll(scenarios) {
+		s := scenarios[i]
+		cells := []string{fmt.Sprint(s.Entries), fmt.Sprintf("%.0f%%", 100*s.Load), string(s.Policy)}
+		t.Rows = append(t.Rows, append(cells, lookupCells(r, length)...))
+	}
+	return t
+}
+
+func lookupCells(r *engine.Result, length time.Duration) []string {
+	f := r.Total(engine.Lookups)
+	return []string{
+		ms(f.Quantile(50)), ms(f.Quantile(99)), ms(f.Quantile(99.9)),
+		fmt.Sprintf("%.0f", float64(f.Served)/length.Seconds()),
+		percent(f.Refused, f.Offered), percent(f.Failed, f.Offered), percent(r.Hedges, f.Offered),
+		fmt.Sprintf("%.0f", float64(r.Bytes)/length.Seconds()),
+	}
+}
--- /dev/null
+++ b/bench/policy/table.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/bench/engine"
+)
+
+// Table is one printed table.
+type Table struct {
+	Title  string     `json:"title"`
+	Header []string   `json:"header"`
+	Rows   [][]string `json:"rows"`
+}
+
+// UnknownTableError names a table that does not exist.
+type UnknownTableError struct{ Name string }
+
+// Error names the table.
+func (e *UnknownTableError) Error() string {
+	return fmt.Sprintf("no table %q: use load, faults, flood or all", e.Name)
+}
+
+// maxParallelRuns leaves most of the machine to others.
+const maxParallelRuns = 4
+
+// build returns the tables of that name.
+func build(name string, seed uint64, seconds int) ([]Table, error) {
+	length := time.Duration(seconds) * time.Second
+	switch name {
+	case "load":
+		return []Table{loadTable(seed, length)}, nil
+	case "faults":
+		return []Table{faultTable(seed, length)}, nil
+	case "flood":
+		return floodTables(seed), nil
+	case "all":
+		tables := []Table{loadTable(seed, length), faultTable(seed, length)}
+		return append(tables, floodTables(seed)...), nil
+	}
+	return nil, &UnknownTableError{Name: name}
+}
+
+// runAll runs the scenarios, several at a time, and keeps their order.
+func runAll(scenarios []engine.Scenario) []*engine.Result {
+	results := make([]*engine.Result, len(scenarios))
+	slots := make(chan struct{}, min(maxParallelRuns, runtime.GOMAXPROCS(0)))
+	var group sync.WaitGroup
+	for i, s := range scenarios {
+		slots <- struct{}{}
+		group.Go(func() {
+			results[i] = engine.Run(s)
+			<-slots
+		})
+	}
+	group.Wait()
+	return results
+}
+
+// printText prints the tables in Markdown.
+func printText(w io.Writer, tables []Table) error {
+	for _, t := range tables {
+		lines := []string{"", "### " + t.Title, "", row(t.Header), row(rules(len(t.Header)))}
+		for _, r := range t.Rows {
+			lines = append(lines, row(r))
+		}
+		if _, err := fmt.Fprintln(w, strings.Join(lines, "\n")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func row(cells []string) string { return "| " + strings.Join(cells, " | ") + " |" }
+
+func rules(n int) []string {
+	cells := make([]string, n)
+	for i := range cells {
+		cells[i] = "---"
+	}
+	return cells
+}
+
+func ms(v float64) string { return fmt.Sprintf("%.1f", v) }
+
+func percent(part, whole int64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f%%", 100*float64(part)/float64(whole))
+}
