Scatter equal servers over the entries

Cause: with own in-flight alone most servers are equal, and all entries took the first of the list, so they met at the same servers. Change: each pick starts its scan at a place scattered by a counter that begins at a hash of the entry's name.

--- a/bench/engine/queued.go
+++ b/bench/engine/queued.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
@@ -25,7 +26,7 @@
 }
 
 func newQueued(e *entry) *queued {
-	b := balancer.New(balancer.Options{Zone: zoneName(e.zone)})
+	b := balancer.New(balancer.Options{Entry: fmt.Sprintf("entry-%02d", e.index), Zone: zoneName(e.zone)})
 	q := &queued{entry: e, balancer: b, calls: make(map[*admission.Item]*call)}
 	q.scheduler = admission.NewScheduler(b)
 	q.scheduler.SetRanks(e.run.service.Ranks)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,11 +15,14 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 )
 
 // Options are the settings of a Balancer.
 type Options struct {
+	// Entry is the name of this entry VM; it sets entries apart where servers seem equal.
+	Entry string
 	// Zone is the entry's own availability zone.
 	Zone string
 	// Scope receives the counters; nil counts nowhere.
@@ -30,7 +33,8 @@
 type Balancer struct {
 	options  Options
 	snapshot atomic.Pointer[snapshot]
-	mu       sync.Mutex // guards making a new snapshot
+	turn     atomic.Uint64 // moves the server at which equal ones are judged first
+	mu       sync.Mutex    // guards making a new snapshot
 }
 
 // New returns a balancer without servers.
@@ -40,6 +44,7 @@
 	}
 	b := &Balancer{options: options}
 	b.snapshot.Store(&snapshot{})
+	b.turn.Store(xxhash.Sum64String(options.Entry))
 	return b
 }
 
@@ -68,7 +73,7 @@
 	s := b.snapshot.Load()
 	at := now.UnixNano()
 	for range maxReserveTries {
-		h, mask := s.best(at, exclude)
+		h, mask := s.best(s.first(b.turn.Add(1)), exclude)
 		if h == nil {
 			return nil, false
 		}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -39,13 +39,24 @@
 	return n
 }
 
+// first is the index at which a pick starts to judge, scattered by the turn.
+func (s *snapshot) first(turn uint64) int {
+	if len(s.hosts) == 0 {
+		return 0
+	}
+	const scatter = 0x9e3779b97f4a7c15 // 2^64 divided by the golden ratio
+	return int(turn * scatter >> 33 % uint64(len(s.hosts)))
+}
+
 // best returns the host with the least own in-flight requests and a free slot,
-// with the busy mask that was judged, or nil.
-func (s *snapshot) best(_ int64, exclude []string) (*host, uint32) {
+// with the busy mask that was judged, or nil. Of equal hosts it is the next
+// one from first on.
+func (s *snapshot) best(first int, exclude []string) (*host, uint32) {
 	var best *host
 	var bestMask uint32
 	least := s.slots
-	for _, h := range s.hosts {
+	for i := range s.hosts {
+		h := s.hosts[(first+i)%len(s.hosts)]
 		mask := h.busy.Load()
 		own := bits.OnesCount32(mask)
 		if own >= least || h.news.draining.Load() || excluded(exclude, h.vm.Name) {
