Judge servers by reported load of other entries and by late requests

Cause: at 19 entries an entry sees 1/19 of a server's load, so own in-flight leaves most servers equal. Change: the load of a server is own in-flight, plus others' from the last report faded over 200 ms into what is usual for the service plus half a request of doubt, plus one for each own request out for more than three mean latencies.

--- a/bench/engine/call.go
+++ b/bench/engine/call.go
@@ -45,6 +45,7 @@
 	a.sent = c.now
 	a.call.attempts = append(a.call.attempts, a)
 	a.call.tried = append(a.call.tried, a.server.vm.Name)
+	a.server.coming++
 	c.after(oneWay(a.call.entry, a.server), func() { a.server.arrive(a) })
 }
 
--- a/bench/engine/direct.go
+++ b/bench/engine/direct.go
@@ -29,7 +29,9 @@
 		d.turn++
 		return d.servers[(d.turn+d.entry.index)%len(d.servers)]
 	case LeastOwn:
-		return d.least()
+		return d.least(d.ownLoad)
+	case TrueLoad:
+		return d.least(trueLoad)
 	case TwoChoices:
 		a, b := d.any(), d.any()
 		if d.own[b] < d.own[a] {
@@ -44,14 +46,20 @@
 func (d *direct) any() *server { return d.servers[d.entry.rng.IntN(len(d.servers))] }
 
 // least breaks ties by a start that moves on with each call.
-func (d *direct) least() *server {
-	first := d.entry.rng.IntN(len(d.servers))
+func (d *direct) least(load func(*server) int) *server {
+	d.turn++
+	first := (d.turn + d.entry.index) % len(d.servers)
 	best := d.servers[first]
 	for i := range d.servers {
 		s := d.servers[(first+i)%len(d.servers)]
-		if d.own[s] < d.own[best] {
+		if load(s) < load(best) {
 			best = s
 		}
 	}
 	return best
 }
+
+func (d *direct) ownLoad(s *server) int { return d.own[s] }
+
+// trueLoad is the load at this moment, which no entry can know.
+func trueLoad(s *server) int { return s.coming + len(s.running) + len(s.queue) }
--- a/bench/engine/scenario.go
+++ b/bench/engine/scenario.go
@@ -23,6 +23,8 @@
 	LeastOwn   Policy = "least own in-flight"
 	TwoChoices Policy = "two choices"
 	Real       Policy = "chestnutrouter"
+	// TrueLoad knows the load of every server without delay: a bound, not a way.
+	TrueLoad Policy = "least true load (bound)"
 )
 
 // Scenario describes one run.
--- a/bench/engine/server.go
+++ b/bench/engine/server.go
@@ -27,6 +27,7 @@
 	slow     float64 // multiplies the work
 	warmAt   time.Duration
 	draining bool
+	coming   int // attempts on their way
 
 	running []*attempt
 	queue   []*attempt
@@ -51,6 +52,7 @@
 
 // arrive takes an attempt in.
 func (s *server) arrive(a *attempt) {
+	s.coming--
 	switch {
 	case s.failFast:
 		s.clock.after(failFastDelay, func() { a.answer(balancer.Error) })
--- a/bench/policy/load.go
+++ b/bench/policy/load.go
@@ -8,7 +8,7 @@
 )
 
 var allPolicies = []engine.Policy{
-	engine.Random, engine.RoundRobin, engine.TwoChoices, engine.LeastOwn, engine.Real,
+	engine.Random, engine.RoundRobin, engine.TwoChoices, engine.LeastOwn, engine.Real, engine.TrueLoad,
 }
 
 // base is the shop service of the brief.
@@ -22,6 +22,15 @@
 
 // loadTable compares all policies from half load to a flood.
 func loadTable(seed uint64, length time.Duration) Table {
+	return loads(seed, length, []int{13, 19}, allPolicies)
+}
+
+// quickTable shows the product alone, to judge a change by.
+func quickTable(seed uint64, length time.Duration) Table {
+	return loads(seed, length, []int{19}, []engine.Policy{engine.Real})
+}
+
+func loads(seed uint64, length time.Duration, entryCounts []int, policies []engine.Policy) Table {
 	t := Table{
 		Title: fmt.Sprintf("Lookups by load, noisy neighbours, seed %d", seed),
 		Header: []string{
@@ -30,9 +39,9 @@
 		},
 	}
 	var scenarios []engine.Scenario
-	for _, entries := range []int{13, 19} {
+	for _, entries := range entryCounts {
 		for _, load := range []float64{0.5, 0.7, 0.85, 0.95, 1.5} {
-			for _, p := range allPolicies {
+			for _, p := range policies {
 				s := base(seed, length)
 				s.Entries, s.Load, s.Policy = entries, load, p
 				scenarios = append(scenarios, s)
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -23,7 +23,7 @@
 
 // Error names the table.
 func (e *UnknownTableError) Error() string {
-	return fmt.Sprintf("no table %q: use load, faults, flood or all", e.Name)
+	return fmt.Sprintf("no table %q: use quick, load, faults, flood or all", e.Name)
 }
 
 // maxParallelRuns leaves most of the machine to others.
@@ -35,6 +35,8 @@
 	switch name {
 	case "load":
 		return []Table{loadTable(seed, length)}, nil
+	case "quick":
+		return []Table{quickTable(seed, length)}, nil
 	case "faults":
 		return []Table{faultTable(seed, length)}, nil
 	case "flood":
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -8,6 +8,7 @@
 package balancer
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,8 @@
 type Balancer struct {
 	options  Options
 	snapshot atomic.Pointer[snapshot]
+	latency  mean          // nanoseconds of an answer
+	others   mean          // requests of other entries at a server
 	turn     atomic.Uint64 // moves the server at which equal ones are judged first
 	mu       sync.Mutex    // guards making a new snapshot
 }
@@ -60,7 +63,7 @@
 func (b *Balancer) Len() int { return len(b.snapshot.Load().hosts) }
 
 // MeanLatency is the mean latency of recent answers, zero before the first.
-func (b *Balancer) MeanLatency() time.Duration { return 0 }
+func (b *Balancer) MeanLatency() time.Duration { return time.Duration(b.latency.value()) }
 
 // HedgeAfter is how long an idempotent request may stay unanswered before a
 // second attempt is worth its cost. It is false when too little was measured
@@ -71,13 +74,13 @@
 // false when no server that is not excluded by name has a free slot.
 func (b *Balancer) Pick(now time.Time, exclude []string) (*Server, bool) {
 	s := b.snapshot.Load()
-	at := now.UnixNano()
+	v := b.view(now)
 	for range maxReserveTries {
-		h, mask := s.best(s.first(b.turn.Add(1)), exclude)
+		h, mask := s.best(s.first(b.turn.Add(1)), v, exclude)
 		if h == nil {
 			return nil, false
 		}
-		if place, ok := h.reserve(mask, at); ok {
+		if place, ok := h.reserve(mask, v.now); ok {
 			return place, true
 		}
 	}
@@ -88,13 +91,42 @@
 // the same moment.
 const maxReserveTries = 8
 
+// view is what a pick at that time judges all servers by.
+func (b *Balancer) view(now time.Time) view {
+	return view{now: now.UnixNano(), late: b.lateAfter(), usual: b.others.value() + doubt}
+}
+
+const (
+	// lateMeans is how many mean latencies a request may be out before its
+	// server is taken to be slow.
+	lateMeans = 3
+	// doubt is added to the usual load of a server without news, as a load that
+	// is known costs less on average than one that is only likely.
+	doubt = 0.5
+	// meanWeight is the weight of the newest answer in the means.
+	meanWeight = 0.02
+)
+
+func (b *Balancer) lateAfter() int64 {
+	usual := b.latency.value()
+	if usual == 0 {
+		return math.MaxInt64
+	}
+	return int64(lateMeans * usual)
+}
+
 // Done ends the reservation with what the attempt showed. It must be called
 // exactly once for each pick.
-func (b *Balancer) Done(s *Server, _ time.Time, r Result) {
+func (b *Balancer) Done(s *Server, now time.Time, r Result) {
+	own := s.host.release(s)
 	if r.HasReport {
-		s.host.news.hear(r.Report)
+		heard := newsOf(r.Report, own, now.UnixNano())
+		s.host.news.Store(heard)
+		b.others.learn(heard.others, meanWeight)
+	}
+	if r.Kind == OK && !r.Upload {
+		b.latency.learn(float64(r.Latency), meanWeight)
 	}
-	s.host.release(s)
 }
 
 func excluded(exclude []string, name string) bool {
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -27,11 +27,12 @@
 	vm     fleet.VM
 	places [maxPlaces]Server
 	busy   atomic.Uint32 // one bit for each reserved place
-	news   news
+	news   atomic.Pointer[news]
 }
 
 func newHost(vm fleet.VM) *host {
 	h := &host{vm: vm}
+	h.news.Store(&news{})
 	for i := range h.places {
 		h.places[i].VM = vm
 		h.places[i].host = h
@@ -54,7 +55,20 @@
 	return s, true
 }
 
-// release frees the place.
-func (h *host) release(s *Server) {
-	h.busy.And(^(uint32(1) << s.index))
+// release frees the place and returns how many stay reserved.
+func (h *host) release(s *Server) int {
+	bit := uint32(1) << s.index
+	return bits.OnesCount32(h.busy.And(^bit) &^ bit)
+}
+
+// load estimates the requests at the server: own ones, those of other entries
+// and one more for each own one that has been out for long.
+func (h *host) load(mask uint32, v view) float64 {
+	estimate := float64(bits.OnesCount32(mask)) + h.news.Load().othersAt(v.now, v.usual)
+	for rest := mask; rest != 0; rest &= rest - 1 {
+		if v.now-h.places[bits.TrailingZeros32(rest)].started.Load() > v.late {
+			estimate++
+		}
+	}
+	return estimate
 }
--- a/internal/balancer/news.go
+++ b/internal/balancer/news.go
@@ -1,10 +1,31 @@
 package balancer
 
-import "sync/atomic"
+import (
+	"math"
+	"time"
+)
 
-// news is the last report of a backend server, readable without a lock.
+// reportFade is the age at which a report still counts for 1/e.
+const reportFade = 200 * time.Millisecond
+
+// news is an immutable observation of a backend server, swapped whole.
 type news struct {
-	draining atomic.Bool
+	heard    int64   // nanoseconds since the Unix epoch
+	others   float64 // requests of other entries at the server
+	draining bool
+}
+
+// newsOf reads a report that arrived while own requests of this entry were
+// still in progress at the server.
+func newsOf(r Report, own int, now int64) *news {
+	others := r.InFlight + r.Queue - own
+	return &news{heard: now, others: float64(max(others, 0)), draining: r.Draining}
 }
 
-func (n *news) hear(r Report) { n.draining.Store(r.Draining) }
+// othersAt is the load of other entries at that time: what was reported, faded
+// with its age into what is usual for a server of the service.
+func (n *news) othersAt(now int64, usual float64) float64 {
+	age := float64(now - n.heard)
+	trust := math.Exp(-age / float64(reportFade))
+	return usual + trust*(n.others-usual)
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"math/bits"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
@@ -10,6 +11,13 @@
 // defaultSlots is assumed where the service names no slots per server.
 const defaultSlots = 3
 
+// view is what one pick judges all servers by.
+type view struct {
+	now   int64   // nanoseconds since the Unix epoch
+	late  int64   // nanoseconds after which a request shows a slow server
+	usual float64 // requests of other entries at a server without news
+}
+
 // snapshot is an immutable set of servers with the service's limits.
 type snapshot struct {
 	hosts []*host
@@ -48,21 +56,22 @@
 	return int(turn * scatter >> 33 % uint64(len(s.hosts)))
 }
 
-// best returns the host with the least own in-flight requests and a free slot,
-// with the busy mask that was judged, or nil. Of equal hosts it is the next
-// one from first on.
-func (s *snapshot) best(first int, exclude []string) (*host, uint32) {
+// best returns the host with the least estimated load and a free place, with
+// the busy mask that was judged, or nil. Of equal hosts it is the next one from
+// first on.
+func (s *snapshot) best(first int, v view, exclude []string) (*host, uint32) {
 	var best *host
 	var bestMask uint32
-	least := s.slots
+	least := math.Inf(1)
 	for i := range s.hosts {
 		h := s.hosts[(first+i)%len(s.hosts)]
 		mask := h.busy.Load()
-		own := bits.OnesCount32(mask)
-		if own >= least || h.news.draining.Load() || excluded(exclude, h.vm.Name) {
+		if bits.OnesCount32(mask) >= s.slots || h.news.Load().draining || excluded(exclude, h.vm.Name) {
 			continue
 		}
-		best, bestMask, least = h, mask, own
+		if load := h.load(mask, v); load < least {
+			best, bestMask, least = h, mask, load
+		}
 	}
 	return best, bestMask
 }
