Eject failing servers with a cap and spare joining ones

Cause: a server that fails fast always has the least in flight, so it drew most work: with one of 30 failing, 87.25% of payments failed. Change: a failed answer counts as a full server for three mean latencies; an error share above 0.6 ejects for 1 s, doubling to 30 s; back from it one request at a time until an answer is whole; with more than a third ejected all are used. A server that joins a set in use is spared over 5 s.

--- a/bench/engine/queued.go
+++ b/bench/engine/queued.go
@@ -38,7 +38,7 @@
 	for _, s := range servers {
 		vms = append(vms, s.vm)
 	}
-	q.balancer.Update(vms, q.entry.run.service)
+	q.balancer.UpdateAt(q.entry.run.clock.time(), vms, q.entry.run.service)
 }
 
 func (q *queued) start(c *call) {
--- a/bench/policy/faults.go
+++ b/bench/policy/faults.go
@@ -34,7 +34,7 @@
 		Title: fmt.Sprintf("Lookups under faults, 85%% load, 19 entries, seed %d", seed),
 		Header: []string{
 			"fault", "policy", "p50 ms", "p99 ms", "p99.9 ms", "served/s",
-			"refused", "failed", "hedges", "measuring B/s",
+			"refused", "failed", "hedges", "measuring B/s", "payments failed",
 		},
 	}
 	var scenarios []engine.Scenario
@@ -50,7 +50,9 @@
 	}
 	for i, r := range runAll(scenarios) {
 		cells := []string{names[i], string(scenarios[i].Policy)}
-		t.Rows = append(t.Rows, append(cells, lookupCells(r, length)...))
+		cells = append(cells, lookupCells(r, length)...)
+		payments := r.Total(engine.Payments)
+		t.Rows = append(t.Rows, append(cells, percent(payments.Failed, payments.Offered)))
 	}
 	return t
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
@@ -53,11 +54,17 @@
 }
 
 // Update replaces the set of servers. What is known about a server that stays
-// is kept; a server that left takes no new request.
+// is kept; a server that left takes no new request, and one that joins a set in
+// use is spared for a while.
 func (b *Balancer) Update(servers []fleet.VM, svc *tree.Service) {
+	b.UpdateAt(time.Now(), servers, svc)
+}
+
+// UpdateAt is Update at a given time.
+func (b *Balancer) UpdateAt(now time.Time, servers []fleet.VM, svc *tree.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.snapshot.Store(b.snapshot.Load().next(servers, svc))
+	b.snapshot.Store(b.snapshot.Load().next(servers, svc, now.UnixNano()))
 }
 
 // Len is the number of servers.
@@ -75,7 +82,7 @@
 // false when no server that is not excluded by name has a free slot.
 func (b *Balancer) Pick(now time.Time, exclude []string) (*Server, bool) {
 	s := b.snapshot.Load()
-	v := b.view(now)
+	v := b.view(s, now)
 	for range maxReserveTries {
 		h, mask := s.best(s.first(b.turn.Add(1)), &v, exclude)
 		if h == nil {
@@ -93,10 +100,11 @@
 const maxReserveTries = 8
 
 // view is what a pick at that time judges all servers by.
-func (b *Balancer) view(now time.Time) view {
+func (b *Balancer) view(s *snapshot, now time.Time) view {
 	return view{
 		now:   now.UnixNano(),
 		late:  b.lateAfter(),
+		slots: float64(s.slots),
 		usual: b.others.value() + doubt,
 		trust: b.echo.value(),
 	}
@@ -128,11 +136,35 @@
 	if r.HasReport {
 		b.hear(s.host, own, now, r)
 	}
-	if r.Kind == OK && !r.Upload {
-		b.latency.learn(float64(r.Latency), meanWeight)
+	switch r.Kind {
+	case OK:
+		s.host.health.succeed()
+		if !r.Upload {
+			b.latency.learn(float64(r.Latency), meanWeight)
+		}
+	case Error, DialFailed:
+		b.fail(s.host, now, r.Kind)
+	}
+}
+
+// fail lets the failed answer count as a long one, so that a server that fails
+// fast draws no load.
+func (b *Balancer) fail(h *host, now time.Time, kind ResultKind) {
+	hold := time.Duration(lateMeans * b.latency.value())
+	if !h.health.fail(now, max(hold, minErrorHold)) {
+		return
+	}
+	snapshot := b.snapshot.Load()
+	if snapshot.tooManyEjected(snapshot.ejected(now.UnixNano())) {
+		metrics.Count(b.options.Scope, metrics.Ejections, "ignored_past_cap")
+		return
 	}
+	metrics.Count(b.options.Scope, metrics.Ejections, kind.String())
 }
 
+// minErrorHold is the shortest time that a failure counts as in progress.
+const minErrorHold = 10 * time.Millisecond
+
 // hear takes in the report of an answer.
 func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
 	heard := newsOf(r.Report, own, now.UnixNano())
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"sync/atomic"
+	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 )
@@ -28,10 +29,12 @@
 	places [maxPlaces]Server
 	busy   atomic.Uint32 // one bit for each reserved place
 	news   atomic.Pointer[news]
+	health health
+	joined int64 // nanoseconds since the Unix epoch; zero for a server that was there before this entry
 }
 
-func newHost(vm fleet.VM) *host {
-	h := &host{vm: vm}
+func newHost(vm fleet.VM, joined int64) *host {
+	h := &host{vm: vm, joined: joined}
 	h.news.Store(&news{})
 	for i := range h.places {
 		h.places[i].VM = vm
@@ -61,14 +64,48 @@
 	return bits.OnesCount32(h.busy.And(^bit) &^ bit)
 }
 
-// load estimates the requests at the server: own ones, those of other entries
-// and one more for each own one that has been out for long.
+// takes reports whether the server may get another request.
+func (h *host) takes(mask uint32, limit int) bool {
+	return bits.OnesCount32(mask) < limit && !h.news.Load().draining
+}
+
+// suspended reports whether the server is ejected, or back from it with its
+// first request still in progress.
+func (h *host) suspended(mask uint32, now int64) bool {
+	return h.health.ejectedUntil.Load() > now || h.health.trial.Load() && mask != 0
+}
+
+// load estimates the requests at the server: own ones, those of other entries,
+// and handicaps for what speaks against it.
 func (h *host) load(mask uint32, v *view) float64 {
 	estimate := float64(bits.OnesCount32(mask)) + h.news.Load().othersAt(v)
+	estimate += h.late(mask, v)
+	estimate += h.handicap(v)
+	return estimate
+}
+
+// late counts the own requests that have been out for long.
+func (h *host) late(mask uint32, v *view) float64 {
+	count := 0.0
 	for rest := mask; rest != 0; rest &= rest - 1 {
 		if v.now-h.places[bits.TrailingZeros32(rest)].started.Load() > v.late {
-			estimate++
+			count++
 		}
 	}
-	return estimate
+	return count
+}
+
+// slowStart is how long a server that joins is spared.
+const slowStart = 5 * time.Second
+
+// handicap is up to a full server for a failure or a start a short while ago.
+func (h *host) handicap(v *view) float64 {
+	if v.now < h.health.failedUntil.Load() {
+		return v.slots
+	}
+	age := v.now - h.joined
+	if age >= int64(slowStart) {
+		return 0
+	}
+	return v.slots * (1 - float64(age)/float64(slowStart))
 }
--- a/internal/balancer/result.go
+++ b/internal/balancer/result.go
@@ -19,6 +19,15 @@
 	Cancelled
 )
 
+// String returns the kind in snake_case, as counters name it.
+func (k ResultKind) String() string {
+	names := [...]string{"ok", "error", "shed", "dial_failed", "cancelled"}
+	if k < 0 || int(k) >= len(names) {
+		return "invalid"
+	}
+	return names[k]
+}
+
 // Result is what the balancer learns from one attempt.
 type Result struct {
 	// Latency runs from dispatch to the end of the answer.
