--- /dev/null
+++ b/standin/backend/call.go
@@ -0,0 +1,133 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+// Answer is the JSON body of a request that was run.
+type Answer struct {
+	// Server is the name of the backend server.
+	Server string `json:"server"`
+	// Request is the value of HeaderRequest.
+	Request string `json:"request,omitempty"`
+	// Operation is the request's operation id.
+	Operation string `json:"operation,omitempty"`
+	// Run is how often this server has run the operation, this time included.
+	Run int `json:"run"`
+	// Length is the number of bytes of the request's body.
+	Length int64 `json:"length"`
+	// SHA256 is the hexadecimal hash of the request's body.
+	SHA256 string `json:"sha256"`
+	// Filler is as long as HeaderAnswerBytes asked for.
+	Filler string `json:"filler,omitempty"`
+}
+
+// maxFillerBytes bounds HeaderAnswerBytes.
+const maxFillerBytes = 64 << 20
+
+// serveCall runs one request of a caller.
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	f := s.currentFaults()
+	if f.FailFast {
+		s.refuse(w, http.StatusInternalServerError)
+		return
+	}
+	if f.Shed || !s.slots.acquire(r.Context()) {
+		s.runs.shed()
+		w.Header().Set(wire.HeaderLoadShed, wire.ShedNotRun)
+		s.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	answer, ok := s.run(r, f)
+	s.slots.release()
+	if !ok || f.HangUp {
+		panic(http.ErrAbortHandler)
+	}
+	s.write(w, r, answer, f.BreakOff)
+}
+
+// run reads the body and spends the service time. It returns false if the
+// caller left before the end.
+func (s *Server) run(r *http.Request, f Faults) (Answer, bool) {
+	hash := sha256.New()
+	length, err := io.Copy(hash, r.Body)
+	if err != nil {
+		return Answer{}, false
+	}
+	operation := r.Header.Get(wire.HeaderOperation)
+	answer := Answer{
+		Server:    s.name,
+		Request:   r.Header.Get(HeaderRequest),
+		Operation: operation,
+		Run:       s.runs.start(operation, f.Draining),
+		Length:    length,
+		SHA256:    hex.EncodeToString(hash.Sum(nil)),
+	}
+	return answer, sleep(r.Context(), s.duration(r, f))
+}
+
+// duration returns the service time of one request.
+func (s *Server) duration(r *http.Request, f Faults) time.Duration {
+	d := s.serviceTime
+	if asked, err := time.ParseDuration(r.Header.Get(HeaderServiceTime)); err == nil {
+		d = asked
+	}
+	if f.SlowFactor > 0 {
+		d = time.Duration(float64(d) * f.SlowFactor)
+	}
+	return d
+}
+
+func (s *Server) refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(wire.HeaderLoadReport, s.report())
+	w.WriteHeader(status)
+}
+
+// write sends the answer, or half of it and an aborted connection.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, a Answer, breakOff bool) {
+	if n, err := strconv.Atoi(r.Header.Get(HeaderAnswerBytes)); err == nil && n > 0 {
+		a.Filler = string(bytes.Repeat([]byte{'x'}, min(n, maxFillerBytes)))
+	}
+	body, err := json.Marshal(a)
+	if err != nil {
+		s.refuse(w, http.StatusInternalServerError)
+		return
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(HeaderRequest, a.Request)
+	header.Set(wire.HeaderLoadReport, s.report())
+	if breakOff {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	// A failed write means that the caller has left; nobody is left to tell.
+	_, _ = w.Write(body)
+}
+
+// sleep waits for d and returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
