Add the platform clients and the stand-in log service and VM list

Cause: entries, chestnutctl and the quick start need the log service and the VM list, and tests need their faults on command. Change: platform.NewHTTP (Log and VMList over HTTP; an append turns to the next endpoint only when nothing was sent), standin/platform as an http.Handler with faults by admin path, standin/cmd/standinplatform to run it as a process. Ruled out: repeating an append whose answer was lost; only a reader of the log can settle it. Conclusion: scripts/test ./internal/platform ./standin/... passes.

--- /dev/null
+++ b/standin/platform/server_test.go
@@ -0,0 +1,167 @@
+package platform_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+	standin "chestnutrouter.example/chestnutrouter/standin/platform"
+)
+
+func start(t *testing.T) (*standin.Server, *httptest.Server) {
+	t.Helper()
+	s := standin.New()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, server
+}
+
+func client(t *testing.T, name string, endpoints ...string) *platform.HTTP {
+	t.Helper()
+	c := platform.NewHTTP(endpoints, platform.Options{Client: name, Timeout: time.Minute})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func mustAppend(t *testing.T, c *platform.HTTP, data string) int64 {
+	t.Helper()
+	offset, err := c.Append(t.Context(), platform.StreamConfig, json.RawMessage(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return offset
+}
+
+func TestAppendedRecordsAreReadInOrder(t *testing.T) {
+	_, server := start(t)
+	c := client(t, "vm-1", server.URL)
+	for i, data := range []string{`{"a":1}`, `{"a":2}`, `{"a":3}`} {
+		if got := mustAppend(t, c, data); got != int64(i) {
+			t.Fatalf("offset %d, want %d", got, i)
+		}
+	}
+	page, err := c.Read(t.Context(), platform.StreamConfig, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(page.Records) != 2 || page.Next != 3 || string(page.Records[0].Data) != `{"a":2}` {
+		t.Fatalf("page %+v", page)
+	}
+}
+
+func TestLongPollReturnsOnAppend(t *testing.T) {
+	_, server := start(t)
+	c := client(t, "vm-1", server.URL)
+	pages := make(chan platform.Page, 1)
+	go func() {
+		page, _ := c.Read(t.Context(), platform.StreamConfig, 0, time.Minute)
+		pages <- page
+	}()
+	mustAppend(t, c, `1`)
+	if page := <-pages; len(page.Records) != 1 || page.Next != 1 {
+		t.Fatalf("page %+v", page)
+	}
+}
+
+func TestExpiredRecordsNameTheOldestKept(t *testing.T) {
+	s, server := start(t)
+	c := client(t, "vm-1", server.URL)
+	for range 5 {
+		mustAppend(t, c, `1`)
+	}
+	s.Expire(platform.StreamConfig, 3)
+	_, err := c.Read(t.Context(), platform.StreamConfig, 2, 0)
+	var expired *platform.ExpiredError
+	if !errors.As(err, &expired) || expired.Oldest != 3 || expired.Stream != platform.StreamConfig {
+		t.Fatalf("error %v", err)
+	}
+	if _, err := c.Read(t.Context(), platform.StreamConfig, 3, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestLostAnswerIsNotCertainAndNotSentAgain(t *testing.T) {
+	s, server := start(t)
+	c := client(t, "vm-1", server.URL, server.URL)
+	mustAppend(t, c, `1`) // leaves a kept connection, on which a repeat would be possible
+	s.SetFaults(standin.Faults{LoseAppendAnswers: 1})
+	_, err := c.Append(t.Context(), platform.StreamConfig, json.RawMessage(`2`))
+	var unavailable *platform.UnavailableError
+	if !errors.As(err, &unavailable) || unavailable.Certain {
+		t.Fatalf("error %v", err)
+	}
+	page, err := c.Read(t.Context(), platform.StreamConfig, 0, 0)
+	if err != nil || len(page.Records) != 2 {
+		t.Fatalf("page %+v, error %v", page, err)
+	}
+}
+
+func TestUnreachableEndpointIsCertainAndPassedOver(t *testing.T) {
+	_, server := start(t)
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	_, err := client(t, "vm-1", gone.URL).Append(t.Context(), platform.StreamConfig, json.RawMessage(`1`))
+	var unavailable *platform.UnavailableError
+	if !errors.As(err, &unavailable) || !unavailable.Certain {
+		t.Fatalf("error %v", err)
+	}
+	if got := mustAppend(t, client(t, "vm-1", gone.URL, server.URL), `1`); got != 0 {
+		t.Fatalf("offset %d", got)
+	}
+}
+
+func TestFaultsHitOnlyTheNamedClient(t *testing.T) {
+	s, server := start(t)
+	one, two := client(t, "vm-1", server.URL), client(t, "vm-2", server.URL)
+	s.SetFaults(standin.Faults{Cut: []string{"vm-1"}})
+	if _, err := one.Read(t.Context(), platform.StreamConfig, 0, 0); err == nil {
+		t.Fatal("the cut client was answered")
+	}
+	mustAppend(t, two, `1`)
+	s.SetFaults(standin.Faults{Down: true})
+	_, err := two.VMs(t.Context())
+	var unavailable *platform.UnavailableError
+	if !errors.As(err, &unavailable) || unavailable.Status != http.StatusServiceUnavailable {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func TestVMListLags(t *testing.T) {
+	s, server := start(t)
+	c := client(t, "vm-1", server.URL)
+	s.SetFaults(standin.Faults{VMLagMs: int(time.Hour / time.Millisecond)})
+	s.SetVMs([]fleet.VM{{Name: "vm-1"}})
+	if vms, err := c.VMs(t.Context()); err != nil || len(vms) != 0 {
+		t.Fatalf("vms %v, error %v", vms, err)
+	}
+	s.SetFaults(standin.Faults{})
+	if vms, err := c.VMs(t.Context()); err != nil || len(vms) != 1 {
+		t.Fatalf("vms %v, error %v", vms, err)
+	}
+}
+
+func TestAdminPathsRefuseUnknownFields(t *testing.T) {
+	_, server := start(t)
+	for body, want := range map[string]int{
+		`{"down":true}`:   http.StatusOK,
+		`{"dwon":true}`:   http.StatusBadRequest,
+		`{"cut":"vm-1"}`:  http.StatusBadRequest,
+		`{"cut":["vm1"]}`: http.StatusOK,
+	} {
+		req, _ := http.NewRequest(http.MethodPut, server.URL+"/admin/faults", strings.NewReader(body))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s: status %d, want %d", body, resp.StatusCode, want)
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform/stream.go
@@ -0,0 +1,54 @@
+package platform
+
+import (
+	"encoding/json"
+
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+// maxPageRecords and maxPageBytes bound one page of records.
+const (
+	maxPageRecords = 500
+	maxPageBytes   = 4 << 20
+)
+
+// stream is one stream of records; the Server's lock guards it.
+type stream struct {
+	records []platform.Record
+	oldest  int64 // offset of records[0]
+}
+
+func (s *stream) next() int64 { return s.oldest + int64(len(s.records)) }
+
+func (s *stream) append(data json.RawMessage) int64 {
+	offset := s.next()
+	s.records = append(s.records, platform.Record{Offset: offset, Data: data})
+	return offset
+}
+
+// dropBefore forgets the records before an offset.
+func (s *stream) dropBefore(offset int64) {
+	offset = min(offset, s.next())
+	if offset <= s.oldest {
+		return
+	}
+	s.records = append([]platform.Record(nil), s.records[offset-s.oldest:]...)
+	s.oldest = offset
+}
+
+// page returns the kept records from an offset on, up to the bounds of a page.
+func (s *stream) page(from int64) platform.Page {
+	p := platform.Page{Records: []platform.Record{}, Next: from}
+	bytes := 0
+	for i := from - s.oldest; i >= 0 && i < int64(len(s.records)); i++ {
+		r := s.records[i]
+		bytes += len(r.Data)
+		full := len(p.Records) == maxPageRecords || bytes > maxPageBytes
+		if full && len(p.Records) > 0 {
+			break
+		}
+		p.Records = append(p.Records, r)
+		p.Next = r.Offset + 1
+	}
+	return p
+}
