Add the protocol between entries: net/rpc with handshake, deadlines, bounds

Cause: entries need calls that end by their deadline, say whether anything was sent, and never hold up others. A call that times out retires its connection: others that wait on it are still answered, new ones dial again. Ruled out: closing the connection at a time-out (fails calls that would have been answered); net/rpc's own codec (no bound on sizes, no write deadline).

--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds opening a connection.
+	dialTimeout = time.Second
+	// defaultCallTimeout is the deadline of a call whose context has none.
+	defaultCallTimeout = 3 * time.Second
+	// maxPendingPerPeer bounds the unanswered calls to one address.
+	maxPendingPerPeer = maxCallsPerConn
+)
+
+var (
+	errPoolClosed = errors.New("client pool is closed")
+	errBusy       = errors.New("too many unanswered calls")
+)
+
+// Options are the settings of a Pool.
+type Options struct {
+	// Dial opens a connection; nil stands for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Pool keeps one connection for each address that is called. It implements
+// Client and is safe for concurrent use.
+//
+// A call that times out retires its connection: calls that wait on it may still
+// be answered, new ones open another. So a connection that a cut network left
+// behind is not used again, and no call fails for the timeout of another.
+type Pool struct {
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+	traffic Traffic
+
+	mu     sync.Mutex // guards the fields below and those of each poolConn
+	conns  map[string]*poolConn
+	closed bool
+}
+
+var _ Client = (*Pool)(nil)
+
+// poolConn is one connection; the Pool's lock guards its fields.
+type poolConn struct {
+	ready    chan struct{} // closed when dialing has ended
+	client   *rpc.Client   // nil after a failed dial
+	err      error         // why the dial failed
+	pending  int
+	retired  bool
+	lastUsed time.Time
+}
+
+// NewPool returns a pool without connections.
+func NewPool(opts Options) *Pool {
+	if opts.Dial == nil {
+		opts.Dial = dialTCP
+	}
+	return &Pool{dial: opts.Dial, conns: map[string]*poolConn{}}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// Traffic returns the byte counts of all connections.
+func (p *Pool) Traffic() *Traffic { return &p.traffic }
+
+// Close ends all connections; calls that wait fail.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for address, c := range p.conns {
+		delete(p.conns, address)
+		c.retired = true
+		if c.client != nil {
+			c.client.Close()
+		}
+	}
+}
+
+// Call implements Client.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
+		defer cancel()
+	}
+	err := p.try(ctx, address, method, args, reply)
+	if errors.Is(err, errStale) {
+		err = p.try(ctx, address, method, args, reply)
+	}
+	return err
+}
+
+// errStale reports a kept connection that had ended before the call.
+var errStale = errors.New("connection had ended")
+
+func (p *Pool) try(ctx context.Context, address, method string, args, reply any) error {
+	c, err := p.acquire(ctx, address)
+	if err != nil {
+		return &UnreachableError{Address: address, Err: err}
+	}
+	done := make(chan *rpc.Call, 1)
+	go c.client.Go(method, args, reply, done) // writing may block past the deadline
+	select {
+	case call := <-done:
+		return p.finish(address, c, call.Error)
+	case <-ctx.Done():
+		p.release(address, c, true)
+		return &UnreachableError{Address: address, Sent: true, Err: ctx.Err()}
+	}
+}
+
+// finish releases the connection of an ended call and types the call's error.
+func (p *Pool) finish(address string, c *poolConn, err error) error {
+	var remote rpc.ServerError
+	switch {
+	case err == nil:
+		p.release(address, c, false)
+		return nil
+	case errors.As(err, &remote):
+		p.release(address, c, false)
+		return &RemoteError{Address: address, Message: string(remote)}
+	}
+	closed := p.release(address, c, true)
+	if errors.Is(err, rpc.ErrShutdown) && !closed {
+		return &UnreachableError{Address: address, Err: errStale}
+	}
+	return &UnreachableError{Address: address, Sent: true, Err: err}
+}
+
+// acquire returns a connection to the address and counts the call as pending.
+func (p *Pool) acquire(ctx context.Context, address string) (*poolConn, error) {
+	c, isNew, err := p.reserve(address)
+	if err != nil {
+		return nil, err
+	}
+	if isNew {
+		go p.open(address, c)
+	}
+	select {
+	case <-c.ready:
+	case <-ctx.Done():
+		p.release(address, c, false)
+		return nil, ctx.Err()
+	}
+	if c.client == nil {
+		p.release(address, c, true)
+		return nil, c.err
+	}
+	return c, nil
+}
+
+func (p *Pool) reserve(address string) (c *poolConn, isNew bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, false, errPoolClosed
+	}
+	c = p.conns[address]
+	if c == nil {
+		p.closeIdle()
+		c = &poolConn{ready: make(chan struct{})}
+		p.conns[address] = c
+		isNew = true
+	}
+	if c.pending >= maxPendingPerPeer {
+		return nil, false, errBusy
+	}
+	c.pending++
+	return c, isNew, nil
+}
+
+// open dials and does the handshake. It does not use the context of the call
+// that wanted the connection, as others may wait for it too.
+func (p *Pool) open(address string, c *poolConn) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		if err = handshake(conn); err != nil {
+			conn.Close()
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && p.closed {
+		conn.Close()
+		err = errPoolClosed
+	}
+	if err == nil {
+		c.client = rpc.NewClientWithCodec(&clientCodec{newLink(conn, &p.traffic)})
+	}
+	c.err = err
+	close(c.ready)
+	p.closeIfUnused(address, c)
+}
+
+// release counts the call as ended and reports whether the pool was closed.
+func (p *Pool) release(address string, c *poolConn, retire bool) (closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.pending--
+	c.lastUsed = time.Now()
+	if retire {
+		c.retired = true
+		if p.conns[address] == c {
+			delete(p.conns, address)
+		}
+	}
+	p.closeIfUnused(address, c)
+	return p.closed
+}
+
+// closeIfUnused ends a retired connection without calls; the caller holds mu.
+func (p *Pool) closeIfUnused(address string, c *poolConn) {
+	if !c.retired || c.pending > 0 || c.client == nil {
+		return
+	}
+	c.client.Close()
+}
+
+// closeIdle ends the connections that had no call for a while; the caller holds mu.
+func (p *Pool) closeIdle() {
+	for address, c := range p.conns {
+		if c.pending == 0 && time.Since(c.lastUsed) > keptIdle/2 {
+			delete(p.conns, address)
+			c.retired = true
+			p.closeIfUnused(address, c)
+		}
+	}
+}
