--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -119,6 +119,10 @@
 	return slices.Compact(all)
 }
 
+// Resizes returns the changes of the number of seats in order; the caller does
+// not change it.
+func (t Table) Resizes() []Resize { return t.resizes }
+
 // Sizes returns the numbers of seats that were in force at the offset applied or
 // at any later one, in order.
 func (t Table) Sizes(applied int64) []int {
