Add thin forms of forward, operation, attempt and caller

Cause: the request path needs one attempt with an exact outcome, a table that runs an operation once, and retries that never break it. Ruled out: stripping Idempotency-Key as the transport's guard, as a GET is repeated too; the guard is at the connection, where a second one is sealed once the first took a byte. Change: forward counts written bytes per request at the net.Conn, refuses surplus bytes and close-delimited answers; operation binds ids to an incarnation and an epoch; attempt retries within a budget; caller keeps addresses. Peer messages, seals and hedges are not in yet. Conclusion: usable by internal/entry.

--- /dev/null
+++ b/caller/entries.go
@@ -0,0 +1,137 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+)
+
+const (
+	// entriesPath is where an entry tells which addresses to use.
+	entriesPath = "/chestnut/v1/entries"
+	// maxEntriesBytes bounds the address answer.
+	maxEntriesBytes = 1 << 20
+	// resolveTimeout bounds one question for addresses.
+	resolveTimeout = 2 * time.Second
+)
+
+// Entry is one address of the system, first choice first in an address answer.
+type Entry struct {
+	// Address is the IP number and port.
+	Address string `json:"address"`
+	// Zone is the entry's availability zone.
+	Zone string `json:"zone"`
+	// Ticket is the first part of operation ids that this entry runs.
+	Ticket string `json:"ticket"`
+}
+
+// entriesAnswer is the body of the address answer.
+type entriesAnswer struct {
+	Entries []Entry `json:"entries"`
+	TTLMs   int64   `json:"ttl_ms"`
+}
+
+// ResolveError means that none of the known addresses told which entries to use.
+type ResolveError struct {
+	// Tried are the addresses that were asked.
+	Tried []string
+	// Err is the last failure.
+	Err error
+}
+
+// Error names the addresses and the last failure.
+func (e *ResolveError) Error() string {
+	return fmt.Sprintf("no entry of %v told which addresses to use: %v", e.Tried, e.Err)
+}
+
+// Unwrap returns the last failure.
+func (e *ResolveError) Unwrap() error { return e.Err }
+
+// resolver keeps the address answer for its time to live.
+type resolver struct {
+	client *http.Client
+	seeds  []string
+	zone   string
+	caller string
+
+	mu      sync.Mutex
+	entries []Entry
+	until   time.Time
+}
+
+// list returns the kept entries, or asks for them. An expired answer is used
+// again where nobody gives a new one.
+func (r *resolver) list(ctx context.Context) ([]Entry, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().Before(r.until) && len(r.entries) > 0 {
+		return r.entries, nil
+	}
+	answer, err := r.ask(ctx)
+	if err != nil && len(r.entries) > 0 {
+		return r.entries, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.entries = answer.Entries
+	r.until = time.Now().Add(time.Duration(answer.TTLMs) * time.Millisecond)
+	return r.entries, nil
+}
+
+// expire makes the next call ask again, as an entry did not work.
+func (r *resolver) expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until = time.Time{}
+}
+
+// ask tries the entries known so far, then the seeds.
+func (r *resolver) ask(ctx context.Context) (*entriesAnswer, error) {
+	var addresses []string
+	for _, e := range r.entries {
+		addresses = append(addresses, e.Address)
+	}
+	addresses = append(addresses, r.seeds...)
+	var last error
+	for _, address := range addresses {
+		answer, err := r.askOne(ctx, address)
+		if err == nil && len(answer.Entries) > 0 {
+			return answer, nil
+		}
+		if err == nil {
+			err = fmt.Errorf("%s knows no entry", address)
+		}
+		last = err
+	}
+	return nil, &ResolveError{Tried: addresses, Err: last}
+}
+
+func (r *resolver) askOne(ctx context.Context, address string) (*entriesAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	query := url.Values{"zone": {r.zone}, "caller": {r.caller}}
+	target := "http://" + address + entriesPath + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s answered %s", address, resp.Status)
+	}
+	var answer entriesAnswer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEntriesBytes)).Decode(&answer); err != nil {
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	return &answer, nil
+}
--- /dev/null
+++ b/internal/attempt/retry.go
@@ -0,0 +1,117 @@
+package attempt
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+)
+
+// refusedWait is the wait that a caller is asked for after a certain not-run.
+const refusedWait = time.Second
+
+// Reasons for which a wanted retry is not made.
+const (
+	deniedAttempts = "attempts"
+	deniedNested   = "nested"
+	deniedDeadline = "deadline"
+	deniedBody     = "body_sent"
+	deniedBudget   = "budget"
+)
+
+// retryReason says why the attempt should be repeated, or "" where it is final.
+func (c *call) retryReason(got reply) string {
+	switch {
+	case got.refusal != nil:
+		return ""
+	case got.answer != nil:
+		return c.answerRetryReason(got.answer)
+	case got.failure.Reason == outcome.ReasonCallerGone || got.failure.Reason == outcome.ReasonDeadline:
+		return ""
+	case got.failure.Outcome == outcome.NotRun || c.match.Route.Idempotent:
+		return string(got.failure.Reason)
+	default:
+		return ""
+	}
+}
+
+// answerRetryReason repeats idempotent calls after answers that say that the
+// server could not do the work.
+func (c *call) answerRetryReason(a *forward.Answer) string {
+	if !c.match.Route.Idempotent {
+		return ""
+	}
+	switch a.Status {
+	case http.StatusBadGateway:
+		return "status_502"
+	case http.StatusServiceUnavailable:
+		return "status_503"
+	case http.StatusGatewayTimeout:
+		return "status_504"
+	default:
+		return ""
+	}
+}
+
+// denied says why a wanted retry can't be made, or "".
+func (c *call) denied(ctx context.Context, got reply) string {
+	switch {
+	case c.attempts >= maxAttempts:
+		return deniedAttempts
+	case c.nested > 0:
+		return deniedNested
+	case ctx.Err() != nil:
+		return deniedDeadline
+	case !c.replayable(got):
+		return deniedBody
+	case !c.budget.retry():
+		return deniedBudget
+	default:
+		return ""
+	}
+}
+
+// replayable reports whether the whole body can be sent again.
+func (c *call) replayable(got reply) bool {
+	if c.req.GetBody != nil || c.req.Body == nil || c.req.Body == http.NoBody {
+		return true
+	}
+	return got.failure != nil && !got.failure.BodyRead
+}
+
+func refusalOf(f *forward.Failure) *outcome.Refusal {
+	if f.Reason == outcome.ReasonDeadline {
+		return &outcome.Refusal{
+			Outcome: f.Outcome, Reason: f.Reason, Status: http.StatusGatewayTimeout,
+			Detail: "the deadline passed at backend server " + f.Server,
+		}
+	}
+	if f.Outcome == outcome.NotRun {
+		return outcome.NewNotRun(http.StatusServiceUnavailable, f.Reason,
+			"backend server "+f.Server+" did not take the request").WithRetryAfter(refusedWait)
+	}
+	return outcome.NewUnknown(f.Reason, "backend server "+f.Server+" gave no answer; the request may have run")
+}
+
+func failureResult(f *forward.Failure, latency time.Duration) Result {
+	r := Result{Latency: latency, Kind: Error, LoadReport: f.LoadReport}
+	switch {
+	case f.Reason == outcome.ReasonShed:
+		r.Kind = Shed
+	case f.Reason == outcome.ReasonDeadline || f.Reason == outcome.ReasonCallerGone:
+		r.Kind = Cancelled
+	case f.Stage == forward.StageDial:
+		r.Kind = DialFailed
+	}
+	return r
+}
+
+func answerResult(a *forward.Answer, latency time.Duration) Result {
+	r := Result{Latency: latency, LoadReport: a.LoadReport}
+	if a.Status >= http.StatusInternalServerError {
+		r.Kind = Error
+	}
+	return r
+}
--- /dev/null
+++ b/internal/attempt/runner_test.go
@@ -0,0 +1,155 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+// fakes stand for admission and the forwarder: each attempt takes the next reply.
+type fakes struct {
+	replies  []any // int: answer of that status; *forward.Failure; *outcome.Refusal
+	sent     []string
+	attempts []string // Chestnut-Attempt of each send
+	excluded [][]string
+	open     int // grants not yet done
+}
+
+type fakeGrant struct {
+	f      *fakes
+	server fleet.VM
+}
+
+func (g fakeGrant) Server() fleet.VM { return g.server }
+func (g fakeGrant) Done(Result)      { g.f.open-- }
+
+func (f *fakes) Admit(_ context.Context, r Request) (Grant, *outcome.Refusal) {
+	if refusal, ok := f.replies[0].(*outcome.Refusal); ok {
+		return nil, refusal
+	}
+	f.excluded = append(f.excluded, slices.Clone(r.Exclude))
+	f.open++
+	return fakeGrant{f, fleet.VM{Name: "server-" + string(rune('a'+len(f.sent)))}}, nil
+}
+
+func (f *fakes) Send(_ context.Context, server fleet.VM, _ tree.Match, r *http.Request, body io.Reader) (*forward.Answer, *forward.Failure) {
+	f.sent = append(f.sent, server.Name)
+	f.attempts = append(f.attempts, r.Header.Get(wire.HeaderAttempt))
+	next := f.replies[0]
+	f.replies = f.replies[1:]
+	if failure, ok := next.(*forward.Failure); ok {
+		return nil, failure
+	}
+	if body != nil {
+		_, _ = io.ReadAll(body)
+	}
+	return &forward.Answer{Status: next.(int), Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+func failed(o outcome.Outcome, reason outcome.Reason, bodyRead bool) *forward.Failure {
+	return &forward.Failure{Outcome: o, Reason: reason, BodyRead: bodyRead, Err: errors.New("broken")}
+}
+
+func TestRetries(t *testing.T) {
+	notRun := failed(outcome.NotRun, outcome.ReasonDialFailed, false)
+	shed := failed(outcome.NotRun, outcome.ReasonShed, true)
+	hungUp := failed(outcome.Unknown, outcome.ReasonServerHungUp, true)
+	full := outcome.NewNotRun(503, outcome.ReasonQueueFull, "full")
+	for _, c := range []struct {
+		name       string
+		replies    []any
+		idempotent bool
+		nested     string
+		stream     bool
+		sends      int
+		want       outcome.Outcome // empty: an answer
+	}{
+		{name: "idempotent call after a hang-up", replies: []any{hungUp, 200}, idempotent: true, sends: 2},
+		{name: "idempotent call after 503", replies: []any{503, 200}, idempotent: true, sends: 2},
+		{name: "order after a hang-up", replies: []any{hungUp, 200}, sends: 1, want: outcome.Unknown},
+		{name: "order after 503", replies: []any{503, 200}, sends: 1},
+		{name: "order after a failed dial", replies: []any{notRun, 200}, sends: 2},
+		{name: "order after a shed", replies: []any{shed, 200}, sends: 2},
+		{name: "order shed everywhere", replies: []any{shed, shed, shed, 200}, sends: 3, want: outcome.NotRun},
+		{name: "order shed, then hung up", replies: []any{shed, hungUp, 200}, sends: 2, want: outcome.Unknown},
+		{name: "streamed order shed before its body", replies: []any{notRun, 200}, stream: true, sends: 2},
+		{name: "streamed order shed in its body", replies: []any{shed, 200}, stream: true, sends: 1, want: outcome.NotRun},
+		{name: "call that is a retry above", replies: []any{hungUp, 200}, idempotent: true, nested: "1", sends: 1, want: outcome.Unknown},
+		{name: "hang-up, then refused here", replies: []any{hungUp, full}, idempotent: true, sends: 1, want: outcome.Unknown},
+		{name: "plain 503, then refused here", replies: []any{503, full}, idempotent: true, sends: 1, want: outcome.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakes{replies: c.replies}
+			r := New(f, f, tally.NoopScope)
+			req := httptest.NewRequest("POST", "/orders", strings.NewReader("kit"))
+			if !c.stream {
+				req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader("kit")), nil }
+			}
+			req.Header.Set(wire.HeaderAttempt, c.nested)
+			m := tree.Match{Service: &tree.Service{Budgets: tree.Budgets{RetryShare: 0.1}}, Route: &tree.Route{Idempotent: c.idempotent}}
+			a, refusal := r.Do(context.Background(), m, req)
+			if a != nil {
+				a.Body.Close()
+			}
+			if len(f.sent) != c.sends {
+				t.Errorf("%d sends, want %d", len(f.sent), c.sends)
+			}
+			if (refusal == nil) != (c.want == "") || (refusal != nil && refusal.Outcome != c.want) {
+				t.Errorf("refusal %v, want %q", refusal, c.want)
+			}
+			if f.open != 0 {
+				t.Errorf("%d grants left open", f.open)
+			}
+			if c.sends == 2 && (f.attempts[1] != "1" || !slices.Equal(f.excluded[1], []string{"server-a"})) {
+				t.Errorf("second attempt %q excluded %v", f.attempts[1], f.excluded[1])
+			}
+		})
+	}
+}
+
+// Retries are at most the burst and then the share of successes.
+func TestRetryBudgetIsAShareOfSuccesses(t *testing.T) {
+	svc := &tree.Service{Budgets: tree.Budgets{RetryShare: 0.1}}
+	m := tree.Match{Service: svc, Route: &tree.Route{Idempotent: true}}
+	f := &fakes{}
+	r := New(f, f, tally.NoopScope)
+	do := func(replies ...any) int {
+		f.replies, f.sent = replies, nil
+		a, _ := r.Do(context.Background(), m, httptest.NewRequest("GET", "/", nil))
+		if a != nil {
+			a.Body.Close()
+		}
+		return len(f.sent)
+	}
+	hungUp := failed(outcome.Unknown, outcome.ReasonServerHungUp, false)
+	retries := 0
+	for range 100 {
+		retries += do(hungUp, hungUp, hungUp) - 1
+	}
+	if retries != burstTokens {
+		t.Errorf("%d retries without a success, want the burst of %d", retries, burstTokens)
+	}
+	for range 100 {
+		do(200)
+	}
+	retries = 0
+	for range 100 {
+		retries += do(hungUp, hungUp, hungUp) - 1
+	}
+	if retries < 9 || retries > 10 {
+		t.Errorf("%d retries after 100 successes, want a tenth", retries)
+	}
+}
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,141 @@
+// Package forward sends one request once to one backend server and streams the
+// answer back.
+//
+// It uses net/http's Transport for the protocol and for kept connections, and
+// adds what an exact outcome needs: the bytes written for each request are
+// counted at the connection, the transport's silent repeats are refused, and a
+// connection on which a server left surplus bytes is never used again.
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a backend server.
+	dialTimeout = time.Second
+	// idleTimeout is how long an unused connection is kept warm.
+	idleTimeout = 90 * time.Second
+	// expectTimeout is how long an upload waits for 100 Continue before its body is sent.
+	expectTimeout = time.Second
+	// maxAnswerHeaderBytes bounds the header of a server's answer.
+	maxAnswerHeaderBytes = 64 << 10
+	// expectBodyBytes is the smallest body for which 100 Continue is asked.
+	expectBodyBytes = 64 << 10
+	// shedDrainBytes is how much of a shed answer's body is read to keep the connection.
+	shedDrainBytes = 4 << 10
+)
+
+// Options configure a Forwarder.
+type Options struct {
+	// Entries returns the number of live entries, which share a server's connections.
+	Entries func() int
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Forwarder keeps the connections to all backend servers. It is safe for
+// concurrent use.
+type Forwarder struct {
+	pools pools
+}
+
+// New returns a Forwarder that is ready for use.
+func New(opts Options) *Forwarder {
+	if opts.Entries == nil {
+		opts.Entries = func() int { return 1 }
+	}
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &Forwarder{pools: pools{entries: opts.Entries, dial: opts.Dial}}
+}
+
+// Close closes the idle connections. Requests in progress are not touched.
+func (f *Forwarder) Close() { f.pools.close() }
+
+// Send makes one attempt. The request is written at most once, whatever its
+// method and headers. body may be nil; its length is r.ContentLength. Cancelling
+// ctx closes the server's connection until the answer's body is closed.
+func (f *Forwarder) Send(ctx context.Context, server fleet.VM, m tree.Match, r *http.Request, body io.Reader) (*Answer, *Failure) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &send{server: server, match: m, cancel: cancel}
+	out := s.request(ctx, r, body)
+	resp, err := f.pools.transport(m.Service).RoundTrip(out)
+	if err != nil {
+		failure := s.fail(ctx, err)
+		cancel(nil)
+		return nil, failure
+	}
+	return s.answer(resp)
+}
+
+// request builds the request for the server from the caller's.
+func (s *send) request(ctx context.Context, r *http.Request, body io.Reader) *http.Request {
+	deadline, _ := ctx.Deadline()
+	out := &http.Request{
+		Method:        r.Method,
+		URL:           serverURL(r, s.server.Address),
+		Host:          r.Host,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        requestHeader(r, s.match, deadline),
+		ContentLength: r.ContentLength,
+	}
+	if body != nil && body != http.NoBody && r.ContentLength != 0 {
+		s.body = &requestBody{reader: body}
+		out.Body = s.body
+		out.Trailer = r.Trailer
+		if wantsContinue(s.match.Route, r.ContentLength) {
+			out.Header.Set("Expect", "100-continue")
+		}
+	} else {
+		out.ContentLength = 0
+	}
+	return out.WithContext(s.trace(ctx))
+}
+
+// wantsContinue reports whether a shed would save sending the body.
+func wantsContinue(route *tree.Route, length int64) bool {
+	if route != nil && route.Upload {
+		return true
+	}
+	return length < 0 || length >= expectBodyBytes
+}
+
+// answer turns the server's header into an Answer, or into a Failure where the
+// server refused.
+func (s *send) answer(resp *http.Response) (*Answer, *Failure) {
+	svc := s.match.Service
+	report := headerName(svc.LoadReportHeader, wire.HeaderLoadReport)
+	shed := headerName(svc.LoadShedHeader, wire.HeaderLoadShed)
+	loadReport := resp.Header.Get(report)
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(shed) == wire.ShedNotRun {
+		s.discard(resp)
+		return nil, s.failure(StageAnswer, outcome.NotRun, outcome.ReasonShed, loadReport, nil)
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		s.discard(resp)
+		return nil, s.failure(StageAnswer, outcome.Unknown, outcome.ReasonServerHungUp, loadReport, errUpgrade)
+	}
+	answerHeader(resp.Header, report)
+	return newAnswer(s, resp, loadReport), nil
+}
+
+// discard reads a short body, so that the connection can be kept, and ends the attempt.
+func (s *send) discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, shedDrainBytes)
+	_ = resp.Body.Close()
+	s.release()
+	s.cancel(nil)
+}
--- /dev/null
+++ b/internal/operation/call.go
@@ -0,0 +1,84 @@
+package operation
+
+import (
+	"context"
+	"net/http"
+
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+)
+
+// Answer is a backend server's whole answer to an operation.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// Header is the header without the connection's own.
+	Header http.Header
+	// Body is the whole body where BodyKept.
+	Body []byte
+	// BodyKept is false where the answer was too large to keep.
+	BodyKept bool
+	// Server is the name of the backend server.
+	Server string
+}
+
+// size is the memory of a kept answer in bytes.
+func (a *Answer) size() int {
+	n := len(a.Body) + len(a.Server)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+// result is what an operation came to. done is closed once the other fields are
+// set; they never change after that.
+type result struct {
+	done    chan struct{}
+	answer  Answer
+	refusal *outcome.Refusal
+}
+
+// Call is one request's hold on an operation.
+type Call struct {
+	table  *Table // nil unless this is the owner's call
+	id     ID
+	result *result
+}
+
+// Owner reports whether this request must run the operation.
+func (c *Call) Owner() bool { return c.table != nil }
+
+// Wait returns the operation's answer, or why there is none. An answer that ran
+// and is not kept comes as a refusal with outcome Ran.
+func (c *Call) Wait(ctx context.Context) (Answer, *outcome.Refusal) {
+	select {
+	case <-c.result.done:
+		return c.result.answer, c.result.refusal
+	default:
+	}
+	select {
+	case <-c.result.done:
+		return c.result.answer, c.result.refusal
+	case <-ctx.Done():
+		return Answer{}, stillRunning()
+	}
+}
+
+func stillRunning() *outcome.Refusal {
+	r := outcome.NewUnknown(outcome.ReasonDeadline, "the operation is still running; repeat it with the same id to learn the outcome")
+	r.Status = http.StatusGatewayTimeout
+	return r
+}
+
+// Ran settles the operation with the server's answer.
+func (c *Call) Ran(a Answer) { c.table.settle(c, a, nil) }
+
+// NotRun settles the operation as not run: a repeat gets the same refusal and
+// never runs.
+func (c *Call) NotRun(r *outcome.Refusal) { c.table.settle(c, Answer{}, r) }
+
+// Unknown settles the operation with an outcome that nobody knows.
+func (c *Call) Unknown(r *outcome.Refusal) { c.table.settle(c, Answer{}, r) }
