--- /dev/null
+++ b/internal/finding/finding.go
@@ -0,0 +1,77 @@
+// Package finding describes problems of a document together with their place,
+// so that all problems of a document are reported at once.
+package finding
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Finding is one problem of a document.
+type Finding struct {
+	// File is the name of the document, usually a file name.
+	File string `json:"file"`
+	// Line and Column count from one; Column counts bytes. Both are zero
+	// where the problem concerns the document as a whole.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Path is the place within the document's values, such as "routes[2].rank".
+	Path string `json:"path,omitempty"`
+	// Message says what is wrong and, where it helps, what is expected.
+	Message string `json:"message"`
+}
+
+// String returns "file:line:column: path: message".
+func (f Finding) String() string {
+	var b strings.Builder
+	b.WriteString(f.File)
+	if f.Line > 0 {
+		fmt.Fprintf(&b, ":%d:%d", f.Line, f.Column)
+	}
+	b.WriteString(": ")
+	if f.Path != "" {
+		b.WriteString(f.Path + ": ")
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
+// List is a set of findings. An empty List means that nothing is wrong.
+type List []Finding
+
+// Error returns one finding a line.
+func (l List) Error() string {
+	lines := make([]string, 0, len(l))
+	for _, f := range l {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the list as an error, and nil when the list is empty.
+func (l List) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	return l
+}
+
+// Sorted returns the findings in order of file, line, column and message,
+// each of them once.
+func (l List) Sorted() List {
+	sorted := slices.Clone(l)
+	slices.SortStableFunc(sorted, compare)
+	return slices.Compact(sorted)
+}
+
+func compare(a, b Finding) int {
+	return cmp.Or(
+		cmp.Compare(a.File, b.File),
+		cmp.Compare(a.Line, b.Line),
+		cmp.Compare(a.Column, b.Column),
+		cmp.Compare(a.Path, b.Path),
+		cmp.Compare(a.Message, b.Message),
+	)
+}
