Parse, check and build the tree of settings

Cause: entries and chestnutctl need one schema and one validator for the branches root, member, service and rank. Ruled out: a validator library with struct tags for the cross-branch checks, as it knows no place in the file.

--- /dev/null
+++ b/internal/tree/branch.go
@@ -0,0 +1,103 @@
+package tree
+
+import (
+	"fmt"
+	"path"
+	"regexp"
+	"strings"
+)
+
+// FileName is the name of each branch's file in the operators' directory.
+const FileName = "branch.jsonc"
+
+// Branch is the path of one branch: "/" is the root, "/glazenpot" a member,
+// "/glazenpot/shop" a service and "/glazenpot/shop/payments" a rank.
+type Branch string
+
+// Root is the branch of the co-operative.
+const Root Branch = "/"
+
+// Level is the kind of a branch, which decides the fields of its document.
+type Level int
+
+// Levels of the tree, from the widest to the narrowest.
+const (
+	LevelRoot Level = iota
+	LevelMember
+	LevelService
+	LevelRank
+)
+
+// BranchError tells that a text is no branch path.
+type BranchError struct{ Text string }
+
+// Error names the text and the expected form.
+func (e *BranchError) Error() string {
+	return fmt.Sprintf("%q is no branch: expected /, /member, /member/service or /member/service/rank, in lower case", e.Text)
+}
+
+// namePattern keeps names short and safe in host names, file names and metrics.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// ParseBranch checks the path of a branch.
+func ParseBranch(text string) (Branch, error) {
+	if text == string(Root) {
+		return Root, nil
+	}
+	rest, ok := strings.CutPrefix(text, "/")
+	names := strings.Split(rest, "/")
+	if !ok || len(names) > int(LevelRank) {
+		return "", &BranchError{Text: text}
+	}
+	for _, name := range names {
+		if !namePattern.MatchString(name) {
+			return "", &BranchError{Text: text}
+		}
+	}
+	return Branch(text), nil
+}
+
+// MemberBranch returns the branch of a member.
+func MemberBranch(member string) Branch { return Root + Branch(member) }
+
+// Level returns the kind of the branch.
+func (b Branch) Level() Level { return Level(len(b.names())) }
+
+// Parent returns the branch that b inherits from; the root is its own parent.
+func (b Branch) Parent() Branch { return Branch(path.Dir(string(b))) }
+
+// Name returns the last name of the path, and "" for the root.
+func (b Branch) Name() string {
+	if b == Root {
+		return ""
+	}
+	return path.Base(string(b))
+}
+
+// Member returns the member that owns the branch, and "" for the root.
+func (b Branch) Member() string { return b.Scope().Member }
+
+// Scope returns what a limit of the branch governs.
+func (b Branch) Scope() Scope {
+	var s Scope
+	for i, name := range b.names() {
+		switch Level(i + 1) {
+		case LevelMember:
+			s.Member = name
+		case LevelService:
+			s.Service = name
+		case LevelRank:
+			s.Rank = name
+		}
+	}
+	return s
+}
+
+// File returns the path of the branch's file within the operators' directory.
+func (b Branch) File() string {
+	return path.Join(strings.TrimPrefix(string(b), "/"), FileName)
+}
+
+func (b Branch) names() []string {
+	return strings.FieldsFunc(string(b), func(r rune) bool { return r == '/' })
+}
--- /dev/null
+++ b/internal/tree/build.go
@@ -0,0 +1,253 @@
+package tree
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/finding"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+// Documents are the documents of all branches.
+type Documents map[Branch]*Document
+
+// With returns a copy in which the document replaces that of its branch.
+func (ds Documents) With(d *Document) Documents {
+	c := maps.Clone(ds)
+	if c == nil {
+		c = make(Documents)
+	}
+	c[d.Branch] = d
+	return c
+}
+
+// Without returns a copy that lacks the branch.
+func (ds Documents) Without(b Branch) Documents {
+	c := maps.Clone(ds)
+	delete(c, b)
+	return c
+}
+
+// Branches returns the branches in order, parents before their children.
+func (ds Documents) Branches() []Branch {
+	return slices.Sorted(maps.Keys(ds))
+}
+
+// Build checks the documents against each other and returns the effective
+// tree. On findings the tree is nil.
+func Build(docs Documents) (*Tree, finding.List) {
+	b := newBuilder(docs)
+	b.checkStructure()
+	if len(b.found) > 0 {
+		return nil, b.found.Sorted()
+	}
+	b.checkNarrowing()
+	b.checkServices()
+	if len(b.found) > 0 {
+		return nil, b.found.Sorted()
+	}
+	return b.tree(), nil
+}
+
+// builder makes one tree and collects findings.
+type builder struct {
+	docs     Documents
+	branches []Branch
+	root     *RootDocument
+	found    finding.List
+}
+
+func newBuilder(docs Documents) *builder {
+	b := &builder{docs: docs, branches: docs.Branches()}
+	if d := docs[Root]; d != nil {
+		b.root = d.Root
+	}
+	return b
+}
+
+func (b *builder) report(d *Document, path, message string) {
+	b.found = append(b.found, d.source.At(path, message))
+}
+
+// checkStructure checks that each branch has its parents and its name is known.
+func (b *builder) checkStructure() {
+	if b.root == nil {
+		b.found = append(b.found, finding.Finding{File: Root.File(), Message: "missing: the root comes first"})
+		return
+	}
+	for _, branch := range b.branches {
+		d := b.docs[branch]
+		if b.docs[branch.Parent()] == nil {
+			b.report(d, "", fmt.Sprintf("branch %s has no parent %s", branch, branch.Parent()))
+		}
+		if branch != Root && !slices.Contains(b.root.Members, branch.Member()) {
+			b.report(d, "", fmt.Sprintf("the root has no member %q", branch.Member()))
+		}
+		if _, known := b.rank(branch.Name()); branch.Level() == LevelRank && !known {
+			b.report(d, "", fmt.Sprintf("the root has no rank %q", branch.Name()))
+		}
+	}
+}
+
+func (b *builder) rank(name string) (RankDefaults, bool) {
+	for _, r := range b.root.Ranks {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return RankDefaults{}, false
+}
+
+// tree assembles the effective tree of checked documents.
+func (b *builder) tree() *Tree {
+	t := &Tree{
+		Members: slices.Clone(b.root.Members),
+		Quorum:  b.root.Quorum,
+		Seats:   b.root.Seats,
+		Budgets: Budgets(b.root.Budgets),
+		Limits:  b.limits(),
+	}
+	for _, branch := range b.branches {
+		if branch.Level() == LevelService {
+			t.Services = append(t.Services, b.service(branch))
+		}
+	}
+	slices.SortFunc(t.Services, compareServices)
+	return t
+}
+
+func compareServices(a, b *Service) int {
+	return cmp.Or(cmp.Compare(a.Member, b.Member), cmp.Compare(a.Name, b.Name))
+}
+
+func (b *builder) service(branch Branch) *Service {
+	doc := b.docs[branch].Service
+	s := &Service{
+		Member:               branch.Member(),
+		Name:                 branch.Name(),
+		Hosts:                slices.Clone(doc.Hosts),
+		Ranks:                b.ranks(branch),
+		Budgets:              b.budgets(branch),
+		ConnectionsPerServer: doc.ConnectionsPerServer,
+		SlotsPerServer:       doc.SlotsPerServer,
+		LoadReportHeader:     cmp.Or(doc.LoadReportHeader, wire.HeaderLoadReport),
+		LoadShedHeader:       cmp.Or(doc.LoadShedHeader, wire.HeaderLoadShed),
+	}
+	for _, r := range doc.Routes {
+		s.Routes = append(s.Routes, r.route())
+	}
+	return s
+}
+
+func (r RouteDocument) route() *Route {
+	return &Route{
+		Methods:      slices.Clone(r.Methods),
+		PathPrefix:   r.PathPrefix,
+		Rank:         r.Rank,
+		Idempotent:   r.Idempotent,
+		Upload:       r.Upload,
+		MaxBodyBytes: r.MaxBodyBytes,
+		Timeout:      time.Duration(r.TimeoutMs) * time.Millisecond,
+	}
+}
+
+// ranks returns the service's ranks, the most urgent first.
+func (b *builder) ranks(service Branch) []Rank {
+	var ranks []Rank
+	for _, defaults := range b.root.Ranks {
+		rank := defaults.rank()
+		if d := b.docs[service+"/"+Branch(defaults.Name)]; d != nil {
+			rank = d.Rank.narrow(rank)
+		}
+		ranks = append(ranks, rank)
+	}
+	slices.SortFunc(ranks, func(a, b Rank) int { return cmp.Compare(a.Order, b.Order) })
+	return ranks
+}
+
+func (r RankDefaults) rank() Rank {
+	return Rank{
+		Name:        r.Name,
+		Order:       r.Order,
+		Target:      time.Duration(r.TargetMs) * time.Millisecond,
+		QueueLength: r.QueueLength,
+		QueueBytes:  r.QueueBytes,
+		KeptShare:   r.KeptShare,
+		Streams:     r.Streams,
+	}
+}
+
+// narrow returns the rank with the values that the document sets.
+func (d *RankDocument) narrow(r Rank) Rank {
+	if d.TargetMs != nil {
+		r.Target = time.Duration(*d.TargetMs) * time.Millisecond
+	}
+	r.QueueLength = either(d.QueueLength, r.QueueLength)
+	r.QueueBytes = either(d.QueueBytes, r.QueueBytes)
+	r.KeptShare = either(d.KeptShare, r.KeptShare)
+	r.Streams = either(d.Streams, r.Streams)
+	return r
+}
+
+// budgets returns the budgets of a branch after inheritance.
+func (b *builder) budgets(branch Branch) Budgets {
+	if branch == Root {
+		return Budgets(b.root.Budgets)
+	}
+	inherited := b.budgets(branch.Parent())
+	own := b.docs[branch].budgets()
+	return Budgets{
+		ProbesPerSecond: either(own.ProbesPerSecond, inherited.ProbesPerSecond),
+		RetryShare:      either(own.RetryShare, inherited.RetryShare),
+		HedgeShare:      either(own.HedgeShare, inherited.HedgeShare),
+	}
+}
+
+// limits returns the voted limits of all scopes, the widest first.
+func (b *builder) limits() []Limit {
+	var limits []Limit
+	add := func(scope Scope, v LimitValues) {
+		if v != (LimitValues{}) {
+			limits = append(limits, Limit{Scope: scope, CallsPerSecond: v.CallsPerSecond, ConcurrentCalls: v.ConcurrentCalls})
+		}
+	}
+	for _, r := range b.root.Ranks {
+		add(Scope{Rank: r.Name}, r.Limits)
+	}
+	for _, branch := range b.branches {
+		add(branch.Scope(), b.docs[branch].limits())
+	}
+	slices.SortStableFunc(limits, func(a, b Limit) int { return compareScopes(a.Scope, b.Scope) })
+	return limits
+}
+
+func compareScopes(a, b Scope) int {
+	return cmp.Or(
+		cmp.Compare(a.width(), b.width()),
+		cmp.Compare(a.Member, b.Member),
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Rank, b.Rank),
+	)
+}
+
+// width counts the names that narrow the scope.
+func (s Scope) width() int {
+	width := 0
+	for _, name := range []string{s.Member, s.Service, s.Rank} {
+		if name != "" {
+			width++
+		}
+	}
+	return width
+}
+
+// either returns the value of the pointer, or the fallback where it is nil.
+func either[T any](own *T, fallback T) T {
+	if own == nil {
+		return fallback
+	}
+	return *own
+}
