Read and check the daemon's settings; keep the running parts of services

The set of services keeps balancers and queues over a swap of the tree, so that a configuration change does not throw away what was measured.

--- /dev/null
+++ b/internal/entry/refusal.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+// refusalBody is the JSON body of an answer that the entry makes itself.
+type refusalBody struct {
+	Outcome outcome.Outcome `json:"outcome"`
+	Reason  outcome.Reason  `json:"reason"`
+	Detail  string          `json:"detail"`
+}
+
+// refuse answers in place of a backend server and counts the reason.
+func (h *Handler) refuse(w http.ResponseWriter, r *outcome.Refusal) {
+	metrics.Count(h.scope, metrics.Refusals, string(r.Reason))
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(wire.HeaderOutcome, string(r.Outcome))
+	header.Set(wire.HeaderReason, string(r.Reason))
+	if r.RetryAfter > 0 {
+		seconds := int(math.Ceil(r.RetryAfter.Seconds()))
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(r.Status)
+	// A caller that has gone away loses only the words; the outcome is counted.
+	_ = json.NewEncoder(w).Encode(refusalBody{r.Outcome, r.Reason, r.Detail})
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,112 @@
+// Package service keeps the running parts of each service of the tree in force:
+// its balancer and its rank queue.
+//
+// Set.Get reads an immutable map and takes no lock. Changes of the tree and of
+// the membership are applied one at a time under Set.mu, which is taken before
+// any lock of the queue or of the balancer.
+package service
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// Servers lists the backend servers that take new work.
+type Servers interface {
+	Servers(serviceKey string) []fleet.VM
+}
+
+// Running holds the parts of one service that live as long as the service does.
+type Running struct {
+	// Balancer chooses the backend server.
+	Balancer *balancer.Balancer
+	// Queue orders the requests that wait for one.
+	Queue *admission.Queue
+}
+
+// Options are the settings of a Set.
+type Options struct {
+	// Entry is the name of this entry VM.
+	Entry string
+	// Zone is this entry's availability zone.
+	Zone string
+	// Scope receives the counters of queues and balancers.
+	Scope tally.Scope
+	// Workers dispatch for all queues.
+	Workers *admission.Workers
+}
+
+// Set is the table of running services. It is safe for concurrent use.
+type Set struct {
+	options Options
+	running atomic.Pointer[map[string]*Running]
+
+	mu      sync.Mutex
+	tree    *tree.Tree
+	servers Servers
+}
+
+// NewSet returns a Set without services.
+func NewSet(options Options) *Set {
+	s := &Set{options: options}
+	s.running.Store(&map[string]*Running{})
+	return s
+}
+
+// Get returns the running parts of a service, and false where the tree that was
+// last set has no such service.
+func (s *Set) Get(key string) (*Running, bool) {
+	r, ok := (*s.running.Load())[key]
+	return r, ok
+}
+
+// SetTree starts the services that are new in the tree and forgets those that
+// are gone from it. A service that stays keeps what it has measured.
+func (s *Set) SetTree(t *tree.Tree) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tree = t
+	old := *s.running.Load()
+	next := make(map[string]*Running, len(t.Services))
+	for _, svc := range t.Services {
+		next[svc.Key()] = s.start(old[svc.Key()], svc)
+	}
+	s.running.Store(&next)
+}
+
+// SetServers passes the backend servers on to each service.
+func (s *Set) SetServers(servers Servers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = servers
+	if s.tree == nil {
+		return
+	}
+	for _, svc := range s.tree.Services {
+		r, ok := s.Get(svc.Key())
+		if ok {
+			r.Balancer.Update(servers.Servers(svc.Key()), svc)
+			r.Queue.Update(svc)
+		}
+	}
+}
+
+// start returns the running parts of svc, made anew where there are none yet.
+func (s *Set) start(r *Running, svc *tree.Service) *Running {
+	if r == nil {
+		b := balancer.New(balancer.Options{Entry: s.options.Entry, Zone: s.options.Zone, Scope: s.options.Scope})
+		r = &Running{Balancer: b, Queue: s.options.Workers.Queue(svc.Key(), b)}
+	}
+	if s.servers != nil {
+		r.Balancer.Update(s.servers.Servers(svc.Key()), svc)
+	}
+	r.Queue.Update(svc)
+	return r
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,149 @@
+// Package settings reads the static settings of one entry daemon. They hold for
+// the life of the process; everything that may change while it runs is in the
+// tree of package tree.
+package settings
+
+import (
+	"net"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/finding"
+	"chestnutrouter.example/chestnutrouter/internal/jsonc"
+)
+
+// Settings are the checked settings of an entry daemon.
+type Settings struct {
+	// VM is this VM's name in the platform's VM list.
+	VM string `json:"vm" required:"true"`
+	// Zone is this VM's availability zone.
+	Zone string `json:"zone" required:"true"`
+	// CallerAddress is the IP number and port that callers connect to.
+	CallerAddress string `json:"caller_address" required:"true"`
+	// PeerAddress is the IP number and port that other entries connect to.
+	PeerAddress string `json:"peer_address" required:"true"`
+	// StatusAddress is the IP number and port of the status page.
+	StatusAddress string `json:"status_address" required:"true"`
+	// PlatformEndpoints are the base URLs of the log service and VM list.
+	PlatformEndpoints []string `json:"platform_endpoints" required:"true"`
+	// Peers are peer addresses to try when the platform is down.
+	Peers []string `json:"peers"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+	// AddressTTLMs is how long callers keep the address answer, in milliseconds.
+	AddressTTLMs int64 `json:"address_ttl_ms" min:"100" max:"600000"`
+	// KeepAliveMs is how long an idle connection of a caller is kept, in milliseconds.
+	KeepAliveMs int64 `json:"keep_alive_ms" min:"100" max:"600000"`
+	// DrainLimitMs is how long requests in progress may take after a shutdown
+	// began, in milliseconds.
+	DrainLimitMs int64 `json:"drain_limit_ms" min:"100" max:"86400000"`
+	// Workers is the number of goroutines that dispatch queued requests.
+	Workers int `json:"workers" min:"1" max:"1024"`
+}
+
+// Values of fields that a settings file leaves out.
+const (
+	defaultLogLevel     = "info"
+	defaultAddressTTLMs = 2_000
+	defaultKeepAliveMs  = 5_000
+	defaultDrainLimitMs = 15 * 60 * 1000
+	defaultWorkers      = 8
+)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// AddressTTL is AddressTTLMs as a duration.
+func (s *Settings) AddressTTL() time.Duration { return milliseconds(s.AddressTTLMs) }
+
+// KeepAlive is KeepAliveMs as a duration.
+func (s *Settings) KeepAlive() time.Duration { return milliseconds(s.KeepAliveMs) }
+
+// DrainLimit is DrainLimitMs as a duration.
+func (s *Settings) DrainLimit() time.Duration { return milliseconds(s.DrainLimitMs) }
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Load reads and checks a settings file. The error is a finding.List with every
+// problem of the file, or the error of reading it.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, data)
+}
+
+// Parse checks the content of a settings file; file names it in findings.
+func Parse(file string, data []byte) (*Settings, error) {
+	doc, findings := jsonc.Parse(file, data)
+	if doc == nil {
+		return nil, findings.Err()
+	}
+	s := &Settings{
+		LogLevel:     defaultLogLevel,
+		AddressTTLMs: defaultAddressTTLMs,
+		KeepAliveMs:  defaultKeepAliveMs,
+		DrainLimitMs: defaultDrainLimitMs,
+		Workers:      defaultWorkers,
+	}
+	findings = append(findings, doc.Decode(s)...)
+	findings = append(findings, check(doc, s)...)
+	return s, findings.Sorted().Err()
+}
+
+// check returns the findings that the types of the fields cannot show.
+func check(doc *jsonc.Document, s *Settings) finding.List {
+	var found finding.List
+	add := func(path, message string) { found = append(found, doc.At(path, message)) }
+	addAddress := func(path, address string) {
+		if address != "" && !isIPAndPort(address) {
+			add(path, "must be an IP number and a port, such as 192.0.2.7:8080")
+		}
+	}
+	addAddress("caller_address", s.CallerAddress)
+	addAddress("peer_address", s.PeerAddress)
+	addAddress("status_address", s.StatusAddress)
+	for i, peer := range s.Peers {
+		addAddress(item("peers", i), peer)
+	}
+	for i, endpoint := range s.PlatformEndpoints {
+		if !isBaseURL(endpoint) {
+			add(item("platform_endpoints", i), "must be a base URL, such as http://192.0.2.7:9000")
+		}
+	}
+	if !slices.Contains(logLevels, s.LogLevel) {
+		add("log_level", "must be debug, info, warn or error")
+	}
+	return append(found, checkDistinct(doc, s)...)
+}
+
+// checkDistinct finds a listener that stands on the port of another.
+func checkDistinct(doc *jsonc.Document, s *Settings) finding.List {
+	var found finding.List
+	if s.PeerAddress != "" && s.PeerAddress == s.CallerAddress {
+		found = append(found, doc.At("peer_address", "must differ from caller_address"))
+	}
+	if s.StatusAddress != "" && (s.StatusAddress == s.CallerAddress || s.StatusAddress == s.PeerAddress) {
+		found = append(found, doc.At("status_address", "must differ from caller_address and peer_address"))
+	}
+	return found
+}
+
+func item(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
+
+func isIPAndPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n > 0 && n < 1<<16
+}
+
+func isBaseURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
