Retry and hedge through the rank queue

Cause: attempts used local types for admission and the balancer. Change: attempt.Queues adapts service.Set; hedges start after the balancer's HedgeAfter within a share of calls, and a loser is cancelled; the balancer hears the time to the answer's end and a broken answer as an error. Checked: go test -race -count=5 ./internal/attempt passed. Conclusion: entry can wire attempt.New(attempt.Queues{set}, forwarder, scope).

--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -36,15 +38,16 @@
 
 // run makes attempts until one is final.
 func (c *call) run(ctx context.Context) (*forward.Answer, *outcome.Refusal) {
+	c.budget.call()
 	for {
-		got := c.attempt(ctx)
+		got := c.hedged(ctx)
 		reason := c.retryReason(got)
 		if reason == "" {
-			return c.finish(ctx, got)
+			return c.finish(got)
 		}
 		if denied := c.denied(ctx, got); denied != "" {
 			metrics.Count(c.runner.scope, metrics.RetriesDenied, denied)
-			return c.finish(ctx, got)
+			return c.finish(got)
 		}
 		metrics.Count(c.runner.scope, metrics.Retries, reason)
 		c.discard(got)
@@ -59,36 +62,61 @@
 	}
 	body, err := c.body()
 	if err != nil {
-		grant.Done(Result{Kind: Cancelled})
-		return reply{refusal: outcome.NewNotRun(http.StatusBadRequest, outcome.ReasonMalformed, err.Error())}
+		grant.Done(balancer.Result{Kind: balancer.Cancelled})
+		return reply{refusal: refuseBody(err)}
 	}
-	server := grant.Server()
-	c.tried = append(c.tried, server.Name)
+	return c.send(ctx, grant, body, c.next(grant.Server().Name))
+}
+
+// send makes the attempt. It touches no field of c that changes, as a hedge runs
+// beside the first attempt.
+func (c *call) send(ctx context.Context, grant Grant, body io.Reader, out *http.Request) reply {
 	began := time.Now()
-	answer, failure := c.runner.sender.Send(ctx, server, c.match, c.outgoing(), body)
-	c.attempts++
-	latency := time.Since(began)
+	answer, failure := c.runner.sender.Send(ctx, grant.Server(), c.match, out, body)
 	if failure != nil {
-		c.maybeRan = c.maybeRan || failure.Outcome != outcome.NotRun
-		grant.Done(failureResult(failure, latency))
+		grant.Done(failureResult(failure, time.Since(began)))
 		return reply{failure: failure}
 	}
-	answer.Body = &slotBody{ReadCloser: answer.Body, grant: grant, result: answerResult(answer, latency)}
+	answer.Body = &slotBody{body: answer.Body, grant: grant, began: began, answer: answer}
 	return reply{answer: answer}
 }
 
+// next counts an attempt at the server and returns the request for it. Later
+// attempts are numbered, so that layers below do not retry a retry.
+func (c *call) next(server string) *http.Request {
+	c.tried = append(c.tried, server)
+	c.attempts++
+	if c.attempts == 1 {
+		return c.req
+	}
+	out := *c.req
+	out.Header = c.req.Header.Clone()
+	out.Header.Set(wire.HeaderAttempt, strconv.Itoa(c.nested+c.attempts-1))
+	return &out
+}
+
 func (c *call) request(ctx context.Context) Request {
 	deadline, _ := ctx.Deadline()
 	return Request{
-		Service:  c.match.Service.Key(),
-		Rank:     c.match.Rank.Name,
-		Bytes:    max(0, c.req.ContentLength),
-		Deadline: deadline,
-		Upload:   c.match.Route.Upload,
-		Exclude:  c.tried,
+		Service: c.match.Service.Key(),
+		Request: admission.Request{
+			Rank:     c.match.Rank.Name,
+			Bytes:    c.bufferedBytes(),
+			Deadline: deadline,
+			Upload:   c.match.Route.Upload,
+			Exclude:  c.tried,
+		},
 	}
 }
 
+// bufferedBytes is the memory that the body takes while the call waits.
+func (c *call) bufferedBytes() int64 {
+	if c.req.GetBody == nil {
+		return 0
+	}
+	return max(0, c.req.ContentLength)
+}
+
 // body returns the request body for one attempt.
 func (c *call) body() (io.Reader, error) {
 	if c.req.GetBody != nil {
@@ -100,19 +128,12 @@
 	return c.req.Body, nil
 }
 
-// outgoing numbers the attempt, so that layers below do not retry a retry.
-func (c *call) outgoing() *http.Request {
-	if c.attempts == 0 {
-		return c.req
-	}
-	out := *c.req
-	out.Header = c.req.Header.Clone()
-	out.Header.Set(wire.HeaderAttempt, strconv.Itoa(c.nested+c.attempts))
-	return &out
+func refuseBody(err error) *outcome.Refusal {
+	return outcome.NewNotRun(http.StatusBadRequest, outcome.ReasonMalformed, "the body can't be read: "+err.Error())
 }
 
 // finish turns the last attempt into the call's end.
-func (c *call) finish(ctx context.Context, got reply) (*forward.Answer, *outcome.Refusal) {
+func (c *call) finish(got reply) (*forward.Answer, *outcome.Refusal) {
 	switch {
 	case got.answer != nil:
 		if got.answer.Status < http.StatusInternalServerError {
@@ -120,12 +141,18 @@
 		}
 		return got.answer, nil
 	case got.failure != nil:
+		c.note(got.failure)
 		return nil, c.refuse(refusalOf(got.failure))
 	default:
 		return nil, c.refuse(got.refusal)
 	}
 }
 
+// note remembers that an attempt may have run.
+func (c *call) note(f *forward.Failure) {
+	c.maybeRan = c.maybeRan || f.Outcome != outcome.NotRun
+}
+
 // refuse says not-run only where that holds for every attempt.
 func (c *call) refuse(r *outcome.Refusal) *outcome.Refusal {
 	if !c.maybeRan || r.Outcome != outcome.NotRun {
@@ -138,29 +165,13 @@
 	return unknown
 }
 
-// discard drops an answer that a retry replaces. What it answered has run.
+// discard drops what a retry replaces. What was answered has run.
 func (c *call) discard(got reply) {
-	if got.answer == nil {
-		return
+	if got.failure != nil {
+		c.note(got.failure)
 	}
-	c.maybeRan = true
-	_ = got.answer.Body.Close()
-}
-
-// slotBody gives the server's slot back when the answer's body is closed.
-type slotBody struct {
-	io.ReadCloser
-	grant  Grant
-	result Result
-	done   bool
-}
-
-// Close ends the attempt.
-func (b *slotBody) Close() error {
-	err := b.ReadCloser.Close()
-	if !b.done {
-		b.done = true
-		b.grant.Done(b.result)
+	if got.answer != nil {
+		c.maybeRan = true
+		_ = got.answer.Body.Close()
 	}
-	return err
 }
--- /dev/null
+++ b/internal/attempt/hedge_test.go
@@ -0,0 +1,85 @@
+package attempt
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// slowServers answer at once, but for the first attempt after slow was set.
+type slowServers struct {
+	slow            atomic.Bool
+	cancelled, open atomic.Int32
+}
+
+func (s *slowServers) Server() fleet.VM     { return fleet.VM{Name: "server"} }
+func (s *slowServers) Done(balancer.Result) { s.open.Add(-1) }
+func (s *slowServers) Admit(context.Context, Request) (Grant, *outcome.Refusal) {
+	s.open.Add(1)
+	return s, nil
+}
+
+func (s *slowServers) HedgeAfter(string) (time.Duration, bool) { return 50 * time.Millisecond, true }
+
+func (s *slowServers) Send(ctx context.Context, _ fleet.VM, _ tree.Match, _ *http.Request, _ io.Reader) (*forward.Answer, *forward.Failure) {
+	if s.slow.CompareAndSwap(true, false) {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+			s.cancelled.Add(1)
+			return nil, failed(outcome.Unknown, outcome.ReasonCallerGone, false)
+		}
+	}
+	return &forward.Answer{Status: 200, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+func TestHedge(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		share      float64
+		before     int // calls that earn hedges
+		hedges     int32
+	}{
+		{"idempotent call with a token", true, 0.5, 1, 1},
+		{"idempotent call without a token", true, 0.5, 0, 0},
+		{"hedges turned off", true, 0, 9, 0},
+		{"order", false, 0.5, 9, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &slowServers{}
+				r := New(s, s, tally.NoopScope)
+				svc := &tree.Service{Budgets: tree.Budgets{HedgeShare: c.share}}
+				m := tree.Match{Service: svc, Route: &tree.Route{Idempotent: c.idempotent}}
+				for n := range c.before + 1 {
+					s.slow.Store(n == c.before)
+					a, refusal := r.Do(t.Context(), m, httptest.NewRequest("GET", "/", nil))
+					if refusal != nil {
+						t.Fatal(refusal)
+					}
+					a.Body.Close()
+				}
+				synctest.Wait()
+				if s.open.Load() != 0 || s.cancelled.Load() != c.hedges {
+					t.Errorf("%d grants left open, %d slow attempts cancelled, want 0 and %d",
+						s.open.Load(), s.cancelled.Load(), c.hedges)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/attempt/queue.go
@@ -0,0 +1,50 @@
+package attempt
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/service"
+)
+
+// Queues is the Admitter over the running services.
+type Queues struct {
+	// Services holds the queue and the balancer of each service.
+	Services *service.Set
+}
+
+var _ Admitter = Queues{}
+
+// Admit waits in the service's rank queue.
+func (q Queues) Admit(ctx context.Context, r Request) (Grant, *outcome.Refusal) {
+	running, ok := q.Services.Get(r.Service)
+	if !ok {
+		return nil, outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonNoServer,
+			"the service is no longer configured")
+	}
+	grant, refusal := running.Queue.Admit(ctx, r.Request)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return queueGrant{grant}, nil
+}
+
+// HedgeAfter asks the service's balancer.
+func (q Queues) HedgeAfter(key string) (time.Duration, bool) {
+	running, ok := q.Services.Get(key)
+	if !ok {
+		return 0, false
+	}
+	return running.Balancer.HedgeAfter(time.Now())
+}
+
+// queueGrant adapts admission's grant.
+type queueGrant struct{ grant *admission.Grant }
+
+func (g queueGrant) Server() fleet.VM       { return g.grant.Server.VM }
+func (g queueGrant) Done(r balancer.Result) { g.grant.Done(r) }
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -94,24 +94,3 @@
 	}
 	return outcome.NewUnknown(f.Reason, "backend server "+f.Server+" gave no answer; the request may have run")
 }
-
-func failureResult(f *forward.Failure, latency time.Duration) Result {
-	r := Result{Latency: latency, Kind: Error, LoadReport: f.LoadReport}
-	switch {
-	case f.Reason == outcome.ReasonShed:
-		r.Kind = Shed
-	case f.Reason == outcome.ReasonDeadline || f.Reason == outcome.ReasonCallerGone:
-		r.Kind = Cancelled
-	case f.Stage == forward.StageDial:
-		r.Kind = DialFailed
-	}
-	return r
-}
-
-func answerResult(a *forward.Answer, latency time.Duration) Result {
-	r := Result{Latency: latency, LoadReport: a.LoadReport}
-	if a.Status >= http.StatusInternalServerError {
-		r.Kind = Error
-	}
-	return r
-}
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -15,6 +15,8 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -25,46 +27,11 @@
 // maxAttempts bounds the attempts of one call at one layer, hedges included.
 const maxAttempts = 3
 
-// Request asks for a backend server.
+// Request asks for a backend server of a service.
 type Request struct {
+	admission.Request
 	// Service is the service's key.
 	Service string
-	// Rank of the work.
-	Rank string
-	// Bytes of the request body that are buffered here.
-	Bytes int64
-	// Deadline of the call; zero means none.
-	Deadline time.Time
-	// Upload says that the body is streamed.
-	Upload bool
-	// Exclude names the servers that this call has tried.
-	Exclude []string
-}
-
-// ResultKind is how an attempt ended, as the balancer sees it.
-type ResultKind int
-
-const (
-	// OK is an answer that is no server error.
-	OK ResultKind = iota
-	// Error is a server error or a broken connection.
-	Error
-	// Shed is a refusal with the proof that nothing ran.
-	Shed
-	// DialFailed means that no connection could be opened.
-	DialFailed
-	// Cancelled means that this side ended the attempt.
-	Cancelled
-)
-
-// Result is what an attempt tells the balancer about its server.
-type Result struct {
-	// Latency is the time to the answer's header, or to the failure.
-	Latency time.Duration
-	// Kind is how the attempt ended.
-	Kind ResultKind
-	// LoadReport is the server's raw load report, or empty.
-	LoadReport string
 }
 
 // Grant is the right to send one attempt to one server.
@@ -72,12 +39,15 @@
 	// Server is the backend server.
 	Server() fleet.VM
 	// Done gives the server's slot back; it is called once.
-	Done(Result)
+	Done(balancer.Result)
 }
 
 // Admitter queues a call by rank and grants a backend server.
 type Admitter interface {
 	Admit(ctx context.Context, r Request) (Grant, *outcome.Refusal)
+	// HedgeAfter is how long an idempotent attempt may stay unanswered before a
+	// second one is worth its cost; false where none is.
+	HedgeAfter(service string) (time.Duration, bool)
 }
 
 // Sender makes one attempt at one server.
@@ -100,9 +70,15 @@
 
 // Do runs the call and returns the server's answer, whose Body the caller of Do
 // must close, or a refusal. The body of req is sent again only where req.GetBody
-// is set. ctx carries the deadline; cancelling it cancels the attempt.
+// is set. ctx carries the deadline; cancelling it cancels the attempts.
 func (r *Runner) Do(ctx context.Context, m tree.Match, req *http.Request) (*forward.Answer, *outcome.Refusal) {
-	c := &call{runner: r, match: m, req: req, nested: nestedAttempt(req), budget: r.budgets.of(m.Service)}
+	c := &call{
+		runner: r,
+		match:  m,
+		req:    req,
+		nested: nestedAttempt(req),
+		budget: r.budgets.of(m.Service),
+	}
 	return c.run(ctx)
 }
 
--- a/internal/attempt/runner_test.go
+++ b/internal/attempt/runner_test.go
@@ -9,9 +9,11 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -33,8 +35,8 @@
 	server fleet.VM
 }
 
-func (g fakeGrant) Server() fleet.VM { return g.server }
-func (g fakeGrant) Done(Result)      { g.f.open-- }
+func (g fakeGrant) Server() fleet.VM     { return g.server }
+func (g fakeGrant) Done(balancer.Result) { g.f.open-- }
 
 func (f *fakes) Admit(_ context.Context, r Request) (Grant, *outcome.Refusal) {
 	if refusal, ok := f.replies[0].(*outcome.Refusal); ok {
@@ -45,6 +47,8 @@
 	return fakeGrant{f, fleet.VM{Name: "server-" + string(rune('a'+len(f.sent)))}}, nil
 }
 
+func (f *fakes) HedgeAfter(string) (time.Duration, bool) { return 0, false }
+
 func (f *fakes) Send(_ context.Context, server fleet.VM, _ tree.Match, r *http.Request, body io.Reader) (*forward.Answer, *forward.Failure) {
 	f.sent = append(f.sent, server.Name)
 	f.attempts = append(f.attempts, r.Header.Get(wire.HeaderAttempt))
