--- /dev/null
+++ b/internal/membership/address.go
@@ -0,0 +1,109 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// AddressChoice is one entry that a caller may connect to.
+type AddressChoice struct {
+	// Address is where the entry serves callers.
+	Address string `json:"address"`
+	// Zone is the entry's availability zone.
+	Zone string `json:"zone"`
+	// Ticket is "incarnation:epoch", the prefix of operation ids.
+	Ticket string `json:"ticket"`
+}
+
+// candidate is an entry with its place in one caller's order.
+type candidate struct {
+	entry Entry
+	class int
+	hash  uint64
+}
+
+// Classes of candidates, first choice first. An entry that has just come back
+// ranks behind the others for those callers that its readiness leaves out.
+const (
+	classOwnZone = iota
+	classOtherZone
+	classOwnZoneNotReady
+	classOtherZoneNotReady
+	classSilent
+)
+
+// Addresses returns the entries that a caller may use, first choice first: its
+// own zone before the others, spread by rendezvous hash of the caller. Entries
+// that are draining, leaving, silent or without a configuration are left out.
+// Where all others are silent, it is this entry that is cut off, so they follow
+// behind: the caller may still reach them.
+func (v *View) Addresses(zone, caller string) []AddressChoice {
+	candidates := make([]candidate, 0, len(v.Entries))
+	for _, e := range v.Entries {
+		if e.takesCallers() {
+			candidates = append(candidates, newCandidate(e, zone, caller))
+		}
+	}
+	if v.isAlone() {
+		for _, e := range v.silent {
+			if e.takesCallers() {
+				c := newCandidate(e, zone, caller)
+				c.class = classSilent
+				candidates = append(candidates, c)
+			}
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.class, b.class),
+			cmp.Compare(b.hash, a.hash),
+			cmp.Compare(a.entry.Incarnation, b.entry.Incarnation),
+		)
+	})
+	choices := make([]AddressChoice, len(candidates))
+	for i, c := range candidates {
+		choices[i] = AddressChoice{
+			Address: c.entry.VM.Address,
+			Zone:    c.entry.VM.Zone,
+			Ticket:  fmt.Sprintf("%s:%d", c.entry.Incarnation, c.entry.Epoch),
+		}
+	}
+	return choices
+}
+
+// isAlone reports whether this entry hears no other one.
+func (v *View) isAlone() bool {
+	return len(v.Entries) <= 1
+}
+
+func newCandidate(e Entry, zone, caller string) candidate {
+	hash := rendezvous(caller, e.VM.Name)
+	c := candidate{entry: e, class: classOtherZone, hash: hash}
+	if e.VM.Zone == zone {
+		c.class = classOwnZone
+	}
+	if !isReadyFor(e, caller) {
+		c.class += classOwnZoneNotReady
+	}
+	return c
+}
+
+// rendezvous scores an entry for a caller; the VM's name keeps the choice over
+// a restart of the process.
+func rendezvous(caller, name string) uint64 {
+	return xxhash.Sum64String(caller + "\x00" + name)
+}
+
+// isReadyFor reports whether the caller is among the share of callers that an
+// entry takes while its return is ramped.
+func isReadyFor(e Entry, caller string) bool {
+	if e.readiness >= 1 {
+		return true
+	}
+	hash := xxhash.Sum64String(e.VM.Name + "\x00ramp\x00" + caller)
+	return float64(hash)/math.MaxUint64 < e.readiness
+}
--- /dev/null
+++ b/internal/membership/build.go
@@ -0,0 +1,93 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+)
+
+// buildView returns the View of the table at that time.
+func (t *table) buildView(now time.Time, servers *serverView) *View {
+	v := &View{
+		self:    t.self.Row.Incarnation,
+		known:   make(map[string]Entry, len(t.members)+1),
+		servers: servers,
+	}
+	self := Entry{
+		VM:          t.withListState(t.self.VM),
+		Incarnation: t.self.Row.Incarnation,
+		Epoch:       t.self.Row.Epoch,
+		Offset:      t.self.Row.Offset,
+		Draining:    t.self.Row.Draining,
+		Heard:       now,
+		readiness:   1,
+	}
+	v.known[self.Incarnation] = self
+	v.Entries = append(v.Entries, self)
+	for _, m := range t.members {
+		if m.named {
+			t.addMember(v, m, now)
+		}
+	}
+	byName := func(a, b Entry) int { return strings.Compare(a.VM.Name, b.VM.Name) }
+	slices.SortFunc(v.Entries, byName)
+	slices.SortFunc(v.silent, byName)
+	return v
+}
+
+func (t *table) addMember(v *View, m *member, now time.Time) {
+	e := Entry{
+		VM:          t.withListState(m.vm),
+		Incarnation: m.row.Incarnation,
+		Epoch:       m.row.Epoch,
+		Offset:      m.row.Offset,
+		Draining:    m.row.Draining,
+		Heard:       m.heard,
+		readiness:   m.readiness(now),
+	}
+	v.known[e.Incarnation] = e
+	switch {
+	case !t.isNewest(m):
+	case m.isSilent(now):
+		v.silent = append(v.silent, e)
+	default:
+		v.Entries = append(v.Entries, e)
+	}
+}
+
+// withListState returns the VM with the state that the VM list gives it.
+func (t *table) withListState(vm fleet.VM) fleet.VM {
+	if listed, ok := t.list.byName[vm.Name]; ok {
+		vm.State = listed.State
+	}
+	return vm
+}
+
+// buildServers returns the backend server part of a View.
+func (t *table) buildServers() *serverView {
+	s := &serverView{
+		taking:   map[string][]fleet.VM{},
+		leaving:  map[string][]fleet.VM{},
+		draining: t.notices.draining(),
+	}
+	for _, vm := range t.list.vms {
+		switch {
+		case vm.Service == fleet.EntryService:
+		case vm.State == fleet.Leaving || s.draining[vm.Name]:
+			s.leaving[vm.Service] = append(s.leaving[vm.Service], vm)
+		default:
+			s.taking[vm.Service] = append(s.taking[vm.Service], vm)
+		}
+	}
+	return s
+}
+
+// sameMembers reports whether two views have the same live entries in the same
+// states, apart from their counters and offsets.
+func sameMembers(a, b *View) bool {
+	return slices.EqualFunc(a.Entries, b.Entries, func(x, y Entry) bool {
+		return x.Incarnation == y.Incarnation && x.VM == y.VM && x.Draining == y.Draining
+	})
+}
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,181 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+)
+
+// testFleet is a set of entries over an in-memory network and VM list.
+type testFleet struct {
+	t    *testing.T
+	mu   sync.Mutex
+	run  map[string]*testEntry // by peer address
+	cut  func(from, to fleet.VM) bool
+	vms  []fleet.VM
+	down bool // the VM list is out of reach
+}
+
+type testEntry struct {
+	*Membership
+	vm     fleet.VM
+	config *testConfig
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+type testConfig struct {
+	mu      sync.Mutex
+	offset  int64
+	offered map[string]int64
+}
+
+func (c *testConfig) Position() (int64, int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.offset, -1
+}
+
+func (c *testConfig) OfferPeer(address string, offset int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offered[address] = offset
+}
+
+func (c *testConfig) OfferSnapshot(int64) {}
+
+func newFleet(t *testing.T) *testFleet {
+	return &testFleet{t: t, run: map[string]*testEntry{}, cut: func(_, _ fleet.VM) bool { return false }}
+}
+
+func entryVM(n int) fleet.VM {
+	return fleet.VM{
+		Name:        fmt.Sprintf("entry-%02d", n),
+		Address:     fmt.Sprintf("10.0.0.%d:80", n),
+		PeerAddress: fmt.Sprintf("10.0.0.%d:81", n),
+		Zone:        fmt.Sprintf("zone-%d", n%4),
+		Service:     fleet.EntryService,
+		State:       fleet.Live,
+	}
+}
+
+func serverVM(n int) fleet.VM {
+	return fleet.VM{
+		Name: fmt.Sprintf("shop-%02d", n), Address: fmt.Sprintf("10.0.1.%d:80", n),
+		Zone: "zone-1", Service: "glazenpot/shop", State: fleet.Live,
+	}
+}
+
+// start runs an entry process on the VM.
+func (f *testFleet) start(vm fleet.VM, incarnation string, seeds ...string) *testEntry {
+	config := &testConfig{offset: 3, offered: map[string]int64{}}
+	m := New(Options{
+		Self:        vm,
+		Incarnation: incarnation,
+		Epoch:       func() uint32 { return 7 },
+		Config:      config,
+		VMs:         fleetList{f},
+		Client:      fleetClient{f, vm},
+		Seeds:       seeds,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &testEntry{Membership: m, vm: vm, config: config, cancel: cancel, ended: make(chan struct{})}
+	f.mu.Lock()
+	f.run[vm.PeerAddress] = e
+	f.mu.Unlock()
+	go func() {
+		defer close(e.ended)
+		m.Run(ctx)
+	}()
+	return e
+}
+
+// kill ends the process without a word to the others.
+func (f *testFleet) kill(e *testEntry) {
+	f.mu.Lock()
+	delete(f.run, e.vm.PeerAddress)
+	f.mu.Unlock()
+	e.cancel()
+	<-e.ended
+}
+
+func (f *testFleet) stop() {
+	for _, e := range f.run {
+		e.cancel()
+		<-e.ended
+	}
+}
+
+// startAll runs n listed entries and lets them find each other.
+func (f *testFleet) startAll(n, servers int) []*testEntry {
+	for i := range n {
+		f.vms = append(f.vms, entryVM(i))
+	}
+	for i := range servers {
+		f.vms = append(f.vms, serverVM(i))
+	}
+	var out []*testEntry
+	for i := range n {
+		out = append(out, f.start(entryVM(i), fmt.Sprintf("incarnation-%d", i)))
+	}
+	time.Sleep(30 * time.Second)
+	for _, e := range out {
+		if got := len(e.View().Entries); got != n {
+			f.t.Fatalf("%s sees %d entries, want %d", e.vm.Name, got, n)
+		}
+	}
+	return out
+}
+
+// set changes the world under the lock.
+func (f *testFleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+type fleetList struct{ f *testFleet }
+
+func (l fleetList) VMs(context.Context) ([]fleet.VM, error) {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	if l.f.down {
+		return nil, errors.New("down")
+	}
+	return append([]fleet.VM(nil), l.f.vms...), nil
+}
+
+// fleetClient calls the receivers of other entries directly.
+type fleetClient struct {
+	f    *testFleet
+	from fleet.VM
+}
+
+func (c fleetClient) Call(ctx context.Context, address, method string, args, reply any) error {
+	time.Sleep(time.Millisecond)
+	c.f.mu.Lock()
+	to := c.f.run[address]
+	isCut := to != nil && c.f.cut(c.from, to.vm)
+	c.f.mu.Unlock()
+	if isCut {
+		<-ctx.Done()
+	}
+	if to == nil || isCut {
+		return &peer.UnreachableError{Address: address, Sent: isCut, Err: errors.New("no answer")}
+	}
+	switch a := args.(type) {
+	case *peer.Heartbeat:
+		return to.Receiver().Heartbeat(a, reply.(*peer.HeartbeatReply))
+	case *peer.DescribeArgs:
+		return to.Receiver().Describe(a, reply.(*peer.DescribeReply))
+	case *peer.VMsArgs:
+		return to.Receiver().VMs(a, reply.(*peer.VMsReply))
+	}
+	return fmt.Errorf("unknown method %s", method)
+}
--- /dev/null
+++ b/internal/membership/list.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+)
+
+// vmList is the newest known VM list.
+type vmList struct {
+	vms    []fleet.VM
+	byName map[string]fleet.VM
+	hash   uint64
+	asOf   time.Time // when the platform gave it
+}
+
+// newVMList returns a list sorted by name.
+func newVMList(vms []fleet.VM, asOf time.Time) vmList {
+	l := vmList{vms: slices.Clone(vms), byName: make(map[string]fleet.VM, len(vms)), asOf: asOf}
+	slices.SortFunc(l.vms, func(a, b fleet.VM) int { return strings.Compare(a.Name, b.Name) })
+	for _, vm := range l.vms {
+		l.byName[vm.Name] = vm
+	}
+	data, _ := json.Marshal(l.vms) // a slice of strings always marshals
+	l.hash = xxhash.Sum64(data)
+	return l
+}
+
+func (l vmList) known() bool { return l.byName != nil }
+
+func (l vmList) has(name string) bool {
+	_, ok := l.byName[name]
+	return ok
+}
+
+// entries returns the entry VMs.
+func (l vmList) entries() []fleet.VM {
+	var out []fleet.VM
+	for _, vm := range l.vms {
+		if vm.Service == fleet.EntryService {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// setList takes in a VM list and notes what it says of leaving backend servers.
+// It reports whether anything changed.
+func (t *table) setList(now time.Time, next vmList) bool {
+	before := t.list
+	t.list = next
+	if before.known() && before.hash == next.hash {
+		return false
+	}
+	for _, vm := range next.vms {
+		if vm.Service == fleet.EntryService {
+			continue
+		}
+		wasLeaving := before.byName[vm.Name].State == fleet.Leaving
+		if vm.State == fleet.Leaving {
+			t.notices.report(now, vm.Name, true)
+		} else if wasLeaving {
+			t.notices.report(now, vm.Name, false)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/membership/notice.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+)
+
+const (
+	// maxNotices bounds the kept notices.
+	maxNotices = 4096
+	// freshSends is how often a notice is passed on before it counts as old.
+	freshSends = 8
+	// freshPerMessage and oldPerMessage bound the notices of one heartbeat.
+	freshPerMessage = 32
+	oldPerMessage   = 2
+)
+
+// notice is the newest word on one backend server.
+type notice struct {
+	peer.Notice
+	changed time.Time
+	sent    int
+}
+
+// noticeTable holds the newest notice of each backend server.
+type noticeTable struct {
+	byServer map[string]*notice
+}
+
+func newNoticeTable() noticeTable { return noticeTable{byServer: map[string]*notice{}} }
+
+// report records what this process has seen itself, and reports whether it is new.
+func (t noticeTable) report(now time.Time, server string, draining bool) bool {
+	n := t.byServer[server]
+	if n == nil && !draining {
+		return false
+	}
+	if n != nil && n.Draining == draining {
+		return false
+	}
+	next := peer.Notice{Server: server, Sequence: 1, Draining: draining}
+	if n != nil {
+		next.Sequence = n.Sequence + 1
+	}
+	return t.mergeOne(now, next)
+}
+
+// merge takes in notices of peers and reports whether one was new.
+func (t noticeTable) merge(now time.Time, notices []peer.Notice) bool {
+	changed := false
+	for _, n := range notices {
+		if t.mergeOne(now, n) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (t noticeTable) mergeOne(now time.Time, n peer.Notice) bool {
+	old := t.byServer[n.Server]
+	if old == nil && len(t.byServer) >= maxNotices {
+		return false
+	}
+	if old != nil && !newerNotice(n, old.Notice) {
+		return false
+	}
+	t.byServer[n.Server] = &notice{Notice: n, changed: now}
+	return true
+}
+
+// newerNotice orders notices; of two with the same sequence, draining holds.
+func newerNotice(a, b peer.Notice) bool {
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	return a.Draining && !b.Draining
+}
+
+// toSend returns fresh notices, and a few old ones in turn for those that
+// missed them.
+func (t noticeTable) toSend() []peer.Notice {
+	all := make([]*notice, 0, len(t.byServer))
+	for _, n := range t.byServer {
+		all = append(all, n)
+	}
+	slices.SortFunc(all, func(a, b *notice) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.Server, b.Server))
+	})
+	var out []peer.Notice
+	old := 0
+	for _, n := range all {
+		if n.sent >= freshSends {
+			old++
+		}
+		if len(out) == freshPerMessage || old > oldPerMessage {
+			break
+		}
+		n.sent++
+		out = append(out, n.Notice)
+	}
+	return out
+}
+
+// all returns every notice.
+func (t noticeTable) all() []peer.Notice {
+	out := make([]peer.Notice, 0, len(t.byServer))
+	for _, n := range t.byServer {
+		out = append(out, n.Notice)
+	}
+	return out
+}
+
+// draining returns the servers that take no new work.
+func (t noticeTable) draining() map[string]bool {
+	out := map[string]bool{}
+	for _, n := range t.byServer {
+		if n.Draining {
+			out[n.Server] = true
+		}
+	}
+	return out
+}
+
+// forget drops the notices of servers that have long left a known VM list.
+func (t noticeTable) forget(now time.Time, list vmList) {
+	if !list.known() {
+		return
+	}
+	for server, n := range t.byServer {
+		if !list.has(server) && now.Sub(n.changed) > forgetAfter {
+			delete(t.byServer, server)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,65 @@
+package membership
+
+import (
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+)
+
+// Entry is one entry process.
+type Entry struct {
+	// VM is where the process runs; its State is that of the VM list.
+	VM fleet.VM
+	// Incarnation is the random id of the process.
+	Incarnation string
+	// Epoch is the newest known epoch of its tickets.
+	Epoch uint32
+	// Offset is its applied offset of the config stream, -1 before the first.
+	Offset int64
+	// Draining is set when it takes no new callers.
+	Draining bool
+	// Heard is when it last gave a sign, on this VM's clock.
+	Heard time.Time
+	// readiness is the share of callers (0 to 1) that may choose it first.
+	readiness float64
+}
+
+// takesCallers reports whether the entry belongs into the address answer.
+func (e Entry) takesCallers() bool {
+	return !e.Draining && e.Offset >= 0 && e.VM.State != fleet.Leaving
+}
+
+// View is what is known of the fleet at one time. It is immutable.
+type View struct {
+	// Entries are the live entries, this one and draining ones among them,
+	// sorted by VM name.
+	Entries []Entry
+	self    string
+	silent  []Entry
+	known   map[string]Entry
+	servers *serverView
+}
+
+// serverView is the backend server part of a View.
+type serverView struct {
+	taking   map[string][]fleet.VM
+	leaving  map[string][]fleet.VM
+	draining map[string]bool
+}
+
+// Servers returns the backend servers of a service ("member/service") that take
+// new work, sorted by name. The slice must not be changed.
+func (v *View) Servers(serviceKey string) []fleet.VM { return v.servers.taking[serviceKey] }
+
+// LeavingServers returns the backend servers of a service that finish their work
+// and take no new work. The slice must not be changed.
+func (v *View) LeavingServers(serviceKey string) []fleet.VM { return v.servers.leaving[serviceKey] }
+
+// Draining reports whether a backend server is known to take no new work.
+func (v *View) Draining(server string) bool { return v.servers.draining[server] }
+
+// ByIncarnation returns the entry process of that id, a silent one too.
+func (v *View) ByIncarnation(id string) (Entry, bool) {
+	e, ok := v.known[id]
+	return e, ok
+}
--- /dev/null
+++ b/internal/peer/membership.go
@@ -0,0 +1,108 @@
+package peer
+
+import "chestnutrouter.example/chestnutrouter/internal/fleet"
+
+// Methods of the receiver "Membership".
+const (
+	// ReceiverMembership is the name to register the receiver under.
+	ReceiverMembership = "Membership"
+	// MethodHeartbeat takes Heartbeat and gives HeartbeatReply.
+	MethodHeartbeat = ReceiverMembership + ".Heartbeat"
+	// MethodDescribe takes DescribeArgs and gives DescribeReply.
+	MethodDescribe = ReceiverMembership + ".Describe"
+	// MethodVMs takes VMsArgs and gives VMsReply.
+	MethodVMs = ReceiverMembership + ".VMs"
+)
+
+// Row is what one entry tells about itself; others pass it on unchanged, but
+// for its age.
+type Row struct {
+	// Incarnation is the random id of the process.
+	Incarnation string
+	// Generation orders the processes of one VM: the highest is the newest.
+	Generation uint64
+	// Counter grows with each heartbeat of the process.
+	Counter uint64
+	// AgeMs is how long ago the sender knew the counter, in milliseconds.
+	AgeMs uint32
+	// Epoch is the epoch of the process's tickets.
+	Epoch uint32
+	// Offset is the applied offset of the config stream, -1 before the first.
+	Offset int64
+	// Snapshot is the config offset of the newest known snapshot, -1 for none.
+	Snapshot int64
+	// Draining is set when the process takes no new callers.
+	Draining bool
+}
+
+// Notice tells that a backend server is draining, or is no longer.
+type Notice struct {
+	// Server is the VM's name.
+	Server string
+	// Sequence orders the notices of one server: the highest holds.
+	Sequence uint32
+	// Draining is true where the server takes no new work.
+	Draining bool
+}
+
+// Heartbeat is sent to a few peers each second.
+type Heartbeat struct {
+	// From is the sender's VM.
+	From fleet.VM
+	// Rows start with the sender's own.
+	Rows []Row
+	// Notices are the newest ones and some older ones in turn.
+	Notices []Notice
+}
+
+// HeartbeatReply carries what the receiver knows.
+type HeartbeatReply struct {
+	// From is the receiver's VM.
+	From fleet.VM
+	// Rows start with the receiver's own.
+	Rows []Row
+	// Notices are the newest ones and some older ones in turn.
+	Notices []Notice
+}
+
+// DescribeArgs asks for the VMs of processes.
+type DescribeArgs struct {
+	// Incarnations are the asked processes; empty asks for all, and the notices.
+	Incarnations []string
+}
+
+// Member is a process and its VM.
+type Member struct {
+	// Row is the newest known row.
+	Row Row
+	// VM is where the process runs.
+	VM fleet.VM
+}
+
+// DescribeReply answers DescribeArgs.
+type DescribeReply struct {
+	// Members are the asked processes, as far as they are known.
+	Members []Member
+	// Notices are all notices, where all processes were asked for.
+	Notices []Notice
+}
+
+// VMsArgs asks for a VM list that is newer than one's own.
+type VMsArgs struct {
+	// Hash is that of one's own list; zero for none.
+	Hash uint64
+	// AgeMs is the age of one's own list in milliseconds.
+	AgeMs int64
+}
+
+// VMsReply answers VMsArgs.
+type VMsReply struct {
+	// Newer is set where the receiver's list is the newer one.
+	Newer bool
+	// AgeMs is the age of the receiver's list in milliseconds.
+	AgeMs int64
+	// VMs is the list; empty where it has the asked hash.
+	VMs []fleet.VM
+	// Hash is that of the list.
+	Hash uint64
+}
