--- /dev/null
+++ b/internal/escrow/run.go
@@ -0,0 +1,93 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+)
+
+// ReceiverName is the name under which Receiver is registered with a peer.Server.
+const ReceiverName = "Escrow"
+
+// planTime is the time between two rounds of borrowing.
+const planTime = 100 * time.Millisecond
+
+// Run borrows and gives back until ctx ends, and returns when the requests in
+// progress have ended.
+func (l *Ledger) Run(ctx context.Context) {
+	if l.opts.Client == nil || l.opts.Peers == nil {
+		<-ctx.Done()
+		return
+	}
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	ticker := time.NewTicker(planTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, o := range l.plan(random) {
+			asking.Go(func() { l.ask(ctx, o) })
+		}
+	}
+}
+
+func (l *Ledger) plan(random *rand.Rand) []order {
+	peers := l.opts.Peers()
+	applied := l.opts.LowestApplied()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.applied = max(l.book.applied, applied)
+	return l.book.plan(l.tick(), peers, random)
+}
+
+// ask sends one order and books the answer.
+func (l *Ledger) ask(ctx context.Context, o order) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	var reply peer.BorrowReply
+	err := l.opts.Client.Call(ctx, o.to.Address, peer.BorrowMethod, &o.request, &reply)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.book.failed(o)
+		return
+	}
+	l.book.answered(l.tick(), o, reply)
+}
+
+// Receiver answers the requests of borrowers over net/rpc.
+type Receiver struct{ ledger *Ledger }
+
+// Receiver returns the net/rpc receiver to register under ReceiverName.
+func (l *Ledger) Receiver() *Receiver { return &Receiver{ledger: l} }
+
+// RefusedError reports that a lender does not answer a request at all. The
+// borrower keeps what it holds until the end of the term.
+type RefusedError struct{ Borrower, Lender string }
+
+// Error names both sides.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("entry %q lends nothing to %q now", e.Lender, e.Borrower)
+}
+
+// Lend answers one request.
+func (r *Receiver) Lend(request *peer.BorrowRequest, reply *peer.BorrowReply) error {
+	l := r.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer, ok := l.book.lend(l.tick(), request)
+	if !ok {
+		return &RefusedError{Borrower: request.Borrower, Lender: request.Lender}
+	}
+	*reply = answer
+	return nil
+}
