Give each member a branch of approvals

Cause: an approval kept in the member's own document replaces that document's revision, so a member could never approve a proposal on its own branch: the proposal's base would be stale at once. Ruled out: merging approvals into the document when a proposal comes in force (the content in force would be text that nobody published).

--- a/internal/tree/branch.go
+++ b/internal/tree/branch.go
@@ -10,8 +10,12 @@
 // FileName is the name of each branch's file in the operators' directory.
 const FileName = "branch.jsonc"
 
+// approvalsName is the reserved last name of a member's branch of approvals.
+const approvalsName = "approvals"
+
 // Branch is the path of one branch: "/" is the root, "/glazenpot" a member,
-// "/glazenpot/shop" a service and "/glazenpot/shop/payments" a rank.
+// "/glazenpot/shop" a service, "/glazenpot/shop/payments" a rank and
+// "/glazenpot/approvals" the member's approvals of proposals.
 type Branch string
 
 // Root is the branch of the co-operative.
@@ -26,6 +30,8 @@
 	LevelMember
 	LevelService
 	LevelRank
+	// LevelApprovals is beside the services of a member.
+	LevelApprovals
 )
 
 // BranchError tells that a text is no branch path.
@@ -33,7 +39,7 @@
 
 // Error names the text and the expected form.
 func (e *BranchError) Error() string {
-	return fmt.Sprintf("%q is no branch: expected /, /member, /member/service or /member/service/rank, in lower case", e.Text)
+	return fmt.Sprintf("%q is no branch: expected /, /member, /member/approvals, /member/service or /member/service/rank, in lower case", e.Text)
 }
 
 // namePattern keeps names short and safe in host names, file names and metrics.
@@ -54,14 +60,28 @@
 			return "", &BranchError{Text: text}
 		}
 	}
+	if len(names) == int(LevelRank) && names[1] == approvalsName {
+		return "", &BranchError{Text: text}
+	}
 	return Branch(text), nil
 }
 
 // MemberBranch returns the branch of a member.
 func MemberBranch(member string) Branch { return Root + Branch(member) }
 
+// ApprovalsBranch returns the branch of a member's approvals.
+func ApprovalsBranch(member string) Branch {
+	return MemberBranch(member) + "/" + approvalsName
+}
+
 // Level returns the kind of the branch.
-func (b Branch) Level() Level { return Level(len(b.names())) }
+func (b Branch) Level() Level {
+	level := Level(len(b.names()))
+	if level == LevelService && b.Name() == approvalsName {
+		return LevelApprovals
+	}
+	return level
+}
 
 // Parent returns the branch that b inherits from; the root is its own parent.
 func (b Branch) Parent() Branch { return Branch(path.Dir(string(b))) }
--- a/internal/tree/build_test.go
+++ b/internal/tree/build_test.go
@@ -149,13 +149,13 @@
 }
 
 func TestParseBranch(t *testing.T) {
-	for text, level := range map[string]Level{"/": LevelRoot, "/a": LevelMember, "/a/b-c": LevelService, "/a/b/c": LevelRank} {
+	for text, level := range map[string]Level{"/": LevelRoot, "/a": LevelMember, "/a/b-c": LevelService, "/a/b/c": LevelRank, "/a/approvals": LevelApprovals} {
 		b, err := ParseBranch(text)
 		if err != nil || b.Level() != level {
 			t.Errorf("%q: %v, level %d", text, err, b.Level())
 		}
 	}
-	for _, text := range []string{"", "a", "/a/", "//", "/A", "/a/b/c/d", "/a b", "/-a", "/..", "/a/../b"} {
+	for _, text := range []string{"", "a", "/a/", "//", "/A", "/a/b/c/d", "/a b", "/-a", "/..", "/a/../b", "/a/approvals/b"} {
 		if _, err := ParseBranch(text); err == nil {
 			t.Errorf("%q was taken", text)
 		}
@@ -171,7 +171,7 @@
 	if len(found) > 0 {
 		t.Fatal(found)
 	}
-	if len(tr.Services) != 4 || len(docs) != 12 {
+	if len(tr.Services) != 4 || len(docs) != 14 {
 		t.Errorf("%d services in %d branches", len(tr.Services), len(docs))
 	}
 	m, ok := tr.Match("booking.tabloblan.example", "POST", "/deposits")
--- a/internal/tree/check.go
+++ b/internal/tree/check.go
@@ -165,6 +165,21 @@
 	}
 }
 
+func (d *Document) checkApprovals() finding.List {
+	var found finding.List
+	report := d.reporter(&found)
+	for i, id := range d.Approvals.Approve {
+		at := fmt.Sprintf("approve[%d]", i)
+		if _, err := ParseProposalID(id); err != nil {
+			report(at, err.Error())
+		}
+		if slices.Contains(d.Approvals.Approve[:i], id) {
+			report(at, fmt.Sprintf("duplicate proposal %q", id))
+		}
+	}
+	return found
+}
+
 // reporter records a finding at a path of one document.
 type reporter func(path, message string)
 
--- a/internal/tree/document.go
+++ b/internal/tree/document.go
@@ -17,6 +17,8 @@
 	Member  *MemberDocument
 	Service *ServiceDocument
 	Rank    *RankDocument
+	// Approvals is set in a member's branch of approvals.
+	Approvals *ApprovalsDocument
 
 	source *jsonc.Document
 }
@@ -44,6 +46,18 @@
 	return jsonc.Diff(from.parsed(), to.parsed())
 }
 
+// NeedsVote reports whether the members vote on the change of a branch: any
+// value of the root, and the limits of every other branch. Either document may
+// be nil, for a branch that comes or goes.
+func NeedsVote(from, to *Document) bool {
+	if isRoot(from) || isRoot(to) {
+		return len(Diff(from, to)) > 0
+	}
+	return from.limits() != to.limits()
+}
+
+func isRoot(d *Document) bool { return d != nil && d.Root != nil }
+
 func (d *Document) parsed() *jsonc.Document {
 	if d == nil {
 		return nil
@@ -62,6 +76,9 @@
 	case LevelService:
 		d.Service = &ServiceDocument{}
 		return d.Service
+	case LevelApprovals:
+		d.Approvals = &ApprovalsDocument{}
+		return d.Approvals
 	default:
 		d.Rank = &RankDocument{}
 		return d.Rank
@@ -75,6 +92,8 @@
 		return d.checkRoot()
 	case d.Service != nil:
 		return d.checkService()
+	case d.Approvals != nil:
+		return d.checkApprovals()
 	default:
 		return nil
 	}
@@ -83,14 +102,18 @@
 // limits returns the voted limits of the branch itself.
 func (d *Document) limits() LimitValues {
 	switch {
+	case d == nil:
+		return LimitValues{}
 	case d.Root != nil:
 		return d.Root.Limits
 	case d.Member != nil:
 		return d.Member.Limits
 	case d.Service != nil:
 		return d.Service.Limits
-	default:
+	case d.Rank != nil:
 		return d.Rank.Limits
+	default:
+		return LimitValues{}
 	}
 }
 
--- a/internal/tree/schema.go
+++ b/internal/tree/schema.go
@@ -57,14 +57,21 @@
 
 // MemberDocument is the document of a member's branch.
 type MemberDocument struct {
-	// Approvals are the ids of the proposals that this member approves.
-	Approvals []string `json:"approvals"`
 	// Budgets narrow the root's budgets for the member's services.
 	Budgets BudgetValues `json:"budgets"`
 	// Limits govern all calls to the member's services.
 	Limits LimitValues `json:"limits"`
 }
 
+// ApprovalsDocument is the document of a member's branch of approvals. It is a
+// branch of its own, so that an approval does not replace the revision of the
+// member's settings, on which a pending proposal may be based.
+type ApprovalsDocument struct {
+	// Approve holds the ids of the proposals that the member approves. An id
+	// that is taken out withdraws the approval while the proposal is pending.
+	Approve []string `json:"approve" required:"true"`
+}
+
 // ServiceDocument is the document of a service's branch.
 type ServiceDocument struct {
 	Hosts                []string        `json:"hosts" required:"true"`
