Fold the config stream into the state in force

Cause: entries and chestnutctl must reach the same state from the same records. Ruled out: per-branch revision counters (a branch removed and made again would take a publish based on the old one); a hash chained over records (it would be equal for states that differ).

--- /dev/null
+++ b/internal/fold/fold_test.go
@@ -0,0 +1,258 @@
+package fold
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"chestnutrouter.example/chestnutrouter/internal/seat"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+func branchOf(text string) tree.Branch { return tree.Branch(text) }
+
+func TestFoundingNeedsNoVoteAndLaterChangesOfTheRootDo(t *testing.T) {
+	h := newHistory()
+	if h.state.Tree() != nil || h.state.Offset() != -1 {
+		t.Fatalf("empty state has a tree or an offset")
+	}
+	h.found(t, 2)
+	if got := h.state.Tree().Quorum; got != 2 {
+		t.Errorf("quorum %d", got)
+	}
+	d := h.publish(Publish{Branch: "/", BaseRevision: 1, Content: "// a comment\n" + rootText(2, 100), Publisher: "b"})
+	if d.Outcome != Accepted {
+		t.Errorf("comment: %+v", d)
+	}
+	d = h.publish(Publish{Branch: "/", BaseRevision: 2, Content: rootText(2, 90), Publisher: "b"})
+	if d.Outcome != Proposed || h.state.Tree().Limits[0].CallsPerSecond != 100 {
+		t.Errorf("limit: %+v", d)
+	}
+}
+
+func TestProposalComesInForceWithTheQuorum(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	d := h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(70), Publisher: "a"})
+	if d.Outcome != Proposed || d.Proposal != "p1" {
+		t.Fatalf("proposal: %+v", d)
+	}
+	if d = h.approve("a", "p1"); d.Outcome != Accepted || len(d.Settled) != 0 {
+		t.Fatalf("first approval: %+v", d)
+	}
+	p, _ := h.state.Proposal("p1")
+	if got := h.state.Approvals(p); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("approvals %q", got)
+	}
+	if d = h.approve("c", "p1"); len(d.Settled) != 1 || d.Settled[0].Outcome != Accepted {
+		t.Fatalf("second approval: %+v", d)
+	}
+	f, _ := h.state.Branch("/a")
+	if f.Content != limitText(70) || f.Revision != 4 || f.Offset != 3 {
+		t.Errorf("in force: %+v", f)
+	}
+	if !slices.Equal(f.Changes, []string{"~ limits.calls_per_second: 80 -> 70"}) {
+		t.Errorf("changes %q", f.Changes)
+	}
+}
+
+func TestWithdrawnAndForeignApprovalsDoNotCount(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(70), Publisher: "a"})
+	h.approve("b", "p1")
+	h.approve("b")
+	if d := h.approve("c", "p1"); len(d.Settled) != 0 {
+		t.Errorf("withdrawn approval counted: %+v", d)
+	}
+	d := h.publish(Publish{Branch: "/b/approvals", BaseRevision: 3, Content: approvals("p1"), Publisher: "a"})
+	if d.Outcome != NotAllowed {
+		t.Errorf("a approved for b: %+v", d)
+	}
+}
+
+func TestNothingIsApprovedBeforeItIsProposed(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	h.approve("b", "p3")
+	h.approve("c", "p3")
+	d := h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(70), Publisher: "a"})
+	if d.Proposal != "p3" {
+		t.Fatalf("proposal: %+v", d)
+	}
+	d = h.publish(Publish{Branch: "/a/shop", Content: serviceText, Publisher: "a"})
+	if d.Outcome != Accepted || len(d.Settled) != 0 {
+		t.Errorf("approved in advance: %+v", d)
+	}
+}
+
+func TestRaceIsSettledByTheLog(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	h.publish(Publish{Branch: "/a/shop", Content: serviceText, Publisher: "a/ann", PublishID: "first"})
+	slower := strings.Replace(serviceText, "50", "60", 1)
+	d := h.publish(Publish{Branch: "/a/shop", Content: slower, Publisher: "a/bob", PublishID: "second"})
+	if d.Outcome != Conflict || d.Winner.PublishID != "first" || d.Winner.Publisher != "a/ann" || len(d.Winner.Changes) == 0 {
+		t.Errorf("loser: %+v, winner %+v", d, d.Winner)
+	}
+	d = h.publish(Publish{Branch: "/a/shop", Content: slower, Publisher: "a/bob", PublishID: "second", BaseRevision: 2})
+	if d.Outcome != Duplicate || d.First.Outcome != Conflict {
+		t.Errorf("second copy: %+v", d)
+	}
+	d = h.publish(Publish{Branch: "/a/shop", Content: slower, Publisher: "a/bob", BaseRevision: 2})
+	if d.Outcome != Accepted {
+		t.Errorf("rebased: %+v", d)
+	}
+}
+
+func TestProposalsOfABranchThatMovedOnAreConflicts(t *testing.T) {
+	h := newHistory()
+	h.found(t, 1)
+	h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(70), Publisher: "a"})
+	h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(60), Publisher: "a"})
+	d := h.approve("b", "p2")
+	if len(d.Settled) != 2 || d.Settled[0].Outcome != Accepted || d.Settled[1].Outcome != Conflict {
+		t.Errorf("settled: %+v", d.Settled)
+	}
+	if end, ok := h.state.Settlement("p1"); !ok || end.Outcome != Conflict {
+		t.Errorf("p1: %+v", end)
+	}
+}
+
+func TestProposalThatNoLongerFitsIsInvalid(t *testing.T) {
+	h := newHistory()
+	h.found(t, 1)
+	h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(95), Publisher: "a"})
+	h.publish(Publish{Branch: "/", BaseRevision: 1, Content: rootText(1, 90), Publisher: "a"})
+	h.approve("b", "p2")
+	d := h.approve("c", "p1")
+	if len(d.Settled) != 1 || d.Settled[0].Outcome != Invalid || !strings.Contains(d.Settled[0].Message, "95 is wider than 90") {
+		t.Errorf("settled: %+v", d.Settled)
+	}
+}
+
+func TestInvalidPublishesKeepTheTree(t *testing.T) {
+	h := newHistory()
+	for _, c := range []struct {
+		publish Publish
+		want    Outcome
+		message string
+	}{
+		{Publish{Branch: "/a", Content: "{}", Publisher: "a"}, Invalid, "the root comes first"},
+		{Publish{Branch: "/", Content: rootText(9, 1), Publisher: "a"}, Invalid, "quorum"},
+		{Publish{Branch: "/", Content: rootText(2, 1), Publisher: "z"}, NotAllowed, "z is no member"},
+		{Publish{Branch: "/a", BaseRevision: 7, Content: "{}", Publisher: "a"}, Conflict, "not in force"},
+		{Publish{Branch: "/A", Content: "{}", Publisher: "a"}, Malformed, "no branch"},
+		{Publish{Branch: "/a", Content: "{}", Publisher: "A B"}, Malformed, "publisher"},
+		{Publish{Branch: "/a", Content: "{}", Publisher: "a", PublishID: "#"}, Malformed, "publish id"},
+		{Publish{Branch: "/", Remove: true, BaseRevision: 1, Publisher: "a"}, Malformed, "removal"},
+		{Publish{Branch: "/a", Content: "{}", Publisher: "a", Children: []Child{{}}}, Malformed, "children"},
+	} {
+		d := h.publish(c.publish)
+		if d.Outcome != c.want || !strings.Contains(d.Message+d.Findings.Error(), c.message) {
+			t.Errorf("%+v: %s %q", c.publish, d, d.Findings.Error())
+		}
+	}
+	if h.state.Revision() != 0 || h.state.Tree() != nil {
+		t.Errorf("revision %d", h.state.Revision())
+	}
+}
+
+func TestRemoval(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	h.publish(Publish{Branch: "/a/shop", Content: serviceText, Publisher: "a"})
+	if d := h.publish(Publish{Branch: "/a", BaseRevision: 1, Remove: true, Publisher: "a"}); d.Outcome != Invalid {
+		t.Errorf("removed a parent: %s", d)
+	}
+	if d := h.publish(Publish{Branch: "/a/shop", BaseRevision: 2, Remove: true, Publisher: "a"}); d.Outcome != Accepted {
+		t.Errorf("removal: %s", d)
+	}
+	if len(h.state.Tree().Services) != 0 {
+		t.Errorf("services %v", h.state.Tree().Services)
+	}
+	if d := h.publish(Publish{Branch: "/a", BaseRevision: 1, Remove: true, Publisher: "a"}); d.Outcome == Accepted {
+		t.Errorf("removed a voted limit without a vote: %s", d)
+	}
+}
+
+func TestOtherRecordsOnlyMoveTheOffset(t *testing.T) {
+	for text, want := range map[string]Outcome{
+		``:                                    Malformed,
+		`null`:                                Unsupported,
+		`[]`:                                  Malformed,
+		`{"version":2,"kind":"publish"}`:      Unsupported,
+		`{"version":1,"kind":"merge"}`:        Unsupported,
+		`{"version":1,"kind":"publish"}`:      Malformed,
+		`{"version":0,"kind":"seat"}`:         Malformed,
+		`{"version":1,"kind":"seat","x":1}`:   Malformed,
+		`{"version":1,"kind":"seat"}{}`:       Malformed,
+		strings.Repeat("[", MaxRecordBytes+1): Malformed,
+		strings.Repeat("[", MaxRecordBytes):   Malformed,
+		`{"version":1,"kind":"seat","seat":{"seat":0,"incarnation":"i","vm":"v"},"publish":{}}`: Malformed,
+	} {
+		h := newHistory()
+		h.found(t, 2)
+		before := h.state
+		if d := h.add(json.RawMessage(text)); d.Outcome != want {
+			t.Errorf("%.60s: %s, want %s", text, d, want)
+		}
+		if h.state.Offset() != 1 || h.state.Tree() != before.Tree() || h.state.Revision() != 1 {
+			t.Errorf("%.60s changed the tree", text)
+		}
+	}
+}
+
+func TestAppliedOffsetsAreIgnored(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	next, d := h.state.Apply(0, h.records[0])
+	if next != h.state || d.Outcome != Stale {
+		t.Errorf("applied twice: %s", d)
+	}
+}
+
+func TestSeatsFollowClaims(t *testing.T) {
+	h := newHistory()
+	claim := encode(NewSeat(seat.Claim{Seat: 3, Incarnation: "i1", VM: "v1"}))
+	if d := h.add(claim); d.Outcome != Invalid {
+		t.Errorf("claim without a tree: %s", d)
+	}
+	h.found(t, 2)
+	if d := h.add(claim); d.Outcome != Accepted {
+		t.Errorf("claim: %s", d)
+	}
+	if d := h.add(claim); d.Outcome != Conflict {
+		t.Errorf("second claim: %s", d)
+	}
+	if got := h.state.Seats().Held("i1"); !slices.Equal(got, []int{3}) {
+		t.Errorf("held %v", got)
+	}
+}
+
+func TestRestoreRefusesDamage(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	good, err := json.Marshal(h.state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := Restore(good); err != nil || s.Hash() != h.state.Hash() {
+		t.Fatalf("restore: %v", err)
+	}
+	for _, damage := range [][2]string{
+		{`"version":1`, `"version":2`},
+		{`"revision":1`, `"revision":2`},
+		{`"quorum\": 2`, `"quorum\": 3`},
+		{`"quorum\": 2`, `"quorum\": 99`},
+		{`{`, `[`},
+	} {
+		bad := strings.Replace(string(good), damage[0], damage[1], 1)
+		var damaged *SnapshotError
+		if _, err := Restore([]byte(bad)); bad == string(good) || !errors.As(err, &damaged) {
+			t.Errorf("%q: %v", damage, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fold/snapshot.go
@@ -0,0 +1,133 @@
+package fold
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"chestnutrouter.example/chestnutrouter/internal/seat"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// snapshotVersion is the version of the form of a snapshot.
+const snapshotVersion = 1
+
+// snapshot is the JSON form of a State.
+type snapshot struct {
+	Version int    `json:"version"`
+	Hash    string `json:"hash"`
+	State   body   `json:"state"`
+}
+
+// body is the part of a snapshot that the hash covers.
+type body struct {
+	Offset    int64        `json:"offset"`
+	Revision  int64        `json:"revision"`
+	Branches  []InForce    `json:"branches,omitempty"`
+	Proposals []Proposal   `json:"proposals,omitempty"`
+	Settled   []Settlement `json:"settled,omitempty"`
+	Receipts  []Receipt    `json:"receipts,omitempty"`
+	Seats     seat.Table   `json:"seats"`
+}
+
+// SnapshotError tells why a snapshot cannot be restored.
+type SnapshotError struct{ Detail string }
+
+// Error says what is wrong.
+func (e *SnapshotError) Error() string { return "snapshot: " + e.Detail }
+
+// Hash returns the SHA-256 of the state in hex. States at the same offset of
+// the same stream have the same hash.
+func (s *State) Hash() string {
+	s.hash.once.Do(func() {
+		data, err := json.Marshal(s.body())
+		if err != nil {
+			panic(fmt.Sprintf("fold: state does not marshal: %v", err))
+		}
+		sum := sha256.Sum256(data)
+		s.hash.text = hex.EncodeToString(sum[:])
+	})
+	return s.hash.text
+}
+
+// MarshalJSON returns a snapshot, from which Restore makes an equal state.
+func (s *State) MarshalJSON() ([]byte, error) {
+	return json.Marshal(snapshot{Version: snapshotVersion, Hash: s.Hash(), State: s.body()})
+}
+
+func (s *State) body() body {
+	return body{
+		Offset:    s.offset,
+		Revision:  s.revision,
+		Branches:  s.Branches(),
+		Proposals: s.proposals,
+		Settled:   s.settled,
+		Receipts:  s.receipts,
+		Seats:     s.seats,
+	}
+}
+
+// Restore returns the state of a snapshot. A snapshot that is damaged, of a
+// newer version or of a tree that is not valid is a *SnapshotError.
+func Restore(data []byte) (*State, error) {
+	var snap snapshot
+	if err := json.Unmarshal(data, &snap); err != nil {
+		return nil, &SnapshotError{Detail: err.Error()}
+	}
+	if snap.Version != snapshotVersion {
+		return nil, &SnapshotError{Detail: fmt.Sprintf("version %d is not known", snap.Version)}
+	}
+	s := snap.State.state()
+	if err := s.rebuild(); err != nil {
+		return nil, err
+	}
+	if s.Hash() != snap.Hash {
+		return nil, &SnapshotError{Detail: fmt.Sprintf("hash of offset %d does not match", s.offset)}
+	}
+	return s, nil
+}
+
+func (b body) state() *State {
+	s := &State{
+		offset:    b.Offset,
+		revision:  b.Revision,
+		proposals: b.Proposals,
+		settled:   b.Settled,
+		receipts:  b.Receipts,
+		seats:     b.Seats,
+		hash:      &lazyHash{},
+	}
+	if len(b.Branches) > 0 {
+		s.branches = make(map[tree.Branch]InForce, len(b.Branches))
+	}
+	for _, f := range b.Branches {
+		s.branches[f.Branch] = f
+	}
+	return s
+}
+
+// rebuild parses the documents again and builds the tree.
+func (s *State) rebuild() error {
+	docs := make(tree.Documents, len(s.branches))
+	for branch, f := range s.branches {
+		if _, err := tree.ParseBranch(string(branch)); err != nil {
+			return &SnapshotError{Detail: err.Error()}
+		}
+		d, findings := tree.ParseDocument(branch, branch.File(), []byte(f.Content))
+		if len(findings) > 0 {
+			return &SnapshotError{Detail: findings.Error()}
+		}
+		docs[branch] = d
+	}
+	if len(docs) == 0 {
+		return nil
+	}
+	t, findings := tree.Build(docs)
+	if len(findings) > 0 {
+		return &SnapshotError{Detail: findings.Error()}
+	}
+	s.docs = docs
+	s.tree = t
+	return nil
+}
--- /dev/null
+++ b/internal/fold/vote.go
@@ -0,0 +1,95 @@
+package fold
+
+import (
+	"fmt"
+	"slices"
+
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// propose keeps the publish until the members approve it.
+func (s *State) propose(d *Decision, p Publish) {
+	pending := 0
+	for _, other := range s.proposals {
+		if other.Branch == d.Branch {
+			pending++
+		}
+	}
+	if pending >= maxPending {
+		d.Outcome = Conflict
+		d.Winner = s.winner(d.Branch)
+		d.Message = fmt.Sprintf("%d proposals are pending on %s", pending, d.Branch)
+		return
+	}
+	d.Outcome = Proposed
+	d.Proposal = tree.ProposalID(d.Offset)
+	d.Message = fmt.Sprintf("waits for the approval of %d members", s.tree.Quorum)
+	s.proposals = append(slices.Clone(s.proposals), Proposal{
+		ID:           d.Proposal,
+		Offset:       d.Offset,
+		Branch:       d.Branch,
+		BaseRevision: p.BaseRevision,
+		Content:      p.Content,
+		Remove:       p.Remove,
+		Publisher:    p.Publisher,
+		PublishID:    p.PublishID,
+		Changes:      d.Changes,
+	})
+}
+
+// settle ends proposals after a change of the tree, until none is ready: those
+// whose branch has moved on are conflicts, and those with a quorum come in
+// force in order of offset. The quorum is that of the tree in force, which a
+// proposal may change for the next.
+func (s *State) settle(offset int64) []Settlement {
+	var settled []Settlement
+	for {
+		i := slices.IndexFunc(s.proposals, s.ready)
+		if i < 0 {
+			return settled
+		}
+		p := s.proposals[i]
+		s.proposals = slices.Concat(s.proposals[:i], s.proposals[i+1:])
+		end := s.end(offset, p)
+		s.settled = lastOf(maxSettled, s.settled, end)
+		settled = append(settled, end)
+	}
+}
+
+func (s *State) ready(p Proposal) bool {
+	return s.outdated(p) || len(s.Approvals(p)) >= s.tree.Quorum
+}
+
+func (s *State) outdated(p Proposal) bool {
+	return p.BaseRevision != s.branches[p.Branch].Revision
+}
+
+// end brings a proposal in force or says why not.
+func (s *State) end(offset int64, p Proposal) Settlement {
+	e := Settlement{Proposal: p.ID, Branch: p.Branch, Offset: offset}
+	if s.outdated(p) {
+		e.Outcome = Conflict
+		e.Message = conflictMessage(p.BaseRevision, s.branches[p.Branch].Revision)
+		return e
+	}
+	c, findings := s.candidate(p.Branch, p.publish())
+	if len(findings) > 0 {
+		e.Outcome = Invalid
+		e.Message = findings.Error()
+		return e
+	}
+	e.Outcome = Accepted
+	e.Revision = s.accept(offset, c)
+	return e
+}
+
+func (p Proposal) publish() Publish {
+	return Publish{
+		Branch:       string(p.Branch),
+		BaseRevision: p.BaseRevision,
+		Content:      p.Content,
+		Remove:       p.Remove,
+		Publisher:    p.Publisher,
+		PublishID:    p.PublishID,
+	}
+}
