Serve callers: route, headers, operation, limits, attempts, answer

Refusals from before the operation look-up are made true for the whole operation: at its owner they settle it as not run, elsewhere they say unknown, as an earlier request with the same id may have run under an older tree. Runs go on when the caller hangs up, so a repeat finds them.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -26,6 +26,8 @@
 	match    tree.Match
 	caller   string
 	deadline time.Time
+	// body is the whole body, nil where the route streams it.
+	body []byte
 }
 
 // newCall checks the parts of a request that do not need its body.
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/operation"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+// configurationRetry is when a caller may ask an entry again that has no tree yet.
+const configurationRetry = time.Second
+
+// Trees returns the tree in force, or nil before the first one.
+type Trees interface {
+	Tree() *tree.Tree
+}
+
+// Limits spends voted limits.
+type Limits interface {
+	// Spend takes one call off every limit that covers it. The release is called
+	// once when the call has ended; a refusal is always not-run.
+	Spend(member, service, rank string) (release func(), refusal *outcome.Refusal)
+}
+
+// Runner makes the attempts of one call.
+type Runner interface {
+	// Do returns the backend server's answer, whose Body must be closed, or a refusal.
+	Do(ctx context.Context, m tree.Match, r *http.Request) (*forward.Answer, *outcome.Refusal)
+}
+
+// Owners asks the owner of an operation that another entry is bound to.
+type Owners interface {
+	// Ask returns what the operation came to at its owner. The refusal is Unknown
+	// wherever the owner gave no answer.
+	Ask(ctx context.Context, id operation.ID, caller string, r *http.Request, body []byte) (operation.Answer, *outcome.Refusal)
+}
+
+// Options are the stages that a Handler puts calls through.
+type Options struct {
+	// Entry is the name of this entry VM.
+	Entry string
+	// Trees has the tree in force.
+	Trees Trees
+	// Operations binds operations that are not idempotent.
+	Operations *operation.Table
+	// Owners reaches the other entries' operations.
+	Owners Owners
+	// Limits are the voted limits.
+	Limits Limits
+	// Runner sends calls to backend servers.
+	Runner Runner
+	// Drain counts requests and says when the entry leaves.
+	Drain *Drain
+	// Scope receives the counters.
+	Scope tally.Scope
+}
+
+// Handler serves callers' requests. It is safe for concurrent use.
+type Handler struct {
+	Options
+	addresses http.Handler
+}
+
+// NewHandler returns a Handler that passes paths under wire.PathPrefix to addresses.
+func NewHandler(options Options, addresses http.Handler) *Handler {
+	return &Handler{Options: options, addresses: addresses}
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.Drain.enter()
+	defer h.Drain.exit()
+	if h.Drain.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if strings.HasPrefix(r.URL.Path, wire.PathPrefix) {
+		h.addresses.ServeHTTP(w, r)
+		return
+	}
+	w.Header().Set(wire.HeaderEntry, h.Entry)
+	h.serveCall(w, r)
+}
+
+func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
+	t := h.Trees.Tree()
+	if t == nil {
+		h.refuse(w, h.disclaim(r, noConfiguration()))
+		return
+	}
+	c, refusal := newCall(t, r, time.Now())
+	if refusal != nil {
+		h.refuse(w, h.disclaim(r, refusal))
+		return
+	}
+	if !c.match.Route.Upload {
+		if refusal := c.bufferBody(w, r); refusal != nil {
+			h.refuse(w, h.disclaim(r, refusal))
+			return
+		}
+	}
+	if c.match.Route.Idempotent {
+		h.serveIdempotent(w, r, c)
+		return
+	}
+	h.serveOnce(w, r, c)
+}
+
+// serveIdempotent runs the call for as long as its caller waits.
+func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c call) {
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	answer, release, refusal := h.attempt(ctx, r, c)
+	if refusal != nil {
+		h.refuse(w, refusal)
+		return
+	}
+	defer release()
+	h.writeStream(w, answer)
+}
+
+// attempt spends the voted limits and sends the call. The release is called once
+// the answer has been written.
+func (h *Handler) attempt(ctx context.Context, r *http.Request, c call) (*forward.Answer, func(), *outcome.Refusal) {
+	s := c.match.Service
+	release, refusal := h.Limits.Spend(s.Member, s.Name, c.match.Rank.Name)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	answer, refusal := h.Runner.Do(ctx, c.match, r)
+	if refusal != nil {
+		release()
+		return nil, nil, refusal
+	}
+	return answer, release, nil
+}
+
+func noConfiguration() *outcome.Refusal {
+	detail := "this entry has no configuration yet; use another entry or try again"
+	refusal := outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, detail)
+	return refusal.WithRetryAfter(configurationRetry)
+}
--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"chestnutrouter.example/chestnutrouter/internal/operation"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+// serveOnce runs a call that is not idempotent at most once.
+func (h *Handler) serveOnce(w http.ResponseWriter, r *http.Request, c call) {
+	id, refusal := operationOf(r)
+	if refusal != nil {
+		h.refuse(w, refusal)
+		return
+	}
+	if id.Incarnation != h.Operations.Incarnation() {
+		h.serveForeign(w, r, c, id)
+		return
+	}
+	held, refusal := h.Operations.Begin(id, c.caller, c.fingerprint(r))
+	if refusal != nil {
+		h.refuse(w, refusal)
+		return
+	}
+	if !held.Owner() {
+		answer, refusal := held.Wait(r.Context())
+		h.writeKept(w, answer, refusal)
+		return
+	}
+	h.runOwned(w, r, c, held)
+}
+
+// serveForeign asks the owner of another entry's operation.
+func (h *Handler) serveForeign(w http.ResponseWriter, r *http.Request, c call, id operation.ID) {
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	answer, refusal := h.Owners.Ask(ctx, id, c.caller, r, c.body)
+	h.writeKept(w, answer, refusal)
+}
+
+// runOwned runs the operation and settles it. The run goes on when the caller
+// hangs up, so that a repeat finds what it came to.
+func (h *Handler) runOwned(w http.ResponseWriter, r *http.Request, c call, held *operation.Call) {
+	settled := false
+	defer func() {
+		if !settled {
+			held.Unknown(outcome.NewUnknown(outcome.ReasonInternal, "the entry failed while it ran the operation"))
+		}
+	}()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
+	defer cancel()
+	answer, release, refusal := h.attempt(ctx, r, c)
+	if refusal != nil {
+		settle(held, refusal)
+		settled = true
+		h.refuse(w, refusal)
+		return
+	}
+	defer release()
+	kept, refusal := readKept(answer)
+	if refusal != nil {
+		answer.Body.Close()
+		settle(held, refusal)
+		settled = true
+		h.refuse(w, refusal)
+		return
+	}
+	held.Ran(kept)
+	settled = true
+	h.writeStream(w, answer)
+}
+
+// settle records an operation that brought no answer.
+func settle(held *operation.Call, refusal *outcome.Refusal) {
+	if refusal.Outcome == outcome.NotRun {
+		held.NotRun(refusal)
+		return
+	}
+	held.Unknown(refusal)
+}
+
+// disclaim makes a refusal from before the operation was looked up true for the
+// operation as a whole: an earlier or a later request may carry the same id.
+func (h *Handler) disclaim(r *http.Request, refusal *outcome.Refusal) *outcome.Refusal {
+	id, err := operation.ParseID(r.Header.Get(wire.HeaderOperation))
+	if err != nil {
+		return refusal
+	}
+	if id.Incarnation != h.Operations.Incarnation() {
+		return asUnknown(refusal)
+	}
+	caller, _ := callerOf(r)
+	held, other := h.Operations.Begin(id, caller, operation.NewStreamFingerprint(r))
+	if other != nil || !held.Owner() {
+		return asUnknown(refusal)
+	}
+	held.NotRun(refusal)
+	return refusal
+}
+
+func asUnknown(refusal *outcome.Refusal) *outcome.Refusal {
+	c := *refusal
+	c.Outcome = outcome.Unknown
+	return &c
+}
+
+func operationOf(r *http.Request) (operation.ID, *outcome.Refusal) {
+	value := r.Header.Get(wire.HeaderOperation)
+	if value == "" {
+		detail := "this route is not idempotent; send " + wire.HeaderOperation + ": <ticket>.<32 hex digits>"
+		return operation.ID{}, outcome.NewNotRun(http.StatusBadRequest, outcome.ReasonOperationMissing, detail)
+	}
+	id, err := operation.ParseID(value)
+	if err != nil {
+		return operation.ID{}, outcome.NewNotRun(http.StatusBadRequest, outcome.ReasonOperationInvalid, err.Error())
+	}
+	return id, nil
+}
+
+func (c *call) fingerprint(r *http.Request) operation.Fingerprint {
+	if c.match.Route.Upload {
+		return operation.NewStreamFingerprint(r)
+	}
+	return operation.NewFingerprint(r, c.body)
+}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -20,7 +20,7 @@
 
 // refuse answers in place of a backend server and counts the reason.
 func (h *Handler) refuse(w http.ResponseWriter, r *outcome.Refusal) {
-	metrics.Count(h.scope, metrics.Refusals, string(r.Reason))
+	metrics.Count(h.Scope, metrics.Refusals, string(r.Reason))
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(wire.HeaderOutcome, string(r.Outcome))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -102,7 +102,8 @@
 func (s *Set) start(r *Running, svc *tree.Service) *Running {
 	if r == nil {
 		b := balancer.New(balancer.Options{Entry: s.options.Entry, Zone: s.options.Zone, Scope: s.options.Scope})
-		r = &Running{Balancer: b, Queue: s.options.Workers.Queue(svc.Key(), b)}
+		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
+		r = &Running{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
 	}
 	if s.servers != nil {
 		r.Balancer.Update(s.servers.Servers(svc.Key()), svc)
