--- /dev/null
+++ b/examples/quickstart/tour/plan.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/settings"
+)
+
+const (
+	planFile = "plan.json"
+	envFile  = "plan.env"
+
+	// The quick start stops its entries soon, so callers keep addresses briefly.
+	addressTTLMs = 300
+	keepAliveMs  = 300
+	drainLimitMs = 5_000
+	workers      = 4
+)
+
+// plan is the quick start's little fleet.
+type plan struct {
+	// Platform is the address of the stand-in platform.
+	Platform string `json:"platform"`
+	// VMs are the entries and the backend servers.
+	VMs []fleet.VM `json:"vms"`
+}
+
+// blueprint lists the VMs before they have addresses.
+var blueprint = []fleet.VM{
+	{Name: "entry-1", Zone: "zone-a", Service: fleet.EntryService},
+	{Name: "entry-2", Zone: "zone-b", Service: fleet.EntryService},
+	{Name: "entry-3", Zone: "zone-c", Service: fleet.EntryService},
+	{Name: "shop-1", Zone: "zone-a", Service: "glazenpot/shop"},
+	{Name: "shop-2", Zone: "zone-b", Service: "glazenpot/shop"},
+	{Name: "shop-3", Zone: "zone-c", Service: "glazenpot/shop"},
+	{Name: "intake-1", Zone: "zone-a", Service: "glazenpot/intake"},
+	{Name: "booking-1", Zone: "zone-b", Service: "tabloblan/booking"},
+	{Name: "booking-2", Zone: "zone-c", Service: "tabloblan/booking"},
+	{Name: "archive-1", Zone: "zone-a", Service: "tabloblan/archive"},
+}
+
+// writePlan gives every VM free ports on loopback and writes the plan, the
+// entries' settings and the variables of run.sh.
+func writePlan(_ context.Context, dir string) error {
+	ports := &portList{}
+	defer ports.release()
+	p := plan{Platform: ports.next()}
+	for _, vm := range blueprint {
+		vm.State = fleet.Live
+		vm.Address = ports.next()
+		if vm.Service == fleet.EntryService {
+			vm.PeerAddress = ports.next()
+			vm.StatusAddress = ports.next()
+		}
+		p.VMs = append(p.VMs, vm)
+	}
+	if ports.err != nil {
+		return ports.err
+	}
+	for _, vm := range p.entries() {
+		if err := writeJSON(filepath.Join(dir, vm.Name+".jsonc"), p.settingsOf(vm)); err != nil {
+			return err
+		}
+	}
+	if err := writeJSON(filepath.Join(dir, planFile), p); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, envFile), []byte(p.env()), 0o600)
+}
+
+func readPlan(dir string) (plan, error) {
+	var p plan
+	data, err := os.ReadFile(filepath.Join(dir, planFile))
+	if err != nil {
+		return p, err
+	}
+	return p, json.Unmarshal(data, &p)
+}
+
+func (p *plan) entries() []fleet.VM {
+	var found []fleet.VM
+	for _, vm := range p.VMs {
+		if vm.Service == fleet.EntryService {
+			found = append(found, vm)
+		}
+	}
+	return found
+}
+
+func (p *plan) settingsOf(vm fleet.VM) settings.Settings {
+	s := settings.Settings{
+		VM:                vm.Name,
+		Zone:              vm.Zone,
+		CallerAddress:     vm.Address,
+		PeerAddress:       vm.PeerAddress,
+		StatusAddress:     vm.StatusAddress,
+		PlatformEndpoints: []string{"http://" + p.Platform},
+		Peers:             []string{},
+		LogLevel:          "info",
+		AddressTTLMs:      addressTTLMs,
+		KeepAliveMs:       keepAliveMs,
+		DrainLimitMs:      drainLimitMs,
+		Workers:           workers,
+	}
+	for _, other := range p.entries() {
+		if other.Name != vm.Name {
+			s.Peers = append(s.Peers, other.PeerAddress)
+		}
+	}
+	return s
+}
+
+// env returns the plan as shell variables.
+func (p *plan) env() string {
+	var entries, servers []string
+	for _, vm := range p.VMs {
+		if vm.Service == fleet.EntryService {
+			entries = append(entries, vm.Name)
+			continue
+		}
+		servers = append(servers, vm.Name+"="+vm.Address)
+	}
+	return fmt.Sprintf("PLATFORM=%q\nENTRIES=%q\nSERVERS=%q\n",
+		p.Platform, strings.Join(entries, " "), strings.Join(servers, " "))
+}
+
+func writeJSON(file string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, data, 0o600)
+}
+
+// portList hands out free loopback addresses. It keeps them bound until release,
+// so that no address is handed out twice.
+type portList struct {
+	held []net.Listener
+	err  error
+}
+
+func (p *portList) next() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.err = err
+		return ""
+	}
+	p.held = append(p.held, l)
+	return l.Addr().String()
+}
+
+func (p *portList) release() {
+	for _, l := range p.held {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/examples/quickstart/tour/wait.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// pollInterval is how often a process that is not ready is asked again.
+const pollInterval = 50 * time.Millisecond
+
+// register puts all VMs into the VM list, once the platform answers.
+func register(ctx context.Context, dir string) error {
+	p, err := readPlan(dir)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(p.VMs)
+	if err != nil {
+		return err
+	}
+	return retry(ctx, func() error {
+		return do(ctx, http.MethodPut, "http://"+p.Platform+"/admin/vms", body)
+	})
+}
+
+// waitForEntries returns once every entry and every backend server is ready.
+func waitForEntries(ctx context.Context, dir string) error {
+	p, err := readPlan(dir)
+	if err != nil {
+		return err
+	}
+	for _, vm := range p.VMs {
+		url := "http://" + vm.Address + "/healthz"
+		if vm.StatusAddress != "" {
+			url = "http://" + vm.StatusAddress + "/readyz"
+		}
+		ready := func() error { return do(ctx, http.MethodGet, url, nil) }
+		if err := retry(ctx, ready); err != nil {
+			return fmt.Errorf("%s: %w", vm.Name, err)
+		}
+	}
+	return nil
+}
+
+func retry(ctx context.Context, try func() error) error {
+	_, err := backoff.Retry(ctx, func() (bool, error) { return true, try() },
+		backoff.WithBackOff(backoff.NewConstantBackOff(pollInterval)),
+		backoff.WithMaxElapsedTime(limit))
+	return err
+}
+
+func do(ctx context.Context, method, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s %s: %s", method, url, resp.Status)
+	}
+	return nil
+}
