--- a/internal/operation/call.go
+++ b/internal/operation/call.go
@@ -82,3 +82,6 @@
 
 // Unknown settles the operation with an outcome that nobody knows.
 func (c *Call) Unknown(r *outcome.Refusal) { c.table.settle(c, Answer{}, r) }
+
+// Settle settles the operation with what a run returned.
+func (c *Call) Settle(a Answer, refusal *outcome.Refusal) { c.table.settle(c, a, refusal) }
--- /dev/null
+++ b/internal/operation/owners.go
@@ -0,0 +1,112 @@
+package operation
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+)
+
+// ownerRetryAfter is the wait that a caller is asked for when an owner is unreachable.
+const ownerRetryAfter = time.Second
+
+// OwnersOptions configure Owners.
+type OwnersOptions struct {
+	// Client calls other entries.
+	Client peer.Client
+	// Address returns the peer address of a live incarnation.
+	Address func(incarnation string) (address string, ok bool)
+	// Seals are what stopped entries left behind.
+	Seals *Seals
+}
+
+// Owners asks other entries about operations that are bound to them. It is safe
+// for concurrent use.
+type Owners struct{ opts OwnersOptions }
+
+// NewOwners returns Owners that are ready for use.
+func NewOwners(opts OwnersOptions) *Owners {
+	if opts.Seals == nil {
+		opts.Seals = NewSeals()
+	}
+	return &Owners{opts: opts}
+}
+
+// Ask returns what the operation came to at its owner, which runs it where it is
+// new. A nil body says that the request streams its body and can't be passed on.
+// Where the owner gives no answer the refusal is unknown and never not-run: even
+// a question that was certainly not sent leaves open whether the owner ran the
+// operation before.
+func (o *Owners) Ask(ctx context.Context, id ID, caller string, r *http.Request, body []byte) (Answer, *outcome.Refusal) {
+	if refusal, ok := o.opts.Seals.Lookup(id); ok {
+		return Answer{}, refusal
+	}
+	address, ok := o.opts.Address(id.Incarnation)
+	if !ok {
+		return Answer{}, outcome.NewUnknown(outcome.ReasonOwnerUnknown,
+			"the entry that owns the operation is not known here; find out from the service whether it ran")
+	}
+	reply := &peer.OperationReply{}
+	err := o.opts.Client.Call(ctx, address, peer.MethodOperationAsk, newAsk(ctx, id, caller, r, body), reply)
+	if err == nil {
+		return fromReply(reply)
+	}
+	if refusal, ok := o.opts.Seals.Lookup(id); ok {
+		return Answer{}, refusal
+	}
+	return Answer{}, outcome.NewUnknown(outcome.ReasonOwnerUnreachable,
+		"the entry that owns the operation gave no answer; repeat the request with the same id").WithRetryAfter(ownerRetryAfter)
+}
+
+func newAsk(ctx context.Context, id ID, caller string, r *http.Request, body []byte) *peer.OperationAsk {
+	ask := &peer.OperationAsk{ID: id.String(), Caller: caller}
+	if deadline, ok := ctx.Deadline(); ok {
+		ask.TimeoutMs = max(1, time.Until(deadline).Milliseconds())
+	}
+	if body == nil {
+		ask.Fingerprint = NewStreamFingerprint(r)
+		return ask
+	}
+	ask.Fingerprint = NewFingerprint(r, body)
+	ask.HasRequest = true
+	ask.Request = peer.OperationRequest{
+		Method: r.Method,
+		Host:   r.Host,
+		URI:    r.URL.RequestURI(),
+		Header: r.Header,
+		Body:   body,
+	}
+	return ask
+}
+
+func fromReply(r *peer.OperationReply) (Answer, *outcome.Refusal) {
+	if !r.Refused {
+		a := r.Answer
+		return Answer{Status: a.Status, Header: a.Header, Body: a.Body, BodyKept: true, Server: a.Server}, nil
+	}
+	return Answer{}, &outcome.Refusal{
+		Outcome:    outcome.Outcome(r.Outcome),
+		Reason:     outcome.Reason(r.Reason),
+		Status:     r.Status,
+		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
+		Detail:     r.Detail,
+	}
+}
+
+func toReply(a Answer, refusal *outcome.Refusal) peer.OperationReply {
+	if refusal == nil {
+		return peer.OperationReply{
+			Answer: peer.OperationAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Server: a.Server},
+		}
+	}
+	return peer.OperationReply{
+		Refused:      true,
+		Outcome:      string(refusal.Outcome),
+		Reason:       string(refusal.Reason),
+		Status:       refusal.Status,
+		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+		Detail:       refusal.Detail,
+	}
+}
