Find live entries by constant fan-out heartbeats, keep the VM list

Cause: entries need the live entries, the backend servers and the address answer while the VM list lags or is out of reach. Change: internal/membership. Each entry exchanges heartbeats with one peer in turn twice a second; a draining server, a new or a leaving entry goes to three more peers at once. Signs of life have a compact form (64 a message), rows travel only after a change. An entry without a sign for 4 s is asked itself; after 6 s it is silent. The address answer: own zone first, rendezvous hash, returns ramped over 10 s. A peer gives the VM list where the platform does not. Conclusion: scripts/test ./internal/membership ./internal/peer passes.

--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/peer"
 )
 
 const (
@@ -80,14 +77,14 @@
 // beat is one round of heartbeats.
 func (m *Membership) beat(ctx context.Context, count int) {
 	m.mu.Lock()
-	m.table.self.Row.Counter++
+	m.table.self.Sign.Counter++
 	m.claimName()
 	if count%forgetEvery == 0 {
 		m.table.forget(time.Now())
 	}
 	m.mu.Unlock()
 	m.publish()
-	m.send(ctx, m.pick(1, livePeers))
+	m.send(ctx, m.nextPeer())
 	if count%silentEvery == 0 {
 		m.send(ctx, m.pick(1, silentPeers))
 	}
@@ -102,6 +99,7 @@
 	}
 	if time.Since(m.table.started) < doubleStartGrace {
 		m.table.self.Row.Generation = rival.Generation + 1
+		m.table.self.Row.Version++
 		return
 	}
 	m.opts.Scope.Counter("membership_double_starts").Inc(1)
@@ -117,6 +115,21 @@
 	silentPeers
 )
 
+// nextPeer returns the address of a suspect, or else the next peer in turn.
+func (m *Membership) nextPeer() []string {
+	now := time.Now()
+	m.mu.Lock()
+	suspect := m.table.suspect(now)
+	if suspect != nil {
+		suspect.asked = now
+	}
+	m.mu.Unlock()
+	if suspect != nil {
+		return []string{suspect.vm.PeerAddress}
+	}
+	return m.pick(1, livePeers)
+}
+
 // pick returns peer addresses of that kind, in turn.
 func (m *Membership) pick(n int, kind peerKind) []string {
 	m.mu.Lock()
@@ -131,7 +144,7 @@
 func (m *Membership) liveAddresses(now time.Time) []string {
 	var out []string
 	for _, e := range m.table.members {
-		if e.named && !e.isSilent(now) && e.vm.PeerAddress != m.opts.Self.PeerAddress {
+		if !e.isSilent(now) && e.vm.PeerAddress != m.opts.Self.PeerAddress {
 			out = append(out, e.vm.PeerAddress)
 		}
 	}
@@ -156,83 +169,3 @@
 		m.calls.Go(func() { m.exchange(ctx, address) })
 	}
 }
-
-// exchange sends one heartbeat and takes in the reply.
-func (m *Membership) exchange(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	args := m.heartbeat()
-	reply := &peer.HeartbeatReply{}
-	if err := m.opts.Client.Call(ctx, address, peer.MethodHeartbeat, args, reply); err != nil {
-		m.opts.Scope.Counter("membership_heartbeats_failed").Inc(1)
-		m.opts.Logger.Debug("heartbeat failed", "peer", address, "error", err)
-		return
-	}
-	m.opts.Scope.Counter("membership_heartbeats").Inc(1)
-	m.take(ctx, reply.From, reply.Rows, reply.Notices)
-}
-
-func (m *Membership) heartbeat() *peer.Heartbeat {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return &peer.Heartbeat{
-		From:    m.opts.Self,
-		Rows:    m.table.rowsToSend(time.Now()),
-		Notices: m.table.notices.toSend(),
-	}
-}
-
-// take merges what a peer told, and asks it for the VMs of unknown processes.
-func (m *Membership) take(ctx context.Context, from fleet.VM, rows []peer.Row, notices []peer.Notice) {
-	if len(rows) == 0 {
-		return
-	}
-	now := time.Now()
-	m.mu.Lock()
-	first := len(m.table.members) == 0
-	m.table.describe(now, []peer.Member{{Row: rows[0], VM: from}})
-	unnamed := m.table.merge(now, rows)
-	isNews := m.table.notices.merge(now, notices)
-	m.mu.Unlock()
-	m.offer(from, rows)
-	if first {
-		unnamed = nil // asks for everything
-	}
-	if first || len(unnamed) > 0 {
-		m.ask(ctx, from.PeerAddress, unnamed)
-		isNews = true
-	}
-	if isNews {
-		m.spread()
-	}
-}
-
-// offer tells the follower of peers that are ahead and of snapshots.
-func (m *Membership) offer(from fleet.VM, rows []peer.Row) {
-	own, snapshot := m.opts.Config.Position()
-	if rows[0].Offset > own {
-		m.opts.Config.OfferPeer(from.PeerAddress, rows[0].Offset)
-	}
-	newest := snapshot
-	for _, r := range rows {
-		newest = max(newest, r.Snapshot)
-	}
-	if newest > snapshot {
-		m.opts.Config.OfferSnapshot(newest)
-	}
-}
-
-// ask fetches the VMs of processes, or everything where none is named.
-func (m *Membership) ask(ctx context.Context, address string, incarnations []string) {
-	args := &peer.DescribeArgs{Incarnations: incarnations}
-	reply := &peer.DescribeReply{}
-	if err := m.opts.Client.Call(ctx, address, peer.MethodDescribe, args, reply); err != nil {
-		m.opts.Logger.Debug("describe failed", "peer", address, "error", err)
-		return
-	}
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.table.describe(now, reply.Members)
-	m.table.notices.merge(now, reply.Notices)
-}
--- a/internal/membership/build.go
+++ b/internal/membership/build.go
@@ -27,9 +27,7 @@
 	v.known[self.Incarnation] = self
 	v.Entries = append(v.Entries, self)
 	for _, m := range t.members {
-		if m.named {
-			t.addMember(v, m, now)
-		}
+		t.addMember(v, m, now)
 	}
 	byName := func(a, b Entry) int { return strings.Compare(a.VM.Name, b.VM.Name) }
 	slices.SortFunc(v.Entries, byName)
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -171,7 +171,7 @@
 	}
 	switch a := args.(type) {
 	case *peer.Heartbeat:
-		return to.Receiver().Heartbeat(a, reply.(*peer.HeartbeatReply))
+		return to.Receiver().Heartbeat(a, reply.(*peer.Heartbeat))
 	case *peer.DescribeArgs:
 		return to.Receiver().Describe(a, reply.(*peer.DescribeReply))
 	case *peer.VMsArgs:
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -78,8 +78,9 @@
 	}
 	now := time.Now()
 	self := peer.Member{
-		VM:  opts.Self,
-		Row: peer.Row{Incarnation: opts.Incarnation, Generation: uint64(now.UnixMilli()), Counter: 1},
+		VM:   opts.Self,
+		Row:  peer.Row{Incarnation: opts.Incarnation, Generation: uint64(now.UnixMilli()), Version: 1},
+		Sign: peer.Sign{ID: peer.SignID(opts.Incarnation), Counter: 1},
 	}
 	m := &Membership{opts: opts, news: make(chan struct{}, 1), table: newTable(self, now)}
 	m.refreshSelf()
@@ -98,6 +99,7 @@
 func (m *Membership) SetDraining() {
 	m.mu.Lock()
 	m.table.self.Row.Draining = true
+	m.table.self.Row.Version++
 	m.mu.Unlock()
 	m.spread()
 }
@@ -149,9 +151,13 @@
 // refreshSelf copies this entry's newest facts into its row; the caller holds mu
 // or is the only user.
 func (m *Membership) refreshSelf() {
-	row := &m.table.self.Row
+	row := m.table.self.Row
 	row.Offset, row.Snapshot = m.opts.Config.Position()
 	row.Epoch = m.opts.Epoch()
+	if row != m.table.self.Row {
+		row.Version++
+		m.table.self.Row = row
+	}
 }
 
 // publish swaps the view and tells the subscribers of a change.
--- a/internal/membership/notice.go
+++ b/internal/membership/notice.go
@@ -11,8 +11,6 @@
 const (
 	// maxNotices bounds the kept notices.
 	maxNotices = 4096
-	// freshSends is how often a notice is passed on before it counts as old.
-	freshSends = 8
 	// freshPerMessage and oldPerMessage bound the notices of one heartbeat.
 	freshPerMessage = 32
 	oldPerMessage   = 2
--- a/internal/membership/receiver.go
+++ b/internal/membership/receiver.go
@@ -17,21 +17,20 @@
 func (m *Membership) Receiver() *Receiver { return &Receiver{m: m} }
 
 // Heartbeat takes in what a peer knows and returns what this entry knows.
-func (r *Receiver) Heartbeat(args *peer.Heartbeat, reply *peer.HeartbeatReply) error {
-	own := r.m.heartbeat()
-	reply.From, reply.Rows, reply.Notices = own.From, own.Rows, own.Notices
+func (r *Receiver) Heartbeat(args, reply *peer.Heartbeat) error {
+	*reply = *r.m.heartbeat()
 	ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
 	defer cancel()
-	r.m.take(ctx, args.From, args.Rows, args.Notices)
+	r.m.take(ctx, args)
 	return nil
 }
 
-// Describe returns the VMs of processes.
+// Describe returns processes and their VMs.
 func (r *Receiver) Describe(args *peer.DescribeArgs, reply *peer.DescribeReply) error {
 	r.m.mu.Lock()
 	defer r.m.mu.Unlock()
-	reply.Members = r.m.table.described(time.Now(), args.Incarnations)
-	if len(args.Incarnations) == 0 {
+	reply.Members = r.m.table.described(time.Now(), args.IDs)
+	if len(args.IDs) == 0 {
 		reply.Notices = r.m.table.notices.all()
 	}
 	return nil
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -13,31 +13,42 @@
 const (
 	// silentAfter is how long an entry may give no sign before it counts as silent.
 	silentAfter = 6 * time.Second
+	// suspectAfter is the age of the last sign from which an entry is asked
+	// itself, in place of the next peer in turn.
+	suspectAfter = 4 * time.Second
+	// suspectRetry is the least time between two such questions to one entry.
+	suspectRetry = time.Second
 	// forgetAfter is how long a silent process and an outdated notice are kept.
 	forgetAfter = 10 * time.Minute
 	// rampTime is how long a new or returned entry takes to get its full share.
 	rampTime = 10 * time.Second
 	// maxMembers bounds the known processes.
 	maxMembers = 1024
-	// rowsPerMessage bounds the rows of one heartbeat, besides the sender's own.
-	rowsPerMessage = 14
+	// signsPerMessage bounds the signs of one heartbeat, besides the sender's own.
+	signsPerMessage = 64
+	// freshSends is how often a row or notice is passed on before it counts as old.
+	freshSends = 8
+	// freshRowsPerMessage and oldRowsPerMessage bound the rows of one heartbeat.
+	freshRowsPerMessage = 16
+	oldRowsPerMessage   = 1
 )
 
 // member is a known process other than this one.
 type member struct {
-	row   peer.Row
-	vm    fleet.VM
-	named bool      // vm is known
-	heard time.Time // when its counter last rose
-	since time.Time // when it was first heard, or again after a silence
-	sent  int       // how often the row was passed on since it changed
+	row     peer.Row
+	vm      fleet.VM
+	counter uint64
+	heard   time.Time // when its counter last rose
+	since   time.Time // when it was first heard, or again after a silence
+	asked   time.Time // when it was last asked itself as a suspect
+	sent    int       // how often the row was passed on since it changed
 }
 
 // table is the state of the membership. It does no I/O; its owner locks it.
 type table struct {
 	self    peer.Member
 	started time.Time
-	members map[string]*member
+	members map[uint64]*member // by peer.SignID
 	notices noticeTable
 	list    vmList
 }
@@ -46,45 +57,70 @@
 	return &table{
 		self:    self,
 		started: now,
-		members: map[string]*member{},
+		members: map[uint64]*member{},
 		notices: newNoticeTable(),
 	}
 }
 
-// merge takes in rows and returns the processes whose VM is not known.
-func (t *table) merge(now time.Time, rows []peer.Row) (unnamed []string) {
+// mergeSigns takes in signs and returns the live processes that are not known.
+func (t *table) mergeSigns(now time.Time, signs peer.Signs) (unknown []uint64) {
+	for _, s := range signs {
+		m := t.members[s.ID]
+		switch {
+		case m != nil:
+			m.hear(now, s)
+		case s.ID != t.self.Sign.ID && s.Age <= silentAfter:
+			unknown = append(unknown, s.ID)
+		}
+	}
+	return unknown
+}
+
+// hear takes in a sign of the process.
+func (m *member) hear(now time.Time, s peer.Sign) {
+	if s.Counter <= m.counter {
+		return
+	}
+	if m.isSilent(now) {
+		m.since = now
+	}
+	m.counter = s.Counter
+	m.heard = later(m.heard, now.Add(-s.Age))
+}
+
+// mergeRows takes in rows of known processes.
+func (t *table) mergeRows(rows []peer.Row) (changed bool) {
 	for _, r := range rows {
-		if r.Incarnation == "" || r.Incarnation == t.self.Row.Incarnation {
+		m := t.members[peer.SignID(r.Incarnation)]
+		if m == nil || r.Version <= m.row.Version {
 			continue
 		}
-		m := t.mergeRow(now, r)
-		if m != nil && !m.named {
-			unnamed = append(unnamed, r.Incarnation)
-		}
+		changed = changed || r.Draining != m.row.Draining
+		m.row = r
+		m.sent = 0
 	}
-	return unnamed
+	return changed
 }
 
-func (t *table) mergeRow(now time.Time, r peer.Row) *member {
-	heard := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
-	m := t.members[r.Incarnation]
-	if m == nil {
-		if len(t.members) >= maxMembers || now.Sub(heard) > silentAfter {
-			return nil
+// describe takes in processes with all that a peer knows of them, and reports
+// whether one was not known.
+func (t *table) describe(now time.Time, members []peer.Member) (added bool) {
+	for _, d := range members {
+		id := peer.SignID(d.Row.Incarnation)
+		isStale := d.Sign.Age > silentAfter || d.VM.Name == ""
+		if t.members[id] != nil || id == t.self.Sign.ID || isStale || len(t.members) >= maxMembers {
+			continue
 		}
-		m = &member{since: t.firstSince(now)}
-		t.members[r.Incarnation] = m
-	}
-	if m.row.Counter >= r.Counter {
-		return m
-	}
-	if m.row.Counter > 0 && m.isSilent(now) {
-		m.since = now
+		t.members[id] = &member{
+			row:     d.Row,
+			vm:      d.VM,
+			counter: d.Sign.Counter,
+			heard:   now.Add(-d.Sign.Age),
+			since:   t.firstSince(now),
+		}
+		added = true
 	}
-	m.row = r
-	m.heard = later(m.heard, heard)
-	m.sent = 0
-	return m
+	return added
 }
 
 // firstSince is the start of a process's ramp. Those that were there when this
@@ -96,55 +132,76 @@
 	return now
 }
 
-// describe takes in the VMs of processes.
-func (t *table) describe(now time.Time, members []peer.Member) {
-	for _, d := range members {
-		if d.Row.Incarnation == t.self.Row.Incarnation {
-			continue
-		}
-		m := t.mergeRow(now, d.Row)
-		if m != nil && !m.named && d.VM.Name != "" {
-			m.vm, m.named = d.VM, true
+// described returns the asked processes, or all where none is named.
+func (t *table) described(now time.Time, ids []uint64) []peer.Member {
+	var out []peer.Member
+	if len(ids) == 0 || slices.Contains(ids, t.self.Sign.ID) {
+		out = append(out, t.self)
+	}
+	for id, m := range t.members {
+		isAsked := len(ids) == 0 || slices.Contains(ids, id)
+		if isAsked && !m.isSilent(now) {
+			out = append(out, peer.Member{Sign: m.sign(now, id), Row: m.row, VM: m.vm})
 		}
 	}
+	return out
 }
 
-// described returns the asked processes, or all where none is named.
-func (t *table) described(now time.Time, incarnations []string) []peer.Member {
-	self := t.self
-	all := []peer.Member{self}
-	for _, m := range t.members {
-		if m.named && !m.isSilent(now) {
-			all = append(all, peer.Member{Row: m.rowAt(now), VM: m.vm})
+// signsToSend returns this process's sign and the newest ones of others.
+func (t *table) signsToSend(now time.Time) peer.Signs {
+	signs := make(peer.Signs, 0, len(t.members)+1)
+	for id, m := range t.members {
+		if !m.isSilent(now) {
+			signs = append(signs, m.sign(now, id))
 		}
 	}
-	if len(incarnations) == 0 {
-		return all
-	}
-	return slices.DeleteFunc(all, func(d peer.Member) bool {
-		return !slices.Contains(incarnations, d.Row.Incarnation)
-	})
+	slices.SortFunc(signs, func(a, b peer.Sign) int { return cmp.Compare(a.Age, b.Age) })
+	signs = signs[:min(len(signs), signsPerMessage)]
+	return append(signs, t.self.Sign)
 }
 
-// rowsToSend returns this process's row and those of others that were passed on
-// least since they changed.
+// rowsToSend returns the rows of others that changed, and an old one in turn for
+// those that missed it.
 func (t *table) rowsToSend(now time.Time) []peer.Row {
-	var others []*member
+	live := make([]*member, 0, len(t.members))
 	for _, m := range t.members {
 		if !m.isSilent(now) {
-			others = append(others, m)
+			live = append(live, m)
 		}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	slices.SortStableFunc(others, func(a, b *member) int { return cmp.Compare(a.sent, b.sent) })
-	rows := []peer.Row{t.self.Row}
-	for _, m := range others[:min(len(others), rowsPerMessage)] {
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	slices.SortStableFunc(live, func(a, b *member) int { return cmp.Compare(a.sent, b.sent) })
+	var rows []peer.Row
+	old := 0
+	for _, m := range live {
+		if m.sent >= freshSends {
+			old++
+		}
+		if len(rows) == freshRowsPerMessage || old > oldRowsPerMessage {
+			break
+		}
 		m.sent++
-		rows = append(rows, m.rowAt(now))
+		rows = append(rows, m.row)
 	}
 	return rows
 }
 
+// suspect returns the live process that gave no sign for the longest time, where
+// that is long enough to ask it.
+func (t *table) suspect(now time.Time) *member {
+	var longest *member
+	for _, m := range t.members {
+		isSuspect := !m.isSilent(now) && now.Sub(m.heard) > suspectAfter
+		if !isSuspect || now.Sub(m.asked) < suspectRetry {
+			continue
+		}
+		if longest == nil || m.heard.Before(longest.heard) {
+			longest = m
+		}
+	}
+	return longest
+}
+
 // shift moves all times of hearing by the length of a pause of this process, in
 // which it could hear nobody.
 func (t *table) shift(now time.Time, pause time.Duration) {
@@ -169,7 +226,7 @@
 		return false
 	}
 	for _, other := range t.members {
-		if other != m && other.named && other.vm.Name == m.vm.Name && newerProcess(other.row, m.row) {
+		if other != m && other.vm.Name == m.vm.Name && newerProcess(other.row, m.row) {
 			return false
 		}
 	}
@@ -186,7 +243,7 @@
 // rival returns a live process of this VM's name that others hold for newer.
 func (t *table) rival(now time.Time) (peer.Row, bool) {
 	for _, m := range t.members {
-		if m.named && m.vm.Name == t.self.VM.Name && !m.isSilent(now) && newerProcess(m.row, t.self.Row) {
+		if m.vm.Name == t.self.VM.Name && !m.isSilent(now) && newerProcess(m.row, t.self.Row) {
 			return m.row, true
 		}
 	}
@@ -195,11 +252,9 @@
 
 func (m *member) isSilent(now time.Time) bool { return now.Sub(m.heard) > silentAfter }
 
-// rowAt returns the row as it is passed on at that time.
-func (m *member) rowAt(now time.Time) peer.Row {
-	r := m.row
-	r.AgeMs = uint32(max(0, now.Sub(m.heard).Milliseconds()))
-	return r
+// sign returns the sign as it is passed on at that time.
+func (m *member) sign(now time.Time, id uint64) peer.Sign {
+	return peer.Sign{ID: id, Counter: m.counter, Age: now.Sub(m.heard)}
 }
 
 // readiness is the share of callers that may choose the process first.
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -6,7 +6,7 @@
 const (
 	// ReceiverMembership is the name to register the receiver under.
 	ReceiverMembership = "Membership"
-	// MethodHeartbeat takes Heartbeat and gives HeartbeatReply.
+	// MethodHeartbeat takes and gives a Heartbeat.
 	MethodHeartbeat = ReceiverMembership + ".Heartbeat"
 	// MethodDescribe takes DescribeArgs and gives DescribeReply.
 	MethodDescribe = ReceiverMembership + ".Describe"
@@ -14,17 +14,14 @@
 	MethodVMs = ReceiverMembership + ".VMs"
 )
 
-// Row is what one entry tells about itself; others pass it on unchanged, but
-// for its age.
+// Row is what one entry tells about itself; others pass it on unchanged.
 type Row struct {
 	// Incarnation is the random id of the process.
 	Incarnation string
+	// Version grows with each change of the row.
+	Version uint64
 	// Generation orders the processes of one VM: the highest is the newest.
 	Generation uint64
-	// Counter grows with each heartbeat of the process.
-	Counter uint64
-	// AgeMs is how long ago the sender knew the counter, in milliseconds.
-	AgeMs uint32
 	// Epoch is the epoch of the process's tickets.
 	Epoch uint32
 	// Offset is the applied offset of the config stream, -1 before the first.
@@ -45,34 +42,30 @@
 	Draining bool
 }
 
-// Heartbeat is sent to a few peers each second.
+// Heartbeat is sent to a few peers each second; its answer is a Heartbeat too.
 type Heartbeat struct {
-	// From is the sender's VM.
-	From fleet.VM
-	// Rows start with the sender's own.
-	Rows []Row
-	// Notices are the newest ones and some older ones in turn.
-	Notices []Notice
-}
-
-// HeartbeatReply carries what the receiver knows.
-type HeartbeatReply struct {
-	// From is the receiver's VM.
-	From fleet.VM
-	// Rows start with the receiver's own.
+	// Address is the sender's peer address.
+	Address string
+	// Row is the sender's own row.
+	Row Row
+	// Signs are the newest signs of life of the sender and of others.
+	Signs Signs
+	// Rows of other entries are those that changed and a few older ones in turn.
 	Rows []Row
-	// Notices are the newest ones and some older ones in turn.
+	// Notices are those that changed and a few older ones in turn.
 	Notices []Notice
 }
 
-// DescribeArgs asks for the VMs of processes.
+// DescribeArgs asks for processes that are known by a sign only.
 type DescribeArgs struct {
-	// Incarnations are the asked processes; empty asks for all, and the notices.
-	Incarnations []string
+	// IDs are the asked processes; empty asks for all, and the notices.
+	IDs []uint64
 }
 
-// Member is a process and its VM.
+// Member is a process with all that is known of it.
 type Member struct {
+	// Sign is the newest sign of life.
+	Sign Sign
 	// Row is the newest known row.
 	Row Row
 	// VM is where the process runs.
--- /dev/null
+++ b/internal/peer/sign.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// signAgeUnit is the resolution of the age of a sign.
+const signAgeUnit = 50 * time.Millisecond
+
+// maxSigns bounds the signs of one message.
+const maxSigns = 4096
+
+// Sign is a sign of life of a process. It is kept small, as it makes up most of
+// the traffic between entries.
+type Sign struct {
+	// ID is the SignID of the process.
+	ID uint64
+	// Counter grows while the process runs.
+	Counter uint64
+	// Age is how long ago the sender knew the counter.
+	Age time.Duration
+}
+
+// SignID returns the ID that stands for an incarnation.
+func SignID(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
+
+// Signs is a list of signs with a compact binary form.
+type Signs []Sign
+
+var errSigns = errors.New("malformed signs")
+
+// MarshalBinary returns the compact form.
+func (s Signs) MarshalBinary() ([]byte, error) {
+	out := make([]byte, 0, 13*len(s))
+	for _, sign := range s {
+		out = binary.BigEndian.AppendUint64(out, sign.ID)
+		out = binary.AppendUvarint(out, sign.Counter)
+		out = binary.AppendUvarint(out, uint64(max(0, sign.Age)/signAgeUnit))
+	}
+	return out, nil
+}
+
+// UnmarshalBinary reads the compact form.
+func (s *Signs) UnmarshalBinary(data []byte) error {
+	*s = nil
+	for len(data) > 0 {
+		if len(data) < 8 || len(*s) == maxSigns {
+			return errSigns
+		}
+		sign := Sign{ID: binary.BigEndian.Uint64(data)}
+		data = data[8:]
+		counter, n := binary.Uvarint(data)
+		if n <= 0 {
+			return errSigns
+		}
+		data = data[n:]
+		age, n := binary.Uvarint(data)
+		if n <= 0 || age > uint64(time.Hour/signAgeUnit) {
+			return errSigns
+		}
+		data = data[n:]
+		sign.Counter = counter
+		sign.Age = time.Duration(age) * signAgeUnit
+		*s = append(*s, sign)
+	}
+	return nil
+}
