Add chestnutctl: check, publish, approve, show, history, status

Cause: operators drive the system only by publishing a changed branch. Change: package ctl and the thin command. It shows the difference before it publishes, settles a lost answer by reading the log for the publish id, orders changes so that each leaves a valid tree, and waits for votes and entries. Ruled out: publishing all changed branches in one record, as the base revision of each branch is settled on its own. Conclusion: tests against the stand-in platform on loopback pass, among them a lost answer with records that come twice and in reverse order.

--- /dev/null
+++ b/cmd/chestnutctl/main.go
@@ -0,0 +1,18 @@
+// Command chestnutctl checks, publishes, approves and shows the co-operative's
+// tree of settings.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"chestnutrouter.example/chestnutrouter/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := ctl.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(code))
+}
--- /dev/null
+++ b/internal/ctl/approve.go
@@ -0,0 +1,114 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/tailscale/hujson"
+
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// Approve publishes the approval of a pending proposal to the branch of
+// approvals of the publisher's member. With a directory, the approval is also
+// written to the branch's file there.
+func (c *Control) Approve(ctx context.Context, id, directory string, wait bool) (*PublishResult, error) {
+	if _, err := tree.ParseProposalID(id); err != nil {
+		return nil, &UsageError{Detail: err.Error()}
+	}
+	r, err := c.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p, pending := r.state.Proposal(id)
+	if !pending {
+		return nil, notPending(r.state, id)
+	}
+	member := fold.PublisherMember(c.Publisher)
+	result := &PublishResult{Offset: r.state.Offset(), Changes: []Change{}}
+	if slices.Contains(r.state.Approvals(p), member) {
+		return result, &RefusedError{Detail: fmt.Sprintf("%s already approves %s", member, id)}
+	}
+	publish, change, err := approval(r.state, member, id)
+	if err != nil {
+		return nil, err
+	}
+	publish.Publisher = c.Publisher
+	result.Changes = []Change{change}
+	if err := c.publishAll(ctx, r, []fold.Publish{publish}, result); err != nil {
+		return result, err
+	}
+	if directory != "" {
+		if err := writeBranch(directory, change.Branch, publish.Content); err != nil {
+			return result, err
+		}
+	}
+	if wait {
+		return result, c.await(ctx, r, result)
+	}
+	return result, nil
+}
+
+func notPending(state *fold.State, id string) error {
+	if end, settled := state.Settlement(id); settled {
+		return &RefusedError{Detail: settlementText(end)}
+	}
+	return &RefusedError{Detail: fmt.Sprintf("no proposal %s is pending", id)}
+}
+
+// approval returns the publish that adds the id to the member's approvals.
+func approval(state *fold.State, member, id string) (fold.Publish, Change, error) {
+	branch := tree.ApprovalsBranch(member)
+	current, _ := state.Branch(branch)
+	ids := []string{id}
+	if doc := state.Documents()[branch]; doc != nil {
+		ids = append(slices.Clone(doc.Approvals.Approve), id)
+	}
+	content, err := withApprovals(current.Content, ids)
+	if err != nil {
+		return fold.Publish{}, Change{}, err
+	}
+	publish := fold.Publish{
+		Branch:       string(branch),
+		BaseRevision: current.Revision,
+		Content:      content,
+		PublishID:    newPublishID(),
+	}
+	change := Change{Branch: branch, BaseRevision: current.Revision, Changes: []string{"approve " + id}}
+	return publish, change, nil
+}
+
+// withApprovals returns the content with another list; comments around it stay.
+func withApprovals(content string, ids []string) (string, error) {
+	if content == "" {
+		content = "{\n  \"approve\": []\n}\n"
+	}
+	value, err := hujson.Parse([]byte(content))
+	if err != nil {
+		return "", fmt.Errorf("parse approvals: %w", err)
+	}
+	list, err := json.Marshal(ids)
+	if err != nil {
+		return "", err
+	}
+	patch := fmt.Sprintf(`[{"op": "replace", "path": "/approve", "value": %s}]`, list)
+	if err := value.Patch([]byte(patch)); err != nil {
+		return "", fmt.Errorf("add approval: %w", err)
+	}
+	value.Format()
+	return value.String(), nil
+}
+
+func writeBranch(directory string, branch tree.Branch, content string) error {
+	file := filepath.Join(directory, filepath.FromSlash(branch.File()))
+	const dirMode, fileMode = 0o755, 0o644
+	if err := os.MkdirAll(filepath.Dir(file), dirMode); err != nil {
+		return err
+	}
+	return os.WriteFile(file, []byte(content), fileMode)
+}
--- /dev/null
+++ b/internal/ctl/check_test.go
@@ -0,0 +1,98 @@
+package ctl
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const exampleTree = "../../examples/tree"
+
+// run runs chestnutctl and returns what it printed and its exit code.
+func run(t *testing.T, args ...string) (string, Code) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	code := Main(t.Context(), args, &stdout, &stderr)
+	return stdout.String() + stderr.String(), code
+}
+
+func TestCheckPrintsEveryFindingWithPlace(t *testing.T) {
+	out, code := run(t, "check", "testdata/three-faults.jsonc")
+	if code != CodeRefused {
+		t.Errorf("exit code %d", code)
+	}
+	goldie.New(t).Assert(t, "three-faults", []byte(out))
+}
+
+func TestCheckOfTheExampleTree(t *testing.T) {
+	for _, path := range []string{
+		exampleTree,
+		exampleTree + "/branch.jsonc",
+		exampleTree + "/glazenpot/shop/payments/branch.jsonc",
+		exampleTree + "/tabloblan/approvals/branch.jsonc",
+	} {
+		if out, code := run(t, "check", path); code != CodeDone {
+			t.Errorf("%s: exit code %d\n%s", path, code, out)
+		}
+	}
+}
+
+func TestCheckOfAFileReadsItsParents(t *testing.T) {
+	dir := copyTree(t)
+	edit(t, dir, "glazenpot/shop/payments", `"calls_per_second": 400`, `"calls_per_second": 30000`)
+	file := filepath.Join(dir, "glazenpot/shop/payments/branch.jsonc")
+	out, code := run(t, "check", file)
+	if code != CodeRefused || !strings.Contains(out, file+":5:35: limits.calls_per_second: 30000 is wider than 20000 of /glazenpot/shop") {
+		t.Errorf("exit code %d\n%s", code, out)
+	}
+	if out, code := run(t, "check", file, "--branch", "/glazenpot/shop/payments"); code != CodeDone {
+		t.Errorf("alone: exit code %d\n%s", code, out)
+	}
+}
+
+func TestUsage(t *testing.T) {
+	for _, args := range [][]string{
+		{},
+		{"check", "no-such-file"},
+		{"show"},
+		{"publish", exampleTree, "--platform", "http://127.0.0.1:1"},
+		{"publish", exampleTree, "--platform", "http://127.0.0.1:1", "--publisher", "glazenpot", "--base", "3"},
+		{"approve", "17", "--platform", "http://127.0.0.1:1", "--publisher", "glazenpot"},
+		{"show", "--branch", "glazenpot", "--platform", "http://127.0.0.1:1"},
+	} {
+		if out, code := run(t, args...); code != CodeUsage {
+			t.Errorf("%q: exit code %d\n%s", args, code, out)
+		}
+	}
+}
+
+// copyTree copies the example tree to a directory of the test.
+func copyTree(t *testing.T) string {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "tree")
+	if err := os.CopyFS(dir, os.DirFS(exampleTree)); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// edit replaces a text in the file of a branch.
+func edit(t *testing.T, dir, branch, from, to string) {
+	t.Helper()
+	file := filepath.Join(dir, branch, "branch.jsonc")
+	content, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(content), from, to, 1)
+	if changed == string(content) {
+		t.Fatalf("%s does not contain %q", file, from)
+	}
+	if err := os.WriteFile(file, []byte(changed), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,168 @@
+package ctl
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+const (
+	// platformVariable names the endpoints where --platform is left out.
+	platformVariable = "CHESTNUT_PLATFORM"
+	// publisherVariable names the publisher where --publisher is left out.
+	publisherVariable = "CHESTNUT_PUBLISHER"
+	// defaultTimeout bounds the wait for the platform, votes and entries.
+	defaultTimeout = 30 * time.Second
+)
+
+// command is a parsed command line.
+type command struct {
+	name      string
+	argument  string
+	endpoints []string
+	publisher string
+	branch    string
+	directory string
+	base      int64
+	timeout   time.Duration
+	json      bool
+	wait      bool
+	dryRun    bool
+	remove    bool
+}
+
+// parse reads the command line. Like every flaggy program, it prints help and
+// exits with code 2 on an unknown flag.
+func parse(args []string) (*command, error) {
+	cmd := &command{base: -1, timeout: defaultTimeout}
+	endpoints := os.Getenv(platformVariable)
+	cmd.publisher = os.Getenv(publisherVariable)
+
+	parser := flaggy.NewParser("chestnutctl")
+	parser.Description = "Check, publish, approve and show the tree of settings."
+	parser.ShowVersionWithVersionFlag = false
+	parser.ShowCompletion = false
+	parser.String(&endpoints, "p", "platform", "base URLs of the platform, comma separated; default $"+platformVariable)
+	parser.String(&cmd.publisher, "u", "publisher", "member or member/person; default $"+publisherVariable)
+	parser.Duration(&cmd.timeout, "t", "timeout", "longest wait for the platform, votes and entries")
+	parser.Bool(&cmd.json, "j", "json", "print JSON")
+	subcommands := cmd.attach(parser)
+	if err := parser.ParseArgs(args); err != nil {
+		return nil, &UsageError{Detail: err.Error()}
+	}
+	for _, sub := range subcommands {
+		if sub.Used {
+			cmd.name = sub.Name
+		}
+	}
+	cmd.endpoints = strings.FieldsFunc(endpoints, func(r rune) bool { return r == ',' })
+	return cmd, cmd.validate()
+}
+
+func (cmd *command) attach(parser *flaggy.Parser) []*flaggy.Subcommand {
+	check := subcommand("check", "check a directory or a file and print every finding")
+	check.AddPositionalValue(&cmd.argument, "path", 1, true, "directory of branches, or one file")
+	check.String(&cmd.branch, "b", "branch", "check the file as the document of this branch")
+
+	publish := subcommand("publish", "publish what differs from what is in force")
+	publish.AddPositionalValue(&cmd.argument, "directory", 1, true, "directory of branches")
+	publish.String(&cmd.branch, "b", "branch", "publish this branch only")
+	publish.Int64(&cmd.base, "", "base", "revision of --branch that the change was made from")
+	publish.Bool(&cmd.wait, "w", "wait", "wait until votes passed and live entries report the offset")
+	publish.Bool(&cmd.dryRun, "n", "dry-run", "show the difference and publish nothing")
+	publish.Bool(&cmd.remove, "", "remove", "also remove branches that the directory lacks")
+
+	approve := subcommand("approve", "approve a proposal for the publisher's member")
+	approve.AddPositionalValue(&cmd.argument, "proposal", 1, true, "id of the proposal, such as p17")
+	approve.String(&cmd.directory, "d", "directory", "also write the approval to this directory of branches")
+	approve.Bool(&cmd.wait, "w", "wait", "wait until live entries report the offset")
+
+	show := subcommand("show", "show what is in force and which proposals are pending")
+	show.String(&cmd.branch, "b", "branch", "show the content of this branch")
+
+	history := subcommand("history", "show what became of each record that the log keeps")
+	history.String(&cmd.branch, "b", "branch", "only records of this branch")
+
+	status := subcommand("status", "show what entries report")
+	status.AddPositionalValue(&cmd.argument, "address", 1, false, "status address of one entry; default all live ones")
+
+	all := []*flaggy.Subcommand{check, publish, approve, show, history, status}
+	for _, sub := range all {
+		parser.AttachSubcommand(sub, 1)
+	}
+	return all
+}
+
+func subcommand(name, description string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	return sub
+}
+
+// validate checks what the parser cannot.
+func (cmd *command) validate() error {
+	if cmd.name == "" {
+		return &UsageError{Detail: "name a command: check, publish, approve, show, history or status"}
+	}
+	if cmd.branch != "" {
+		if _, err := tree.ParseBranch(cmd.branch); err != nil {
+			return &UsageError{Detail: err.Error()}
+		}
+	}
+	if cmd.base >= 0 && cmd.branch == "" {
+		return &UsageError{Detail: "--base needs --branch"}
+	}
+	if cmd.name == "publish" || cmd.name == "approve" {
+		if err := fold.CheckPublisher(cmd.publisher); err != nil {
+			return &UsageError{Detail: "--publisher: " + err.Error()}
+		}
+	}
+	needsPlatform := cmd.name != "check" && (cmd.name != "status" || cmd.argument == "")
+	if needsPlatform && len(cmd.endpoints) == 0 {
+		return &UsageError{Detail: "name the platform with --platform or $" + platformVariable}
+	}
+	return nil
+}
+
+func (cmd *command) run(ctx context.Context, c *Control) (result, error) {
+	branch := tree.Branch(cmd.branch)
+	switch cmd.name {
+	case "check":
+		return printable(Check(cmd.argument, branch))
+	case "publish":
+		return printable(c.Publish(ctx, PublishOptions{
+			Directory: cmd.argument,
+			Branch:    branch,
+			Base:      cmd.base,
+			Wait:      cmd.wait,
+			DryRun:    cmd.dryRun,
+			Remove:    cmd.remove,
+		}))
+	case "approve":
+		return printable(c.Approve(ctx, cmd.argument, cmd.directory, cmd.wait))
+	case "show":
+		return printable(c.Show(ctx, branch))
+	case "history":
+		return printable(c.History(ctx, branch))
+	default:
+		return printable(c.Status(ctx, cmd.argument))
+	}
+}
+
+// printable returns nil where a command has no result, so that the interface
+// holds no nil pointer.
+func printable[T any, P interface {
+	*T
+	result
+}](r P, err error) (result, error) {
+	if r == nil {
+		return nil, err
+	}
+	return r, err
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,129 @@
+// Package ctl is the code of chestnutctl: operators check a directory of
+// branches, publish what differs from what is in force, approve proposals and
+// look at the state in force.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+// Code is the exit code of chestnutctl.
+type Code int
+
+const (
+	// CodeDone: the command did what was asked.
+	CodeDone Code = 0
+	// CodeRefused: the change is invalid, in conflict or did not pass.
+	CodeRefused Code = 1
+	// CodeUsage: the command line is wrong.
+	CodeUsage Code = 2
+	// CodeUnknown: the platform is unreachable or the outcome is not known.
+	CodeUnknown Code = 3
+)
+
+// pollInterval is the pause between two looks at the log or at an entry.
+const pollInterval = 200 * time.Millisecond
+
+// Main runs chestnutctl with its arguments and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) Code {
+	cmd, err := parse(args)
+	if err != nil {
+		fmt.Fprintln(stderr, "chestnutctl:", err)
+		return codeOf(err)
+	}
+	client := platform.NewHTTP(cmd.endpoints, platform.Options{Client: "chestnutctl"})
+	defer client.Close()
+	c := &Control{Log: client, VMs: client, Publisher: cmd.publisher, Timeout: cmd.timeout}
+	result, err := cmd.run(ctx, c)
+	if result != nil {
+		print(stdout, result, cmd.json)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "chestnutctl:", err)
+	}
+	return codeOf(err)
+}
+
+// Control carries out the commands. Its fields are set before use.
+type Control struct {
+	// Log is the platform's log service.
+	Log platform.Log
+	// VMs is the platform's VM list, which names the entries.
+	VMs platform.VMList
+	// Publisher is "member" or "member/person".
+	Publisher string
+	// Timeout bounds the wait for the platform, votes and entries.
+	Timeout time.Duration
+}
+
+// result is what a command prints: lines of text, or itself as JSON.
+type result interface {
+	text() []string
+}
+
+func print(w io.Writer, r result, asJSON bool) {
+	if asJSON {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		enc.SetEscapeHTML(false)
+		_ = enc.Encode(r)
+		return
+	}
+	for _, line := range r.text() {
+		fmt.Fprintln(w, line)
+	}
+}
+
+// UsageError tells that the command line is wrong.
+type UsageError struct{ Detail string }
+
+// Error says what is wrong.
+func (e *UsageError) Error() string { return e.Detail }
+
+// RefusedError tells that the command was refused.
+type RefusedError struct{ Detail string }
+
+// Error says why.
+func (e *RefusedError) Error() string { return "refused: " + e.Detail }
+
+// UnknownError tells that the platform is unreachable or that the outcome of a
+// change is not known.
+type UnknownError struct {
+	// Detail says what is not known and what to do next.
+	Detail string
+	// Err is the cause, if there is one.
+	Err error
+}
+
+// Error returns the detail and the cause.
+func (e *UnknownError) Error() string {
+	if e.Err == nil {
+		return e.Detail
+	}
+	return e.Detail + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+func codeOf(err error) Code {
+	var usage *UsageError
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		return CodeDone
+	case errors.As(err, &usage):
+		return CodeUsage
+	case errors.As(err, &refused):
+		return CodeRefused
+	default:
+		return CodeUnknown
+	}
+}
--- /dev/null
+++ b/internal/ctl/plan.go
@@ -0,0 +1,173 @@
+package ctl
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"chestnutrouter.example/chestnutrouter/internal/finding"
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// Change is a branch whose document differs from what is in force.
+type Change struct {
+	Branch tree.Branch `json:"branch"`
+	// BaseRevision is the revision in force, and zero for a new branch.
+	BaseRevision int64 `json:"base_revision"`
+	// Remove tells that the directory lacks the branch.
+	Remove bool `json:"remove,omitempty"`
+	// NeedsVote tells that the members vote on the change.
+	NeedsVote bool `json:"needs_vote,omitempty"`
+	// Changes are the values that differ, one a line.
+	Changes []string `json:"changes"`
+
+	document *tree.Document
+}
+
+func (c Change) text() []string {
+	action := "change"
+	switch {
+	case c.Remove:
+		action = "remove"
+	case c.BaseRevision == 0:
+		action = "add"
+	}
+	vote := ""
+	if c.NeedsVote {
+		vote = ", needs a vote"
+	}
+	lines := []string{fmt.Sprintf("%s %s (revision %d in force%s)", action, c.Branch, c.BaseRevision, vote)}
+	for _, change := range c.Changes {
+		lines = append(lines, "  "+change)
+	}
+	if len(c.Changes) == 0 {
+		lines = append(lines, "  comments or layout only")
+	}
+	return lines
+}
+
+// plan is what a publish would do.
+type plan struct {
+	// changes are in an order in which each leaves a valid tree.
+	changes []Change
+	// onlyInForce are branches that the directory lacks and that stay.
+	onlyInForce []tree.Branch
+	// blocked are changes that are not valid before others are in force.
+	blocked finding.List
+}
+
+// newPlan compares the documents with the state in force.
+func newPlan(docs tree.Documents, state *fold.State, only tree.Branch, remove bool) plan {
+	var p plan
+	var wanted []Change
+	inForce := state.Documents()
+	branches := slices.Collect(maps.Keys(docs))
+	branches = slices.AppendSeq(branches, maps.Keys(inForce))
+	slices.Sort(branches)
+	for _, b := range slices.Compact(branches) {
+		if only != "" && b != only {
+			continue
+		}
+		if docs[b] == nil && !remove {
+			p.onlyInForce = append(p.onlyInForce, b)
+			continue
+		}
+		if c, differs := compare(b, docs[b], state); differs {
+			wanted = append(wanted, c)
+		}
+	}
+	p.order(wanted, inForce)
+	return p
+}
+
+func compare(b tree.Branch, doc *tree.Document, state *fold.State) (Change, bool) {
+	current := state.Documents()[b]
+	if doc != nil && current != nil && doc.Content == current.Content {
+		return Change{}, false
+	}
+	f, _ := state.Branch(b)
+	c := Change{
+		Branch:       b,
+		BaseRevision: f.Revision,
+		Remove:       doc == nil,
+		NeedsVote:    state.Tree() != nil && tree.NeedsVote(current, doc),
+		Changes:      []string{},
+		document:     doc,
+	}
+	for _, change := range tree.Diff(current, doc) {
+		c.Changes = append(c.Changes, change.String())
+	}
+	return c, true
+}
+
+// order puts changes first that are valid on top of what is in force then: a
+// root is narrowed after its children and widened before them. A change that
+// needs a vote is not in force for those after it. Without a tree in force all
+// changes come at once.
+func (p *plan) order(wanted []Change, docs tree.Documents) {
+	if docs[tree.Root] == nil {
+		p.changes = wanted
+		return
+	}
+	for len(wanted) > 0 {
+		i := slices.IndexFunc(wanted, func(c Change) bool { return len(check(c, docs)) == 0 })
+		if i < 0 {
+			break
+		}
+		c := wanted[i]
+		wanted = slices.Delete(wanted, i, i+1)
+		p.changes = append(p.changes, c)
+		if !c.NeedsVote {
+			docs = c.on(docs)
+		}
+	}
+	for _, c := range wanted {
+		p.blocked = append(p.blocked, check(c, docs)...)
+	}
+	p.blocked = p.blocked.Sorted()
+}
+
+func check(c Change, docs tree.Documents) finding.List {
+	_, findings := tree.Build(c.on(docs))
+	return findings
+}
+
+func (c Change) on(docs tree.Documents) tree.Documents {
+	if c.Remove {
+		return docs.Without(c.Branch)
+	}
+	return docs.With(c.document)
+}
+
+// publishes returns the records that carry out the plan: one a branch, or one
+// for the whole tree where none is in force.
+func (p plan) publishes(founding bool, publisher string) []fold.Publish {
+	var all []fold.Publish
+	for _, c := range p.changes {
+		publish := fold.Publish{
+			Branch:       string(c.Branch),
+			BaseRevision: c.BaseRevision,
+			Remove:       c.Remove,
+			Publisher:    publisher,
+			PublishID:    newPublishID(),
+		}
+		if c.document != nil {
+			publish.Content = c.document.Content
+		}
+		all = append(all, publish)
+	}
+	if founding && len(all) > 0 {
+		return []fold.Publish{foundingPublish(all)}
+	}
+	return all
+}
+
+// foundingPublish joins the publishes of a first tree; the root comes first.
+func foundingPublish(all []fold.Publish) fold.Publish {
+	root := all[0]
+	for _, p := range all[1:] {
+		root.Children = append(root.Children, fold.Child{Branch: p.Branch, Content: p.Content})
+	}
+	return root
+}
--- /dev/null
+++ b/internal/ctl/publish.go
@@ -0,0 +1,126 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"chestnutrouter.example/chestnutrouter/internal/finding"
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// PublishOptions say what Publish does.
+type PublishOptions struct {
+	// Directory holds the branches.
+	Directory string
+	// Branch publishes one branch only; empty publishes all that differ.
+	Branch tree.Branch
+	// Base is the revision of Branch that the change was made from; -1 takes
+	// the one in force.
+	Base int64
+	// Wait waits until votes passed and live entries report the offset.
+	Wait bool
+	// DryRun shows the difference and publishes nothing.
+	DryRun bool
+	// Remove removes branches that the directory lacks.
+	Remove bool
+}
+
+// PublishResult is the answer of Publish and Approve.
+type PublishResult struct {
+	Findings    finding.List    `json:"findings,omitempty"`
+	Changes     []Change        `json:"changes"`
+	OnlyInForce []tree.Branch   `json:"only_in_force,omitempty"`
+	Blocked     finding.List    `json:"blocked,omitempty"`
+	Decisions   []fold.Decision `json:"decisions,omitempty"`
+	// Votes are the ends of the proposals that were waited for.
+	Votes []fold.Settlement `json:"votes,omitempty"`
+	// Offset is the offset in force after the last decision.
+	Offset  int64         `json:"offset"`
+	Entries []EntryStatus `json:"entries,omitempty"`
+}
+
+func (r *PublishResult) text() []string {
+	var lines []string
+	for _, f := range r.Findings {
+		lines = append(lines, f.String())
+	}
+	for _, c := range r.Changes {
+		lines = append(lines, c.text()...)
+	}
+	for _, b := range r.OnlyInForce {
+		lines = append(lines, fmt.Sprintf("only in force: %s (--remove takes it out)", b))
+	}
+	for _, f := range r.Blocked {
+		lines = append(lines, "blocked until other changes are in force: "+f.String())
+	}
+	if len(r.Findings)+len(r.Changes)+len(r.Blocked) == 0 {
+		lines = append(lines, "nothing differs from what is in force")
+	}
+	for _, d := range r.Decisions {
+		lines = append(lines, decisionText(d)...)
+	}
+	for _, v := range r.Votes {
+		lines = append(lines, settlementText(v))
+	}
+	return append(lines, entryText(r.Entries)...)
+}
+
+// Publish publishes the branches of the directory that differ from what is in
+// force.
+func (c *Control) Publish(ctx context.Context, o PublishOptions) (*PublishResult, error) {
+	docs, checked := checkDirectory(o.Directory)
+	if len(checked.Findings) > 0 {
+		return &PublishResult{Findings: checked.Findings}, &RefusedError{Detail: fmt.Sprintf("%d findings", len(checked.Findings))}
+	}
+	r, err := c.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	founding := r.state.Tree() == nil
+	if founding && o.Branch != "" {
+		return nil, &RefusedError{Detail: "no tree is in force: the first publish brings the whole directory, so leave --branch out"}
+	}
+	p := newPlan(docs, r.state, o.Branch, o.Remove)
+	if o.Base >= 0 {
+		for i := range p.changes {
+			p.changes[i].BaseRevision = o.Base
+		}
+	}
+	result := &PublishResult{Changes: p.changes, OnlyInForce: p.onlyInForce, Blocked: p.blocked, Offset: r.state.Offset()}
+	if !o.DryRun {
+		err = c.publishAll(ctx, r, p.publishes(founding, c.Publisher), result)
+	}
+	if err == nil && len(p.blocked) > 0 {
+		err = &RefusedError{Detail: "some changes are not valid before others are in force"}
+	}
+	if err == nil && o.Wait && !o.DryRun {
+		err = c.await(ctx, r, result)
+	}
+	return result, err
+}
+
+// publishAll submits the publishes one after the other. A refused one does not
+// hold back the others, as branches are independent.
+func (c *Control) publishAll(ctx context.Context, r *reader, all []fold.Publish, result *PublishResult) error {
+	refused := 0
+	for _, p := range all {
+		d, err := c.submit(ctx, r, p)
+		if err != nil {
+			return err
+		}
+		result.Decisions = append(result.Decisions, d)
+		result.Offset = max(result.Offset, d.Offset)
+		if !isDone(d) {
+			refused++
+		}
+	}
+	if refused > 0 {
+		return &RefusedError{Detail: fmt.Sprintf("%d of %d publishes", refused, len(all))}
+	}
+	return nil
+}
+
+func isDone(d fold.Decision) bool {
+	return d.Outcome == fold.Accepted || d.Outcome == fold.Proposed
+}
--- /dev/null
+++ b/internal/ctl/publish_test.go
@@ -0,0 +1,171 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	standin "chestnutrouter.example/chestnutrouter/standin/platform"
+)
+
+// bench is a stand-in platform on loopback and a copy of the example tree.
+type bench struct {
+	t        *testing.T
+	platform *standin.Server
+	endpoint string
+	dir      string
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	p := standin.New()
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return &bench{t: t, platform: p, endpoint: server.URL, dir: copyTree(t)}
+}
+
+// run runs chestnutctl for a publisher and checks the exit code.
+func (b *bench) run(want Code, publisher string, args ...string) string {
+	b.t.Helper()
+	args = append(args, "--platform", b.endpoint, "--publisher", publisher, "--timeout", "3s")
+	out, code := run(b.t, args...)
+	if code != want {
+		b.t.Fatalf("%q: exit code %d, want %d\n%s", args, code, want, out)
+	}
+	return out
+}
+
+func (b *bench) contains(out string, parts ...string) {
+	b.t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(out, part) {
+			b.t.Errorf("%q is not in\n%s", part, out)
+		}
+	}
+}
+
+func TestPublishOnlyWhatDiffers(t *testing.T) {
+	b := newBench(t)
+	out := b.run(CodeDone, "glazenpot/ann", "publish", b.dir, "--dry-run")
+	b.contains(out, "add / (revision 0 in force)", "add /tabloblan/booking")
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "offset 0: accepted / revision 1 by glazenpot/ann")
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "nothing differs")
+
+	edit(t, b.dir, "glazenpot/shop", `"timeout_ms": 2000`, `"timeout_ms": 1500`)
+	out = b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	b.contains(out, "change /glazenpot/shop (revision 1 in force)", "~ routes[2].timeout_ms: 2000 -> 1500", "accepted /glazenpot/shop revision 2")
+	b.contains(b.run(CodeDone, "x", "show"), "offset 1, revision 2", "/glazenpot/shop revision 2, offset 1, by glazenpot/ann")
+	b.contains(b.run(CodeDone, "x", "show", "--branch", "/glazenpot/shop"), `"timeout_ms": 1500`)
+	b.contains(b.run(CodeRefused, "x", "show", "--branch", "/glazenpot/none"), "not in force")
+}
+
+func TestVotedLimitComesInForceWithTheQuorum(t *testing.T) {
+	b := newBench(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot", "25000", "24000")
+	out := b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	b.contains(out, "needs a vote", "proposed /glazenpot p1")
+	b.contains(b.run(CodeDone, "x", "show"), "pending p1 on /glazenpot by glazenpot/ann: approved by 0 of 2", "25000 -> 24000")
+	b.contains(b.run(CodeRefused, "x", "approve", "p9"), "no proposal p9 is pending")
+
+	b.run(CodeDone, "glazenpot/bob", "approve", "p1", "--directory", b.dir)
+	b.contains(b.run(CodeRefused, "glazenpot/bob", "approve", "p1"), "already approves")
+	out = b.run(CodeDone, "tabloblan/cleo", "approve", "p1")
+	b.contains(out, "proposal p1 on /glazenpot: accepted at offset 3")
+	b.contains(b.run(CodeRefused, "glazenpot/bob", "approve", "p1"), "accepted at offset 3")
+	b.contains(b.run(CodeDone, "x", "show", "--branch", "/glazenpot"), "24000", "revision 4")
+	b.contains(b.run(CodeDone, "x", "history", "--branch", "/glazenpot"), "offset 1: proposed", "proposal p1 on /glazenpot: accepted")
+
+	content, err := os.ReadFile(b.dir + "/glazenpot/approvals/branch.jsonc")
+	if err != nil || !strings.Contains(string(content), `"p1"`) || !strings.Contains(string(content), "// The proposals") {
+		t.Errorf("approvals in the directory: %v\n%s", err, content)
+	}
+}
+
+func TestWaitReportsAVoteThatDidNotPass(t *testing.T) {
+	b := newBench(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot", "25000", "24000")
+	out := b.run(CodeRefused, "glazenpot/ann", "publish", b.dir, "--wait", "--timeout", "300ms")
+	b.contains(out, "proposal p1 is still pending")
+}
+
+func TestRefusals(t *testing.T) {
+	b := newBench(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot/shop", `"timeout_ms": 2000`, `"timeout_ms": 1500`)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot/shop", `"timeout_ms": 1500`, `"timeout_ms": 1400`)
+	out := b.run(CodeRefused, "glazenpot/bob", "publish", b.dir, "--branch", "/glazenpot/shop", "--base", "1")
+	b.contains(out, "conflict /glazenpot/shop", "in force is revision 2 by glazenpot/ann", "~ routes[2].timeout_ms: 2000 -> 1500")
+	b.contains(b.run(CodeRefused, "tabloblan/cleo", "publish", b.dir), "not_allowed", "belongs to glazenpot")
+
+	edit(t, b.dir, "glazenpot/shop", `"rank": "lookups"`, `"rank": "pages"`)
+	b.contains(b.run(CodeRefused, "glazenpot/ann", "publish", b.dir), `routes[2].rank: the root has no rank "pages"`)
+}
+
+func TestRemovedBranches(t *testing.T) {
+	b := newBench(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	if err := os.RemoveAll(b.dir + "/glazenpot/shop/uploads"); err != nil {
+		t.Fatal(err)
+	}
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "only in force: /glazenpot/shop/uploads")
+	out := b.run(CodeDone, "glazenpot/ann", "publish", b.dir, "--remove")
+	b.contains(out, "remove /glazenpot/shop/uploads", "accepted /glazenpot/shop/uploads revision 2")
+}
+
+func TestNarrowingTheRootComesAfterItsChildren(t *testing.T) {
+	b := newBench(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "", "41000", "20000")
+	edit(t, b.dir, "glazenpot", "25000", "20000")
+	out := b.run(CodeRefused, "glazenpot/ann", "publish", b.dir)
+	b.contains(out, "proposed /glazenpot p1", "blocked until other changes are in force: glazenpot/branch.jsonc")
+}
+
+func TestLostAnswersApplyOnce(t *testing.T) {
+	b := newBench(t)
+	b.platform.SetFaults(standin.Faults{LoseAppendAnswers: 1, RepeatRecords: true, ReverseRecords: true})
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "accepted / revision 1")
+	out := b.run(CodeDone, "x", "history", "--json")
+	var h HistoryResult
+	if err := json.Unmarshal([]byte(out), &h); err != nil || len(h.Decisions) != 1 {
+		t.Errorf("%v: %d records", err, len(h.Decisions))
+	}
+}
+
+func TestUnreachablePlatform(t *testing.T) {
+	b := newBench(t)
+	b.platform.SetFaults(standin.Faults{Down: true})
+	b.run(CodeUnknown, "glazenpot/ann", "publish", b.dir, "--timeout", "300ms")
+	b.run(CodeUnknown, "x", "show", "--timeout", "300ms")
+	b.run(CodeUnknown, "x", "status", "--timeout", "300ms")
+}
+
+func TestWaitForEntries(t *testing.T) {
+	b := newBench(t)
+	offset := 0
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"vm": "entry-1", "incarnation": "i", "offset": %d, "hash": "h", "revision": 1}`, offset)
+		offset++
+	}))
+	defer entry.Close()
+	address := strings.TrimPrefix(entry.URL, "http://")
+	b.platform.SetVMs([]fleet.VM{
+		{Name: "entry-1", Service: fleet.EntryService, State: fleet.Live, StatusAddress: address},
+		{Name: "entry-2", Service: fleet.EntryService, State: fleet.Leaving, StatusAddress: "127.0.0.1:1"},
+	})
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot/shop", `"timeout_ms": 2000`, `"timeout_ms": 1500`)
+	out := b.run(CodeDone, "glazenpot/ann", "publish", b.dir, "--wait")
+	b.contains(out, "entry entry-1 "+address+": offset 1")
+	b.contains(b.run(CodeDone, "x", "status"), "entry entry-1")
+	b.contains(b.run(CodeDone, "x", "status", address), "revision 1")
+	b.run(CodeUnknown, "x", "status", "127.0.0.1:1")
+}
--- /dev/null
+++ b/internal/ctl/settle.go
@@ -0,0 +1,104 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+// publishIDBytes is the length of a publish id before its hex encoding.
+const publishIDBytes = 16
+
+func newPublishID() string {
+	id := make([]byte, publishIDBytes)
+	// rand.Read never fails.
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
+// submit appends a publish and returns what became of it. When an answer is
+// lost, it reads the log for the publish id before it appends again; a second
+// copy that took effect late is ignored by the fold. On an *UnknownError the
+// publish may still take effect.
+func (c *Control) submit(ctx context.Context, r *reader, p fold.Publish) (fold.Decision, error) {
+	data, err := fold.NewPublish(p).Encode()
+	if err != nil {
+		return fold.Decision{}, &RefusedError{Detail: err.Error()}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	for {
+		err := c.tryOnce(ctx, r, data)
+		if d, found := r.decision(p.PublishID); found {
+			return d, nil
+		}
+		var refused *RefusedError
+		if errors.As(err, &refused) {
+			return fold.Decision{}, err
+		}
+		if ctx.Err() != nil {
+			return fold.Decision{}, &UnknownError{
+				Detail: fmt.Sprintf("outcome of publish %s on %s is not known; look for it with history before trying again", p.PublishID, p.Branch),
+				Err:    err,
+			}
+		}
+		pause(ctx, pollInterval)
+	}
+}
+
+// tryOnce appends the record and reads the log up to its end.
+func (c *Control) tryOnce(ctx context.Context, r *reader, data json.RawMessage) error {
+	offset, err := c.Log.Append(ctx, platform.StreamConfig, data)
+	var unavailable *platform.UnavailableError
+	if errors.As(err, &unavailable) && isRefusal(unavailable) {
+		return &RefusedError{Detail: err.Error()}
+	}
+	if err != nil {
+		return errors.Join(err, r.catchUp(ctx))
+	}
+	return c.readTo(ctx, r, offset)
+}
+
+// isRefusal reports whether the platform will refuse the record every time.
+func isRefusal(err *platform.UnavailableError) bool {
+	const badRequest, tooLarge = 400, 413
+	return err.Status == badRequest || err.Status == tooLarge
+}
+
+// readTo reads until the offset is applied or the context ends.
+func (c *Control) readTo(ctx context.Context, r *reader, offset int64) error {
+	for {
+		err := r.catchUp(ctx)
+		if r.state.Offset() >= offset {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Join(ctx.Err(), err)
+		}
+		pause(ctx, pollInterval)
+	}
+}
+
+// load returns a reader at the present end of the log. It tries until the
+// timeout.
+func (c *Control) load(ctx context.Context) (*reader, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	r := newReader(c.Log)
+	for {
+		err := r.catchUp(ctx)
+		if err == nil {
+			return r, nil
+		}
+		pause(ctx, pollInterval)
+		if ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,128 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+)
+
+const (
+	// statusTimeout bounds one request to an entry's status page.
+	statusTimeout = 2 * time.Second
+	// maxStatusBytes is the largest status that is read.
+	maxStatusBytes = 1 << 20
+	// statusPath is where an entry serves its status.
+	statusPath = "/status"
+)
+
+// EntryStatus is what one entry reports.
+type EntryStatus struct {
+	VM          string `json:"vm"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation,omitempty"`
+	// Offset is the highest offset that the entry applied.
+	Offset   int64  `json:"offset"`
+	Revision int64  `json:"revision"`
+	Hash     string `json:"hash,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+	// Error says why the entry gave no status.
+	Error string `json:"error,omitempty"`
+}
+
+// StatusResult is the answer of Status.
+type StatusResult struct {
+	Entries []EntryStatus `json:"entries"`
+}
+
+func (r *StatusResult) text() []string { return entryText(r.Entries) }
+
+// Status asks one entry, or all live entries of the VM list.
+func (c *Control) Status(ctx context.Context, address string) (*StatusResult, error) {
+	if address != "" {
+		e := fetchStatus(ctx, fleet.VM{StatusAddress: address})
+		return &StatusResult{Entries: []EntryStatus{e}}, statusError([]EntryStatus{e})
+	}
+	entries, err := c.entryStatuses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &StatusResult{Entries: entries}, statusError(entries)
+}
+
+func statusError(entries []EntryStatus) error {
+	silent := 0
+	for _, e := range entries {
+		if e.Error != "" {
+			silent++
+		}
+	}
+	if silent > 0 {
+		return &UnknownError{Detail: fmt.Sprintf("%d of %d entries gave no status", silent, len(entries))}
+	}
+	return nil
+}
+
+// entryStatuses asks all live entries of the VM list at once.
+func (c *Control) entryStatuses(ctx context.Context) ([]EntryStatus, error) {
+	vms, err := c.VMs.VMs(ctx)
+	if err != nil {
+		return nil, &UnknownError{Detail: "read the VM list", Err: err}
+	}
+	var live []fleet.VM
+	for _, vm := range vms {
+		if vm.Service == fleet.EntryService && vm.State == fleet.Live && vm.StatusAddress != "" {
+			live = append(live, vm)
+		}
+	}
+	entries := make([]EntryStatus, len(live))
+	var wg sync.WaitGroup
+	for i, vm := range live {
+		wg.Go(func() { entries[i] = fetchStatus(ctx, vm) })
+	}
+	wg.Wait()
+	return entries, nil
+}
+
+func fetchStatus(ctx context.Context, vm fleet.VM) EntryStatus {
+	e := EntryStatus{VM: vm.Name, Address: vm.StatusAddress, Offset: -1}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	if err := getStatus(ctx, vm.StatusAddress, &e); err != nil {
+		return EntryStatus{VM: vm.Name, Address: vm.StatusAddress, Offset: -1, Error: err.Error()}
+	}
+	return e
+}
+
+func getStatus(ctx context.Context, address string, into *EntryStatus) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statusPath, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status page answered %s", resp.Status)
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(into)
+}
+
+func entryText(entries []EntryStatus) []string {
+	var lines []string
+	for _, e := range entries {
+		line := fmt.Sprintf("entry %s %s: offset %d, revision %d, hash %.12s", e.VM, e.Address, e.Offset, e.Revision, e.Hash)
+		if e.Error != "" {
+			line = fmt.Sprintf("entry %s %s: %s", e.VM, e.Address, e.Error)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
--- a/internal/tree/check.go
+++ b/internal/tree/check.go
@@ -28,7 +28,7 @@
 	if len(root.Members) == 0 {
 		report("members", "expected at least one member")
 	}
-	if root.Quorum > len(root.Members) {
+	if len(root.Members) > 0 && root.Quorum > len(root.Members) {
 		report("quorum", fmt.Sprintf("out of range: %d is more than the %d members", root.Quorum, len(root.Members)))
 	}
 	checkRanks(root.Ranks, report)
--- a/internal/tree/document.go
+++ b/internal/tree/document.go
@@ -1,6 +1,8 @@
 package tree
 
 import (
+	"slices"
+
 	"chestnutrouter.example/chestnutrouter/internal/finding"
 	"chestnutrouter.example/chestnutrouter/internal/jsonc"
 )
@@ -33,13 +35,21 @@
 	}
 	d := &Document{Branch: branch, Content: string(content), source: source}
 	findings = append(findings, source.Decode(d.allocate())...)
-	findings = append(findings, d.checkValues()...)
+	findings = append(findings, without(d.checkValues(), findings)...)
 	if len(findings) > 0 {
 		return nil, findings.Sorted()
 	}
 	return d, nil
 }
 
+// without leaves out findings at places that have one already: a value of the
+// wrong type is not also an empty one.
+func without(found, known finding.List) finding.List {
+	return slices.DeleteFunc(found, func(f finding.Finding) bool {
+		return slices.ContainsFunc(known, func(k finding.Finding) bool { return k.Path == f.Path })
+	})
+}
+
 // Diff lists the values that differ between two documents of a branch. Either
 // may be nil. Comments and layout do not count.
 func Diff(from, to *Document) []jsonc.Change {
