--- a/internal/ctl/publish_test.go
+++ b/internal/ctl/publish_test.go
@@ -32,7 +32,7 @@
 // run runs chestnutctl for a publisher and checks the exit code.
 func (b *bench) run(want Code, publisher string, args ...string) string {
 	b.t.Helper()
-	args = append(args, "--platform", b.endpoint, "--publisher", publisher, "--timeout", "3s")
+	args = append([]string{"--platform", b.endpoint, "--publisher", publisher, "--timeout", "3s"}, args...)
 	out, code := run(b.t, args...)
 	if code != want {
 		b.t.Fatalf("%q: exit code %d, want %d\n%s", args, code, want, out)
