Claim seats when the VM list says that the holder has left

Cause: shares must follow the membership without any lease that can lapse. Change: seat.Claimer claims a free seat, or one whose VM is off the list and whose process is silent for the guard time; takes spare seats and gives them up for newcomers; a log outage changes nothing. Conclusion: scripts/test ./internal/seat passes (virtual time).

--- /dev/null
+++ b/internal/seat/absence.go
@@ -0,0 +1,58 @@
+package seat
+
+import (
+	"slices"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+)
+
+// absences notes since when this process has seen VMs gone and other processes
+// silent. It starts with everything present.
+type absences struct {
+	gone   map[string]time.Time // by VM
+	silent map[string]time.Time // by incarnation
+}
+
+// noteGone takes one answer of the VM list.
+func (a *absences) noteGone(now time.Time, table Table, vms []fleet.VM) {
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.Name] = true
+	}
+	gone := make(map[string]time.Time)
+	for _, h := range table.holders {
+		if h.VM != "" && !listed[h.VM] {
+			gone[h.VM] = firstSeen(a.gone, h.VM, now)
+		}
+	}
+	a.gone = gone
+}
+
+// noteSilent takes the incarnations that gave a sign lately.
+func (a *absences) noteSilent(now time.Time, table Table, live []string) {
+	silent := make(map[string]time.Time)
+	for _, incarnation := range table.Incarnations() {
+		if !slices.Contains(live, incarnation) {
+			silent[incarnation] = firstSeen(a.silent, incarnation, now)
+		}
+	}
+	a.silent = silent
+}
+
+func firstSeen(seen map[string]time.Time, key string, now time.Time) time.Time {
+	if at, ok := seen[key]; ok {
+		return at
+	}
+	return now
+}
+
+func (a *absences) goneFor(vm string, now time.Time, d time.Duration) bool {
+	at, gone := a.gone[vm]
+	return gone && now.Sub(at) >= d
+}
+
+func (a *absences) silentFor(incarnation string, now time.Time, d time.Duration) bool {
+	at, silent := a.silent[incarnation]
+	return silent && now.Sub(at) >= d
+}
--- /dev/null
+++ b/internal/seat/claimer.go
@@ -0,0 +1,211 @@
+package seat
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+const (
+	// guardTime is how long the VM list must have shown a holder's VM as gone, and
+	// its process must have been silent, before its seat is claimed.
+	guardTime = 30 * time.Second
+	// claimInterval is the time between two looks at the seats.
+	claimInterval = time.Second
+	// foldTime is how long an appended claim may take to show in the table.
+	foldTime = 5 * time.Second
+	// spareTime is how long a seat has to be free before an entry takes a second one.
+	spareTime = 60 * time.Second
+)
+
+// Options set a Claimer up.
+type Options struct {
+	// Incarnation and VM name this entry process.
+	Incarnation, VM string
+	// Log takes the claims.
+	Log platform.Log
+	// VMs is the platform's VM list.
+	VMs platform.VMList
+	// Encode returns the log record of a claim.
+	Encode func(Claim) (json.RawMessage, error)
+	// State returns the table in force and the number of seats that the tree
+	// declares; zero where no tree is in force.
+	State func() (table Table, seats int)
+	// Live returns the incarnations of the entries that gave a sign lately.
+	Live func() []string
+}
+
+// Claimer claims seats for one entry: a free one, one whose VM has left, and
+// spare ones for as long as other entries do not need them. It never takes a seat
+// because time ran out: the VM list has to say that the VM is gone.
+type Claimer struct {
+	opts     Options
+	now      func() time.Time
+	absences absences
+	freeFrom map[int]time.Time
+	waiting  time.Time // no further claim before this time
+}
+
+// NewClaimer returns a claimer that does nothing until Run is called.
+func NewClaimer(opts Options) *Claimer {
+	return &Claimer{
+		opts:     opts,
+		now:      time.Now,
+		absences: absences{gone: make(map[string]time.Time), silent: make(map[string]time.Time)},
+		freeFrom: make(map[int]time.Time),
+	}
+}
+
+// Run looks at the seats until ctx ends. In an outage of the log it changes
+// nothing.
+func (c *Claimer) Run(ctx context.Context) {
+	ticker := time.NewTicker(claimInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.step(ctx)
+		}
+	}
+}
+
+// GiveUp releases all seats of this entry. Call it after Run has ended and no
+// more calls are admitted. A release that the log does not take costs nothing:
+// the seat is claimed once the VM list shows the VM as gone.
+func (c *Claimer) GiveUp(ctx context.Context) error {
+	table, _ := c.opts.State()
+	for _, seat := range table.Held(c.opts.Incarnation) {
+		if err := c.append(ctx, Claim{Seat: seat, Previous: c.opts.Incarnation}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Claimer) step(ctx context.Context) {
+	table, seats := c.opts.State()
+	if seats == 0 {
+		return
+	}
+	c.observe(ctx, table, seats)
+	if c.now().Before(c.waiting) {
+		return
+	}
+	claim, ok := c.decide(table, seats)
+	if !ok {
+		return
+	}
+	c.waiting = c.now().Add(foldTime)
+	// Whether or not the answer comes, the table tells whether the claim holds.
+	_ = c.append(ctx, claim)
+}
+
+func (c *Claimer) append(ctx context.Context, claim Claim) error {
+	data, err := c.opts.Encode(claim)
+	if err != nil {
+		return err
+	}
+	_, err = c.opts.Log.Append(ctx, platform.StreamConfig, data)
+	return err
+}
+
+// observe notes since when VMs are gone, processes silent and seats free.
+func (c *Claimer) observe(ctx context.Context, table Table, seats int) {
+	now := c.now()
+	c.absences.noteSilent(now, table, c.opts.Live())
+	if vms, err := c.opts.VMs.VMs(ctx); err == nil {
+		c.absences.noteGone(now, table, vms)
+	}
+	for seat := range seats {
+		if _, held := table.Holder(seat); held {
+			delete(c.freeFrom, seat)
+			continue
+		}
+		if _, known := c.freeFrom[seat]; !known {
+			c.freeFrom[seat] = now
+		}
+	}
+}
+
+// decide returns the claim to append now.
+func (c *Claimer) decide(table Table, seats int) (Claim, bool) {
+	open := c.open(table, seats)
+	held := len(table.Held(c.opts.Incarnation))
+	if held == 0 {
+		return c.pick(open, table)
+	}
+	live := max(1, len(c.opts.Live()))
+	seatless := c.seatless(table)
+	if seatless > 0 && len(open) == 0 && held > max(1, seats/live) {
+		return c.release(table), true
+	}
+	if len(open) > seatless && held < (seats+live-1)/live {
+		return c.pick(c.spare(open), table)
+	}
+	return Claim{}, false
+}
+
+// open returns the seats that nobody can be using.
+func (c *Claimer) open(table Table, seats int) []int {
+	var open []int
+	for seat := range seats {
+		h, held := table.Holder(seat)
+		if !held || c.departed(h) {
+			open = append(open, seat)
+		}
+	}
+	return open
+}
+
+// departed reports whether a holder's VM has left, or its process was replaced
+// by this one on the same VM, and nothing was heard of it for the guard time.
+func (c *Claimer) departed(h Holder) bool {
+	now := c.now()
+	if h.Incarnation == c.opts.Incarnation || !c.absences.silentFor(h.Incarnation, now, guardTime) {
+		return false
+	}
+	return h.VM == c.opts.VM || c.absences.goneFor(h.VM, now, guardTime)
+}
+
+// spare returns the open seats that have stayed open long enough.
+func (c *Claimer) spare(open []int) []int {
+	var spare []int
+	for _, seat := range open {
+		if from, free := c.freeFrom[seat]; free && c.now().Sub(from) >= spareTime {
+			spare = append(spare, seat)
+		}
+	}
+	return spare
+}
+
+// seatless returns how many live entries hold no seat.
+func (c *Claimer) seatless(table Table) int {
+	count := 0
+	for _, incarnation := range c.opts.Live() {
+		if len(table.Held(incarnation)) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// pick claims one of the seats at random, so that entries that start together
+// rarely claim the same one.
+func (c *Claimer) pick(seats []int, table Table) (Claim, bool) {
+	if len(seats) == 0 {
+		return Claim{}, false
+	}
+	seat := seats[rand.IntN(len(seats))]
+	h, _ := table.Holder(seat)
+	return Claim{Seat: seat, Incarnation: c.opts.Incarnation, VM: c.opts.VM, Previous: h.Incarnation}, true
+}
+
+func (c *Claimer) release(table Table) Claim {
+	held := table.Held(c.opts.Incarnation)
+	return Claim{Seat: held[len(held)-1], Previous: c.opts.Incarnation}
+}
--- /dev/null
+++ b/internal/seat/claimer_test.go
@@ -0,0 +1,145 @@
+package seat
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+// cluster is a log, a VM list and live processes for claimers; the test sets the
+// fields between steps.
+type cluster struct {
+	platform.Log
+	table Table
+	seats int
+	down  bool
+	count int64
+	vms   []fleet.VM
+	live  []string
+}
+
+func (c *cluster) Append(_ context.Context, _ string, data json.RawMessage) (int64, error) {
+	if c.down {
+		return 0, errors.New("down")
+	}
+	var claim Claim
+	if err := json.Unmarshal(data, &claim); err != nil {
+		return 0, err
+	}
+	c.count++
+	c.table, _ = c.table.Apply(c.count, claim, c.seats)
+	return c.count, nil
+}
+
+func (c *cluster) VMs(context.Context) ([]fleet.VM, error) { return c.vms, nil }
+
+func (c *cluster) claimer(incarnation, vm string) *Claimer {
+	return NewClaimer(Options{
+		Incarnation: incarnation, VM: vm, Log: c, VMs: c,
+		Encode: func(claim Claim) (json.RawMessage, error) { return json.Marshal(claim) },
+		State:  func() (Table, int) { return c.table, c.seats },
+		Live:   func() []string { return c.live },
+	})
+}
+
+func (c *cluster) leave(vm, incarnation string) {
+	c.vms = slices.DeleteFunc(c.vms, func(v fleet.VM) bool { return v.Name == vm })
+	c.live = slices.DeleteFunc(c.live, func(name string) bool { return name == incarnation })
+}
+
+func newCluster(seats int) *cluster {
+	return &cluster{
+		seats: seats,
+		vms:   []fleet.VM{{Name: "v1"}, {Name: "v2"}, {Name: "v3"}},
+		live:  []string{"a", "b", "c"},
+	}
+}
+
+func (c *cluster) run(d time.Duration, claimers ...*Claimer) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(claimInterval) {
+		for _, claimer := range claimers {
+			claimer.step(context.Background())
+		}
+	}
+}
+
+func TestEveryEntryGetsOneSeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3)
+		c.run(time.Minute, c.claimer("a", "v1"), c.claimer("b", "v2"), c.claimer("c", "v3"))
+		if got := c.table.Incarnations(); len(got) != 3 {
+			t.Errorf("holders %v, want all three", got)
+		}
+	})
+}
+
+func TestSeatMovesOnlyWhenItsVMHasLeft(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*cluster)
+		moves  bool
+	}{
+		{"silent for hours, still listed", func(c *cluster) { c.live = []string{"b"} }, false},
+		{"not listed, still heard", func(c *cluster) { c.vms = c.vms[1:] }, false},
+		{"not listed, silent", func(c *cluster) { c.leave("v1", "a") }, true},
+		{"not listed, silent, log down", func(c *cluster) { c.leave("v1", "a"); c.down = true }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(1)
+				c.live = []string{"a", "b"}
+				c.table, _ = c.table.Apply(0, Claim{Incarnation: "a", VM: "v1"}, 1)
+				test.change(c)
+				b := c.claimer("b", "v2")
+				c.run(guardTime-time.Second, b)
+				if h, _ := c.table.Holder(0); h.Incarnation != "a" {
+					t.Fatal("the seat moved within the guard time")
+				}
+				c.run(3*time.Hour, b)
+				if h, _ := c.table.Holder(0); (h.Incarnation == "b") != test.moves {
+					t.Errorf("holder %q, moves %v", h.Incarnation, test.moves)
+				}
+			})
+		})
+	}
+}
+
+func TestRestartedProcessTakesItsOwnSeatBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1)
+		c.table, _ = c.table.Apply(0, Claim{Incarnation: "a", VM: "v1"}, 1)
+		c.live = []string{"a2"}
+		c.run(guardTime+10*time.Second, c.claimer("a2", "v1"))
+		if h, _ := c.table.Holder(0); h.Incarnation != "a2" {
+			t.Errorf("holder %q, want a2", h.Incarnation)
+		}
+	})
+}
+
+func TestSpareSeatsAreTakenAndGivenUpForNewcomers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		c.live = []string{"a", "b"}
+		a, b := c.claimer("a", "v1"), c.claimer("b", "v2")
+		c.run(5*time.Minute, a, b)
+		if x, y := len(c.table.Held("a")), len(c.table.Held("b")); x != 2 || y != 2 {
+			t.Fatalf("seats %d and %d, want 2 and 2", x, y)
+		}
+		c.live = append(c.live, "c")
+		c.run(5*time.Minute, a, b, c.claimer("c", "v3"))
+		if len(c.table.Held("c")) == 0 {
+			t.Error("the newcomer got no seat")
+		}
+		if err := a.GiveUp(t.Context()); err != nil || len(c.table.Held("a")) != 0 {
+			t.Errorf("after giving up: %v, %v", c.table.Held("a"), err)
+		}
+	})
+}
