Measure when to hedge and close hedging by load

Cause: attempt needs the wait after which a second attempt pays, and hedges cost others when the servers are busy. Change: the wait is the 95th percentile of the service's answers (uploads left out); it is refused above 90% busy slots by reports and where reports are not believed.

--- a/bench/engine/call.go
+++ b/bench/engine/call.go
@@ -24,6 +24,7 @@
 	call   *call
 	server *server
 	sent   time.Duration
+	work   time.Duration
 	ended  bool
 
 	item   *admission.Item  // policy Real
@@ -43,6 +44,10 @@
 func (a *attempt) send() {
 	c := a.call.entry.run.clock
 	a.sent = c.now
+	if a.call.entry.run.scenario.Work == Redrawn && len(a.call.attempts) > 0 {
+		a.call.work = a.call.entry.drawWork(a.call.rank)
+	}
+	a.work = a.call.work
 	a.call.attempts = append(a.call.attempts, a)
 	a.call.tried = append(a.call.tried, a.server.vm.Name)
 	a.server.coming++
--- a/bench/engine/entry.go
+++ b/bench/engine/entry.go
@@ -45,11 +45,20 @@
 
 func (e *entry) arrive(rank string) {
 	c := &call{entry: e, rank: rank, arrived: e.run.clock.now}
-	c.work = time.Duration(e.rng.ExpFloat64() * float64(workOf(rank)))
+	c.work = e.drawWork(rank)
 	e.run.result.offered(c)
 	e.chooser.start(c)
 }
 
+// drawWork is the slot time of a call.
+func (e *entry) drawWork(rank string) time.Duration {
+	factor := e.rng.ExpFloat64()
+	if e.run.scenario.Work == Steady {
+		factor = 0.5 + e.rng.Float64()
+	}
+	return time.Duration(factor * float64(workOf(rank)))
+}
+
 // answered handles the end of an attempt at the entry.
 func (e *entry) answered(a *attempt, kind balancer.ResultKind) {
 	if a.ended {
@@ -74,7 +83,9 @@
 		return false
 	}
 	c.retried = true
-	e.run.result.Retries++
+	if e.run.measuring() {
+		e.run.result.Retries++
+	}
 	e.chooser.start(c)
 	return true
 }
--- a/bench/engine/queued.go
+++ b/bench/engine/queued.go
@@ -130,7 +130,9 @@
 			return
 		}
 		q.hedges--
-		run.result.Hedges++
+		if run.measuring() {
+			run.result.Hedges++
+		}
 		q.start(c)
 	})
 }
--- a/bench/engine/result.go
+++ b/bench/engine/result.go
@@ -43,7 +43,7 @@
 	Ranks [phases]map[string]*RankFigures
 	// Refusals counts by reason.
 	Refusals map[outcome.Reason]int64
-	// Retries, Hedges and Probes count extra work over the whole run.
+	// Retries, Hedges and Probes count extra work in the measured time.
 	Retries, Hedges, Probes int64
 	// Bytes of measuring: load reports and probes in the measured time.
 	Bytes int64
--- a/bench/engine/scenario.go
+++ b/bench/engine/scenario.go
@@ -44,6 +44,8 @@
 	Uneven bool
 	// Faults of backend servers.
 	Faults Faults
+	// Work is how long the calls hold a slot.
+	Work Work
 	// NoHedges turns second attempts off.
 	NoHedges bool
 	// Service holds the ranks and budgets; the zero value takes DefaultService.
@@ -54,6 +56,19 @@
 	Length time.Duration
 }
 
+// Work is the distribution of the slot time of a call around its mean.
+type Work string
+
+// Distributions of work.
+const (
+	// Exponential work belongs to the call: a second attempt takes as long.
+	Exponential Work = ""
+	// Steady work is spread evenly from half to one and a half of the mean.
+	Steady Work = "steady"
+	// Redrawn work is exponential and belongs to the attempt.
+	Redrawn Work = "redrawn"
+)
+
 // Flood is extra work of one rank.
 type Flood struct {
 	Rank string
--- a/bench/engine/server.go
+++ b/bench/engine/server.go
@@ -68,7 +68,7 @@
 
 func (s *server) begin(a *attempt) {
 	s.running = append(s.running, a)
-	work := time.Duration(float64(a.call.work) * s.slow)
+	work := time.Duration(float64(a.work) * s.slow)
 	if s.clock.now < s.warmAt {
 		work *= coldFactor
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -37,7 +37,9 @@
 	snapshot atomic.Pointer[snapshot]
 	latency  mean // nanoseconds of an answer
 	others   mean // requests of other entries at a server
+	busy     mean // busy share of a server's slots
 	echo     *echo
+	quantile *quantile
 	turn     atomic.Uint64 // moves the server at which equal ones are judged first
 	mu       sync.Mutex    // guards making a new snapshot
 }
@@ -47,7 +49,7 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
-	b := &Balancer{options: options, echo: newEcho()}
+	b := &Balancer{options: options, echo: newEcho(), quantile: newQuantile()}
 	b.snapshot.Store(&snapshot{})
 	b.turn.Store(xxhash.Sum64String(options.Entry))
 	return b
@@ -73,10 +75,27 @@
 // MeanLatency is the mean latency of recent answers, zero before the first.
 func (b *Balancer) MeanLatency() time.Duration { return time.Duration(b.latency.value()) }
 
+const (
+	// maxHedgeLoad is the busy share of all slots above which a second attempt
+	// costs others more than it gains.
+	maxHedgeLoad = 0.9
+	// minHedgeTrust is how far reports must be believed for the busy share to count.
+	minHedgeTrust = 0.5
+)
+
 // HedgeAfter is how long an idempotent request may stay unanswered before a
 // second attempt is worth its cost. It is false when too little was measured
 // or the servers are too busy for second attempts.
-func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) { return 0, false }
+func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
+	wait := b.quantile.value()
+	if wait == 0 || b.echo.value() < minHedgeTrust {
+		return 0, false
+	}
+	return wait, b.Load() <= maxHedgeLoad
+}
+
+// Load is the busy share of the servers' slots, 0 to 1, by their recent reports.
+func (b *Balancer) Load() float64 { return b.busy.value() }
 
 // Pick reserves a place at the server with the shortest estimated wait. It is
 // false when no server that is not excluded by name has a free slot.
@@ -119,6 +138,8 @@
 	doubt = 0.5
 	// meanWeight is the weight of the newest answer in the means.
 	meanWeight = 0.02
+	// busyWeight is the weight of the newest report in the busy share.
+	busyWeight = 0.005
 )
 
 func (b *Balancer) lateAfter() int64 {
@@ -141,6 +162,7 @@
 		s.host.health.succeed()
 		if !r.Upload {
 			b.latency.learn(float64(r.Latency), meanWeight)
+			b.quantile.learn(now, r.Latency)
 		}
 	case Error, DialFailed:
 		b.fail(s.host, now, r.Kind)
@@ -173,6 +195,7 @@
 		return
 	}
 	b.others.learn(heard.others, meanWeight)
+	b.busy.learn(r.Report.busyShare(), busyWeight)
 	b.echo.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
 }
 
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// busyShare is the part of the slots that are in use.
+func (r Report) busyShare() float64 {
+	if r.Slots <= 0 {
+		return 0
+	}
+	return min(float64(r.InFlight)/float64(r.Slots), 1)
+}
+
 // String returns the header form that ParseReport reads.
 func (r Report) String() string {
 	draining := 0
