Hold work at the entry by an adaptive window per rank

Cause: in a flood each entry filled every server to its own three places, so 57 requests waited at each server in order of arrival and ranks meant nothing: payments took 536 ms (p99) in a flood of uploads, 325 ms in one of lookups. Change: each rank and the ones below it have a window of requests in progress, moved by the load that answers report: additive rise (faster while requests wait), multiplicative cut. Payments may leave two waiting requests a server, lookups one, uploads keep two slots free. With a full window a server with spare estimated load still gets work, so that no slot stays idle. The wait that the queue allows leaves room for the 95th percentile of answers instead of the mean.

--- a/bench/engine/queued.go
+++ b/bench/engine/queued.go
@@ -57,14 +57,15 @@
 
 func (q *queued) done(a *attempt, kind balancer.ResultKind) {
 	run := q.entry.run
-	q.balancer.Done(a.place, run.clock.time(), balancer.Result{
+	result := balancer.Result{
 		Latency:   run.clock.now - a.sent,
 		Kind:      kind,
 		Report:    a.report,
 		HasReport: kind != balancer.Cancelled && !run.scenario.Faults.NoReports,
 		Upload:    a.call.rank == Uploads,
-	})
-	q.scheduler.Finish(a.item)
+	}
+	q.balancer.Done(a.place, run.clock.time(), result)
+	q.scheduler.Finish(a.item, result)
 	q.dispatch()
 }
 
@@ -90,8 +91,9 @@
 	a := &attempt{call: c, server: q.entry.run.byName[d.Server.VM.Name], item: d.Item, place: d.Server}
 	if c.finished {
 		a.sent = q.entry.run.clock.now
-		q.balancer.Done(a.place, q.entry.run.clock.time(), balancer.Result{Kind: balancer.Cancelled})
-		q.scheduler.Finish(a.item)
+		cancelled := balancer.Result{Kind: balancer.Cancelled}
+		q.balancer.Done(a.place, q.entry.run.clock.time(), cancelled)
+		q.scheduler.Finish(a.item, cancelled)
 		return
 	}
 	a.send()
--- a/bench/engine/result.go
+++ b/bench/engine/result.go
@@ -29,7 +29,9 @@
 // RankFigures are the figures of one rank in one phase, by time of arrival.
 type RankFigures struct {
 	Offered, Served, Failed, Refused int64
-	latency                          *hdrhistogram.Histogram
+	// Ended counts the calls served in the phase, whenever they arrived.
+	Ended   int64
+	latency *hdrhistogram.Histogram
 }
 
 // Quantile is the latency in milliseconds below which q percent were served.
@@ -47,14 +49,12 @@
 	Retries, Hedges, Probes int64
 	// Bytes of measuring: load reports and probes in the measured time.
 	Bytes int64
-	// ServedInSecond counts the calls of each rank by the second in which they ended.
-	ServedInSecond map[string][]int64
 
 	scenario *Scenario
 }
 
 func newResult(s *Scenario) *Result {
-	r := &Result{Refusals: make(map[outcome.Reason]int64), ServedInSecond: make(map[string][]int64), scenario: s}
+	r := &Result{Refusals: make(map[outcome.Reason]int64), scenario: s}
 	for p := range r.Ranks {
 		r.Ranks[p] = make(map[string]*RankFigures)
 		for _, rank := range []string{Payments, Lookups, Uploads} {
@@ -103,17 +103,19 @@
 	f.Served++
 	latency := c.entry.run.clock.now - c.arrived
 	_ = f.latency.RecordValue(max(latency.Microseconds(), shortestLatency))
-	r.countSecond(c)
+	if ended := r.clockPhase(c); ended != nil {
+		ended.Ended++
+	}
 }
 
-func (r *Result) countSecond(c *call) {
-	second := int((c.entry.run.clock.now - r.scenario.WarmUp) / time.Second)
-	counts := r.ServedInSecond[c.rank]
-	for len(counts) <= second {
-		counts = append(counts, 0)
+// clockPhase is the figures of the call's rank in the current phase, nil when
+// the measured time is over.
+func (r *Result) clockPhase(c *call) *RankFigures {
+	at := c.entry.run.clock.now - r.scenario.WarmUp
+	if at >= r.scenario.Length {
+		return nil
 	}
-	counts[second]++
-	r.ServedInSecond[c.rank] = counts
+	return r.Ranks[r.phase(at)][c.rank]
 }
 
 func (r *Result) refused(c *call, refusal *outcome.Refusal) {
--- a/bench/policy/flood.go
+++ b/bench/policy/flood.go
@@ -26,7 +26,7 @@
 func floodTable(seed uint64, flooded string) Table {
 	t := Table{
 		Title:  fmt.Sprintf("Flood of %s at 3x capacity over a base load of 60%%, 19 entries, seed %d", flooded, seed),
-		Header: []string{"phase", "rank", "offered/s", "served/s", "share of served", "p50 ms", "p99 ms", "refused", "failed"},
+		Header: []string{"phase", "rank", "offered/s", "served/s", "share of ended", "p50 ms", "p99 ms", "refused", "failed"},
 	}
 	s := base(seed, floodEnd)
 	s.Load = 0.6
@@ -43,7 +43,7 @@
 func phaseRows(phase string, ranks map[string]*engine.RankFigures, length time.Duration) [][]string {
 	var served int64
 	for _, f := range ranks {
-		served += f.Served
+		served += f.Ended
 	}
 	var rows [][]string
 	for _, rank := range []string{engine.Payments, engine.Lookups, engine.Uploads} {
@@ -52,7 +52,7 @@
 			phase, rank,
 			fmt.Sprintf("%.0f", float64(f.Offered)/length.Seconds()),
 			fmt.Sprintf("%.0f", float64(f.Served)/length.Seconds()),
-			percent(f.Served, served),
+			percent(f.Ended, served),
 			ms(f.Quantile(50)), ms(f.Quantile(99)),
 			percent(f.Refused, f.Offered), percent(f.Failed, f.Offered),
 		})
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -15,7 +15,9 @@
 	rank    tree.Rank
 	items   list.List
 	bytes   int64
-	streams int     // uploads in progress
+	streams int // uploads in progress
+	granted int // requests in progress
+	window  window
 	share   float64 // share of the recent dispatches of all ranks
 
 	interval     time.Duration // mean time between dispatches while requests wait
@@ -44,11 +46,20 @@
 func (l *line) dispatched(i *Item, now time.Time) {
 	l.learnInterval(now)
 	l.remove(i)
+	l.granted++
 	if i.Upload {
 		l.streams++
 	}
 }
 
+// finished accounts the end of a dispatched request.
+func (l *line) finished(i *Item) {
+	l.granted--
+	if i.Upload {
+		l.streams--
+	}
+}
+
 func (l *line) learnInterval(now time.Time) {
 	sample := float64(now.Sub(l.lastDispatch))
 	l.lastDispatch = now
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -59,7 +59,7 @@
 	r.Upload = r.Upload || g.item.Upload
 	q.balancer.Done(g.Server, time.Now(), r)
 	q.mu.Lock()
-	q.scheduler.Finish(g.item)
+	q.scheduler.Finish(g.item, r)
 	q.mu.Unlock()
 	q.workers.schedule(q)
 }
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -13,9 +13,10 @@
 
 // Servers is where a Scheduler reserves places; *balancer.Balancer is one.
 type Servers interface {
-	Pick(now time.Time, exclude []string) (*balancer.Server, bool)
+	PickBelow(now time.Time, exclude []string, load float64) (*balancer.Server, bool)
+	Slots() int
 	Len() int
-	MeanLatency() time.Duration
+	HighLatency() time.Duration
 }
 
 // Scheduler orders the waiting requests of one service and dispatches them to
@@ -34,8 +35,10 @@
 func (s *Scheduler) SetRanks(ranks []tree.Rank) []Decision {
 	old := s.lines
 	s.lines = nil
-	for _, r := range ranks {
-		s.lines = append(s.lines, lineFor(old, r))
+	for index, r := range ranks {
+		l := lineFor(old, r)
+		l.window.headroom = headroomOf(index)
+		s.lines = append(s.lines, l)
 	}
 	var refused []Decision
 	for _, l := range old {
@@ -56,7 +59,7 @@
 			return l
 		}
 	}
-	return &line{rank: r, share: r.KeptShare}
+	return &line{rank: r, share: r.KeptShare, window: newWindow()}
 }
 
 // drop takes the first item off the line with a refusal.
@@ -127,7 +130,7 @@
 // longestWait is how long the item may wait so that its target and deadline
 // can still be met.
 func (s *Scheduler) longestWait(l *line, i *Item, now time.Time) time.Duration {
-	latency := s.servers.MeanLatency()
+	latency := s.servers.HighLatency()
 	least := time.Duration(minWaitShare * float64(l.rank.Target))
 	longest := max(l.rank.Target-latency, least)
 	if i.Deadline.IsZero() {
@@ -144,84 +147,3 @@
 	i.line.remove(i)
 	return true
 }
-
-// Finish accounts the end of a granted item.
-func (s *Scheduler) Finish(i *Item) {
-	if i.Upload {
-		i.line.streams--
-	}
-}
-
-// Next decides one waiting item; it is false when none can be decided now.
-func (s *Scheduler) Next(now time.Time) (Decision, bool) {
-	if d, ok := s.expire(now); ok {
-		return d, true
-	}
-	for _, l := range s.lines {
-		if !l.belowShare() {
-			continue
-		}
-		if d, ok := s.dispatch(l, now); ok {
-			return d, true
-		}
-	}
-	for _, l := range s.lines {
-		if d, ok := s.dispatch(l, now); ok {
-			return d, true
-		}
-	}
-	return Decision{}, false
-}
-
-// expire refuses one item that waited as long as it may.
-func (s *Scheduler) expire(now time.Time) (Decision, bool) {
-	for _, l := range s.lines {
-		front := l.items.Front()
-		if front == nil {
-			continue
-		}
-		i := front.Value.(*Item)
-		if !i.Deadline.IsZero() && !now.Before(i.Deadline) {
-			return drop(l, refuseDeadline()), true
-		}
-		if now.Sub(i.enqueued) > s.longestWait(l, i, i.enqueued) {
-			const detail = "the wait exceeded the target or the deadline"
-			return drop(l, refuseBusy(outcome.ReasonQueueWait, detail, l.wait(now))), true
-		}
-	}
-	return Decision{}, false
-}
-
-// maxLookahead bounds how many items with excluded servers are passed over.
-const maxLookahead = 4
-
-func (s *Scheduler) dispatch(l *line, now time.Time) (Decision, bool) {
-	element := l.items.Front()
-	for range maxLookahead {
-		if element == nil {
-			break
-		}
-		i := element.Value.(*Item)
-		element = element.Next()
-		if l.streamsUsedUp(i) {
-			continue
-		}
-		if server, ok := s.servers.Pick(now, i.Exclude); ok {
-			l.dispatched(i, now)
-			s.account(l)
-			return Decision{Item: i, Server: server}, true
-		}
-		if len(i.Exclude) == 0 {
-			break
-		}
-	}
-	return Decision{}, false
-}
-
-// account moves the shares of all ranks after a dispatch from l.
-func (s *Scheduler) account(l *line) {
-	for _, other := range s.lines {
-		other.share -= other.share / shareWindow
-	}
-	l.share += 1.0 / shareWindow
-}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -72,8 +72,12 @@
 // Len is the number of servers.
 func (b *Balancer) Len() int { return len(b.snapshot.Load().hosts) }
 
-// MeanLatency is the mean latency of recent answers, zero before the first.
-func (b *Balancer) MeanLatency() time.Duration { return time.Duration(b.latency.value()) }
+// Slots is how many requests one server runs at a time.
+func (b *Balancer) Slots() int { return b.snapshot.Load().slots }
+
+// HighLatency is a high quantile of the latency of recent answers, zero while
+// too little was measured.
+func (b *Balancer) HighLatency() time.Duration { return b.quantile.value() }
 
 const (
 	// maxHedgeLoad is the busy share of all slots above which a second attempt
@@ -100,8 +104,14 @@
 // Pick reserves a place at the server with the shortest estimated wait. It is
 // false when no server that is not excluded by name has a free slot.
 func (b *Balancer) Pick(now time.Time, exclude []string) (*Server, bool) {
+	return b.PickBelow(now, exclude, math.Inf(1))
+}
+
+// PickBelow is Pick among the servers whose estimated load is below the limit,
+// in requests.
+func (b *Balancer) PickBelow(now time.Time, exclude []string, limit float64) (*Server, bool) {
 	s := b.snapshot.Load()
-	v := b.view(s, now)
+	v := b.view(s, now, limit)
 	for range maxReserveTries {
 		h, mask := s.best(s.first(b.turn.Add(1)), &v, exclude)
 		if h == nil {
@@ -119,10 +129,11 @@
 const maxReserveTries = 8
 
 // view is what a pick at that time judges all servers by.
-func (b *Balancer) view(s *snapshot, now time.Time) view {
+func (b *Balancer) view(s *snapshot, now time.Time, limit float64) view {
 	return view{
 		now:   now.UnixNano(),
 		late:  b.lateAfter(),
+		limit: limit,
 		slots: float64(s.slots),
 		usual: b.others.value() + doubt,
 		trust: b.echo.value(),
--- a/internal/balancer/hedge_test.go
+++ b/internal/balancer/hedge_test.go
@@ -46,7 +46,7 @@
 		s, _ := b.Pick(start, nil)
 		b.Done(s, start, Result{Latency: time.Minute, Upload: true})
 	}
-	if b.MeanLatency() != 0 || b.quantile.value() != 0 {
-		t.Fatalf("uploads count in the latency: mean %v", b.MeanLatency())
+	if b.HighLatency() != 0 || b.latency.value() != 0 {
+		t.Fatalf("uploads count in the latency: %v", b.HighLatency())
 	}
 }
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -1,8 +1,6 @@
 package balancer
 
 import (
-	"math"
-
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -15,6 +13,7 @@
 	now   int64   // nanoseconds since the Unix epoch
 	late  int64   // nanoseconds after which a request shows a slow server
 	usual float64 // requests of other entries at a server without news
+	limit float64 // estimated load at which a server takes nothing more
 	slots float64 // requests that a server runs at a time
 	trust float64 // how far reports are believed, from 0 to 1
 }
@@ -77,7 +76,7 @@
 }
 
 func (s *snapshot) scan(first int, v *view, exclude []string, all bool) (best *host, bestMask uint32, ejected int) {
-	least := math.Inf(1)
+	least := v.limit
 	for i := range s.hosts {
 		h := s.hosts[(first+i)%len(s.hosts)]
 		mask := h.busy.Load()
