--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,171 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+// inWorld runs a test with entries that have caught up with some records.
+func inWorld(t *testing.T, entries int, test func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(entries)
+		defer w.stop()
+		w.append(claim(0, "i0", ""))
+		w.append(claim(1, "i1", ""))
+		time.Sleep(healTime)
+		test(t, w)
+	})
+}
+
+func wantOffset(t *testing.T, w *world, n int, offset int64) {
+	t.Helper()
+	state := w.entries[n].Current()
+	if state.Offset() != offset || state.Hash() != w.states[offset].Hash() {
+		t.Fatalf("entry %d is at offset %d, want %d with the hash of the history", n, state.Offset(), offset)
+	}
+}
+
+func TestOutageWhileAllEntriesAreReplacedKeepsTheTree(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.set(func() { w.down = map[int]bool{0: true, 1: true, 2: true} })
+		for n := range w.entries {
+			w.start(n)
+			time.Sleep(5 * time.Second)
+			wantOffset(t, w, n, 2)
+			if w.entries[n].Current().Tree() == nil {
+				t.Fatalf("entry %d has no tree", n)
+			}
+		}
+	})
+}
+
+func TestEntryCutFromTheLogFollowsItsPeers(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.set(func() { w.down[2] = true })
+		w.append(claim(2, "i2", ""))
+		time.Sleep(5 * time.Second)
+		wantOffset(t, w, 2, 3)
+	})
+}
+
+func TestSnapshotTakesThePlaceOfExpiredRecords(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		time.Sleep(snapshotAge)
+		w.expire()
+		w.append(claim(2, "i2", ""))
+		w.set(func() { w.cut[1] = true })
+		w.start(1)
+		time.Sleep(5 * time.Second)
+		wantOffset(t, w, 1, 3)
+	})
+}
+
+func TestSnapshotIsAppendedByMostlyOneEntry(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		const periods = 6
+		time.Sleep(periods * (snapshotAge + snapshotCheck))
+		if got := w.snapshotCount(); got < periods || got > periods+1 {
+			t.Errorf("%d snapshots in %d periods", got, periods)
+		}
+	})
+}
+
+func TestManyRecordsMakeASnapshotDue(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		for range snapshotRecords {
+			w.append(claim(9, "i9", ""))
+		}
+		time.Sleep(time.Minute)
+		if got := w.snapshotCount(); got != 1 {
+			t.Errorf("%d snapshots, want 1", got)
+		}
+	})
+}
+
+func TestStateIsKeptWhereNothingBridgesExpiredRecords(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.set(func() { w.down[0] = true })
+		time.Sleep(time.Minute)
+		w.append(claim(2, "i2", ""))
+		w.append(claim(3, "i3", ""))
+		w.set(func() { w.oldest, w.down[0] = 4, false })
+		time.Sleep(time.Minute)
+		wantOffset(t, w, 0, 2)
+	})
+}
+
+func TestPeerWithAnotherStateIsNotFollowed(t *testing.T) {
+	f := New(Options{})
+	next, _ := fold.Empty().Apply(0, founding())
+	record := peer.ConfigRecord{Offset: 0, Data: founding()}
+	for name, reply := range map[string]*peer.SinceReply{
+		"other hash":   {Offset: 0, Hash: "other", Records: []peer.ConfigRecord{record}},
+		"other offset": {Offset: 1, Hash: next.Hash(), Records: []peer.ConfigRecord{record}},
+		"gap":          {Offset: 1, Hash: next.Hash(), Records: []peer.ConfigRecord{{Offset: 1, Data: founding()}}},
+		"bad state":    {Offset: 0, State: []byte(`{"version":1,"hash":"0","state":{"offset":0}}`)},
+		"nothing":      {Offset: 5},
+	} {
+		if err := f.takeReply(reply); err == nil || f.Current().Offset() != -1 {
+			t.Errorf("%s: error %v, offset %d", name, err, f.Current().Offset())
+		}
+	}
+	good := &peer.SinceReply{Offset: 0, Hash: next.Hash(), Records: []peer.ConfigRecord{record}}
+	if err := f.takeReply(good); err != nil || f.Current().Hash() != next.Hash() {
+		t.Errorf("good reply: error %v", err)
+	}
+}
+
+func TestSubscribersHearOffsetsInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		defer w.stop()
+		f := New(Options{Log: worldLog{w, 0}, Client: worldClient{w, 0}})
+		heard := []int64{-1}
+		f.Subscribe(func(s *fold.State) { heard = append(heard, s.Offset()) })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w.gone.Go(func() { f.Run(ctx) })
+		for range 20 {
+			w.append(claim(0, "i0", ""))
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		for i := 1; i < len(heard); i++ {
+			if heard[i] <= heard[i-1] {
+				t.Fatalf("offsets %v", heard)
+			}
+		}
+		if heard[len(heard)-1] != 20 {
+			t.Fatalf("offsets %v", heard)
+		}
+	})
+}
+
+func TestPeerGetsTheStateWhereRecordsAreMissing(t *testing.T) {
+	f := New(Options{})
+	f.applyRecords([]platform.Record{{Offset: 0, Data: founding()}})
+	later := f.Current()
+	for offset := int64(1); offset <= 3; offset++ {
+		later, _ = later.Apply(offset, claim(0, "i0", ""))
+	}
+	f.takeState(later, "peer")
+	f.applyRecords([]platform.Record{{Offset: 4, Data: claim(1, "i1", "")}})
+	for asked, wantRecords := range map[int64]int{-1: 0, 0: 0, 2: 0, 3: 1} {
+		reply := &peer.SinceReply{}
+		if err := f.Receiver().Since(&peer.SinceArgs{Offset: asked}, reply); err != nil {
+			t.Fatal(err)
+		}
+		if len(reply.Records) != wantRecords || (len(reply.State) > 0) != (wantRecords == 0) {
+			t.Errorf("asked %d: %d records, %d bytes of state", asked, len(reply.Records), len(reply.State))
+		}
+	}
+	if f.takeState(later, "peer") || f.Current().Offset() != 4 {
+		t.Errorf("an older state was taken; offset %d", f.Current().Offset())
+	}
+}
--- /dev/null
+++ b/internal/follow/ring.go
@@ -0,0 +1,42 @@
+package follow
+
+import (
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+const (
+	// maxRecentRecords and maxRecentBytes bound the records kept for peers.
+	maxRecentRecords = 512
+	maxRecentBytes   = 2 << 20
+)
+
+// ring holds the newest applied records without a gap.
+type ring struct {
+	limit   int // the most records
+	records []platform.Record
+	bytes   int
+}
+
+func (r *ring) add(record platform.Record) {
+	r.records = append(r.records, record)
+	r.bytes += len(record.Data)
+	drop := 0
+	for len(r.records)-drop > r.limit || r.bytes > maxRecentBytes {
+		r.bytes -= len(r.records[drop].Data)
+		drop++
+	}
+	if drop > 0 {
+		r.records = append([]platform.Record(nil), r.records[drop:]...)
+	}
+}
+
+func (r *ring) reset() { *r = ring{limit: r.limit} }
+
+// after returns the records after an offset, and false where one is missing.
+func (r *ring) after(offset int64) ([]platform.Record, bool) {
+	if len(r.records) == 0 || r.records[0].Offset > offset+1 {
+		return nil, false
+	}
+	skip := min(int64(len(r.records)), offset+1-r.records[0].Offset)
+	return r.records[skip:], true
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -44,7 +44,7 @@
 	isNews := m.table.mergeRows(append(h.Rows, h.Row))
 	isNews = m.table.notices.merge(now, h.Notices) || isNews
 	m.mu.Unlock()
-	m.offer(h)
+	m.offer()
 	if isFirst {
 		unknown = nil // asks for everything
 	}
@@ -56,15 +56,15 @@
 	}
 }
 
-// offer tells the follower of a peer that is ahead and of snapshots.
-func (m *Membership) offer(h *peer.Heartbeat) {
+// offer tells the follower of the entry that is furthest ahead and of snapshots.
+func (m *Membership) offer() {
 	own, snapshot := m.opts.Config.Position()
-	if h.Row.Offset > own {
-		m.opts.Config.OfferPeer(h.Address, h.Row.Offset)
-	}
-	newest := h.Row.Snapshot
-	for _, r := range h.Rows {
-		newest = max(newest, r.Snapshot)
+	m.mu.Lock()
+	address, offset := m.table.furthest(time.Now())
+	newest := m.table.newestSnapshot()
+	m.mu.Unlock()
+	if offset > own {
+		m.opts.Config.OfferPeer(address, offset)
 	}
 	if newest > snapshot {
 		m.opts.Config.OfferSnapshot(newest)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -24,13 +24,13 @@
 
 // Config is the part of the follower that heartbeats need.
 type Config interface {
-	// Position returns the applied offset of the config stream and the config
-	// offset of the newest known snapshot; -1 stands for none.
+	// Position returns the applied offset of the config stream and the place of
+	// the newest known snapshot in its stream; -1 stands for none.
 	Position() (offset, snapshot int64)
 	// OfferPeer tells that the entry at a peer address has applied an offset.
 	OfferPeer(address string, offset int64)
-	// OfferSnapshot tells that a snapshot of the config stream at an offset exists.
-	OfferSnapshot(offset int64)
+	// OfferSnapshot tells that the snapshots stream has a snapshot at that place.
+	OfferSnapshot(place int64)
 }
 
 // Options are the parts that a Membership works with.
@@ -131,6 +131,10 @@
 	m.spread()
 }
 
+// Announce tells some peers soon that this entry's row has changed, such as by a
+// new offset.
+func (m *Membership) Announce() { m.spread() }
+
 // spread has the news sent to some peers soon.
 func (m *Membership) spread() {
 	select {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -202,6 +202,26 @@
 	return longest
 }
 
+// furthest returns the live entry with the highest offset of the config stream.
+func (t *table) furthest(now time.Time) (address string, offset int64) {
+	offset = -1
+	for _, m := range t.members {
+		if !m.isSilent(now) && m.row.Offset > offset {
+			address, offset = m.vm.PeerAddress, m.row.Offset
+		}
+	}
+	return address, offset
+}
+
+// newestSnapshot returns the place of the newest snapshot that any entry knows.
+func (t *table) newestSnapshot() int64 {
+	newest := int64(-1)
+	for _, m := range t.members {
+		newest = max(newest, m.row.Snapshot)
+	}
+	return newest
+}
+
 // shift moves all times of hearing by the length of a pause of this process, in
 // which it could hear nobody.
 func (t *table) shift(now time.Time, pause time.Duration) {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -58,6 +58,19 @@
 // Draining reports whether a backend server is known to take no new work.
 func (v *View) Draining(server string) bool { return v.servers.draining[server] }
 
+// Order returns how many live entries come before this one in the rendezvous
+// order of a key, so that the first in it can do a piece of work for all.
+func (v *View) Order(key string) int {
+	before := 0
+	own := rendezvous(key, v.self)
+	for _, e := range v.Entries {
+		if e.Incarnation != v.self && rendezvous(key, e.Incarnation) > own {
+			before++
+		}
+	}
+	return before
+}
+
 // ByIncarnation returns the entry process of that id, a silent one too.
 func (v *View) ByIncarnation(id string) (Entry, bool) {
 	e, ok := v.known[id]
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -26,7 +26,7 @@
 	Epoch uint32
 	// Offset is the applied offset of the config stream, -1 before the first.
 	Offset int64
-	// Snapshot is the config offset of the newest known snapshot, -1 for none.
+	// Snapshot is the place of the newest known snapshot in its stream, -1 for none.
 	Snapshot int64
 	// Draining is set when the process takes no new callers.
 	Draining bool
