--- a/internal/escrow/book.go
+++ b/internal/escrow/book.go
@@ -22,7 +22,7 @@
 	fence       fence
 	tree        *tree.Tree
 	table       seat.Table
-	applied     int64
+	settled     map[int64]time.Duration // when all holders had applied a resize, by its offset
 	accounts    map[limitKey]*account
 	byHash      map[uint64]*account
 	covering    map[tree.Scope][]*account
@@ -46,7 +46,7 @@
 func newBook(incarnation string) *book {
 	return &book{
 		incarnation: incarnation,
-		applied:     -1,
+		settled:     make(map[int64]time.Duration),
 		accounts:    make(map[limitKey]*account),
 		byHash:      make(map[uint64]*account),
 		covering:    make(map[tree.Scope][]*account),
@@ -122,7 +122,7 @@
 // of seats have applied.
 func (b *book) setSeats(now time.Duration, table seat.Table, applied int64) {
 	b.table = table
-	b.applied = max(b.applied, applied)
+	b.settle(now, applied)
 	seen := make(map[seatTerm]time.Duration)
 	for _, number := range table.Held(b.incarnation) {
 		h, _ := table.Holder(number)
@@ -141,8 +141,8 @@
 	if b.tree == nil {
 		return
 	}
-	sizes := sizesOf(b.table, b.applied, b.tree.Seats)
 	for _, a := range b.accounts {
+		sizes := sizesOf(b.table, b.settledBefore(now-restTime(a.busyTime)), b.tree.Seats)
 		a.own = 0
 		for term, seen := range b.seatSeen {
 			if b.usable(now, a, term, seen) {
@@ -164,7 +164,35 @@
 // quietTime is how long the share of a seat that changed hands rests: the former
 // holder may learn of it late or be fenced, its loans run out and its calls end.
 func quietTime(busyTime time.Duration) time.Duration {
-	return spreadTime + fenceTime + loanTime + busyTime + clockMargin
+	return spreadTime + fenceTime + restTime(busyTime)
+}
+
+// restTime is how long units may still be used that an entry no longer owns: its
+// loans run out and its calls end.
+func restTime(busyTime time.Duration) time.Duration {
+	return loanTime + busyTime + clockMargin
+}
+
+// settle notes the changes of the number of seats that all holders have applied.
+func (b *book) settle(now time.Duration, applied int64) {
+	for _, r := range b.table.Resizes() {
+		_, known := b.settled[r.Offset]
+		if r.Offset <= applied && !known {
+			b.settled[r.Offset] = now
+		}
+	}
+}
+
+// settledBefore returns the offset of the newest change of the number of seats
+// that all holders had applied by then, or -1.
+func (b *book) settledBefore(then time.Duration) int64 {
+	newest := int64(-1)
+	for offset, at := range b.settled {
+		if at <= then {
+			newest = max(newest, offset)
+		}
+	}
+	return newest
 }
 
 // limitsOf returns the limits that govern a call.
--- a/internal/escrow/loan.go
+++ b/internal/escrow/loan.go
@@ -88,8 +88,7 @@
 		l.units = granted
 	}
 	if granted > 0 {
-		term := loanTime + max(a.busyTime, busy) + clockMargin
-		l.until = max(l.until, now+term)
+		l.until = max(l.until, now+restTime(max(a.busyTime, busy)))
 	}
 	a.keepLent(now, borrower, l)
 	return granted
--- a/internal/escrow/run.go
+++ b/internal/escrow/run.go
@@ -45,8 +45,9 @@
 	applied := l.opts.LowestApplied()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.book.applied = max(l.book.applied, applied)
-	return l.book.plan(l.tick(), peers, random)
+	now := l.tick()
+	l.book.settle(now, applied)
+	return l.book.plan(now, peers, random)
 }
 
 // ask sends one order and books the answer.
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -188,6 +188,24 @@
 	return true
 }
 
+// burst makes some calls through a node and returns how many were admitted.
+func (w *world) burst(n *node, times int) int {
+	admitted := 0
+	for range times {
+		if w.spend(n) {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// burstAll makes some calls through each node.
+func (w *world) burstAll(times int) {
+	for _, n := range w.nodes {
+		w.burst(n, times)
+	}
+}
+
 // finish ends the oldest call of a node.
 func (w *world) finish(n *node) {
 	if !n.running() || len(n.inProgress) == 0 {
