Read an unchanged VM list once, and keep large ones within a byte budget

Cause: at 770 servers the list is about 90 KB; read each 5 s it takes three times the 6 KB/s that a node may spend on control. Change: the client sends If-None-Match where the platform tags its answers; after a whole answer the next read waits for its bytes over 2 KB/s. What entries read of leaving VMs at their own times they pass on, so news does not wait for the list. The stand-in tags its answers, and PlainVMs turns that off. Conclusion: TestUnchangedVMListIsNotSentAgain passes with and without tags.

--- a/internal/membership/poll.go
+++ b/internal/membership/poll.go
@@ -12,6 +12,9 @@
 	// pollInterval is the mean time between two reads of the VM list. Each entry
 	// reads at its own time and passes on what it learns of leaving VMs.
 	pollInterval = 5 * time.Second
+	// pollBytesPerSecond bounds what reading the VM list takes: after a large
+	// answer the next read waits longer.
+	pollBytesPerSecond = 2 << 10
 	// listStaleAfter is the age from which the list is also asked from peers.
 	listStaleAfter = 15 * time.Second
 	// listTimeout is the deadline of asking a peer for its list.
@@ -33,8 +36,21 @@
 	}
 }
 
-// pollWait spreads the reads of the entries over time. Without any list the
-// next try comes soon.
+// sizedSource is a VM list that knows the size of its last answer, as that of
+// the platform does.
+type sizedSource interface {
+	VMsBytes() int64
+}
+
+func (m *Membership) answerBytes() int64 {
+	if s, ok := m.opts.VMs.(sizedSource); ok {
+		return s.VMsBytes()
+	}
+	return 0
+}
+
+// pollWait spreads the reads of the entries over time, and keeps them within
+// their bytes a second. Without any list the next try comes soon.
 func (m *Membership) pollWait() time.Duration {
 	m.mu.Lock()
 	known := m.table.list.known()
@@ -42,7 +58,8 @@
 	if !known {
 		return beatInterval
 	}
-	return pollInterval/2 + rand.N(pollInterval)
+	least := time.Duration(m.answerBytes()) * time.Second / pollBytesPerSecond
+	return max(pollInterval/2, least) + rand.N(pollInterval)
 }
 
 func (m *Membership) readList(ctx context.Context) bool {
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -7,15 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
-
-	"chestnutrouter.example/chestnutrouter/internal/fleet"
 )
 
 const (
@@ -47,6 +46,10 @@
 	opts      Options
 	client    *http.Client
 	current   atomic.Uint32
+	traffic   traffic
+
+	listMu sync.Mutex // guards list
+	list   cachedList
 }
 
 var (
@@ -60,12 +63,13 @@
 	if opts.Timeout == 0 {
 		opts.Timeout = defaultTimeout
 	}
-	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	h := &HTTP{endpoints: endpoints, opts: opts}
+	h.client = &http.Client{Transport: &http.Transport{
+		DialContext:     h.traffic.dial,
 		IdleConnTimeout: idleConnTimeout,
 		MaxConnsPerHost: maxConnsPerEndpoint,
-	}
-	return &HTTP{endpoints: endpoints, opts: opts, client: &http.Client{Transport: transport}}
+	}}
+	return h
 }
 
 // Close drops the kept connections.
@@ -109,24 +113,13 @@
 	return page, err
 }
 
-// VMs implements VMList.
-func (h *HTTP) VMs(ctx context.Context) ([]fleet.VM, error) {
-	c := call{
-		operation: "read vms",
-		method:    http.MethodGet,
-		path:      "/vms",
-		timeout:   h.opts.Timeout,
-	}
-	var vms []fleet.VM
-	err := h.do(ctx, c, &vms)
-	return vms, err
-}
-
 // call is one request to the platform.
 type call struct {
 	operation, method, path string
 	body                    []byte
 	timeout                 time.Duration
+	// header is sent along; its values are set for this call only.
+	header http.Header
 }
 
 func streamPath(stream string) string {
@@ -175,6 +168,7 @@
 	if err != nil {
 		return unavailable(0, err)
 	}
+	maps.Copy(req.Header, c.header)
 	req.Header.Set(HeaderClient, h.opts.Client)
 	if c.body != nil {
 		req.Header.Set("Content-Type", "application/json")
@@ -193,7 +187,12 @@
 		if err := json.Unmarshal(body, answer); err != nil {
 			return unavailable(resp.StatusCode, fmt.Errorf("decode answer: %w", err))
 		}
+		if tagged, ok := answer.(*taggedList); ok {
+			tagged.tag = resp.Header.Get("ETag")
+		}
 		return nil
+	case http.StatusNotModified:
+		return errNotModified
 	case http.StatusGone:
 		return expiredError(body)
 	default:
--- /dev/null
+++ b/internal/platform/traffic.go
@@ -0,0 +1,43 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// traffic counts the bytes of all connections of a client.
+type traffic struct {
+	sent, received atomic.Int64
+}
+
+func (t *traffic) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, t}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+// SentBytes returns the bytes sent to the platform since the start.
+func (h *HTTP) SentBytes() int64 { return h.traffic.sent.Load() }
+
+// ReceivedBytes returns the bytes received from the platform since the start.
+func (h *HTTP) ReceivedBytes() int64 { return h.traffic.received.Load() }
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -31,6 +31,8 @@
 	ReverseRecords bool `json:"reverse_records,omitempty"`
 	// VMLagMs is how old the returned VM list is, in milliseconds.
 	VMLagMs int `json:"vm_lag_ms,omitempty"`
+	// PlainVMs leaves the tag off the VM list, so that it is always sent whole.
+	PlainVMs bool `json:"plain_vms,omitempty"`
 }
 
 func names(clients []string, client string) bool {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -12,12 +12,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/platform"
 )
@@ -209,9 +212,25 @@
 }
 
 func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
-	if s.allow(w, r) {
-		writeJSON(w, http.StatusOK, s.laggedVMs(time.Now()))
+	if !s.allow(w, r) {
+		return
+	}
+	data, err := json.Marshal(s.laggedVMs(time.Now()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if s.currentFaults().PlainVMs {
+		w.Write(data)
+		return
+	}
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(data))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
 	}
+	w.Write(data)
 }
 
 func (s *Server) laggedVMs(now time.Time) []fleet.VM {
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -146,6 +147,27 @@
 	}
 }
 
+func TestUnchangedVMListIsNotSentAgain(t *testing.T) {
+	s, server := start(t)
+	c := client(t, "vm-1", server.URL)
+	for round, plain := range []bool{false, true} {
+		s.SetFaults(standin.Faults{PlainVMs: plain})
+		s.SetVMs(slices.Repeat([]fleet.VM{{Name: strings.Repeat("n", 1000+round)}}, 10))
+		var sizes []int64
+		for range 3 {
+			before := c.ReceivedBytes()
+			vms, err := c.VMs(t.Context())
+			if err != nil || len(vms) != 10 || len(vms[0].Name) != 1000+round {
+				t.Fatalf("%d vms, error %v", len(vms), err)
+			}
+			sizes = append(sizes, c.ReceivedBytes()-before)
+		}
+		if isSmall := sizes[2] < sizes[0]/10; isSmall == plain {
+			t.Errorf("plain %t: answers of %d bytes", plain, sizes)
+		}
+	}
+}
+
 func TestAdminPathsRefuseUnknownFields(t *testing.T) {
 	_, server := start(t)
 	for body, want := range map[string]int{
