Prove each rule of the escrow by a test that fails without it

Cause: the rapid machine alone did not notice several rules left out (cooling, overdue units, sequence numbers, late answers, start of the term). Change: a scenario for each; Contact notes when a request was sent that the log or a peer answered, as an answer that waited through a pause proves nothing.

--- /dev/null
+++ b/internal/escrow/contact.go
@@ -0,0 +1,86 @@
+package escrow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+)
+
+// longestRead bounds the wait of one read of the log, so that a quiet log is
+// heard often enough to keep the fence open.
+const longestRead = fenceTime / 3
+
+// Contact notes when the newest request was sent that the log or a peer has
+// answered. It is safe for concurrent use; the zero Contact has heard nothing.
+type Contact struct {
+	newest atomic.Pointer[time.Time]
+}
+
+// Last returns that time; zero where nothing was answered yet.
+func (c *Contact) Last() time.Time {
+	if at := c.newest.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+func (c *Contact) note(sent time.Time) {
+	for {
+		old := c.newest.Load()
+		if old != nil && !sent.After(*old) {
+			return
+		}
+		if c.newest.CompareAndSwap(old, &sent) {
+			return
+		}
+	}
+}
+
+// Client returns a client whose answered calls count as contact.
+func (c *Contact) Client(client peer.Client) peer.Client {
+	return contactClient{contact: c, client: client}
+}
+
+type contactClient struct {
+	contact *Contact
+	client  peer.Client
+}
+
+func (c contactClient) Call(ctx context.Context, address, method string, args, reply any) error {
+	sent := time.Now()
+	err := c.client.Call(ctx, address, method, args, reply)
+	var remote *peer.RemoteError
+	if err == nil || errors.As(err, &remote) {
+		c.contact.note(sent)
+	}
+	return err
+}
+
+// Log returns a log whose answered requests count as contact. Its reads wait no
+// longer than the fence allows; an empty page is then read on as usual.
+func (c *Contact) Log(log platform.Log) platform.Log {
+	return contactLog{contact: c, log: log}
+}
+
+type contactLog struct {
+	contact *Contact
+	log     platform.Log
+}
+
+func (c contactLog) Append(ctx context.Context, stream string, data json.RawMessage) (int64, error) {
+	return c.log.Append(ctx, stream, data)
+}
+
+func (c contactLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Page, error) {
+	sent := time.Now()
+	page, err := c.log.Read(ctx, stream, from, min(wait, longestRead))
+	if err == nil && stream == platform.StreamConfig {
+		c.contact.note(sent)
+	}
+	return page, err
+}
--- /dev/null
+++ b/internal/escrow/ledger_test.go
@@ -0,0 +1,152 @@
+package escrow
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/seat"
+)
+
+// seated returns a table in which the incarnation holds the only seat.
+func seated(t *testing.T, incarnation string) seat.Table {
+	t.Helper()
+	table, err := seat.Table{}.Apply(0, seat.Claim{Incarnation: incarnation, VM: "v"}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func newSeated(t *testing.T, opts Options, rate, calls int) *Ledger {
+	t.Helper()
+	if opts.LastHeard == nil {
+		opts.LastHeard = time.Now
+	}
+	l := New(opts)
+	l.SetTree(testTree(rate, calls, 1))
+	l.SetSeats(seated(t, "a"))
+	return l
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name        string
+		rate, calls int
+		reason      outcome.Reason
+	}{
+		{"rate", 2, 100, outcome.ReasonLimitRate},
+		{"concurrent", 100, 2, outcome.ReasonLimitConcurrent},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newSeated(t, Options{Incarnation: "a"}, test.rate, test.calls)
+				for range 2 {
+					if _, refusal := l.Spend("m", "s", "lookups"); refusal != nil {
+						t.Fatal(refusal)
+					}
+				}
+				_, refusal := l.Spend("m", "s", "lookups")
+				if refusal == nil || refusal.Status != 429 || refusal.Outcome != outcome.NotRun ||
+					refusal.Reason != test.reason || refusal.RetryAfter < time.Second {
+					t.Errorf("got %+v", refusal)
+				}
+			})
+		})
+	}
+}
+
+func TestReleaseCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newSeated(t, Options{Incarnation: "a"}, 100, 2)
+		first, _ := l.Spend("m", "s", "lookups")
+		l.Spend("m", "s", "lookups")
+		first()
+		first()
+		if _, refusal := l.Spend("m", "s", "lookups"); refusal != nil {
+			t.Error(refusal)
+		}
+		if _, refusal := l.Spend("m", "s", "lookups"); refusal == nil {
+			t.Error("a release counted twice")
+		}
+	})
+}
+
+func TestCallsOutsideEveryLimitAreFree(t *testing.T) {
+	l := New(Options{Incarnation: "a"})
+	if _, refusal := l.Spend("m", "s", "lookups"); refusal != nil {
+		t.Error(refusal)
+	}
+}
+
+// TestSuspendedVMIsNoticed steps the wall clock past the monotonic one, as after
+// a suspension in which the monotonic clock stood still.
+func TestSuspendedVMIsNoticed(t *testing.T) {
+	heard := time.Now()
+	now := heard
+	l := newSeated(t, Options{
+		Incarnation: "a",
+		Now:         func() time.Time { return now },
+		LastHeard:   func() time.Time { return heard },
+	}, 10, 10)
+	if _, refusal := l.Spend("m", "s", "lookups"); refusal != nil {
+		t.Fatal(refusal)
+	}
+	// A time without a monotonic reading stands for the stepped wall clock.
+	l.clock.wall -= time.Hour
+	now = now.Add(time.Millisecond)
+	if _, refusal := l.Spend("m", "s", "lookups"); refusal == nil {
+		t.Error("spent after the wall clock went ahead of the monotonic one")
+	}
+	heard = now.Add(time.Millisecond)
+	now = heard
+	if _, refusal := l.Spend("m", "s", "lookups"); refusal != nil {
+		t.Error(refusal)
+	}
+}
+
+// TestBorrowOverTCP lets an entry without a seat borrow over net/rpc.
+func TestBorrowOverTCP(t *testing.T) {
+	lender := newSeated(t, Options{Incarnation: "a"}, 1000, 1000)
+	server := peer.NewServer()
+	if err := server.Register(ReceiverName, lender.Receiver()); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(listener)
+	defer server.Close()
+
+	pool := peer.NewPool(peer.Options{})
+	defer pool.Close()
+	contact := &Contact{}
+	borrower := New(Options{
+		Incarnation: "b",
+		Client:      contact.Client(pool),
+		LastHeard:   contact.Last,
+		Peers:       func() []Peer { return []Peer{{Incarnation: "a", Address: listener.Addr().String()}} },
+	})
+	borrower.SetTree(testTree(1000, 1000, 1))
+	borrower.SetSeats(seated(t, "a"))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		borrower.Run(ctx)
+	}()
+	for {
+		if _, refusal := borrower.Spend("m", "s", "lookups"); refusal == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -13,6 +13,9 @@
 // callTimeout is the longest call in the tests' tree.
 const callTimeout = 3 * time.Second
 
+// scopeOfTest is what the tests' calls belong to.
+var scopeOfTest = tree.Scope{Member: "m", Service: "s", Rank: "lookups"}
+
 // record is one record of the world's log.
 type record struct {
 	claim seat.Claim
@@ -179,7 +182,7 @@
 	if !n.running() || n.rate == 0 {
 		return false
 	}
-	limits := n.limitsOf(tree.Scope{Member: "m", Service: "s", Rank: "lookups"})
+	limits := n.limitsOf(scopeOfTest)
 	if n.book.spend(w.clock(n), limits) != nil {
 		return false
 	}
