--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -18,6 +18,7 @@
 	"github.com/integrii/flaggy"
 
 	"chestnutrouter.example/chestnutrouter/standin/backend"
+	"chestnutrouter.example/chestnutrouter/standin/platform"
 )
 
 const (
@@ -45,13 +46,23 @@
 	backendCommand.Int(&options.QueueLength, "", "queue", "requests that wait (0: 8, negative: none)")
 	backendCommand.Duration(&options.ServiceTime, "", "service-time", "time that a request takes")
 	flaggy.AttachSubcommand(backendCommand, 1)
+	platformCommand := flaggy.NewSubcommand("platform")
+	platformCommand.Description = "serve the log service and the VM list"
+	platformCommand.String(&listen, "", "listen", "address to listen on")
+	flaggy.AttachSubcommand(platformCommand, 1)
 	flaggy.Parse()
 
-	if !backendCommand.Used {
+	var handler http.Handler
+	switch {
+	case backendCommand.Used:
+		handler = backend.New(options)
+	case platformCommand.Used:
+		handler = platform.New()
+	default:
 		flaggy.ShowHelp("name a stand-in")
 		os.Exit(exitUsage)
 	}
-	if err := serve(listen, backend.New(options)); err != nil {
+	if err := serve(listen, handler); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(exitFailed)
 	}
