--- a/internal/fold/helpers_test.go
+++ b/internal/fold/helpers_test.go
@@ -53,7 +53,7 @@
 }
 
 // found founds a tree of three members, whose revision is 1.
-func (h *history) found(t *testing.T, quorum int) {
+func (h *history) found(t testing.TB, quorum int) {
 	t.Helper()
 	p := Publish{Branch: "/", Content: rootText(quorum, 100), Publisher: "a/ann"}
 	for _, member := range []string{"a", "b", "c"} {
