Run the whole path as processes: daemon, status pages, quick start

Cause: the parts stood side by side without a process around them. The daemon wires them with fx: listeners, follower, membership, seats, voted limits, operations, rank queues, forwarding; it stops by leaving the address answer, draining, and leaving its seal.

Found on the way: fx refuses a provided type that embeds its parameter object, so Entry holds it as a field; tally's own cardinality gauges have names that Prometheus refuses, which ended the process at its start (the registry's test panicked before, passes now).

--- a/examples/quickstart/tour/wait.go
+++ b/examples/quickstart/tour/wait.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"chestnutrouter.example/chestnutrouter/internal/status"
 )
 
 // pollInterval is how often a process that is not ready is asked again.
@@ -45,6 +48,37 @@
 			return fmt.Errorf("%s: %w", vm.Name, err)
 		}
 	}
+	return waitForSeats(ctx, p)
+}
+
+// waitForSeats returns once every entry holds its share of the voted limits.
+func waitForSeats(ctx context.Context, p plan) error {
+	for _, vm := range p.entries() {
+		seated := func() error { return checkSeat(ctx, vm.StatusAddress) }
+		if err := retry(ctx, seated); err != nil {
+			return fmt.Errorf("%s: %w", vm.Name, err)
+		}
+	}
+	return nil
+}
+
+func checkSeat(ctx context.Context, address string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var report status.Report
+	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+		return err
+	}
+	if len(report.Seats) == 0 {
+		return errors.New("the entry holds no seat yet")
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/module.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/entry"
+	"chestnutrouter.example/chestnutrouter/internal/escrow"
+	"chestnutrouter.example/chestnutrouter/internal/follow"
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/membership"
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
+	"chestnutrouter.example/chestnutrouter/internal/operation"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/seat"
+	"chestnutrouter.example/chestnutrouter/internal/service"
+	"chestnutrouter.example/chestnutrouter/internal/settings"
+)
+
+// Parts are all parts of an entry that are started or stopped.
+type Parts struct {
+	fx.In
+
+	Settings   *settings.Settings
+	Logger     *log.Logger
+	Registry   *metrics.Registry
+	Platform   *platform.HTTP
+	Pool       *peer.Pool
+	Follower   *follow.Follower
+	Members    *membership.Membership
+	Operations *operation.Table
+	Seals      *operation.Seals
+	Ledger     *escrow.Ledger
+	Claimer    *seat.Claimer
+	Workers    *admission.Workers
+	Services   *service.Set
+	Forwarder  *forward.Forwarder
+	Handler    *entry.Handler
+	Drain      *entry.Drain
+}
+
+// Module provides an *Entry for the settings, with its start and stop.
+func Module(s *settings.Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.Provide(
+			newLogger,
+			metrics.NewRegistry,
+			newScope,
+			newPlatform,
+			newPool,
+			newContact,
+			newClient,
+			newLog,
+			newMemberOrder,
+			newOperations,
+			operation.NewSeals,
+			newOwners,
+			newFollower,
+			newMembers,
+			newLedger,
+			newClaimer,
+			admission.NewWorkers,
+			newServices,
+			newForwarder,
+			newRunner,
+			newDrain,
+			newHandler,
+			newEntry,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, e *Entry) {
+			lc.Append(fx.Hook{OnStart: e.Start, OnStop: e.Stop})
+		}),
+	)
+}
+
+func newDrain() *entry.Drain { return &entry.Drain{} }
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"encoding/json"
+	"math"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/entry"
+	"chestnutrouter.example/chestnutrouter/internal/escrow"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/follow"
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/membership"
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
+	"chestnutrouter.example/chestnutrouter/internal/operation"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/seat"
+	"chestnutrouter.example/chestnutrouter/internal/service"
+	"chestnutrouter.example/chestnutrouter/internal/settings"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+func newScope(registry *metrics.Registry) tally.Scope { return registry.Scope }
+
+func newOperations() *operation.Table { return operation.New(operation.Options{}) }
+
+func newPool() *peer.Pool { return peer.NewPool(peer.Options{}) }
+
+func newPlatform(s *settings.Settings) *platform.HTTP {
+	return platform.NewHTTP(s.PlatformEndpoints, platform.Options{Client: s.VM})
+}
+
+func newServices(s *settings.Settings, scope tally.Scope, workers *admission.Workers) *service.Set {
+	return service.NewSet(service.Options{Entry: s.VM, Zone: s.Zone, Scope: scope, Workers: workers})
+}
+
+// selfVM is this entry's row of the VM list, as its settings tell it.
+func selfVM(s *settings.Settings) fleet.VM {
+	return fleet.VM{
+		Name:          s.VM,
+		Address:       s.CallerAddress,
+		PeerAddress:   s.PeerAddress,
+		StatusAddress: s.StatusAddress,
+		Zone:          s.Zone,
+		Service:       fleet.EntryService,
+		State:         fleet.Live,
+	}
+}
+
+// newContact notes when the log or a peer was last heard, for the voted limits.
+func newContact() *escrow.Contact { return &escrow.Contact{} }
+
+// newClient returns the peer client whose answers count as contact.
+func newClient(pool *peer.Pool, contact *escrow.Contact) peer.Client { return contact.Client(pool) }
+
+// newLog returns the log client whose answers count as contact.
+func newLog(p *platform.HTTP, contact *escrow.Contact) platform.Log { return contact.Log(p) }
+
+// memberOrder breaks the circle between the follower, which asks for its turn
+// among the live entries, and the membership, which tells the follower's offset.
+type memberOrder struct {
+	members atomic.Pointer[membership.Membership]
+}
+
+func newMemberOrder() *memberOrder { return &memberOrder{} }
+
+// order returns how many live entries come before this one for the key.
+func (o *memberOrder) order(key string) int {
+	m := o.members.Load()
+	if m == nil {
+		return 0
+	}
+	return m.View().Order(key)
+}
+
+func newFollower(l platform.Log, client peer.Client, order *memberOrder, logger *log.Logger, scope tally.Scope) *follow.Follower {
+	return follow.New(follow.Options{Log: l, Client: client, Order: order.order, Logger: logger, Scope: scope})
+}
+
+func newMembers(s *settings.Settings, ops *operation.Table, f *follow.Follower, p *platform.HTTP,
+	client peer.Client, order *memberOrder, logger *log.Logger, scope tally.Scope,
+) *membership.Membership {
+	m := membership.New(membership.Options{
+		Self:        selfVM(s),
+		Incarnation: ops.Incarnation(),
+		Epoch:       ops.Epoch,
+		Config:      f,
+		VMs:         p,
+		Client:      client,
+		Seeds:       s.Peers,
+		Logger:      logger,
+		Scope:       scope,
+	})
+	order.members.Store(m)
+	return m
+}
+
+func newLedger(ops *operation.Table, f *follow.Follower, m *membership.Membership, client peer.Client,
+	contact *escrow.Contact,
+) *escrow.Ledger {
+	own := ops.Incarnation()
+	return escrow.New(escrow.Options{
+		Incarnation:   own,
+		Client:        client,
+		Peers:         func() []escrow.Peer { return lenders(m.View(), own) },
+		LastHeard:     contact.Last,
+		LowestApplied: func() int64 { return lowestApplied(f.Current().Seats(), m.View()) },
+	})
+}
+
+// lowestApplied is the offset that every holder of a seat is known to have
+// applied, and -1 where one of the holders is not known.
+func lowestApplied(seats seat.Table, v *membership.View) int64 {
+	lowest := int64(math.MaxInt64)
+	for _, incarnation := range seats.Incarnations() {
+		holder, ok := v.ByIncarnation(incarnation)
+		if !ok {
+			return -1
+		}
+		lowest = min(lowest, holder.Offset)
+	}
+	if lowest == math.MaxInt64 {
+		return -1
+	}
+	return lowest
+}
+
+// newClaimer returns the claimer of this entry's seat.
+func newClaimer(s *settings.Settings, ops *operation.Table, p *platform.HTTP, l platform.Log,
+	f *follow.Follower, m *membership.Membership,
+) *seat.Claimer {
+	return seat.NewClaimer(seat.Options{
+		Incarnation: ops.Incarnation(),
+		VM:          s.VM,
+		Log:         l,
+		VMs:         p,
+		Encode:      func(c seat.Claim) (json.RawMessage, error) { return fold.NewSeat(c).Encode() },
+		State:       func() (seat.Table, int) { return seatsOf(f.Current()) },
+		Live:        func() []string { return liveIncarnations(m.View()) },
+	})
+}
+
+// seatsOf returns the holders and the declared number of seats.
+func seatsOf(state *fold.State) (seat.Table, int) {
+	t := state.Tree()
+	if t == nil {
+		return seat.Table{}, 0
+	}
+	return state.Seats(), t.Seats
+}
+
+func liveIncarnations(v *membership.View) []string {
+	live := make([]string, 0, len(v.Entries))
+	for _, e := range v.Entries {
+		live = append(live, e.Incarnation)
+	}
+	return live
+}
+
+// lenders are the other live entries.
+func lenders(v *membership.View, own string) []escrow.Peer {
+	var peers []escrow.Peer
+	for _, e := range v.Entries {
+		if e.Incarnation != own {
+			peers = append(peers, escrow.Peer{Incarnation: e.Incarnation, Address: e.VM.PeerAddress})
+		}
+	}
+	return peers
+}
+
+func newForwarder(m *membership.Membership) *forward.Forwarder {
+	return forward.New(forward.Options{Entries: func() int { return len(m.View().Entries) }})
+}
+
+func newRunner(services *service.Set, f *forward.Forwarder, scope tally.Scope) *attempt.Runner {
+	return attempt.New(attempt.Queues{Services: services}, f, scope)
+}
+
+func newOwners(client peer.Client, m *membership.Membership, seals *operation.Seals) *operation.Owners {
+	return operation.NewOwners(operation.OwnersOptions{
+		Client: client,
+		Address: func(incarnation string) (string, bool) {
+			e, ok := m.View().ByIncarnation(incarnation)
+			return e.VM.PeerAddress, ok
+		},
+		Seals: seals,
+	})
+}
+
+// treeSource reads the tree in force of a follower.
+type treeSource struct{ follower *follow.Follower }
+
+// Tree returns the tree in force, or nil.
+func (t treeSource) Tree() *tree.Tree { return t.follower.Current().Tree() }
+
+func newHandler(s *settings.Settings, f *follow.Follower, ops *operation.Table, owners *operation.Owners,
+	ledger *escrow.Ledger, runner *attempt.Runner, drain *entry.Drain, m *membership.Membership, scope tally.Scope,
+) *entry.Handler {
+	return entry.NewHandler(entry.Options{
+		Entry:      s.VM,
+		Trees:      treeSource{f},
+		Addresses:  m,
+		AddressTTL: s.AddressTTL(),
+		Operations: ops,
+		Owners:     owners,
+		Limits:     ledger,
+		Runner:     runner,
+		Drain:      drain,
+		Scope:      scope,
+	})
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -22,12 +22,17 @@
 		detail := "the request body ended early; send the request again"
 		return outcome.NewNotRun(http.StatusBadRequest, outcome.ReasonMalformed, detail)
 	}
+	c.setBody(r, body)
+	return nil
+}
+
+// setBody makes r send the whole body, as often as it is attempted.
+func (c *call) setBody(r *http.Request, body []byte) {
 	c.body = body
 	r.ContentLength = int64(len(body))
 	r.TransferEncoding = nil
 	r.GetBody = func() (io.ReadCloser, error) {
 		return io.NopCloser(bytes.NewReader(body)), nil
 	}
-	r.Body, _ = r.GetBody()
-	return nil
+	r.Body = io.NopCloser(bytes.NewReader(body))
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/membership"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
@@ -57,6 +58,10 @@
 	Limits Limits
 	// Runner sends calls to backend servers.
 	Runner Runner
+	// Addresses knows the live entries.
+	Addresses *membership.Membership
+	// AddressTTL is how long callers keep the address answer.
+	AddressTTL time.Duration
 	// Drain counts requests and says when the entry leaves.
 	Drain *Drain
 	// Scope receives the counters.
@@ -69,9 +74,11 @@
 	addresses http.Handler
 }
 
-// NewHandler returns a Handler that passes paths under wire.PathPrefix to addresses.
-func NewHandler(options Options, addresses http.Handler) *Handler {
-	return &Handler{Options: options, addresses: addresses}
+// NewHandler returns a ready Handler.
+func NewHandler(options Options) *Handler {
+	h := &Handler{Options: options}
+	h.addresses = h.newAddressEngine()
+	return h
 }
 
 // ServeHTTP answers one request.
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -44,42 +44,29 @@
 // runOwned runs the operation and settles it. The run goes on when the caller
 // hangs up, so that a repeat finds what it came to.
 func (h *Handler) runOwned(w http.ResponseWriter, r *http.Request, c call, held *operation.Call) {
-	settled := false
-	defer func() {
-		if !settled {
-			held.Unknown(outcome.NewUnknown(outcome.ReasonInternal, "the entry failed while it ran the operation"))
-		}
-	}()
+	// Only the first settlement counts, so this one is for a panic on the way.
+	defer held.Unknown(internalFailure())
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
 	defer cancel()
 	answer, release, refusal := h.attempt(ctx, r, c)
 	if refusal != nil {
-		settle(held, refusal)
-		settled = true
+		held.Settle(operation.Answer{}, refusal)
 		h.refuse(w, refusal)
 		return
 	}
 	defer release()
 	kept, refusal := readKept(answer)
+	held.Settle(kept, refusal)
 	if refusal != nil {
 		answer.Body.Close()
-		settle(held, refusal)
-		settled = true
 		h.refuse(w, refusal)
 		return
 	}
-	held.Ran(kept)
-	settled = true
 	h.writeStream(w, answer)
 }
 
-// settle records an operation that brought no answer.
-func settle(held *operation.Call, refusal *outcome.Refusal) {
-	if refusal.Outcome == outcome.NotRun {
-		held.NotRun(refusal)
-		return
-	}
-	held.Unknown(refusal)
+func internalFailure() *outcome.Refusal {
+	return outcome.NewUnknown(outcome.ReasonInternal, "the entry failed while it ran the operation")
 }
 
 // disclaim makes a refusal from before the operation was looked up true for the
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -47,9 +47,12 @@
 func NewRegistry() *Registry {
 	reporter := prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "chestnutrouter",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:          "chestnutrouter",
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		// Their names are not valid on a Prometheus page.
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
