Run entries as processes in tests; replace all of them in an outage

Change: internal/proctest (build, stand-ins in this process, entries as processes with kill, freeze, graceful stop, status) for tests and benches, test/process with its first test: the log is down while three entries are replaced one by one, each new one holds the same offset, revision and hash. Tiny addition in internal/daemon: a new offset is announced to some peers at once.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -54,6 +54,7 @@
 // subscribe passes changes of the configuration and of the fleet on to the parts.
 func (e *Entry) subscribe() {
 	e.parts.Follower.Subscribe(e.applyState)
+	e.parts.Follower.Subscribe(func(*fold.State) { e.parts.Members.Announce() })
 	e.parts.Members.Subscribe(func(v *membership.View) { e.parts.Services.SetServers(v) })
 }
 
--- /dev/null
+++ b/internal/proctest/binaries.go
@@ -0,0 +1,36 @@
+// Package proctest runs entries as real processes next to in-process stand-ins,
+// for tests and measurements on loopback. It signals only processes that it
+// started itself, each by its own handle.
+package proctest
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+)
+
+const modulePath = "chestnutrouter.example/chestnutrouter"
+
+// Binaries are the built programs.
+type Binaries struct {
+	// Router is the path of chestnutrouter.
+	Router string
+	// Ctl is the path of chestnutctl.
+	Ctl string
+}
+
+// Build builds the programs into a directory.
+func Build(ctx context.Context, dir string) (Binaries, error) {
+	b := Binaries{
+		Router: filepath.Join(dir, "chestnutrouter"),
+		Ctl:    filepath.Join(dir, "chestnutctl"),
+	}
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir,
+		modulePath+"/cmd/chestnutrouter", modulePath+"/cmd/chestnutctl")
+	output, err := cmd.CombinedOutput()
+	if err != nil {
+		return b, fmt.Errorf("build: %w\n%s", err, output)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/proctest/entry.go
@@ -0,0 +1,169 @@
+package proctest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/settings"
+	"chestnutrouter.example/chestnutrouter/internal/status"
+)
+
+const (
+	// readyTimeout bounds the time until a started entry is ready.
+	readyTimeout = 20 * time.Second
+	// Short times keep the leaving of an entry short.
+	addressTTLMs = 300
+	keepAliveMs  = 300
+	drainLimitMs = 10_000
+	workers      = 4
+)
+
+// Entry is an entry process.
+type Entry struct {
+	// VM is the entry's row of the VM list.
+	VM fleet.VM
+	// Settings are those of its settings file.
+	Settings settings.Settings
+
+	fleet *Fleet
+	cmd   *exec.Cmd
+	log   *os.File
+	ended chan struct{} // closed when the process has ended
+}
+
+// StartEntry starts an entry with free ports, which knows the running entries as
+// its peers, and puts it into the VM list. It does not wait until it is ready.
+func (f *Fleet) StartEntry(name, zone string) (*Entry, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{fleet: f, VM: fleet.VM{
+		Name:          name,
+		Address:       addresses[0],
+		PeerAddress:   addresses[1],
+		StatusAddress: addresses[2],
+		Zone:          zone,
+		Service:       fleet.EntryService,
+		State:         fleet.Live,
+	}}
+	e.Settings = settings.Settings{
+		VM:                name,
+		Zone:              zone,
+		CallerAddress:     addresses[0],
+		PeerAddress:       addresses[1],
+		StatusAddress:     addresses[2],
+		PlatformEndpoints: []string{f.PlatformURL},
+		Peers:             []string{},
+		LogLevel:          "info",
+		AddressTTLMs:      addressTTLMs,
+		KeepAliveMs:       keepAliveMs,
+		DrainLimitMs:      drainLimitMs,
+		Workers:           workers,
+	}
+	for _, other := range f.Entries() {
+		e.Settings.Peers = append(e.Settings.Peers, other.VM.PeerAddress)
+	}
+	f.PutVM(e.VM)
+	return e, e.start()
+}
+
+// Restart starts the entry again after it has ended, with the same settings.
+func (e *Entry) Restart() error { return e.start() }
+
+func (e *Entry) start() error {
+	data, err := json.MarshalIndent(e.Settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(e.fleet.dir, e.VM.Name+".jsonc")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	e.log, err = os.OpenFile(e.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	e.cmd = exec.Command(e.fleet.binaries.Router, "--settings", file)
+	e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
+	if err := e.cmd.Start(); err != nil {
+		return err
+	}
+	e.ended = make(chan struct{})
+	e.fleet.addEntry(e)
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait() // the exit state is kept in cmd
+		close(ended)
+	}(e.cmd, e.ended)
+	return nil
+}
+
+// LogFile is the path of the entry's log.
+func (e *Entry) LogFile() string { return filepath.Join(e.fleet.dir, e.VM.Name+".log") }
+
+// WaitReady returns when the entry has a configuration in force.
+func (e *Entry) WaitReady(ctx context.Context) error {
+	err := Until(ctx, readyTimeout, func() bool { return e.statusCode("/readyz") == http.StatusOK })
+	if err != nil {
+		return fmt.Errorf("%s is not ready: %w", e.VM.Name, err)
+	}
+	return nil
+}
+
+// Status returns the entry's status page.
+func (e *Entry) Status() (status.Report, error) {
+	var report status.Report
+	resp, err := statusClient.Get("http://" + e.VM.StatusAddress + "/status")
+	if err != nil {
+		return report, err
+	}
+	defer resp.Body.Close()
+	return report, json.NewDecoder(resp.Body).Decode(&report)
+}
+
+func (e *Entry) statusCode(path string) int {
+	resp, err := statusClient.Get("http://" + e.VM.StatusAddress + path)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Kill ends the process at once and waits for its end. A process that has ended
+// is left alone.
+func (e *Entry) Kill() { e.end(syscall.SIGKILL) }
+
+// Stop has the entry leave gracefully and waits for its end.
+func (e *Entry) Stop() { e.end(syscall.SIGTERM) }
+
+// Leave has the entry leave gracefully and does not wait.
+func (e *Entry) Leave() error { return e.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Freeze stops the process from running until Thaw.
+func (e *Entry) Freeze() error { return e.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process run on.
+func (e *Entry) Thaw() error { return e.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Ended is closed when the process has ended.
+func (e *Entry) Ended() <-chan struct{} { return e.ended }
+
+// ExitCode returns the exit code after the process has ended.
+func (e *Entry) ExitCode() int { return e.cmd.ProcessState.ExitCode() }
+
+func (e *Entry) end(signal syscall.Signal) {
+	// Signalling a process that has ended only says so.
+	_ = e.cmd.Process.Signal(signal)
+	<-e.ended
+	e.log.Close()
+	e.fleet.dropEntry(e)
+}
--- /dev/null
+++ b/internal/proctest/fleet.go
@@ -0,0 +1,164 @@
+package proctest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"slices"
+	"sync"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/standin/backend"
+	standin "chestnutrouter.example/chestnutrouter/standin/platform"
+)
+
+// Fleet is a stand-in platform and stand-in backend servers in this process, and
+// entries as processes of their own. It is safe for concurrent use.
+type Fleet struct {
+	// Platform is the stand-in log service and VM list.
+	Platform *standin.Server
+	// PlatformURL is its base URL.
+	PlatformURL string
+	// Log is a client of the log service, named "operator".
+	Log *platform.HTTP
+
+	dir      string
+	binaries Binaries
+	server   *httptest.Server
+
+	mu       sync.Mutex // guards the fields below
+	vms      []fleet.VM
+	entries  []*Entry
+	backends []*httptest.Server
+}
+
+// NewFleet returns a fleet with an empty log and no VMs. Settings and logs of
+// entries go into the directory.
+func NewFleet(dir string, b Binaries) *Fleet {
+	f := &Fleet{Platform: standin.New(), dir: dir, binaries: b}
+	f.server = httptest.NewServer(f.Platform)
+	f.PlatformURL = f.server.URL
+	f.Log = platform.NewHTTP([]string{f.PlatformURL}, platform.Options{Client: "operator"})
+	return f
+}
+
+// Close kills the entries that still run and stops the stand-ins.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	entries, backends := slices.Clone(f.entries), slices.Clone(f.backends)
+	f.mu.Unlock()
+	for _, e := range entries {
+		e.Kill()
+	}
+	for _, s := range append(backends, f.server) {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	f.Log.Close()
+}
+
+// AddServer starts a stand-in backend server and puts it into the VM list.
+func (f *Fleet) AddServer(name, zone, service string, opts backend.Options) *backend.Server {
+	opts.Name = name
+	b := backend.New(opts)
+	server := httptest.NewServer(b)
+	vm := fleet.VM{
+		Name:    name,
+		Address: server.Listener.Addr().String(),
+		Zone:    zone,
+		Service: service,
+		State:   fleet.Live,
+	}
+	f.mu.Lock()
+	f.backends = append(f.backends, server)
+	f.mu.Unlock()
+	f.PutVM(vm)
+	return b
+}
+
+// PutVM adds a VM to the VM list or replaces the one of its name.
+func (f *Fleet) PutVM(vm fleet.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms = slices.DeleteFunc(slices.Clone(f.vms), func(old fleet.VM) bool { return old.Name == vm.Name })
+	f.vms = append(f.vms, vm)
+	f.Platform.SetVMs(f.vms)
+}
+
+// RemoveVM takes a VM off the VM list.
+func (f *Fleet) RemoveVM(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms = slices.DeleteFunc(slices.Clone(f.vms), func(old fleet.VM) bool { return old.Name == name })
+	f.Platform.SetVMs(f.vms)
+}
+
+// Entries returns the entries that were started and not stopped.
+func (f *Fleet) Entries() []*Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.entries)
+}
+
+func (f *Fleet) addEntry(e *Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = append(f.entries, e)
+}
+
+func (f *Fleet) dropEntry(e *Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = slices.DeleteFunc(f.entries, func(other *Entry) bool { return other == e })
+}
+
+// Ctl runs chestnutctl with the platform's address and returns its output.
+func (f *Fleet) Ctl(ctx context.Context, args ...string) (string, error) {
+	args = append(args, "--platform", f.PlatformURL)
+	output, err := exec.CommandContext(ctx, f.binaries.Ctl, args...).CombinedOutput()
+	if err != nil {
+		return string(output), fmt.Errorf("chestnutctl %v: %w\n%s", args, err, output)
+	}
+	return string(output), nil
+}
+
+// freeAddresses returns loopback addresses whose ports are free now.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// ErrTimeout reports that a condition did not come true in time.
+var ErrTimeout = errors.New("proctest: condition did not come true in time")
+
+// Until asks for a condition until it is true.
+func Until(ctx context.Context, timeout time.Duration, condition func() bool) error {
+	deadline := time.Now().Add(timeout)
+	for !condition() {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if time.Now().After(deadline) {
+			return ErrTimeout
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// statusClient reads status pages.
+var statusClient = &http.Client{Timeout: 2 * time.Second}
--- /dev/null
+++ b/test/process/outage_test.go
@@ -0,0 +1,60 @@
+package process_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/proctest"
+	"chestnutrouter.example/chestnutrouter/internal/status"
+	standin "chestnutrouter.example/chestnutrouter/standin/platform"
+)
+
+// agreeTimeout bounds the time until all entries hold the same state.
+const agreeTimeout = 30 * time.Second
+
+func mustStatus(t *testing.T, read func() (status.Report, error)) status.Report {
+	t.Helper()
+	report, err := read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// agreed returns the status of the first entry once all hold the same state.
+func agreed(t *testing.T, f *proctest.Fleet) status.Report {
+	t.Helper()
+	var first status.Report
+	err := proctest.Until(t.Context(), agreeTimeout, func() bool {
+		first = mustStatus(t, f.Entries()[0].Status)
+		for _, e := range f.Entries() {
+			if mustStatus(t, e.Status).Hash != first.Hash {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return first
+}
+
+func TestOutageWhileAllEntriesAreReplacedKeepsTheTree(t *testing.T) {
+	f := startFleet(t, 3)
+	f.Platform.SetFaults(standin.Faults{Down: true})
+	before := agreed(t, f)
+	for i, old := range f.Entries() {
+		fresh := startEntry(t, f, fmt.Sprint("replacement-", i))
+		old.Stop()
+		if old.ExitCode() != 0 {
+			t.Errorf("%s ended with code %d", old.VM.Name, old.ExitCode())
+		}
+		after := mustStatus(t, fresh.Status)
+		if after.Offset != before.Offset || after.Hash != before.Hash || after.Revision != before.Revision {
+			t.Fatalf("%s holds offset %d, revision %d, hash %s; want %d, %d, %s", fresh.VM.Name,
+				after.Offset, after.Revision, after.Hash, before.Offset, before.Revision, before.Hash)
+		}
+	}
+}
