--- /dev/null
+++ b/bench/latency/children.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"runtime/pprof"
+	"strings"
+	"syscall"
+
+	"chestnutrouter.example/chestnutrouter/standin/backend"
+)
+
+const (
+	// serverCount and serverSlots leave room for every caller of the bench, so
+	// that no call waits for a server.
+	serverCount = 30
+	serverSlots = 3
+)
+
+// child is a process of this bench.
+type child struct {
+	command *exec.Cmd
+	// addresses are where it listens.
+	addresses []string
+}
+
+// startChild runs this program in another role and waits until it listens.
+func startChild(arguments ...string) (*child, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	command := exec.Command(program, arguments...)
+	command.Stderr = os.Stderr
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	c := &child{command: command}
+	line, err := bufio.NewReader(output).ReadString('\n')
+	if err != nil {
+		c.stop()
+		return nil, fmt.Errorf("child %v did not start: %w", arguments, err)
+	}
+	c.addresses = strings.Split(strings.TrimSpace(line), ",")
+	return c, nil
+}
+
+// stop ends the process and waits for it.
+func (c *child) stop() {
+	// The process may have ended by itself; Wait collects it in any case.
+	_ = c.command.Process.Signal(syscall.SIGTERM)
+	_ = c.command.Wait()
+}
+
+// runServers is the child that serves all backend servers.
+func runServers() error {
+	var handlers []http.Handler
+	for i := range serverCount {
+		handlers = append(handlers, backend.New(backend.Options{Name: fmt.Sprint("server", i), Slots: serverSlots}))
+	}
+	return serve(handlers)
+}
+
+// runEntry is the child between the callers and the backend servers.
+func runEntry(o options) error {
+	if o.profile != "" {
+		file, err := os.Create(o.profile)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	servers := strings.Split(o.servers, ",")
+	if o.role == roleHop {
+		return serve([]http.Handler{newHop(servers)})
+	}
+	handler, err := newEntry(ctx, servers)
+	if err != nil {
+		return err
+	}
+	return serve([]http.Handler{handler})
+}
+
+// serve listens once for each handler, prints the addresses and serves until it
+// is told to end.
+func serve(handlers []http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	var addresses []string
+	failed := make(chan error, len(handlers))
+	for _, h := range handlers {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		addresses = append(addresses, listener.Addr().String())
+		server := &http.Server{Handler: h}
+		defer server.Close()
+		go func() { failed <- server.Serve(listener) }()
+	}
+	fmt.Println(strings.Join(addresses, ","))
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return errors.Join(errors.New("a listener ended"), err)
+	}
+}
