--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/operation"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+const testHost = "shop.example"
+
+var errBrokenOff = errors.New("broken off")
+
+// testTree has an idempotent route, one that runs once, and an upload that runs once.
+func testTree() *tree.Tree {
+	return &tree.Tree{Services: []*tree.Service{{
+		Member: "glazenpot", Name: "shop", Hosts: []string{testHost},
+		Ranks: []tree.Rank{{Name: "payments"}, {Name: "lookups"}},
+		Routes: []*tree.Route{
+			{Methods: []string{"POST"}, PathPrefix: "/orders", Rank: "payments", MaxBodyBytes: 64, Timeout: 10 * time.Second},
+			{Methods: []string{"GET"}, PathPrefix: "/", Rank: "lookups", Idempotent: true, Timeout: time.Second},
+		},
+	}}}
+}
+
+// bench is a Handler over fakes.
+type bench struct {
+	*Handler
+	tree    *tree.Tree
+	scope   tally.TestScope
+	runs    atomic.Int64
+	limited *outcome.Refusal
+	// run stands for the backend servers.
+	run func(ctx context.Context, r *http.Request) (*forward.Answer, *outcome.Refusal)
+	// asked is what other entries' operations come to.
+	asked *outcome.Refusal
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{tree: testTree(), scope: tally.NewTestScope("", nil)}
+	b.run = func(context.Context, *http.Request) (*forward.Answer, *outcome.Refusal) {
+		return wholeAnswer("ok"), nil
+	}
+	b.Handler = NewHandler(Options{
+		Entry:      "entry-1",
+		Trees:      b,
+		Operations: operation.New(operation.Options{}),
+		Owners:     b,
+		Limits:     b,
+		Runner:     b,
+		Drain:      &Drain{},
+		Scope:      b.scope,
+	})
+	return b
+}
+
+func (b *bench) Tree() *tree.Tree { return b.tree }
+
+func (b *bench) Spend(string, string, string) (func(), *outcome.Refusal) {
+	return func() {}, b.limited
+}
+
+func (b *bench) Do(ctx context.Context, _ tree.Match, r *http.Request) (*forward.Answer, *outcome.Refusal) {
+	b.runs.Add(1)
+	return b.run(ctx, r)
+}
+
+func (b *bench) Ask(context.Context, operation.ID, string, *http.Request, []byte) (operation.Answer, *outcome.Refusal) {
+	return operation.Answer{}, b.asked
+}
+
+// newID returns a fresh operation id of this entry.
+func (b *bench) newID(last string) string {
+	return b.Operations.Ticket() + ".0000000000000000000000000000000" + last
+}
+
+// send serves one request without a network.
+func (b *bench) send(method, path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://"+testHost+path, bytes.NewBufferString(body))
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	b.ServeHTTP(w, r)
+	return w
+}
+
+func (b *bench) refusals(reason outcome.Reason) int64 {
+	counter, ok := b.scope.Snapshot().Counters()["refusals+reason="+string(reason)]
+	if !ok {
+		return 0
+	}
+	return counter.Value()
+}
+
+func wholeAnswer(body string) *forward.Answer {
+	return &forward.Answer{
+		Status:        http.StatusOK,
+		Header:        http.Header{},
+		Body:          io.NopCloser(bytes.NewBufferString(body)),
+		ContentLength: int64(len(body)),
+		Server:        "shop-1",
+		Trailer:       func() http.Header { return nil },
+	}
+}
+
+// brokenAnswer breaks off after its start.
+func brokenAnswer(start string) *forward.Answer {
+	a := wholeAnswer("")
+	a.ContentLength = int64(len(start)) + 1
+	a.Body = io.NopCloser(io.MultiReader(bytes.NewBufferString(start), failingReader{}))
+	return a
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) {
+	return 0, &forward.TruncatedError{Server: "shop-1", Err: errBrokenOff}
+}
