--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 
@@ -148,6 +149,9 @@
 
 func memberName(m *hujson.ObjectMember) string {
 	name, _ := m.Name.Value.(hujson.Literal)
+	if bytes.IndexByte(name, '\\') < 0 && utf8.Valid(name) {
+		return string(name[1 : len(name)-1]) // without escapes, the common case
+	}
 	return name.String()
 }
 
--- a/internal/tree/branch.go
+++ b/internal/tree/branch.go
@@ -76,7 +76,10 @@
 
 // Level returns the kind of the branch.
 func (b Branch) Level() Level {
-	level := Level(len(b.names()))
+	if b == Root {
+		return LevelRoot
+	}
+	level := Level(strings.Count(string(b), "/"))
 	if level == LevelService && b.Name() == approvalsName {
 		return LevelApprovals
 	}
@@ -84,14 +87,13 @@
 }
 
 // Parent returns the branch that b inherits from; the root is its own parent.
-func (b Branch) Parent() Branch { return Branch(path.Dir(string(b))) }
+func (b Branch) Parent() Branch {
+	return b[:max(strings.LastIndexByte(string(b), '/'), len(Root))]
+}
 
 // Name returns the last name of the path, and "" for the root.
 func (b Branch) Name() string {
-	if b == Root {
-		return ""
-	}
-	return path.Base(string(b))
+	return string(b[strings.LastIndexByte(string(b), '/')+1:])
 }
 
 // Member returns the member that owns the branch, and "" for the root.
@@ -100,16 +102,9 @@
 // Scope returns what a limit of the branch governs.
 func (b Branch) Scope() Scope {
 	var s Scope
-	for i, name := range b.names() {
-		switch Level(i + 1) {
-		case LevelMember:
-			s.Member = name
-		case LevelService:
-			s.Service = name
-		case LevelRank:
-			s.Rank = name
-		}
-	}
+	rest := strings.TrimPrefix(string(b), "/")
+	s.Member, rest, _ = strings.Cut(rest, "/")
+	s.Service, s.Rank, _ = strings.Cut(rest, "/")
 	return s
 }
 
@@ -117,7 +112,3 @@
 func (b Branch) File() string {
 	return path.Join(strings.TrimPrefix(string(b), "/"), FileName)
 }
-
-func (b Branch) names() []string {
-	return strings.FieldsFunc(string(b), func(r rune) bool { return r == '/' })
-}
