--- a/examples/quickstart/run.sh
+++ b/examples/quickstart/run.sh
@@ -2,21 +2,36 @@
 # Starts the stand-ins and three entries as processes on loopback, publishes the
 # example tree, sends each rank of work of both members through the entries and
 # prints what came back. Stops everything that it started, also on failure.
+#
+# Usage: run.sh              the whole tour, then stop
+#        run.sh --keep DIR   keep running until Ctrl-C, with programs, settings,
+#                            logs and process ids in the new folder DIR
 set -euo pipefail
+keep=""
+if [ "${1:-}" = "--keep" ] && [ -n "${2:-}" ]; then
+  mkdir "$2"
+  keep=$(cd "$2" && pwd)
+elif [ $# -gt 0 ]; then
+  sed -n '6,8p' "$0" >&2
+  exit 2
+fi
 cd "$(dirname "$0")/../.."
 
-dir=$(mktemp -d)
+dir=${keep:-$(mktemp -d)}
 pids=()
 cleanup() {
   local status=$?
   trap - EXIT INT TERM
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  if [ -n "$keep" ] && [ "$status" -gt 128 ]; then
+    exit 0
+  fi
   if [ "$status" -ne 0 ]; then
     echo "quick start failed with status $status; the logs end with:" >&2
     tail -n 5 "$dir"/*.log >&2 || true
   fi
-  rm -rf "$dir"
+  [ -n "$keep" ] || rm -rf "$dir"
   exit "$status"
 }
 trap cleanup EXIT
@@ -29,6 +44,7 @@
   shift
   "$@" >"$dir/$name.log" 2>&1 &
   pids+=($!)
+  echo $! >"$dir/$name.pid"
 }
 
 echo "building"
@@ -57,3 +73,7 @@
 echo "sending each rank of work"
 tour send --dir "$dir"
 echo "done"
+if [ -n "$keep" ]; then
+  echo "running until Ctrl-C; in another terminal: source $keep/walk.env"
+  wait
+fi
--- a/examples/quickstart/tour/plan.go
+++ b/examples/quickstart/tour/plan.go
@@ -16,6 +16,7 @@
 const (
 	planFile = "plan.json"
 	envFile  = "plan.env"
+	walkFile = "walk.env"
 
 	// The quick start stops its entries soon, so callers keep addresses briefly.
 	addressTTLMs = 300
@@ -72,6 +73,9 @@
 	if err := writeJSON(filepath.Join(dir, planFile), p); err != nil {
 		return err
 	}
+	if err := os.WriteFile(filepath.Join(dir, walkFile), []byte(p.walkEnv(dir)), 0o600); err != nil {
+		return err
+	}
 	return os.WriteFile(filepath.Join(dir, envFile), []byte(p.env()), 0o600)
 }
 
@@ -131,6 +135,19 @@
 		p.Platform, strings.Join(entries, " "), strings.Join(servers, " "))
 }
 
+// walkEnv returns the variables of the operators' first walk: the programs on the
+// path, the platform, and the status address of each entry as $STATUS_entry_N.
+func (p *plan) walkEnv(dir string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "export PATH=%q:$PATH\n", dir)
+	fmt.Fprintf(&b, "export CHESTNUT_PLATFORM=%q\n", "http://"+p.Platform)
+	for _, vm := range p.entries() {
+		name := strings.ReplaceAll(vm.Name, "-", "_")
+		fmt.Fprintf(&b, "export STATUS_%s=%q CALLER_%s=%q\n", name, vm.StatusAddress, name, vm.Address)
+	}
+	return b.String()
+}
+
 func writeJSON(file string, v any) error {
 	data, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -16,9 +16,9 @@
 // a repeat of the operation gets it again.
 const keptBodyBytes = operation.DefaultMaxAnswerBytes
 
-// writeStream passes a backend server's answer on as it arrives. An answer that
+// writeStream passes a backend server's answer on as it arrives and returns its outcome. An answer that
 // breaks off breaks the caller's connection off too.
-func (h *Handler) writeStream(w http.ResponseWriter, a *forward.Answer) {
+func (h *Handler) writeStream(w http.ResponseWriter, a *forward.Answer) outcome.Outcome {
 	a.Header.Set(wire.HeaderOutcome, string(outcome.Ran))
 	a.Header.Set(wire.HeaderEntry, h.Entry)
 	a.Header.Set(wire.HeaderServer, a.Server)
@@ -26,13 +26,13 @@
 	if err := forward.WriteAnswer(w, a); err != nil {
 		h.Scope.Counter("callers_gone").Inc(1)
 	}
+	return outcome.Ran
 }
 
-// writeKept writes what a joined or repeated operation came to.
-func (h *Handler) writeKept(w http.ResponseWriter, a operation.Answer, refusal *outcome.Refusal) {
+// writeKept writes what a joined or repeated operation came to, and returns its outcome.
+func (h *Handler) writeKept(w http.ResponseWriter, a operation.Answer, refusal *outcome.Refusal) outcome.Outcome {
 	if refusal != nil {
-		h.refuse(w, refusal)
-		return
+		return h.refuse(w, refusal)
 	}
 	header := w.Header()
 	maps.Copy(header, a.Header)
@@ -44,6 +44,7 @@
 	if _, err := w.Write(a.Body); err != nil {
 		h.Scope.Counter("callers_gone").Inc(1)
 	}
+	return outcome.Ran
 }
 
 // readKept reads as much of the answer as an operation keeps. The answer's Body
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -181,3 +181,17 @@
 		t.Errorf("%d requests in flight after the last answer", b.Drain.InFlight())
 	}
 }
+
+func TestCallsAreCountedByServiceRankAndOutcome(t *testing.T) {
+	b := newBench(t)
+	b.send("GET", "/", "")
+	b.limited = outcome.NewNotRun(http.StatusTooManyRequests, outcome.ReasonLimitRate, "limit spent")
+	b.send("GET", "/", "")
+	counters := b.scope.Snapshot().Counters()
+	for _, o := range []outcome.Outcome{outcome.Ran, outcome.NotRun} {
+		name := "calls+outcome=" + string(o) + ",rank=lookups,service=glazenpot/shop"
+		if counters[name] == nil || counters[name].Value() != 1 {
+			t.Errorf("%s is not 1", name)
+		}
+	}
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -72,11 +72,12 @@
 type Handler struct {
 	Options
 	addresses http.Handler
+	stats     stats
 }
 
 // NewHandler returns a ready Handler.
 func NewHandler(options Options) *Handler {
-	h := &Handler{Options: options}
+	h := &Handler{Options: options, stats: stats{scope: options.Scope}}
 	h.addresses = h.newAddressEngine()
 	return h
 }
@@ -113,24 +114,29 @@
 			return
 		}
 	}
+	began := time.Now()
+	end := h.serveMatched(w, r, c)
+	h.stats.of(c.match).observe(end, time.Since(began))
+}
+
+// serveMatched serves a checked call and returns its outcome.
+func (h *Handler) serveMatched(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	if c.match.Route.Idempotent {
-		h.serveIdempotent(w, r, c)
-		return
+		return h.serveIdempotent(w, r, c)
 	}
-	h.serveOnce(w, r, c)
+	return h.serveOnce(w, r, c)
 }
 
 // serveIdempotent runs the call for as long as its caller waits.
-func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c call) {
+func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	answer, release, refusal := h.attempt(ctx, r, c)
 	if refusal != nil {
-		h.refuse(w, refusal)
-		return
+		return h.refuse(w, refusal)
 	}
 	defer release()
-	h.writeStream(w, answer)
+	return h.writeStream(w, answer)
 }
 
 // attempt spends the voted limits and sends the call. The release is called once
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -10,40 +10,36 @@
 )
 
 // serveOnce runs a call that is not idempotent at most once.
-func (h *Handler) serveOnce(w http.ResponseWriter, r *http.Request, c call) {
+func (h *Handler) serveOnce(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	id, refusal := operationOf(r)
 	if refusal != nil {
-		h.refuse(w, refusal)
-		return
+		return h.refuse(w, refusal)
 	}
 	if id.Incarnation != h.Operations.Incarnation() {
-		h.serveForeign(w, r, c, id)
-		return
+		return h.serveForeign(w, r, c, id)
 	}
 	held, refusal := h.Operations.Begin(id, c.caller, c.fingerprint(r))
 	if refusal != nil {
-		h.refuse(w, refusal)
-		return
+		return h.refuse(w, refusal)
 	}
 	if !held.Owner() {
 		answer, refusal := held.Wait(r.Context())
-		h.writeKept(w, answer, refusal)
-		return
+		return h.writeKept(w, answer, refusal)
 	}
-	h.runOwned(w, r, c, held)
+	return h.runOwned(w, r, c, held)
 }
 
 // serveForeign asks the owner of another entry's operation.
-func (h *Handler) serveForeign(w http.ResponseWriter, r *http.Request, c call, id operation.ID) {
+func (h *Handler) serveForeign(w http.ResponseWriter, r *http.Request, c call, id operation.ID) outcome.Outcome {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	answer, refusal := h.Owners.Ask(ctx, id, c.caller, r, c.body)
-	h.writeKept(w, answer, refusal)
+	return h.writeKept(w, answer, refusal)
 }
 
 // runOwned runs the operation and settles it. The run goes on when the caller
 // hangs up, so that a repeat finds what it came to.
-func (h *Handler) runOwned(w http.ResponseWriter, r *http.Request, c call, held *operation.Call) {
+func (h *Handler) runOwned(w http.ResponseWriter, r *http.Request, c call, held *operation.Call) outcome.Outcome {
 	// Only the first settlement counts, so this one is for a panic on the way.
 	defer held.Unknown(internalFailure())
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
@@ -51,18 +47,16 @@
 	answer, release, refusal := h.attempt(ctx, r, c)
 	if refusal != nil {
 		held.Settle(operation.Answer{}, refusal)
-		h.refuse(w, refusal)
-		return
+		return h.refuse(w, refusal)
 	}
 	defer release()
 	kept, refusal := readKept(answer)
 	held.Settle(kept, refusal)
 	if refusal != nil {
 		answer.Body.Close()
-		h.refuse(w, refusal)
-		return
+		return h.refuse(w, refusal)
 	}
-	h.writeStream(w, answer)
+	return h.writeStream(w, answer)
 }
 
 func internalFailure() *outcome.Refusal {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -18,8 +18,9 @@
 	Detail  string          `json:"detail"`
 }
 
-// refuse answers in place of a backend server and counts the reason.
-func (h *Handler) refuse(w http.ResponseWriter, r *outcome.Refusal) {
+// refuse answers in place of a backend server, counts the reason and returns the
+// outcome.
+func (h *Handler) refuse(w http.ResponseWriter, r *outcome.Refusal) outcome.Outcome {
 	metrics.Count(h.Scope, metrics.Refusals, string(r.Reason))
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
@@ -32,4 +33,5 @@
 	w.WriteHeader(r.Status)
 	// A caller that has gone away loses only the words; the outcome is counted.
 	_ = json.NewEncoder(w).Encode(refusalBody{r.Outcome, r.Reason, r.Detail})
+	return r.Outcome
 }
