Keep a refused upload unread, and end unasked protocol switches

Cause: with Expect the transport sends the body after a final refusal too, to keep the connection; the server's break then hid the shed (found by TestShedUploadIsNotRead: 32879 bytes written, unknown instead of not-run). And a 101 answer's body blocked the attempt for ever (TestAnswersWithConflictingLengths AreUnknown hung until its limit). Ruled out: gating the body's reader by Got100Continue, which can't tell a final answer from the wait's end. Change: requests with Expect say Connection: close, so the body stays unsent; only a short known body of a shed is read. Checked: go test -race -count=20 -timeout 180s ./internal/forward passed. Cost: an upload opens a connection of its own.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -98,6 +98,9 @@
 		out.Trailer = r.Trailer
 		if wantsContinue(s.match.Route, r.ContentLength) {
 			out.Header.Set("Expect", "100-continue")
+			// Without this the transport sends the body also after a refusal, to
+			// keep the connection, and its break then hides the refusal.
+			out.Close = true
 		}
 	} else {
 		out.ContentLength = 0
@@ -132,9 +135,12 @@
 	return newAnswer(s, resp, loadReport), nil
 }
 
-// discard reads a short body, so that the connection can be kept, and ends the attempt.
+// discard ends the attempt. A short body is read first, so that the connection
+// can be kept; anything else closes it.
 func (s *send) discard(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, shedDrainBytes)
+	if resp.StatusCode != http.StatusSwitchingProtocols && resp.ContentLength >= 0 && resp.ContentLength <= shedDrainBytes {
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
 	_ = resp.Body.Close()
 	s.release()
 	s.cancel(nil)
