--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -13,6 +13,9 @@
 // callTimeout is the longest call in the tests' tree.
 const callTimeout = 3 * time.Second
 
+// scopeOfTest is what the tests' calls belong to.
+var scopeOfTest = tree.Scope{Member: "m", Service: "s", Rank: "lookups"}
+
 // record is one record of the world's log.
 type record struct {
 	claim seat.Claim
@@ -179,7 +182,7 @@
 	if !n.running() || n.rate == 0 {
 		return false
 	}
-	limits := n.limitsOf(tree.Scope{Member: "m", Service: "s", Rank: "lookups"})
+	limits := n.limitsOf(scopeOfTest)
 	if n.book.spend(w.clock(n), limits) != nil {
 		return false
 	}
@@ -188,6 +191,24 @@
 	return true
 }
 
+// burst makes some calls through a node and returns how many were admitted.
+func (w *world) burst(n *node, times int) int {
+	admitted := 0
+	for range times {
+		if w.spend(n) {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// burstAll makes some calls through each node.
+func (w *world) burstAll(times int) {
+	for _, n := range w.nodes {
+		w.burst(n, times)
+	}
+}
+
 // finish ends the oldest call of a node.
 func (w *world) finish(n *node) {
 	if !n.running() || len(n.inProgress) == 0 {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -24,13 +24,13 @@
 
 // Config is the part of the follower that heartbeats need.
 type Config interface {
-	// Position returns the applied offset of the config stream and the config
-	// offset of the newest known snapshot; -1 stands for none.
+	// Position returns the applied offset of the config stream and the place of
+	// the newest known snapshot in its stream; -1 stands for none.
 	Position() (offset, snapshot int64)
 	// OfferPeer tells that the entry at a peer address has applied an offset.
 	OfferPeer(address string, offset int64)
-	// OfferSnapshot tells that a snapshot of the config stream at an offset exists.
-	OfferSnapshot(offset int64)
+	// OfferSnapshot tells that the snapshots stream has a snapshot at that place.
+	OfferSnapshot(place int64)
 }
 
 // Options are the parts that a Membership works with.
@@ -78,8 +78,9 @@
 	}
 	now := time.Now()
 	self := peer.Member{
-		VM:  opts.Self,
-		Row: peer.Row{Incarnation: opts.Incarnation, Generation: uint64(now.UnixMilli()), Counter: 1},
+		VM:   opts.Self,
+		Row:  peer.Row{Incarnation: opts.Incarnation, Generation: uint64(now.UnixMilli()), Version: 1},
+		Sign: peer.Sign{ID: peer.SignID(opts.Incarnation), Counter: 1},
 	}
 	m := &Membership{opts: opts, news: make(chan struct{}, 1), table: newTable(self, now)}
 	m.refreshSelf()
@@ -98,6 +99,7 @@
 func (m *Membership) SetDraining() {
 	m.mu.Lock()
 	m.table.self.Row.Draining = true
+	m.table.self.Row.Version++
 	m.mu.Unlock()
 	m.spread()
 }
@@ -129,6 +131,10 @@
 	m.spread()
 }
 
+// Announce tells some peers soon that this entry's row has changed, such as by a
+// new offset.
+func (m *Membership) Announce() { m.spread() }
+
 // spread has the news sent to some peers soon.
 func (m *Membership) spread() {
 	select {
@@ -149,9 +155,13 @@
 // refreshSelf copies this entry's newest facts into its row; the caller holds mu
 // or is the only user.
 func (m *Membership) refreshSelf() {
-	row := &m.table.self.Row
+	row := m.table.self.Row
 	row.Offset, row.Snapshot = m.opts.Config.Position()
 	row.Epoch = m.opts.Epoch()
+	if row != m.table.self.Row {
+		row.Version++
+		m.table.self.Row = row
+	}
 }
 
 // publish swaps the view and tells the subscribers of a change.
