Run fleets of 60 entries without the race detector, smaller ones with it

Cause: two of about 20 runs of the membership tests under the race detector ended with the detector's own 'ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346', four seconds into the test of 60 entries. Ruled out: a race (none is reported) and the code under test (the same test without the detector passes). A fatal error or a failed CHECK is never passed over as known red.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -111,6 +111,9 @@
 
 func TestLiveEntriesNeverCountAsSilent(t *testing.T) {
 	for _, n := range []int{3, 19, 60} {
+		if n > largestFleet {
+			break
+		}
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t)
