Tell all entries of a draining server that one of them met

Cause: a load report with draining=1 stayed with the entry that got it; the others went on sending to the server until they met the report themselves. Shown: TestDrainingServerGetsNoNewWorkFromAnyEntry first failed ("the draining server got 4 calls after 5s" with the hook off), then passed. Change, tiny additions in others' packages: balancer.Options.Draining and service.Options.Draining are called with the server's name; the daemon wires them to Membership.ReportDraining.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,6 +29,9 @@
 	Zone string
 	// Scope receives the counters; nil counts nowhere.
 	Scope tally.Scope
+	// Draining is told the name of each backend server whose answer says that it
+	// is draining; nil is told nothing. It is called on the request path.
+	Draining func(server string)
 }
 
 // Balancer chooses among the backend servers of one service.
@@ -191,6 +194,9 @@
 func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
 	heard := newsOf(r.Report, own, now.UnixNano())
 	h.news.Store(heard)
+	if r.Report.Draining && b.options.Draining != nil {
+		b.options.Draining(h.vm.Name)
+	}
 	if r.Kind != OK {
 		return
 	}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -37,8 +37,16 @@
 	return platform.NewHTTP(s.PlatformEndpoints, platform.Options{Client: s.VM})
 }
 
-func newServices(s *settings.Settings, scope tally.Scope, workers *admission.Workers) *service.Set {
-	return service.NewSet(service.Options{Entry: s.VM, Zone: s.Zone, Scope: scope, Workers: workers})
+func newServices(s *settings.Settings, scope tally.Scope, workers *admission.Workers,
+	m *membership.Membership,
+) *service.Set {
+	return service.NewSet(service.Options{
+		Entry:    s.VM,
+		Zone:     s.Zone,
+		Scope:    scope,
+		Workers:  workers,
+		Draining: m.ReportDraining,
+	})
 }
 
 // selfVM is this entry's row of the VM list, as its settings tell it.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -41,6 +41,9 @@
 	Scope tally.Scope
 	// Workers dispatch for all queues.
 	Workers *admission.Workers
+	// Draining is told the name of each backend server whose answer says that it
+	// is draining; nil is told nothing.
+	Draining func(server string)
 }
 
 // Set is the table of running services. It is safe for concurrent use.
@@ -101,7 +104,12 @@
 // start returns the running parts of svc, made anew where there are none yet.
 func (s *Set) start(r *Running, svc *tree.Service) *Running {
 	if r == nil {
-		b := balancer.New(balancer.Options{Entry: s.options.Entry, Zone: s.options.Zone, Scope: s.options.Scope})
+		b := balancer.New(balancer.Options{
+			Entry:    s.options.Entry,
+			Zone:     s.options.Zone,
+			Scope:    s.options.Scope,
+			Draining: s.options.Draining,
+		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Running{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
 	}
