Measure the voted limits and the slopes of capacity

Cause: the escrow's cost, and the memory and processor time of each part, have to be known at the target size. Change: bench/limits (limit kept, usable share, bytes of borrowing) and bench/capacity (slopes over three sizes or more). Loans run for 8 s and are renewed after 5 s; asking for more pauses up to 4 s while nobody lends; a recalled loan is reported at once.

--- /dev/null
+++ b/bench/capacity/limits.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/escrow"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/seat"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+const (
+	lenderName   = "0123456789abcdef0123456789abcdef"
+	borrowerName = "fedcba9876543210fedcba9876543210"
+	// benchLimit is far beyond what the probes spend.
+	benchLimit = 1_000_000_000
+)
+
+func limitProbes() []probe {
+	return []probe{
+		{
+			name: "heap of a voted limit of 1,000 calls/s, fully spent", unit: "B/limit", sizes: []int{30, 120, 480},
+			value: limitHeap,
+		},
+		{
+			name: "processor time of spending", unit: "us/limit that governs the call", sizes: []int{1, 2, 4, 8},
+			value: spendCPU,
+		},
+		{
+			name: "processor time of lending, by limits in a request", unit: "us/limit", sizes: []int{1, 10, 100},
+			value: lendCPU,
+		},
+		{
+			name: "bytes of a borrow request and its reply on a kept connection", unit: "B/limit", sizes: []int{1, 10, 100},
+			value: borrowBytes,
+		},
+	}
+}
+
+// newLedger returns a ledger that holds the only seat, with count limits that
+// all govern every call.
+func newLedger(count, callsPerSecond int) (*escrow.Ledger, error) {
+	claim := seat.Claim{Incarnation: lenderName, VM: "entry-01"}
+	seats, err := seat.Table{}.Apply(0, claim, 1)
+	if err != nil {
+		return nil, err
+	}
+	l := escrow.New(escrow.Options{Incarnation: lenderName, LastHeard: time.Now})
+	l.SetTree(limitTree(count, callsPerSecond))
+	l.SetSeats(seats)
+	return l, nil
+}
+
+func limitTree(count, callsPerSecond int) *tree.Tree {
+	t := &tree.Tree{Seats: 1}
+	for i := range count {
+		scope := tree.Scope{Member: fmt.Sprint("member", i)}
+		t.Limits = append(t.Limits, tree.Limit{Scope: scope, CallsPerSecond: callsPerSecond})
+	}
+	return t
+}
+
+func limitHeap(size int) (float64, error) {
+	const callsPerSecond = 1000
+	var failed error
+	heap := heapOf(func() any {
+		l, err := newLedger(size, callsPerSecond)
+		if err != nil {
+			failed = err
+			return nil
+		}
+		for range callsPerSecond {
+			for i := range size {
+				l.Spend(fmt.Sprint("member", i), "service", "rank")
+			}
+		}
+		return l
+	})
+	return heap, failed
+}
+
+func spendCPU(size int) (float64, error) {
+	l, err := newLedger(0, 0)
+	if err != nil {
+		return 0, err
+	}
+	t := &tree.Tree{Seats: 1}
+	for i := range size {
+		// The same scope may not stand twice, so each limit has its own.
+		scopes := []tree.Scope{{}, {Member: "m"}, {Member: "m", Service: "s"}, {Member: "m", Service: "s", Rank: "r"}}
+		t.Limits = append(t.Limits, tree.Limit{Scope: scopes[i/2], CallsPerSecond: benchLimit * (1 - i%2), ConcurrentCalls: benchLimit * (i % 2)})
+	}
+	l.SetTree(t)
+	return cpuOf(func() {
+		release, _ := l.Spend("m", "s", "r")
+		release()
+	}), nil
+}
+
+// benchRequest is about count limits.
+func benchRequest(count int, sequence uint64) *peer.BorrowRequest {
+	r := &peer.BorrowRequest{Lender: lenderName, Borrower: borrowerName, Sequence: sequence}
+	for i := range count {
+		key := escrow.LimitID(tree.Scope{Member: fmt.Sprint("member", i)}, escrow.CallsPerSecond)
+		r.Items = append(r.Items, peer.BorrowItem{Limit: key, Held: 10, Want: 20, Busy: time.Second})
+	}
+	return r
+}
+
+func lendCPU(size int) (float64, error) {
+	l, err := newLedger(size, benchLimit)
+	if err != nil {
+		return 0, err
+	}
+	request := benchRequest(size, 0)
+	receiver := l.Receiver()
+	var failed error
+	micros := cpuOf(func() {
+		request.Sequence++
+		var reply peer.BorrowReply
+		if err := receiver.Lend(request, &reply); err != nil {
+			failed = err
+		}
+	})
+	return micros, failed
+}
+
+// borrowBytes returns the size of a request and its reply, after the first
+// message on a connection has told the types.
+func borrowBytes(size int) (float64, error) {
+	l, err := newLedger(size, benchLimit)
+	if err != nil {
+		return 0, err
+	}
+	var requests, replies bytes.Buffer
+	requestEncoder, replyEncoder := gob.NewEncoder(&requests), gob.NewEncoder(&replies)
+	total := 0
+	for sequence := range uint64(2) {
+		requests.Reset()
+		replies.Reset()
+		request := benchRequest(size, sequence+1000)
+		var reply peer.BorrowReply
+		if err := l.Receiver().Lend(request, &reply); err != nil {
+			return 0, err
+		}
+		if err := requestEncoder.Encode(request); err != nil {
+			return 0, err
+		}
+		if err := replyEncoder.Encode(reply); err != nil {
+			return 0, err
+		}
+		total = requests.Len() + replies.Len()
+	}
+	return float64(total), nil
+}
--- a/bench/latency/path.go
+++ b/bench/latency/path.go
@@ -8,14 +8,13 @@
 	"runtime"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/entry"
 	"chestnutrouter.example/chestnutrouter/internal/escrow"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/seat"
 	"chestnutrouter.example/chestnutrouter/internal/service"
@@ -101,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	scope := tally.NoopScope
+	scope := metrics.NewRegistry().Scope
 	workers := admission.NewWorkers(scope)
 	go workers.Run(ctx, runtime.GOMAXPROCS(0))
 	services := service.NewSet(service.Options{Entry: "entry1", Zone: "z1", Scope: scope, Workers: workers})
@@ -115,7 +114,7 @@
 		Runner:     attempt.New(attempt.Queues{Services: services}, forward.New(forward.Options{}), scope),
 		Drain:      &entry.Drain{},
 		Scope:      scope,
-	}, http.NotFoundHandler()), nil
+	}), nil
 }
 
 func newLedger(t *tree.Tree) (*escrow.Ledger, error) {
--- /dev/null
+++ b/bench/limits/fleet.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/escrow"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+)
+
+const (
+	benchMember  = "bench"
+	benchService = "shop"
+	benchRank    = "lookups"
+)
+
+// entry is one ledger with its server and its client.
+type entry struct {
+	ledger   *escrow.Ledger
+	server   *peer.Server
+	pool     *peer.Pool
+	address  string
+	requests atomic.Int64
+	cut      *atomic.Bool // nil for an entry that is never cut off
+}
+
+// testFleet is all entries of a scenario.
+type testFleet struct {
+	entries []*entry
+	cut     atomic.Bool
+}
+
+var errCut = errors.New("cut off")
+
+func name(i int) string { return fmt.Sprintf("entry%02d", i) }
+
+func newFleet(s scenario) (*testFleet, error) {
+	seats, err := benchSeats(s)
+	if err != nil {
+		return nil, err
+	}
+	f := &testFleet{}
+	for i := range s.entries {
+		e := &entry{}
+		if i < s.busy {
+			e.cut = &f.cut
+		}
+		f.entries = append(f.entries, e)
+		if err := f.start(i, e); err != nil {
+			f.close()
+			return nil, err
+		}
+		e.ledger.SetTree(benchTree(s))
+		e.ledger.SetSeats(seats)
+	}
+	return f, nil
+}
+
+func (f *testFleet) start(i int, e *entry) error {
+	e.server = peer.NewServer()
+	e.pool = peer.NewPool(peer.Options{})
+	e.ledger = escrow.New(escrow.Options{
+		Incarnation: name(i),
+		Client:      e,
+		Peers:       f.peers,
+		LastHeard:   time.Now, // the log is always there
+	})
+	if err := e.server.Register(escrow.ReceiverName, e.ledger.Receiver()); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e.address = listener.Addr().String()
+	go func() {
+		// Serve ends when close ends the server.
+		_ = e.server.Serve(listener)
+	}()
+	return nil
+}
+
+// peers returns all entries; the ledgers leave themselves out.
+func (f *testFleet) peers() []escrow.Peer {
+	peers := make([]escrow.Peer, len(f.entries))
+	for i, e := range f.entries {
+		peers[i] = escrow.Peer{Incarnation: name(i), Address: e.address}
+	}
+	return peers
+}
+
+// Call implements peer.Client.
+func (e *entry) Call(ctx context.Context, address, method string, args, reply any) error {
+	if e.cut != nil && e.cut.Load() {
+		return errCut
+	}
+	e.requests.Add(1)
+	return e.pool.Call(ctx, address, method, args, reply)
+}
+
+// bytes returns what the entry sent and received for borrowing and lending.
+func (e *entry) bytes() int64 {
+	client, server := e.pool.Traffic(), e.server.Traffic()
+	return client.SentBytes() + client.ReceivedBytes() + server.SentBytes() + server.ReceivedBytes()
+}
+
+func (f *testFleet) close() {
+	for _, e := range f.entries {
+		if e.pool != nil {
+			e.pool.Close()
+		}
+	}
+	for _, e := range f.entries {
+		if e.server != nil {
+			e.server.Close()
+		}
+	}
+}
--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -4,7 +4,7 @@
 
 const (
 	// loanTime is how long a loan runs without renewal.
-	loanTime = 4 * time.Second
+	loanTime = 8 * time.Second
 	// clockMargin covers the drift between two clocks during a loan.
 	clockMargin = 50 * time.Millisecond
 	// rateBusyTime is how long a unit of a rate stays used: the second of the
@@ -40,6 +40,9 @@
 	started window // busy units of a rate
 	running int    // busy units of calls in progress
 	demand  demand
+
+	askAt time.Duration // when more may be asked for
+	pause time.Duration // between two rounds of asking
 }
 
 func newAccount(key limitKey) *account {
@@ -69,7 +72,7 @@
 
 // busy returns the units that calls of this entry use.
 func (a *account) busy() int {
-	if a.key.kind == kindRate {
+	if a.key.kind == CallsPerSecond {
 		return a.started.count
 	}
 	return a.running
@@ -80,7 +83,7 @@
 
 // take uses one unit; the caller has checked that one is free.
 func (a *account) take(now time.Duration) {
-	if a.key.kind == kindRate {
+	if a.key.kind == CallsPerSecond {
 		a.started.add(now+rateBusyTime, 1)
 		return
 	}
@@ -89,7 +92,7 @@
 
 // note observes one call that asks for a unit, whether or not it gets one.
 func (a *account) note(now time.Duration, refused bool) {
-	if a.key.kind == kindRate {
+	if a.key.kind == CallsPerSecond {
 		a.demand.add(now, 1)
 		return
 	}
--- a/internal/escrow/ask.go
+++ b/internal/escrow/ask.go
@@ -9,12 +9,19 @@
 )
 
 const (
-	// renewTime is the age at which a loan is renewed.
-	renewTime = loanTime / 2
+	// renewTime is the age at which a loan is renewed. What is left of the term
+	// allows a few more tries.
+	renewTime = loanTime - 3*time.Second
+	// retryTime is the time between two tries to renew a loan.
+	retryTime = time.Second
 	// fanOut is how many peers are asked at a time for more of one limit.
-	fanOut = 4
+	fanOut = 8
 	// deniedTime is how long a peer that had nothing to lend is not asked for more.
-	deniedTime = 500 * time.Millisecond
+	deniedTime = 4 * time.Second
+	// shortestPause and longestPause bound the time between two rounds of asking
+	// for more of one limit; it doubles while nobody has anything to lend.
+	shortestPause = 100 * time.Millisecond
+	longestPause  = 4 * time.Second
 	// borrowerTime is how long a silent borrower without loans is remembered.
 	borrowerTime = 10 * time.Minute
 	// answerTime is how long an answer is waited for.
@@ -131,8 +138,12 @@
 func (b *book) planLimit(now time.Duration, a *account, idle []Peer, items map[string][]peer.BorrowItem) {
 	missing := a.target(now) - a.present()
 	var lenders []Peer
-	if missing > 0 {
+	switch {
+	case missing <= 0:
+		a.askAgain(now)
+	case now >= a.askAt:
 		lenders = b.willing(a, idle)
+		a.pauseAsking(now)
 	}
 	more := 0
 	if len(lenders) > 0 {
@@ -153,6 +164,18 @@
 	}
 }
 
+// pauseAsking sets when more is asked for again, if nobody grants anything now.
+func (a *account) pauseAsking(now time.Duration) {
+	a.pause = min(max(2*a.pause, shortestPause), longestPause)
+	a.askAt = now + a.pause
+}
+
+// askAgain ends the pause after a grant.
+func (a *account) askAgain(now time.Duration) {
+	a.pause = 0
+	a.askAt = now
+}
+
 // held returns what this entry keeps of a lender's units, after giving up what it
 // does not need, and whether the lender has to be told now.
 func (b *book) held(now time.Duration, a *account, p Peer, missing *int) (units int, due bool) {
@@ -160,12 +183,15 @@
 	if l == nil {
 		return 0, false
 	}
-	due = now-l.renewed >= renewTime
+	due = now-l.renewed >= renewTime && now-l.tried >= retryTime
 	if *missing < 0 {
 		given := a.giveUp(l, -*missing)
 		*missing += given
 		due = due || given > 0
 	}
+	if due {
+		l.tried = now
+	}
 	return a.heldOf(l), due
 }
 
@@ -200,6 +226,9 @@
 		}
 		a.advance(now)
 		a.accept(o.to.Incarnation, pending.sent, min(max(0, reply.Granted[i]), item.Want))
+		if reply.Granted[i] > item.Held {
+			a.askAgain(now)
+		}
 		if reply.Granted[i] < item.Want {
 			b.asks.denied[denial{o.to.Incarnation, item.Limit}] = now + deniedTime
 		}
@@ -207,10 +236,14 @@
 }
 
 // failed books an order without an answer.
-func (b *book) failed(o order) {
+func (b *book) failed(now time.Duration, o order) {
 	pending, waiting := b.asks.pending[o.to.Incarnation]
-	if waiting && pending.sequence == o.request.Sequence {
-		delete(b.asks.pending, o.to.Incarnation)
+	if !waiting || pending.sequence != o.request.Sequence {
+		return
+	}
+	delete(b.asks.pending, o.to.Incarnation)
+	for _, item := range o.request.Items {
+		b.asks.denied[denial{o.to.Incarnation, item.Limit}] = now + deniedTime
 	}
 }
 
--- a/internal/escrow/book.go
+++ b/internal/escrow/book.go
@@ -56,6 +56,10 @@
 	}
 }
 
+// LimitID returns the number that stands for a limit in the messages between
+// entries.
+func LimitID(scope tree.Scope, k Kind) uint64 { return hashKey(limitKey{scope, k}) }
+
 func hashKey(k limitKey) uint64 {
 	parts := []string{k.scope.Member, k.scope.Service, k.scope.Rank, string(rune('0' + k.kind))}
 	return xxhash.Sum64String(strings.Join(parts, "\x00"))
@@ -69,8 +73,8 @@
 		a.limit = 0
 	}
 	for _, l := range t.Limits {
-		b.setLimit(limitKey{l.Scope, kindRate}, l.CallsPerSecond, rateBusyTime)
-		b.setLimit(limitKey{l.Scope, kindConcurrent}, l.ConcurrentCalls, longestCall(t, l))
+		b.setLimit(limitKey{l.Scope, CallsPerSecond}, l.CallsPerSecond, rateBusyTime)
+		b.setLimit(limitKey{l.Scope, ConcurrentCalls}, l.ConcurrentCalls, longestCall(t, l))
 	}
 	b.dropUnused(now)
 	b.refreshShares(now)
@@ -87,7 +91,7 @@
 		b.byHash[a.hash] = a
 	}
 	a.limit = limit
-	if busyTime > a.busyTime && key.kind == kindConcurrent {
+	if busyTime > a.busyTime && key.kind == ConcurrentCalls {
 		// Lenders count on the shorter calls of the old tree.
 		a.endTerms()
 	}
@@ -205,7 +209,7 @@
 		if !l.Covers(scope.Member, scope.Service, scope.Rank) {
 			continue
 		}
-		for _, k := range []kind{kindRate, kindConcurrent} {
+		for _, k := range []Kind{CallsPerSecond, ConcurrentCalls} {
 			if a := b.accounts[limitKey{l.Scope, k}]; a != nil && a.limit > 0 {
 				accounts = append(accounts, a)
 			}
@@ -246,7 +250,7 @@
 // end gives back the units of a call in progress.
 func (b *book) end(limits []*account) {
 	for _, a := range limits {
-		if a.key.kind == kindConcurrent {
+		if a.key.kind == ConcurrentCalls {
 			a.running--
 		}
 	}
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -129,7 +129,7 @@
 func (l *Ledger) refuse(now time.Duration, a *account) *outcome.Refusal {
 	reason := outcome.ReasonLimitRate
 	wait := a.started.next(now) - now
-	if a.key.kind == kindConcurrent {
+	if a.key.kind == ConcurrentCalls {
 		reason = outcome.ReasonLimitConcurrent
 		wait = 0
 	}
--- a/internal/escrow/loan.go
+++ b/internal/escrow/loan.go
@@ -22,6 +22,8 @@
 	until time.Duration
 	// renewed is when the request was sent that began the current term.
 	renewed time.Duration
+	// tried is when a renewal was last tried.
+	tried time.Duration
 }
 
 // expireLoans ends the loans that are over by now.
@@ -57,7 +59,7 @@
 
 // debt returns how many calls in progress use units that are no longer present.
 func (a *account) debt() int {
-	if a.key.kind == kindRate {
+	if a.key.kind == CallsPerSecond {
 		return 0 // the lender waits for the units of a rate by itself
 	}
 	return max(0, a.running-a.present())
@@ -100,7 +102,7 @@
 	returned := l.units - held
 	l.units = held
 	a.lentSum -= returned
-	if a.key.kind == kindRate {
+	if a.key.kind == CallsPerSecond {
 		a.cooling.add(now+rateBusyTime, returned)
 	}
 }
@@ -148,7 +150,7 @@
 // giveUp gives units of a loan up and returns how many. The unit of a call in
 // progress can't be given up before the call ends.
 func (a *account) giveUp(l *borrowedLoan, units int) int {
-	if a.key.kind == kindConcurrent {
+	if a.key.kind == ConcurrentCalls {
 		units = min(units, max(0, a.free()))
 	}
 	units = max(0, min(units, l.units))
@@ -164,7 +166,7 @@
 		l = &borrowedLoan{}
 		a.borrowed[lender] = l
 	}
-	a.giveUp(l, l.units-granted)
+	recalled := a.giveUp(l, l.units-granted) > 0
 	if l.units > granted {
 		return // calls in progress keep more for now, within the old term
 	}
@@ -172,6 +174,10 @@
 	l.units = granted
 	l.until = sent + loanTime
 	l.renewed = sent
+	if recalled {
+		// The lender may use the units again once it knows that they are given up.
+		l.renewed, l.tried = sent-renewTime, 0
+	}
 	a.nextExpiry = min(a.nextExpiry, l.until)
 }
 
--- a/internal/escrow/run.go
+++ b/internal/escrow/run.go
@@ -59,7 +59,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		l.book.failed(o)
+		l.book.failed(l.tick(), o)
 		return
 	}
 	l.book.answered(l.tick(), o, reply)
--- a/internal/escrow/share.go
+++ b/internal/escrow/share.go
@@ -5,20 +5,20 @@
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
-// kind is what a limit counts.
-type kind uint8
+// Kind is what a limit counts.
+type Kind uint8
 
 const (
-	// kindRate limits the calls started in any second.
-	kindRate kind = iota
-	// kindConcurrent limits the calls in progress.
-	kindConcurrent
+	// CallsPerSecond limits the calls started in any second.
+	CallsPerSecond Kind = iota
+	// ConcurrentCalls limits the calls in progress.
+	ConcurrentCalls
 )
 
 // limitKey identifies one limit on every entry.
 type limitKey struct {
 	scope tree.Scope
-	kind  kind
+	kind  Kind
 }
 
 // share returns the units of one seat. The shares of all seats add up to total,
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -258,7 +258,7 @@
 	}
 	switch {
 	case m.failed:
-		to.failed(m.order)
+		to.failed(w.clock(to), m.order)
 	case m.reply != nil:
 		to.answered(w.clock(to), m.order, *m.reply)
 	default:
