--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
@@ -36,7 +37,9 @@
 	snapshot atomic.Pointer[snapshot]
 	latency  mean // nanoseconds of an answer
 	others   mean // requests of other entries at a server
+	busy     mean // busy share of a server's slots
 	echo     *echo
+	quantile *quantile
 	turn     atomic.Uint64 // moves the server at which equal ones are judged first
 	mu       sync.Mutex    // guards making a new snapshot
 }
@@ -46,18 +49,24 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
-	b := &Balancer{options: options, echo: newEcho()}
+	b := &Balancer{options: options, echo: newEcho(), quantile: newQuantile()}
 	b.snapshot.Store(&snapshot{})
 	b.turn.Store(xxhash.Sum64String(options.Entry))
 	return b
 }
 
 // Update replaces the set of servers. What is known about a server that stays
-// is kept; a server that left takes no new request.
+// is kept; a server that left takes no new request, and one that joins a set in
+// use is spared for a while.
 func (b *Balancer) Update(servers []fleet.VM, svc *tree.Service) {
+	b.UpdateAt(time.Now(), servers, svc)
+}
+
+// UpdateAt is Update at a given time.
+func (b *Balancer) UpdateAt(now time.Time, servers []fleet.VM, svc *tree.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.snapshot.Store(b.snapshot.Load().next(servers, svc))
+	b.snapshot.Store(b.snapshot.Load().next(servers, svc, now.UnixNano()))
 }
 
 // Len is the number of servers.
@@ -66,16 +75,33 @@
 // MeanLatency is the mean latency of recent answers, zero before the first.
 func (b *Balancer) MeanLatency() time.Duration { return time.Duration(b.latency.value()) }
 
+const (
+	// maxHedgeLoad is the busy share of all slots above which a second attempt
+	// costs others more than it gains.
+	maxHedgeLoad = 0.9
+	// minHedgeTrust is how far reports must be believed for the busy share to count.
+	minHedgeTrust = 0.5
+)
+
 // HedgeAfter is how long an idempotent request may stay unanswered before a
 // second attempt is worth its cost. It is false when too little was measured
 // or the servers are too busy for second attempts.
-func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) { return 0, false }
+func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
+	wait := b.quantile.value()
+	if wait == 0 || b.echo.value() < minHedgeTrust {
+		return 0, false
+	}
+	return wait, b.Load() <= maxHedgeLoad
+}
+
+// Load is the busy share of the servers' slots, 0 to 1, by their recent reports.
+func (b *Balancer) Load() float64 { return b.busy.value() }
 
 // Pick reserves a place at the server with the shortest estimated wait. It is
 // false when no server that is not excluded by name has a free slot.
 func (b *Balancer) Pick(now time.Time, exclude []string) (*Server, bool) {
 	s := b.snapshot.Load()
-	v := b.view(now)
+	v := b.view(s, now)
 	for range maxReserveTries {
 		h, mask := s.best(s.first(b.turn.Add(1)), &v, exclude)
 		if h == nil {
@@ -93,10 +119,11 @@
 const maxReserveTries = 8
 
 // view is what a pick at that time judges all servers by.
-func (b *Balancer) view(now time.Time) view {
+func (b *Balancer) view(s *snapshot, now time.Time) view {
 	return view{
 		now:   now.UnixNano(),
 		late:  b.lateAfter(),
+		slots: float64(s.slots),
 		usual: b.others.value() + doubt,
 		trust: b.echo.value(),
 	}
@@ -111,6 +138,8 @@
 	doubt = 0.5
 	// meanWeight is the weight of the newest answer in the means.
 	meanWeight = 0.02
+	// busyWeight is the weight of the newest report in the busy share.
+	busyWeight = 0.005
 )
 
 func (b *Balancer) lateAfter() int64 {
@@ -128,11 +157,36 @@
 	if r.HasReport {
 		b.hear(s.host, own, now, r)
 	}
-	if r.Kind == OK && !r.Upload {
-		b.latency.learn(float64(r.Latency), meanWeight)
+	switch r.Kind {
+	case OK:
+		s.host.health.succeed()
+		if !r.Upload {
+			b.latency.learn(float64(r.Latency), meanWeight)
+			b.quantile.learn(now, r.Latency)
+		}
+	case Error, DialFailed:
+		b.fail(s.host, now, r.Kind)
+	}
+}
+
+// fail lets the failed answer count as a long one, so that a server that fails
+// fast draws no load.
+func (b *Balancer) fail(h *host, now time.Time, kind ResultKind) {
+	hold := time.Duration(lateMeans * b.latency.value())
+	if !h.health.fail(now, max(hold, minErrorHold)) {
+		return
+	}
+	snapshot := b.snapshot.Load()
+	if snapshot.tooManyEjected(snapshot.ejected(now.UnixNano())) {
+		metrics.Count(b.options.Scope, metrics.Ejections, "ignored_past_cap")
+		return
 	}
+	metrics.Count(b.options.Scope, metrics.Ejections, kind.String())
 }
 
+// minErrorHold is the shortest time that a failure counts as in progress.
+const minErrorHold = 10 * time.Millisecond
+
 // hear takes in the report of an answer.
 func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
 	heard := newsOf(r.Report, own, now.UnixNano())
@@ -141,6 +195,7 @@
 		return
 	}
 	b.others.learn(heard.others, meanWeight)
+	b.busy.learn(r.Report.busyShare(), busyWeight)
 	b.echo.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/membership"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
@@ -57,6 +58,10 @@
 	Limits Limits
 	// Runner sends calls to backend servers.
 	Runner Runner
+	// Addresses knows the live entries.
+	Addresses *membership.Membership
+	// AddressTTL is how long callers keep the address answer.
+	AddressTTL time.Duration
 	// Drain counts requests and says when the entry leaves.
 	Drain *Drain
 	// Scope receives the counters.
@@ -67,11 +72,14 @@
 type Handler struct {
 	Options
 	addresses http.Handler
+	stats     stats
 }
 
-// NewHandler returns a Handler that passes paths under wire.PathPrefix to addresses.
-func NewHandler(options Options, addresses http.Handler) *Handler {
-	return &Handler{Options: options, addresses: addresses}
+// NewHandler returns a ready Handler.
+func NewHandler(options Options) *Handler {
+	h := &Handler{Options: options, stats: stats{scope: options.Scope}}
+	h.addresses = h.newAddressEngine()
+	return h
 }
 
 // ServeHTTP answers one request.
@@ -106,24 +114,29 @@
 			return
 		}
 	}
+	began := time.Now()
+	end := h.serveMatched(w, r, c)
+	h.stats.of(c.match).observe(end, time.Since(began))
+}
+
+// serveMatched serves a checked call and returns its outcome.
+func (h *Handler) serveMatched(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	if c.match.Route.Idempotent {
-		h.serveIdempotent(w, r, c)
-		return
+		return h.serveIdempotent(w, r, c)
 	}
-	h.serveOnce(w, r, c)
+	return h.serveOnce(w, r, c)
 }
 
 // serveIdempotent runs the call for as long as its caller waits.
-func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c call) {
+func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	answer, release, refusal := h.attempt(ctx, r, c)
 	if refusal != nil {
-		h.refuse(w, refusal)
-		return
+		return h.refuse(w, refusal)
 	}
 	defer release()
-	h.writeStream(w, answer)
+	return h.writeStream(w, answer)
 }
 
 // attempt spends the voted limits and sends the call. The release is called once
