Refuse to publish from a directory that is out of date; bound the state

The state also had no bound on branches and pending proposals. Ruled out: a file of revisions beside the branches, which would be wrong for a second log, such as a staging one. A tree holds at most 2 MiB of documents and 1 MiB of pending proposals. status reports entries that hold different states at one offset.

--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -46,6 +46,9 @@
 	default:
 		r = checkFile(path)
 	}
+	if r.Findings == nil {
+		r.Findings = finding.List{}
+	}
 	if len(r.Findings) > 0 {
 		return r, &RefusedError{Detail: fmt.Sprintf("%d findings", len(r.Findings))}
 	}
--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -22,6 +22,10 @@
 	// Changes are the values that differ, one a line.
 	Changes []string `json:"changes"`
 
+	// Replaced tells that the content was in force before: the directory is out
+	// of date, and publishing it would undo what came after.
+	Replaced bool `json:"replaced,omitempty"`
+
 	document *tree.Document
 }
 
@@ -53,12 +57,16 @@
 	changes []Change
 	// onlyInForce are branches that the directory lacks and that stay.
 	onlyInForce []tree.Branch
+	// outdated are changes that would bring back a replaced content.
+	outdated []Change
 	// blocked are changes that are not valid before others are in force.
 	blocked finding.List
 }
 
-// newPlan compares the documents with the state in force.
-func newPlan(docs tree.Documents, state *fold.State, only tree.Branch, remove bool) plan {
+// newPlan compares the documents with the state in force. A base of at least
+// zero is the revision of the only branch that the change was made from.
+func newPlan(docs tree.Documents, state *fold.State, o PublishOptions) plan {
+	only, base, remove := o.Branch, o.Base, o.Remove
 	var p plan
 	var wanted []Change
 	inForce := state.Documents()
@@ -73,11 +81,21 @@
 			p.onlyInForce = append(p.onlyInForce, b)
 			continue
 		}
-		if c, differs := compare(b, docs[b], state); differs {
+		c, differs := compare(b, docs[b], state)
+		switch {
+		case !differs:
+		case c.Replaced && base < 0:
+			p.outdated = append(p.outdated, c)
+		default:
 			wanted = append(wanted, c)
 		}
 	}
 	p.order(wanted, inForce)
+	if base >= 0 {
+		for i := range p.changes {
+			p.changes[i].BaseRevision = base
+		}
+	}
 	return p
 }
 
@@ -93,6 +111,7 @@
 		Remove:       doc == nil,
 		NeedsVote:    state.Tree() != nil && tree.NeedsVote(current, doc),
 		Changes:      []string{},
+		Replaced:     doc != nil && f.Replaced(doc.Content),
 		document:     doc,
 	}
 	for _, change := range tree.Diff(current, doc) {
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -28,11 +28,14 @@
 
 // PublishResult is the answer of Publish and Approve.
 type PublishResult struct {
-	Findings    finding.List    `json:"findings,omitempty"`
-	Changes     []Change        `json:"changes"`
-	OnlyInForce []tree.Branch   `json:"only_in_force,omitempty"`
-	Blocked     finding.List    `json:"blocked,omitempty"`
-	Decisions   []fold.Decision `json:"decisions,omitempty"`
+	Findings    finding.List  `json:"findings,omitempty"`
+	Changes     []Change      `json:"changes"`
+	OnlyInForce []tree.Branch `json:"only_in_force,omitempty"`
+	// Outdated are changes that were not published, as they would bring back a
+	// content that has been replaced.
+	Outdated  []Change        `json:"outdated,omitempty"`
+	Blocked   finding.List    `json:"blocked,omitempty"`
+	Decisions []fold.Decision `json:"decisions,omitempty"`
 	// Votes are the ends of the proposals that were waited for.
 	Votes []fold.Settlement `json:"votes,omitempty"`
 	// Offset is the offset in force after the last decision.
@@ -51,10 +54,14 @@
 	for _, b := range r.OnlyInForce {
 		lines = append(lines, fmt.Sprintf("only in force: %s (--remove takes it out)", b))
 	}
+	for _, c := range r.Outdated {
+		lines = append(lines, fmt.Sprintf("out of date: %s holds a content that revision %d replaced; update the directory, or go back on purpose with --branch %s --base %d",
+			c.Branch, c.BaseRevision, c.Branch, c.BaseRevision))
+	}
 	for _, f := range r.Blocked {
 		lines = append(lines, "blocked until other changes are in force: "+f.String())
 	}
-	if len(r.Findings)+len(r.Changes)+len(r.Blocked) == 0 {
+	if len(r.Findings)+len(r.Changes)+len(r.Blocked)+len(r.Outdated) == 0 {
 		lines = append(lines, "nothing differs from what is in force")
 	}
 	for _, d := range r.Decisions {
@@ -81,16 +88,20 @@
 	if founding && o.Branch != "" {
 		return nil, &RefusedError{Detail: "no tree is in force: the first publish brings the whole directory, so leave --branch out"}
 	}
-	p := newPlan(docs, r.state, o.Branch, o.Remove)
-	if o.Base >= 0 {
-		for i := range p.changes {
-			p.changes[i].BaseRevision = o.Base
-		}
+	p := newPlan(docs, r.state, o)
+	result := &PublishResult{
+		Changes:     p.changes,
+		OnlyInForce: p.onlyInForce,
+		Outdated:    p.outdated,
+		Blocked:     p.blocked,
+		Offset:      r.state.Offset(),
 	}
-	result := &PublishResult{Changes: p.changes, OnlyInForce: p.onlyInForce, Blocked: p.blocked, Offset: r.state.Offset()}
 	if !o.DryRun {
 		err = c.publishAll(ctx, r, p.publishes(founding, c.Publisher), result)
 	}
+	if err == nil && len(p.outdated) > 0 {
+		err = &RefusedError{Detail: "the directory is out of date"}
+	}
 	if err == nil && len(p.blocked) > 0 {
 		err = &RefusedError{Detail: "some changes are not valid before others are in force"}
 	}
--- a/internal/ctl/publish_test.go
+++ b/internal/ctl/publish_test.go
@@ -109,6 +109,33 @@
 	b.contains(b.run(CodeRefused, "glazenpot/ann", "publish", b.dir), `routes[2].rank: the root has no rank "pages"`)
 }
 
+// An old checkout must not undo what others published.
+func TestOutdatedDirectoryIsRefused(t *testing.T) {
+	b := newBench(t)
+	old := copyTree(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot/shop", `"timeout_ms": 2000`, `"timeout_ms": 1500`)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+
+	edit(t, old, "glazenpot/intake", `"timeout_ms": 5000`, `"timeout_ms": 4000`)
+	out := b.run(CodeRefused, "glazenpot/bob", "publish", old)
+	b.contains(out, "out of date: /glazenpot/shop holds a content that revision 2 replaced", "accepted /glazenpot/intake revision 3")
+	b.contains(b.run(CodeDone, "x", "show", "--branch", "/glazenpot/shop"), `"timeout_ms": 1500`)
+
+	out = b.run(CodeDone, "glazenpot/bob", "publish", old, "--branch", "/glazenpot/shop", "--base", "2")
+	b.contains(out, "accepted /glazenpot/shop revision 4")
+}
+
+func TestStatusReportsTwoStatesAtOneOffset(t *testing.T) {
+	entries := []EntryStatus{{Offset: 3, Hash: "a"}, {Offset: 4, Hash: "b"}, {Offset: 4, Hash: "b"}, {Offset: -1, Error: "down"}}
+	if _, split := splitAt(entries); split {
+		t.Error("equal states are a split")
+	}
+	if offset, split := splitAt(append(entries, EntryStatus{Offset: 3, Hash: "c"})); !split || offset != 3 {
+		t.Errorf("split %v at %d", split, offset)
+	}
+}
+
 func TestRemovedBranches(t *testing.T) {
 	b := newBench(t)
 	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -31,6 +31,10 @@
 	Revision int64  `json:"revision"`
 	Hash     string `json:"hash,omitempty"`
 	Draining bool   `json:"draining,omitempty"`
+	// InFlight is the number of callers' requests in progress.
+	InFlight int64 `json:"in_flight"`
+	// Seats are the shares of the voted limits that the entry holds.
+	Seats []int `json:"seats,omitempty"`
 	// Error says why the entry gave no status.
 	Error string `json:"error,omitempty"`
 }
@@ -62,12 +66,30 @@
 			silent++
 		}
 	}
+	if offset, split := splitAt(entries); split {
+		return &RefusedError{Detail: fmt.Sprintf("entries hold different states at offset %d: some run a version that does not know a record; replace them", offset)}
+	}
 	if silent > 0 {
 		return &UnknownError{Detail: fmt.Sprintf("%d of %d entries gave no status", silent, len(entries))}
 	}
 	return nil
 }
 
+// splitAt returns an offset at which entries report different states.
+func splitAt(entries []EntryStatus) (offset int64, split bool) {
+	hashes := make(map[int64]string)
+	for _, e := range entries {
+		if e.Error != "" {
+			continue
+		}
+		if known, ok := hashes[e.Offset]; ok && known != e.Hash {
+			return e.Offset, true
+		}
+		hashes[e.Offset] = e.Hash
+	}
+	return 0, false
+}
+
 // entryStatuses asks all live entries of the VM list at once.
 func (c *Control) entryStatuses(ctx context.Context) ([]EntryStatus, error) {
 	vms, err := c.VMs.VMs(ctx)
@@ -118,7 +140,7 @@
 func entryText(entries []EntryStatus) []string {
 	var lines []string
 	for _, e := range entries {
-		line := fmt.Sprintf("entry %s %s: offset %d, revision %d, hash %.12s", e.VM, e.Address, e.Offset, e.Revision, e.Hash)
+		line := fmt.Sprintf("entry %s %s: offset %d, revision %d, hash %.12s, in flight %d, seats %v", e.VM, e.Address, e.Offset, e.Revision, e.Hash, e.InFlight, e.Seats)
 		if e.Error != "" {
 			line = fmt.Sprintf("entry %s %s: %s", e.VM, e.Address, e.Error)
 		}
--- a/internal/fold/accept.go
+++ b/internal/fold/accept.go
@@ -84,6 +84,7 @@
 			PublishID: c.publish.PublishID,
 			Content:   doc.Content,
 			Changes:   changeLines(s.docs[b], doc),
+			Earlier:   earlier(s.branches[b]),
 		}
 	}
 	s.branches = branches
@@ -93,6 +94,14 @@
 	return s.revision
 }
 
+// earlier returns the digests of a branch that is being replaced.
+func earlier(f InForce) []string {
+	if f.Revision == 0 {
+		return nil
+	}
+	return lastOf(maxEarlier, f.Earlier, digest(f.Content))
+}
+
 // changeLines lists changed values for operators, bounded in number and length.
 func changeLines(from, to *tree.Document) []string {
 	changes := tree.Diff(from, to)
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -1,6 +1,8 @@
 package fold
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"sync"
@@ -16,6 +18,10 @@
 	maxSettled = 64
 	// maxPending is the most pending proposals of one branch.
 	maxPending = 8
+	// maxPendingBytes is the most content of all pending proposals.
+	maxPendingBytes = 1 << 20
+	// maxEarlier is how many replaced contents of a branch are remembered.
+	maxEarlier = 8
 )
 
 // InForce is one branch as it is in force.
@@ -31,6 +37,21 @@
 	Content   string `json:"content"`
 	// Changes are the values that differ from the revision before, one a line.
 	Changes []string `json:"changes,omitempty"`
+	// Earlier are the digests of the contents that were replaced last. They show
+	// that a directory is out of date when its content is one of them.
+	Earlier []string `json:"earlier,omitempty"`
+}
+
+// Replaced reports whether the content was in force and has been replaced.
+func (f InForce) Replaced(content string) bool {
+	return slices.Contains(f.Earlier, digest(content))
+}
+
+// digest returns a short digest of a content.
+func digest(content string) string {
+	const digestBytes = 6
+	sum := sha256.Sum256([]byte(content))
+	return hex.EncodeToString(sum[:digestBytes])
 }
 
 // Proposal is a publish that waits for approvals.
--- a/internal/fold/vote.go
+++ b/internal/fold/vote.go
@@ -9,16 +9,10 @@
 
 // propose keeps the publish until the members approve it.
 func (s *State) propose(d *Decision, p Publish) {
-	pending := 0
-	for _, other := range s.proposals {
-		if other.Branch == d.Branch {
-			pending++
-		}
-	}
-	if pending >= maxPending {
+	if message := s.checkPending(d.Branch, p); message != "" {
 		d.Outcome = Conflict
 		d.Winner = s.winner(d.Branch)
-		d.Message = fmt.Sprintf("%d proposals are pending on %s", pending, d.Branch)
+		d.Message = message
 		return
 	}
 	d.Outcome = Proposed
@@ -37,6 +31,26 @@
 	})
 }
 
+// checkPending returns why no further proposal is kept, or "". It bounds the
+// size of the state.
+func (s *State) checkPending(b tree.Branch, p Publish) string {
+	pending, bytes := 0, len(p.Content)
+	for _, other := range s.proposals {
+		bytes += len(other.Content)
+		if other.Branch == b {
+			pending++
+		}
+	}
+	switch {
+	case pending >= maxPending:
+		return fmt.Sprintf("%d proposals are pending on %s", pending, b)
+	case bytes > maxPendingBytes:
+		return fmt.Sprintf("pending proposals would hold more than %d bytes", maxPendingBytes)
+	default:
+		return ""
+	}
+}
+
 // settle ends proposals after a change of the tree, until none is ready: those
 // whose branch has moved on are conflicts, and those with a quorum come in
 // force in order of offset. The quorum is that of the tree in force, which a
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -11,6 +11,10 @@
 	"chestnutrouter.example/chestnutrouter/internal/wire"
 )
 
+// MaxBytes is the most content of all branches together. It bounds the size of
+// a snapshot and of the state in memory.
+const MaxBytes = 2 << 20
+
 // Documents are the documents of all branches.
 type Documents map[Branch]*Document
 
@@ -78,8 +82,10 @@
 		b.found = append(b.found, finding.Finding{File: Root.File(), Message: "missing: the root comes first"})
 		return
 	}
+	bytes := 0
 	for _, branch := range b.branches {
 		d := b.docs[branch]
+		bytes += len(d.Content)
 		if b.docs[branch.Parent()] == nil {
 			b.report(d, "", fmt.Sprintf("branch %s has no parent %s", branch, branch.Parent()))
 		}
@@ -90,6 +96,9 @@
 			b.report(d, "", fmt.Sprintf("the root has no rank %q", branch.Name()))
 		}
 	}
+	if bytes > MaxBytes {
+		b.report(b.docs[Root], "", fmt.Sprintf("the branches hold %d bytes, which is more than %d", bytes, MaxBytes))
+	}
 }
 
 func (b *builder) rank(name string) (RankDefaults, bool) {
--- a/internal/tree/build_test.go
+++ b/internal/tree/build_test.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"fmt"
 	"maps"
 	"os"
 	"slices"
@@ -131,6 +132,22 @@
 	}
 }
 
+func TestBuildBoundsTheSize(t *testing.T) {
+	docs, _ := parseAll(t, small)
+	filler := "{} //" + strings.Repeat("x", 60<<10) + "\n"
+	for i := range 40 {
+		branch := Branch(fmt.Sprintf("/a/service%d", i))
+		d, found := ParseDocument(branch, "f", []byte(strings.Replace(small["/a/shop"], "shop.example", fmt.Sprintf("s%d", i), 1)+filler[2:]))
+		if len(found) > 0 {
+			t.Fatal(found)
+		}
+		docs = docs.With(d)
+	}
+	if _, found := Build(docs); !strings.Contains(found.Error(), "which is more than 2097152") {
+		t.Errorf("got %q", found.Error())
+	}
+}
+
 func TestRouteShadowing(t *testing.T) {
 	for _, c := range []struct {
 		first, second RouteDocument
