Publish only the root and the publisher's own branches

Cause: a directory that also holds another member's branches was refused as a whole when those differed, although the publisher cannot publish them.

--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -57,48 +57,61 @@
 	changes []Change
 	// onlyInForce are branches that the directory lacks and that stay.
 	onlyInForce []tree.Branch
+	// foreign are branches of other members that differ.
+	foreign []tree.Branch
 	// outdated are changes that would bring back a replaced content.
 	outdated []Change
 	// blocked are changes that are not valid before others are in force.
 	blocked finding.List
 }
 
-// newPlan compares the documents with the state in force. A base of at least
-// zero is the revision of the only branch that the change was made from.
-func newPlan(docs tree.Documents, state *fold.State, o PublishOptions) plan {
-	only, base, remove := o.Branch, o.Base, o.Remove
+// newPlan compares the documents with the state in force for a member, who
+// publishes the root and its own branches.
+func newPlan(docs tree.Documents, state *fold.State, member string, o PublishOptions) plan {
 	var p plan
 	var wanted []Change
-	inForce := state.Documents()
-	branches := slices.Collect(maps.Keys(docs))
-	branches = slices.AppendSeq(branches, maps.Keys(inForce))
-	slices.Sort(branches)
-	for _, b := range slices.Compact(branches) {
-		if only != "" && b != only {
-			continue
-		}
-		if docs[b] == nil && !remove {
-			p.onlyInForce = append(p.onlyInForce, b)
+	founding := state.Tree() == nil
+	for _, b := range allBranches(docs, state.Documents()) {
+		if o.Branch != "" && b != o.Branch {
 			continue
 		}
 		c, differs := compare(b, docs[b], state)
+		own := founding || b == tree.Root || b.Member() == member || b == o.Branch
 		switch {
 		case !differs:
-		case c.Replaced && base < 0:
+		case !own:
+			p.foreign = append(p.foreign, b)
+		case c.Remove && !o.Remove:
+			p.onlyInForce = append(p.onlyInForce, b)
+		case c.Replaced && o.Base < 0:
 			p.outdated = append(p.outdated, c)
 		default:
 			wanted = append(wanted, c)
 		}
 	}
-	p.order(wanted, inForce)
-	if base >= 0 {
-		for i := range p.changes {
-			p.changes[i].BaseRevision = base
-		}
-	}
+	p.order(wanted, state.Documents())
+	p.rebase(o.Base)
 	return p
 }
 
+func allBranches(a, b tree.Documents) []tree.Branch {
+	branches := slices.Collect(maps.Keys(a))
+	branches = slices.AppendSeq(branches, maps.Keys(b))
+	slices.Sort(branches)
+	return slices.Compact(branches)
+}
+
+// rebase sets the revision that the changes were made from; a negative one
+// leaves what is in force.
+func (p *plan) rebase(base int64) {
+	if base < 0 {
+		return
+	}
+	for i := range p.changes {
+		p.changes[i].BaseRevision = base
+	}
+}
+
 func compare(b tree.Branch, doc *tree.Document, state *fold.State) (Change, bool) {
 	current := state.Documents()[b]
 	if doc != nil && current != nil && doc.Content == current.Content {
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -31,6 +31,8 @@
 	Findings    finding.List  `json:"findings,omitempty"`
 	Changes     []Change      `json:"changes"`
 	OnlyInForce []tree.Branch `json:"only_in_force,omitempty"`
+	// Foreign are branches of other members that differ and were not published.
+	Foreign []tree.Branch `json:"foreign,omitempty"`
 	// Outdated are changes that were not published, as they would bring back a
 	// content that has been replaced.
 	Outdated  []Change        `json:"outdated,omitempty"`
@@ -54,6 +56,9 @@
 	for _, b := range r.OnlyInForce {
 		lines = append(lines, fmt.Sprintf("only in force: %s (--remove takes it out)", b))
 	}
+	for _, b := range r.Foreign {
+		lines = append(lines, fmt.Sprintf("not published: %s differs and belongs to %s", b, b.Member()))
+	}
 	for _, c := range r.Outdated {
 		lines = append(lines, fmt.Sprintf("out of date: %s holds a content that revision %d replaced; update the directory, or go back on purpose with --branch %s --base %d",
 			c.Branch, c.BaseRevision, c.Branch, c.BaseRevision))
@@ -88,10 +93,11 @@
 	if founding && o.Branch != "" {
 		return nil, &RefusedError{Detail: "no tree is in force: the first publish brings the whole directory, so leave --branch out"}
 	}
-	p := newPlan(docs, r.state, o)
+	p := newPlan(docs, r.state, fold.PublisherMember(c.Publisher), o)
 	result := &PublishResult{
 		Changes:     p.changes,
 		OnlyInForce: p.onlyInForce,
+		Foreign:     p.foreign,
 		Outdated:    p.outdated,
 		Blocked:     p.blocked,
 		Offset:      r.state.Offset(),
