--- /dev/null
+++ b/internal/admission/refusal_test.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"github.com/uber-go/tally/v4"
+)
+
+// counted is the value of the refusal counter of a reason.
+func counted(scope tally.TestScope, reason outcome.Reason) int64 {
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Name() == "queue_refusals" && c.Tags()["reason"] == string(reason) {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
+// wait sends n requests that stay in the queue until the test ends.
+func wait(t *testing.T, q *Queue, n int, r Request) {
+	for range n {
+		go func() {
+			if g, refusal := q.Admit(t.Context(), r); refusal == nil {
+				g.Done(balancer.Result{Kind: balancer.Cancelled})
+			}
+		}()
+	}
+	synctest.Wait()
+}
+
+// TestEachRefusalIsCounted brings about each reason at a server of one slot
+// that is held all the time.
+func TestEachRefusalIsCounted(t *testing.T) {
+	soon := 5 * time.Millisecond
+	for _, c := range []struct {
+		reason     outcome.Reason
+		before     func(t *testing.T, q *Queue)
+		request    Request
+		timeout    time.Duration
+		retryAfter bool
+	}{
+		{reason: outcome.ReasonNoRoute, request: Request{Rank: "unknown"}},
+		{reason: outcome.ReasonNoServer, request: Request{Rank: "lookups", Exclude: []string{"s1"}}, retryAfter: true},
+		{
+			reason:  outcome.ReasonQueueFull,
+			before:  func(t *testing.T, q *Queue) { wait(t, q, 10, Request{Rank: "lookups"}) },
+			request: Request{Rank: "lookups"}, retryAfter: true,
+		},
+		{reason: outcome.ReasonQueueBytes, request: Request{Rank: "uploads", Bytes: 1<<10 + 1}, retryAfter: true},
+		{
+			reason: outcome.ReasonQueueWait,
+			before: func(t *testing.T, q *Queue) {
+				wait(t, q, 3, Request{Rank: "lookups"})
+				time.Sleep(300 * time.Millisecond) // three wait without a dispatch
+			},
+			request: Request{Rank: "lookups"}, retryAfter: true,
+		},
+		{reason: outcome.ReasonQueueWait, request: Request{Rank: "lookups"}, timeout: time.Minute, retryAfter: true},
+		{reason: outcome.ReasonDeadline, request: Request{Rank: "lookups", Deadline: time.Unix(1, 0)}},
+		{reason: outcome.ReasonDeadline, request: Request{Rank: "lookups"}, timeout: soon},
+		{
+			reason:  outcome.ReasonCallerGone,
+			request: Request{Rank: "lookups"},
+		},
+	} {
+		t.Run(string(c.reason), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				scope := tally.NewTestScope("", nil)
+				q := newQueue(t, scope, "s1")
+				held, _ := q.Admit(t.Context(), Request{Rank: "lookups"})
+				defer held.Done(balancer.Result{})
+				if c.before != nil {
+					c.before(t, q)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				if c.timeout > 0 {
+					ctx, cancel = context.WithTimeout(t.Context(), c.timeout)
+				} else if c.reason == outcome.ReasonCallerGone {
+					time.AfterFunc(soon, cancel)
+				}
+				defer cancel()
+				_, refusal := q.Admit(ctx, c.request)
+				if refusal == nil || refusal.Outcome != outcome.NotRun || refusal.Reason != c.reason {
+					t.Fatalf("refusal %v, want not-run %s", refusal, c.reason)
+				}
+				if (refusal.RetryAfter > 0) != c.retryAfter {
+					t.Errorf("retry after %v", refusal.RetryAfter)
+				}
+				if n := counted(scope, c.reason); n < 1 {
+					t.Errorf("counter is %d", n)
+				}
+			})
+		})
+	}
+}
+
+func TestUploadsPastTheirStreamsAreRefusedAndTheBookingPathIsNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := tally.NewTestScope("", nil)
+		q := newQueue(t, scope, "s1", "s2", "s3")
+		upload := Request{Rank: "uploads", Upload: true}
+		first, refusal := q.Admit(t.Context(), upload)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		defer first.Done(balancer.Result{})
+		wait(t, q, 2, upload)
+		_, refusal = q.Admit(t.Context(), upload)
+		if refusal == nil || refusal.Reason != outcome.ReasonStreams {
+			t.Fatalf("refusal %v, want streams", refusal)
+		}
+		if n := counted(scope, outcome.ReasonStreams); n != 1 {
+			t.Errorf("counter is %d", n)
+		}
+		booking, refusal := q.Admit(t.Context(), Request{Rank: "payments"})
+		if refusal != nil {
+			t.Fatalf("a payment was refused: %v", refusal)
+		}
+		booking.Done(balancer.Result{})
+	})
+}
