Bound the cost of a pick

Cause: a pick cost 1.1 to 1.3 us at 27 servers and 33 us at 770 in one service: a pointer and an exponential for each server, and a scan of all. Change: what a pick reads of a server shares a cache line, reports fade evenly over 500 ms, and a pick judges 40 servers and goes on to all only where these have nothing free. A report no longer allocates.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -191,7 +191,7 @@
 		return
 	}
 	snapshot := b.snapshot.Load()
-	if snapshot.tooManyEjected(snapshot.ejected(now.UnixNano())) {
+	if tooMany(snapshot.suspended(now.UnixNano()), len(snapshot.hosts)) {
 		metrics.Count(b.options.Scope, metrics.Ejections, "ignored_past_cap")
 		return
 	}
@@ -203,15 +203,14 @@
 
 // hear takes in the report of an answer.
 func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
-	heard := newsOf(r.Report, own, now.UnixNano())
-	h.news.Store(heard)
+	others := h.news.hear(r.Report, own, now.UnixNano())
 	if r.Report.Draining && b.options.Draining != nil {
 		b.options.Draining(h.vm.Name)
 	}
 	if r.Kind != OK {
 		return
 	}
-	b.others.learn(heard.others, meanWeight)
+	b.others.learn(others, meanWeight)
 	b.busy.learn(r.Report.busyShare(), busyWeight)
 	b.echo.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
 }
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -23,19 +23,19 @@
 }
 
 // host is what this entry knows about one backend server. Picks read it
-// without a lock.
+// without a lock; the fields that they read of every host come first, so that
+// they share a cache line.
 type host struct {
-	vm     fleet.VM
-	places [maxPlaces]Server
 	busy   atomic.Uint32 // one bit for each reserved place
-	news   atomic.Pointer[news]
+	news   news
+	joined int64 // nanoseconds since the Unix epoch; zero where it was there before this entry
 	health health
-	joined int64 // nanoseconds since the Unix epoch; zero for a server that was there before this entry
+	vm     fleet.VM
+	places [maxPlaces]Server
 }
 
 func newHost(vm fleet.VM, joined int64) *host {
 	h := &host{vm: vm, joined: joined}
-	h.news.Store(&news{})
 	for i := range h.places {
 		h.places[i].VM = vm
 		h.places[i].host = h
@@ -66,7 +66,7 @@
 
 // takes reports whether the server may get another request.
 func (h *host) takes(mask uint32, limit int) bool {
-	return bits.OnesCount32(mask) < limit && !h.news.Load().draining
+	return bits.OnesCount32(mask) < limit && !h.news.draining.Load()
 }
 
 // suspended reports whether the server is ejected, or back from it with its
@@ -78,7 +78,7 @@
 // load estimates the requests at the server: own ones, those of other entries,
 // and handicaps for what speaks against it.
 func (h *host) load(mask uint32, v *view) float64 {
-	estimate := float64(bits.OnesCount32(mask)) + h.news.Load().othersAt(v)
+	estimate := float64(bits.OnesCount32(mask)) + h.news.othersAt(v)
 	estimate += h.late(mask, v)
 	estimate += h.handicap(v)
 	return estimate
--- a/internal/balancer/news.go
+++ b/internal/balancer/news.go
@@ -2,31 +2,41 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 )
 
-// reportFade is the age at which a report still counts for 1/e.
-const reportFade = 200 * time.Millisecond
+// reportFade is the age at which a report counts for nothing; it loses its
+// weight evenly until then.
+const reportFade = 500 * time.Millisecond
 
-// news is an immutable observation of a backend server, swapped whole.
+// news is the last report of a backend server. The fields are written one by
+// one; a pick that reads between two writes is off by one report.
 type news struct {
-	heard    int64   // nanoseconds since the Unix epoch
-	others   float64 // requests of other entries at the server
-	draining bool
+	heard    atomic.Int64  // nanoseconds since the Unix epoch
+	others   atomic.Uint64 // bits of the number of requests of other entries
+	draining atomic.Bool
 }
 
-// newsOf reads a report that arrived while own requests of this entry were
-// still in progress at the server.
-func newsOf(r Report, own int, now int64) *news {
-	others := r.InFlight + r.Queue - own
-	return &news{heard: now, others: float64(max(others, 0)), draining: r.Draining}
+// hear takes in a report that arrived while own requests of this entry were
+// still in progress at the server. It returns the load of the other entries.
+func (n *news) hear(r Report, own int, now int64) float64 {
+	others := float64(max(r.InFlight+r.Queue-own, 0))
+	n.others.Store(math.Float64bits(others))
+	n.heard.Store(now)
+	n.draining.Store(r.Draining)
+	return others
 }
 
 // othersAt is the load of other entries as the view sees it: what was reported,
 // as far as reports are believed, faded with its age into what is usual for a
 // server of the service.
 func (n *news) othersAt(v *view) float64 {
-	age := float64(v.now - n.heard)
-	weight := v.trust * math.Exp(-age/float64(reportFade))
-	return v.usual + weight*(n.others-v.usual)
+	age := float64(v.now - n.heard.Load())
+	weight := v.trust * (1 - age/float64(reportFade))
+	if weight <= 0 {
+		return v.usual
+	}
+	others := math.Float64frombits(n.others.Load())
+	return v.usual + weight*(others-v.usual)
 }
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -60,28 +60,47 @@
 	return int(turn * scatter >> 33 % uint64(len(s.hosts)))
 }
 
+// maxScan is the most hosts that a pick judges at first, so that its cost stays
+// bounded for a service of any size.
+const maxScan = 40
+
 // best returns the host with the least estimated load and a free place, with
 // the busy mask that was judged, or nil. Of equal hosts it is the next one from
-// first on. Ejected hosts are left out unless too many are.
+// first on. Where the first hosts have nothing free it goes on to all.
 func (s *snapshot) best(first int, v *view, exclude []string) (*host, uint32) {
-	h, mask, ejected := s.scan(first, v, exclude, false)
-	if s.tooManyEjected(ejected) {
-		h, mask, _ = s.scan(first, v, exclude, true)
+	if len(s.hosts) > maxScan {
+		if h, mask := s.bestOf(first, maxScan, v, exclude); h != nil {
+			return h, mask
+		}
+	}
+	return s.bestOf(first, len(s.hosts), v, exclude)
+}
+
+// bestOf judges a number of hosts. Suspended ones are left out unless there
+// are too many of them.
+func (s *snapshot) bestOf(first, count int, v *view, exclude []string) (*host, uint32) {
+	h, mask, suspended := s.scan(first, count, v, exclude, false)
+	if tooMany(suspended, count) {
+		h, mask, _ = s.scan(first, count, v, exclude, true)
 	}
 	return h, mask
 }
 
-func (s *snapshot) tooManyEjected(n int) bool {
-	return float64(n) > maxEjectedShare*float64(len(s.hosts))
+func tooMany(suspended, count int) bool {
+	return float64(suspended) > maxEjectedShare*float64(count)
 }
 
-func (s *snapshot) scan(first int, v *view, exclude []string, all bool) (best *host, bestMask uint32, ejected int) {
+func (s *snapshot) scan(first, count int, v *view, exclude []string, all bool) (best *host, bestMask uint32, suspended int) {
 	least := v.limit
-	for i := range s.hosts {
-		h := s.hosts[(first+i)%len(s.hosts)]
+	for i := range count {
+		n := first + i
+		if n >= len(s.hosts) {
+			n -= len(s.hosts)
+		}
+		h := s.hosts[n]
 		mask := h.busy.Load()
 		if h.suspended(mask, v.now) {
-			ejected++
+			suspended++
 			if !all {
 				continue
 			}
@@ -93,11 +112,11 @@
 			best, bestMask, least = h, mask, load
 		}
 	}
-	return best, bestMask, ejected
+	return best, bestMask, suspended
 }
 
-// ejected counts the hosts that are ejected at that time.
-func (s *snapshot) ejected(now int64) int {
+// suspended counts the hosts that are left out at that time.
+func (s *snapshot) suspended(now int64) int {
 	n := 0
 	for _, h := range s.hosts {
 		if h.suspended(h.busy.Load(), now) {
