Drive the request path against an oracle of what ran

Cause: at most once had only tests of single parts. Change: test/once runs entry handlers, tables, owners, seals, attempts and forwarding of three entries over in-memory connections in virtual time, with kills, freezes, cuts, lost replies, late and broken answers, graceful leaves. A seal now carries the start of each fingerprint and answers 422 there.

--- a/internal/operation/owners.go
+++ b/internal/operation/owners.go
@@ -40,7 +40,9 @@
 // a question that was certainly not sent leaves open whether the owner ran the
 // operation before.
 func (o *Owners) Ask(ctx context.Context, id ID, caller string, r *http.Request, body []byte) (Answer, *outcome.Refusal) {
-	if refusal, ok := o.opts.Seals.Lookup(id); ok {
+	question := newAsk(ctx, id, caller, r, body)
+	sum := Fingerprint(question.Fingerprint).scoped(caller)
+	if refusal, ok := o.opts.Seals.Lookup(id, sum); ok {
 		return Answer{}, refusal
 	}
 	address, ok := o.opts.Address(id.Incarnation)
@@ -49,11 +51,11 @@
 			"the entry that owns the operation is not known here; find out from the service whether it ran")
 	}
 	reply := &peer.OperationReply{}
-	err := o.opts.Client.Call(ctx, address, peer.MethodOperationAsk, newAsk(ctx, id, caller, r, body), reply)
+	err := o.opts.Client.Call(ctx, address, peer.MethodOperationAsk, question, reply)
 	if err == nil {
 		return fromReply(reply)
 	}
-	if refusal, ok := o.opts.Seals.Lookup(id); ok {
+	if refusal, ok := o.opts.Seals.Lookup(id, sum); ok {
 		return Answer{}, refusal
 	}
 	return Answer{}, outcome.NewUnknown(outcome.ReasonOwnerUnreachable,
--- a/internal/operation/owners_test.go
+++ b/internal/operation/owners_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,8 +60,19 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	r := httptest.NewRequest("POST", "/orders?kit=3", strings.NewReader(string(body)))
-	return owners.Ask(ctx, id, "anna", r, body)
+	return owners.Ask(ctx, id, "anna", order(), body)
+}
+
+func order() *http.Request { return httptest.NewRequest("POST", "/orders?kit=3", nil) }
+
+// beginOrder begins the operation with the request that ask sends.
+func beginOrder(t *testing.T, table *Table, id ID) *Call {
+	t.Helper()
+	call, refusal := table.Begin(id, "anna", NewFingerprint(order(), []byte("kit")))
+	if refusal != nil || !call.Owner() {
+		t.Fatalf("not the owner: %v", refusal)
+	}
+	return call
 }
 
 func TestOwnerRunsOnceForWhoeverAsks(t *testing.T) {
@@ -91,8 +101,7 @@
 	if refusal == nil || refusal.Outcome != outcome.NotRun {
 		t.Fatalf("%v", refusal)
 	}
-	r := httptest.NewRequest("POST", "/orders?kit=3", nil)
-	call, refusal := o.table.Begin(id, "anna", NewStreamFingerprint(r))
+	call, refusal := o.table.Begin(id, "anna", NewStreamFingerprint(order()))
 	if refusal != nil || call.Owner() {
 		t.Fatalf("the owner would run it: %v", refusal)
 	}
@@ -115,9 +124,9 @@
 func TestSealTellsRanFromNotRun(t *testing.T) {
 	o := startOwner(t)
 	ran, refused, running, unseen := mustID(t, o.table, 1), mustID(t, o.table, 2), mustID(t, o.table, 3), mustID(t, o.table, 4)
-	begin(t, o.table, ran).Ran(Answer{Status: 201, BodyKept: true})
-	begin(t, o.table, refused).NotRun(outcome.NewNotRun(503, outcome.ReasonQueueFull, "full"))
-	begin(t, o.table, running)
+	beginOrder(t, o.table, ran).Ran(Answer{Status: 201, BodyKept: true})
+	beginOrder(t, o.table, refused).NotRun(outcome.NewNotRun(503, outcome.ReasonQueueFull, "full"))
+	beginOrder(t, o.table, running)
 	seal := o.table.Seal()
 	if _, refusal := o.table.Begin(unseen, "anna", Fingerprint{1}); refusal == nil || refusal.Outcome != outcome.NotRun {
 		t.Errorf("a sealed table began an operation: %v", refusal)
@@ -134,6 +143,9 @@
 			t.Errorf("%v, want %s", refusal, c.want)
 		}
 	}
+	if _, refusal := ask(t, owners, ran, []byte("other")); refusal.Reason != outcome.ReasonOperationMismatch {
+		t.Errorf("another request with the id: %v", refusal)
+	}
 	future := unseen
 	future.Epoch++
 	if _, refusal := ask(t, owners, future, []byte("kit")); refusal.Outcome != outcome.Unknown {
--- a/internal/operation/seal.go
+++ b/internal/operation/seal.go
@@ -1,11 +1,13 @@
 package operation
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
+	"sort"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,8 +20,11 @@
 	// maxSealIDs bounds the operations named in one seal; the oldest epochs that
 	// do not fit count as dropped.
 	maxSealIDs = 8192
-	// sealIDBytes is the size of one operation in a seal.
-	sealIDBytes = 8
+	// sealIDBytes and sealSumBytes are the parts of one operation in a seal: a hash
+	// of its id, by which operations are sorted, and the start of its fingerprint.
+	sealIDBytes   = 8
+	sealSumBytes  = 4
+	sealItemBytes = sealIDBytes + sealSumBytes
 )
 
 // Seal is what a stopped incarnation knew: the operations that ran or may have
@@ -33,7 +38,7 @@
 	// OldestEpoch and NewestEpoch bound what the seal speaks of.
 	OldestEpoch uint32 `json:"oldest_epoch"`
 	NewestEpoch uint32 `json:"newest_epoch"`
-	// Ran and Unknown hold sorted 8-byte hashes of operations.
+	// Ran and Unknown hold sorted operations of 12 bytes each.
 	Ran     []byte `json:"ran"`
 	Unknown []byte `json:"unknown"`
 }
@@ -52,7 +57,7 @@
 	newest := t.advance()
 	t.sealed = true
 	s := Seal{Version: sealVersion, Incarnation: t.opts.Incarnation, OldestEpoch: newest + 1, NewestEpoch: newest}
-	var ran, unknown []uint64
+	var ran, unknown []sealItem
 	for i, e := range slices.Backward(t.epochs) {
 		epochRan, epochUnknown := e.effects(t.oldest + uint32(i))
 		if len(ran)+len(unknown)+len(epochRan)+len(epochUnknown) > maxSealIDs {
@@ -62,18 +67,18 @@
 		unknown = append(unknown, epochUnknown...)
 		s.OldestEpoch = t.oldest + uint32(i)
 	}
-	s.Ran, s.Unknown = packHashes(ran), packHashes(unknown)
+	s.Ran, s.Unknown = packItems(ran), packItems(unknown)
 	return s
 }
 
 // effects returns the epoch's operations that ran, and those that may have run.
-func (e *epoch) effects(number uint32) (ran, unknown []uint64) {
+func (e *epoch) effects(number uint32) (ran, unknown []sealItem) {
 	for id, r := range e.records {
 		switch r.result.outcome() {
 		case outcome.Ran:
-			ran = append(ran, sealHash(number, id))
+			ran = append(ran, newSealItem(number, id, r.sum))
 		case outcome.Unknown:
-			unknown = append(unknown, sealHash(number, id))
+			unknown = append(unknown, newSealItem(number, id, r.sum))
 		}
 	}
 	return ran, unknown
@@ -91,33 +96,39 @@
 	}
 }
 
-func sealHash(epoch uint32, id CallID) uint64 {
+// sealItem is one operation in a seal.
+type sealItem [sealItemBytes]byte
+
+func newSealItem(epoch uint32, id CallID, sum Fingerprint) sealItem {
 	var b [4 + callIDBytes]byte
 	binary.BigEndian.PutUint32(b[:], epoch)
 	copy(b[4:], id[:])
-	return xxhash.Sum64(b[:])
+	var item sealItem
+	binary.BigEndian.PutUint64(item[:], xxhash.Sum64(b[:]))
+	copy(item[sealIDBytes:], sum[:sealSumBytes])
+	return item
 }
 
-func packHashes(hashes []uint64) []byte {
-	slices.Sort(hashes)
-	out := make([]byte, 0, len(hashes)*sealIDBytes)
-	for _, h := range hashes {
-		out = binary.BigEndian.AppendUint64(out, h)
+func packItems(items []sealItem) []byte {
+	slices.SortFunc(items, func(a, b sealItem) int { return bytes.Compare(a[:], b[:]) })
+	out := make([]byte, 0, len(items)*sealItemBytes)
+	for _, item := range items {
+		out = append(out, item[:]...)
 	}
 	return out
 }
 
-func containsHash(packed []byte, hash uint64) bool {
-	low, high := 0, len(packed)/sealIDBytes
-	for low < high {
-		middle := (low + high) / 2
-		if binary.BigEndian.Uint64(packed[middle*sealIDBytes:]) < hash {
-			low = middle + 1
-		} else {
-			high = middle
-		}
+// find returns the operation of the same id, and false where there is none.
+func find(packed []byte, want sealItem) (sealItem, bool) {
+	count := len(packed) / sealItemBytes
+	at := sort.Search(count, func(i int) bool {
+		return bytes.Compare(packed[i*sealItemBytes:][:sealIDBytes], want[:sealIDBytes]) >= 0
+	})
+	if at == count {
+		return sealItem{}, false
 	}
-	return low < len(packed)/sealIDBytes && binary.BigEndian.Uint64(packed[low*sealIDBytes:]) == hash
+	got := sealItem(packed[at*sealItemBytes:][:sealItemBytes])
+	return got, bytes.Equal(got[:sealIDBytes], want[:sealIDBytes])
 }
 
 // Record is the seal as it stands in the log and goes to peers.
@@ -138,26 +149,36 @@
 	if !isHex(s.Incarnation, incarnationBytes) {
 		return s, &SealError{"has no incarnation"}
 	}
-	if len(s.Ran)%sealIDBytes != 0 || len(s.Unknown)%sealIDBytes != 0 || len(s.Ran)+len(s.Unknown) > maxSealIDs*sealIDBytes {
+	if len(s.Ran)%sealItemBytes != 0 || len(s.Unknown)%sealItemBytes != 0 || len(s.Ran)+len(s.Unknown) > maxSealIDs*sealItemBytes {
 		return s, &SealError{"its lists have a wrong size"}
 	}
 	return s, nil
 }
 
-// lookup says what became of an operation of this incarnation.
-func (s Seal) lookup(id ID) *outcome.Refusal {
-	hash := sealHash(id.Epoch, id.Call)
-	switch {
-	case id.Epoch < s.OldestEpoch || id.Epoch > s.NewestEpoch:
+// lookup says what became of an operation of this incarnation. sum is the
+// request's fingerprint, scoped by its caller.
+func (s Seal) lookup(id ID, sum Fingerprint) *outcome.Refusal {
+	if id.Epoch < s.OldestEpoch || id.Epoch > s.NewestEpoch {
 		return outcome.NewUnknown(outcome.ReasonOperationDropped,
 			"the entry that owned the operation has stopped and left nothing about it; find out from the service whether it ran")
-	case containsHash(s.Ran, hash):
-		return answerNotKept()
-	case containsHash(s.Unknown, hash):
-		return outcome.NewUnknown(outcome.ReasonOperationSealed,
-			"the entry that owned the operation has stopped and did not know its outcome; find out from the service whether it ran")
-	default:
-		return outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonOperationSealed,
-			"the entry that owned the operation has stopped without running it; send it with a new operation id")
 	}
+	item := newSealItem(id.Epoch, id.Call, sum)
+	if got, ok := find(s.Ran, item); ok {
+		return matched(got == item, answerNotKept())
+	}
+	if got, ok := find(s.Unknown, item); ok {
+		return matched(got == item, outcome.NewUnknown(outcome.ReasonOperationSealed,
+			"the entry that owned the operation has stopped and did not know its outcome; find out from the service whether it ran"))
+	}
+	return outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonOperationSealed,
+		"the entry that owned the operation has stopped without running it; send it with a new operation id")
+}
+
+// matched returns the refusal of the operation, or that of another request
+// under its id.
+func matched(same bool, refusal *outcome.Refusal) *outcome.Refusal {
+	if same {
+		return refusal
+	}
+	return mismatch()
 }
--- a/internal/operation/seals.go
+++ b/internal/operation/seals.go
@@ -53,15 +53,16 @@
 }
 
 // Lookup says what became of an operation whose owner has stopped, and false
-// where no seal of the owner is known. The refusal's outcome is exact.
-func (s *Seals) Lookup(id ID) (*outcome.Refusal, bool) {
+// where no seal of the owner is known. sum is the request's fingerprint, scoped
+// by its caller.
+func (s *Seals) Lookup(id ID, sum Fingerprint) (*outcome.Refusal, bool) {
 	s.mu.RLock()
 	seal, ok := s.byIncarnation[id.Incarnation]
 	s.mu.RUnlock()
 	if !ok {
 		return nil, false
 	}
-	return seal.lookup(id), true
+	return seal.lookup(id, sum), true
 }
 
 // Run follows the seals stream until ctx ends. A record that can't be read is
--- a/internal/operation/table.go
+++ b/internal/operation/table.go
@@ -151,12 +151,16 @@
 
 func joinRecord(r record, sum Fingerprint) (*Call, *outcome.Refusal) {
 	if r.sum != sum {
-		return nil, outcome.NewNotRun(http.StatusUnprocessableEntity, outcome.ReasonOperationMismatch,
-			"the operation id was used before with another request; this request was not run")
+		return nil, mismatch()
 	}
 	return &Call{result: r.result}, nil
 }
 
+func mismatch() *outcome.Refusal {
+	return outcome.NewNotRun(http.StatusUnprocessableEntity, outcome.ReasonOperationMismatch,
+		"the operation id was used before with another request; this request was not run")
+}
+
 // add records a new operation. Where there is no room, the epoch closes: from
 // then on none of its unrecorded operations can run, so that the not-run holds
 // without a record for each.
@@ -177,3 +181,10 @@
 	t.count++
 	return &Call{table: t, id: id, result: result}, nil
 }
+
+// KeptBytes is the memory of the kept answers in bytes.
+func (t *Table) KeptBytes() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.keptBytes
+}
--- /dev/null
+++ b/test/once/entry_test.go
@@ -0,0 +1,274 @@
+package once_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/entry"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/forward"
+	"chestnutrouter.example/chestnutrouter/internal/operation"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+var (
+	errKilled = errors.New("process was killed")
+	errCut    = errors.New("connection is cut")
+)
+
+// Bounds of each entry's table, small enough to be reached.
+const (
+	maxOperations = 12
+	maxKeptBytes  = 1 << 10
+	epochLength   = 10 * time.Second
+	epochsKept    = 3
+)
+
+// gate holds back everything that a frozen process does, and fails everything
+// that a killed one does.
+type gate struct {
+	mu     sync.Mutex
+	thawed chan struct{} // closed unless frozen
+	killed chan struct{}
+}
+
+func newGate() *gate {
+	g := &gate{thawed: make(chan struct{}), killed: make(chan struct{})}
+	close(g.thawed)
+	return g
+}
+
+// pass waits while the process is frozen.
+func (g *gate) pass() error {
+	g.mu.Lock()
+	thawed := g.thawed
+	g.mu.Unlock()
+	select {
+	case <-g.killed:
+		return errKilled
+	default:
+	}
+	select {
+	case <-thawed:
+		return nil
+	case <-g.killed:
+		return errKilled
+	}
+}
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if isClosed(g.thawed) {
+		g.thawed = make(chan struct{})
+	}
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !isClosed(g.thawed) {
+		close(g.thawed)
+	}
+}
+
+func (g *gate) kill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !isClosed(g.killed) {
+		close(g.killed)
+	}
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// gatedConn is a connection of a process that may be frozen or killed.
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (c gatedConn) Write(p []byte) (int, error) {
+	if err := c.gate.pass(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if gone := c.gate.pass(); gone != nil {
+		return 0, gone
+	}
+	return n, err
+}
+
+// process is an entry: the real handler, table and forwarding over fakes of the
+// fleet around it.
+type process struct {
+	*gate
+	world     *world
+	number    int
+	table     *operation.Table
+	seals     *operation.Seals
+	receiver  *operation.Receiver
+	handler   *entry.Handler
+	forwarder *forward.Forwarder
+
+	connMu sync.Mutex
+	conns  []net.Conn
+	turn   int
+}
+
+func newProcess(w *world, number int) *process {
+	p := &process{gate: newGate(), world: w, number: number, seals: operation.NewSeals()}
+	p.table = operation.New(operation.Options{
+		EpochLength: epochLength, EpochsKept: epochsKept, MaxOperations: maxOperations, MaxKeptBytes: maxKeptBytes,
+	})
+	p.forwarder = forward.New(forward.Options{Dial: p.dial})
+	p.handler = entry.NewHandler(entry.Options{
+		Entry:      fmt.Sprint("entry-", number),
+		Trees:      w,
+		Operations: p.table,
+		Owners:     operation.NewOwners(operation.OwnersOptions{Client: p, Address: w.address, Seals: p.seals}),
+		Limits:     w,
+		Runner:     attempt.New(p, p.forwarder, tally.NoopScope),
+		Drain:      &entry.Drain{},
+		Scope:      tally.NoopScope,
+	})
+	p.receiver = operation.NewReceiver(p.table, p.handler, p.seals)
+	return p
+}
+
+// die ends the process at once.
+func (p *process) die() {
+	p.kill()
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+	}
+}
+
+func (p *process) dial(_ context.Context, _, address string) (net.Conn, error) {
+	if err := p.pass(); err != nil {
+		return nil, err
+	}
+	near, far := net.Pipe()
+	p.connMu.Lock()
+	p.conns = append(p.conns, near, far)
+	p.connMu.Unlock()
+	go p.world.servers[address].serve(far)
+	return gatedConn{near, p.gate}, nil
+}
+
+// Admit implements attempt.Admitter: the servers in turn.
+func (p *process) Admit(_ context.Context, r attempt.Request) (attempt.Grant, *outcome.Refusal) {
+	if p.pass() != nil {
+		return nil, outcome.NewUnknown(outcome.ReasonInternal, "killed")
+	}
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	for range p.world.names {
+		p.turn++
+		name := p.world.names[p.turn%len(p.world.names)]
+		if !slices.Contains(r.Exclude, name) {
+			return grant(name), nil
+		}
+	}
+	return nil, outcome.NewNotRun(503, outcome.ReasonNoServer, "all were tried")
+}
+
+func (p *process) HedgeAfter(string) (time.Duration, bool) { return 0, false }
+
+type grant string
+
+func (g grant) Server() fleet.VM     { return fleet.VM{Name: string(g), Address: string(g) + ":80"} }
+func (g grant) Done(balancer.Result) {}
+
+// Call implements peer.Client towards the other processes.
+func (p *process) Call(ctx context.Context, address, method string, args, reply any) error {
+	if err := p.pass(); err != nil {
+		return err
+	}
+	target, link := p.world.link(p.number, address)
+	if link == cut || target == nil {
+		return &peer.UnreachableError{Address: address, Err: errCut}
+	}
+	done := make(chan error, 1)
+	fresh := &peer.OperationReply{}
+	go func() { done <- target.receive(method, clone(args), fresh) }()
+	select {
+	case err := <-done:
+		if gone := p.pass(); gone != nil || err != nil || link == replyLost {
+			return &peer.UnreachableError{Address: address, Sent: true, Err: errCut}
+		}
+	case <-ctx.Done():
+		return &peer.UnreachableError{Address: address, Sent: true, Err: ctx.Err()}
+	case <-p.killed:
+		return errKilled
+	}
+	if out, ok := reply.(*peer.OperationReply); ok {
+		*out = *clone(fresh).(*peer.OperationReply)
+	}
+	return nil
+}
+
+// receive answers a call of another process.
+func (p *process) receive(method string, args any, reply *peer.OperationReply) error {
+	if err := p.pass(); err != nil {
+		return err
+	}
+	if method == peer.MethodOperationSeal {
+		return p.receiver.Seal(args.(*peer.OperationSeal), nil)
+	}
+	err := p.receiver.Ask(args.(*peer.OperationAsk), reply)
+	return errors.Join(err, p.pass())
+}
+
+// clone copies a message as the wire does.
+func clone(message any) any {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(message); err != nil {
+		panic(err)
+	}
+	var out any
+	switch message.(type) {
+	case *peer.OperationAsk:
+		out = &peer.OperationAsk{}
+	case *peer.OperationReply:
+		out = &peer.OperationReply{}
+	case *peer.OperationSeal:
+		out = &peer.OperationSeal{}
+	}
+	if err := gob.NewDecoder(&buf).Decode(out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// Tree implements entry.Trees.
+func (w *world) Tree() *tree.Tree { return w.tree }
+
+// Spend implements entry.Limits.
+func (w *world) Spend(string, string, string) (func(), *outcome.Refusal) { return func() {}, nil }
