Wait for a slow log, find a dead connection to it sooner

Cause: a log that takes more than 2 s to answer counted as down for ever, as reads after a failure timed out at 2 s; and a long poll of 20 s on a connection that had died silently kept an entry from the log for 22 s. Shown: TestSlowPlatformIsWaitedFor failed first (append given up after 2 s). Change: requests time out after 10 s, connections are probed (gone within about 8 s), one poll waits 5 s. The rapid machine also freezes and slows the log.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -54,6 +54,25 @@
 	})
 }
 
+func TestFrozenLogIsReplacedByPeers(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.set(func() { w.frozen[2] = true })
+		time.Sleep(pollWait)
+		w.append(claim(2, "i2", ""))
+		time.Sleep(5 * time.Second)
+		wantOffset(t, w, 2, 3)
+	})
+}
+
+func TestSlowLogIsFollowed(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.set(func() { w.slow = true })
+		w.append(claim(2, "i2", ""))
+		time.Sleep(2 * slowRead)
+		wantOffset(t, w, 0, 3)
+	})
+}
+
 func TestSnapshotTakesThePlaceOfExpiredRecords(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, w *world) {
 		time.Sleep(snapshotAge)
--- a/internal/follow/machine_test.go
+++ b/internal/follow/machine_test.go
@@ -34,7 +34,7 @@
 		Action: rapid.SampledFrom([]string{
 			"append", "append", "append", "unknown record", "wait", "wait", "cut log", "heal log",
 			"log down", "cut peers", "heal peers", "slow peers", "restart", "restart", "expire",
-			"distort", "lose answer", "wait for snapshot",
+			"distort", "lose answer", "freeze log", "thaw log", "slow log", "quick log", "wait for snapshot",
 		}).Draw(t, "action"),
 		Entry:    rapid.IntRange(0, machineEntries-1).Draw(t, "entry"),
 		Seat:     rapid.IntRange(0, 5).Draw(t, "seat"),
@@ -58,6 +58,14 @@
 		w.set(func() { w.down[s.Entry] = false })
 	case "log down":
 		w.set(func() { w.down = map[int]bool{0: true, 1: true, 2: true, 3: true} })
+	case "freeze log":
+		w.set(func() { w.frozen[s.Entry] = true })
+	case "thaw log":
+		w.set(func() { w.frozen[s.Entry] = false })
+	case "slow log":
+		w.set(func() { w.slow = true })
+	case "quick log":
+		w.set(func() { w.slow = false })
 	case "cut peers":
 		w.set(func() { w.cut[s.Entry] = true })
 	case "heal peers":
@@ -98,7 +106,9 @@
 func (w *world) converge() error {
 	w.set(func() {
 		clear(w.down)
+		clear(w.frozen)
 		clear(w.cut)
+		w.slow = false
 		w.pages, w.latency = pageWhole, time.Millisecond
 	})
 	time.Sleep(healTime)
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -12,7 +12,7 @@
 
 const (
 	// pollWait is how long one read waits for a record.
-	pollWait = 20 * time.Second
+	pollWait = 5 * time.Second
 	// minBackoff and maxBackoff bound the time between reads that fail.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 2 * time.Second
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -18,6 +18,13 @@
 // beat is the time between two rounds of offers, which stand for heartbeats.
 const beat = time.Second
 
+const (
+	// slowRead is the time of a read while the log is slow.
+	slowRead = 4 * time.Second
+	// readTimeout is when a read that is not answered fails.
+	readTimeout = 10 * time.Second
+)
+
 // pageFault is how a log distorts its pages.
 type pageFault int
 
@@ -40,6 +47,8 @@
 	snapshots  []platform.Record
 	changed    chan struct{}
 	down       map[int]bool // entries that cannot reach the log
+	frozen     map[int]bool // entries whose reads of the log are not answered
+	slow       bool         // each read of the log takes slowRead
 	cut        map[int]bool // entries that cannot reach their peers
 	pages      pageFault
 	latency    time.Duration // of an answer between peers
@@ -55,7 +64,7 @@
 }
 
 func newWorld(entries int) *world {
-	w := &world{latency: time.Millisecond, changed: make(chan struct{}), down: map[int]bool{}, cut: map[int]bool{}}
+	w := &world{latency: time.Millisecond, changed: make(chan struct{}), down: map[int]bool{}, frozen: map[int]bool{}, cut: map[int]bool{}}
 	w.append(founding())
 	w.entries = make([]*worldEntry, entries)
 	for n := range entries {
@@ -180,6 +189,9 @@
 }
 
 func (l worldLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Page, error) {
+	if !l.arrives(ctx) {
+		return platform.Page{}, &platform.UnavailableError{}
+	}
 	deadline := time.Now().Add(wait)
 	for {
 		page, changed, err := l.page(stream, from)
@@ -195,6 +207,20 @@
 	}
 }
 
+// arrives reports whether a read reaches the log before it times out.
+func (l worldLog) arrives(ctx context.Context) bool {
+	l.w.mu.Lock()
+	frozen, slow := l.w.frozen[l.n], l.w.slow
+	l.w.mu.Unlock()
+	switch {
+	case frozen:
+		pause(ctx, readTimeout)
+	case slow:
+		pause(ctx, slowRead)
+	}
+	return !frozen && ctx.Err() == nil
+}
+
 func (l worldLog) page(stream string, from int64) (platform.Page, chan struct{}, error) {
 	w := l.w
 	w.mu.Lock()
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -19,7 +19,9 @@
 
 const (
 	// defaultTimeout bounds one request, over and above the wait of a long poll.
-	defaultTimeout = 2 * time.Second
+	// The platform may be slow for a long time; connections that have died are
+	// found sooner, by their keep-alive probes.
+	defaultTimeout = 10 * time.Second
 	// dialTimeout bounds opening a connection to one endpoint.
 	dialTimeout = time.Second
 	// idleConnTimeout is how long an unused connection is kept.
@@ -35,7 +37,7 @@
 	// Client is this VM's name, sent with each request.
 	Client string
 	// Timeout bounds one request, over and above the wait of a long poll;
-	// zero stands for 2 s.
+	// zero stands for 10 s.
 	Timeout time.Duration
 }
 
--- a/internal/platform/traffic.go
+++ b/internal/platform/traffic.go
@@ -4,15 +4,25 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
+// keepAlive finds a connection whose other side has gone within about 8 s.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     3 * time.Second,
+	Interval: time.Second,
+	Count:    5,
+}
+
 // traffic counts the bytes of all connections of a client.
 type traffic struct {
 	sent, received atomic.Int64
 }
 
 func (t *traffic) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -168,6 +168,17 @@
 	}
 }
 
+func TestSlowPlatformIsWaitedFor(t *testing.T) {
+	s, server := start(t)
+	c := platform.NewHTTP([]string{server.URL}, platform.Options{Client: "vm-1"})
+	t.Cleanup(c.Close)
+	s.SetFaults(standin.Faults{DelayMs: 2500})
+	offset, err := c.Append(t.Context(), platform.StreamConfig, json.RawMessage(`1`))
+	if err != nil || offset != 0 {
+		t.Fatalf("offset %d, error %v", offset, err)
+	}
+}
+
 func TestAdminPathsRefuseUnknownFields(t *testing.T) {
 	_, server := start(t)
 	for body, want := range map[string]int{
