--- /dev/null
+++ b/bench/control/daemon.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/proctest"
+	standin "chestnutrouter.example/chestnutrouter/standin/platform"
+)
+
+// daemonFleet runs whole daemons in place of nodes. Their log lines tell when a
+// record came in force.
+type daemonFleet struct {
+	fleet   *proctest.Fleet
+	dir     string
+	entries []*proctest.Entry
+}
+
+func startDaemons(n int) (*daemonFleet, error) {
+	dir, err := os.MkdirTemp("", "chestnutrouter")
+	if err != nil {
+		return nil, err
+	}
+	binaries, err := proctest.Build(context.Background(), dir)
+	if err != nil {
+		os.RemoveAll(dir)
+		return nil, err
+	}
+	d := &daemonFleet{fleet: proctest.NewFleet(dir, binaries), dir: dir}
+	for i := range n {
+		e, err := d.fleet.StartEntry(fmt.Sprintf("entry-%03d", i), fmt.Sprint("zone-", i%zones))
+		if err != nil {
+			d.stop()
+			return nil, err
+		}
+		d.entries = append(d.entries, e)
+	}
+	if err := d.awaitFleet(); err != nil {
+		d.stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *daemonFleet) url() string { return d.fleet.PlatformURL }
+
+func (d *daemonFleet) count() int { return len(d.entries) }
+
+func (d *daemonFleet) stop() {
+	d.fleet.Close()
+	os.RemoveAll(d.dir)
+}
+
+// awaitFleet returns when every daemon sees all of them.
+func (d *daemonFleet) awaitFleet() error {
+	ctx := context.Background()
+	for _, e := range d.entries {
+		err := proctest.Until(ctx, startTimeout, func() bool {
+			report, err := e.Status()
+			return err == nil && len(report.Entries) == len(d.entries)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cutHalf cuts every second daemon off the platform.
+func (d *daemonFleet) cutHalf() {
+	f := standin.Faults{}
+	for i, e := range d.entries {
+		if i%2 == 1 {
+			f.Cut = append(f.Cut, e.VM.Name)
+		}
+	}
+	d.fleet.Platform.SetFaults(f)
+}
+
+// awaitApplied returns when the last daemon had the offset in force.
+func (d *daemonFleet) awaitApplied(offset int64) (time.Time, error) {
+	var last time.Time
+	for _, e := range d.entries {
+		var at time.Time
+		err := proctest.Until(context.Background(), appliedTimeout, func() bool {
+			at = appliedAt(e.LogFile(), offset)
+			return !at.IsZero()
+		})
+		if err != nil {
+			return last, fmt.Errorf("%s: offset %d: %w", e.VM.Name, offset, err)
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last, nil
+}
+
+// appliedAt returns the time of the log line on an applied offset, the zero time
+// where there is none yet.
+func appliedAt(logFile string, offset int64) time.Time {
+	file, err := os.Open(logFile)
+	if err != nil {
+		return time.Time{}
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var line struct {
+			Time    time.Time `json:"time"`
+			Applied *int64    `json:"applied"`
+		}
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Applied != nil && *line.Applied >= offset {
+			return line.Time
+		}
+	}
+	return time.Time{}
+}
--- a/bench/control/main.go
+++ b/bench/control/main.go
@@ -1,8 +1,9 @@
 // Command control measures what control costs and how fast a configuration comes
-// in force. It runs the follower and the membership of each entry as a process
-// of its own on loopback, next to a stand-in platform, and prints a table.
+// in force. It runs the follower and the membership of each entry, or the whole
+// daemon, as a process of its own on loopback next to a stand-in platform, and
+// prints a table.
 //
-//	go run ./bench/control --measure latency --nodes 3,19
+//	go run ./bench/control --measure latency --nodes 3,19 --daemons
 //	go run ./bench/control --measure cost --nodes 13,19,60
 package main
 
@@ -25,6 +26,7 @@
 	seconds int
 	servers int
 	plain   bool
+	daemons bool
 	tree    string
 }
 
@@ -42,6 +44,7 @@
 	flaggy.Int(&opts.seconds, "", "seconds", "measured seconds of each cost run")
 	flaggy.Int(&opts.servers, "", "servers", "backend servers in the VM list")
 	flaggy.Bool(&opts.plain, "", "plain", "a platform that sends the VM list whole each time")
+	flaggy.Bool(&opts.daemons, "", "daemons", "measure latency with whole daemons")
 	flaggy.String(&opts.tree, "", "tree", "directory of the published tree")
 	flaggy.Bool(&asJSON, "", "json", "print JSON in place of text")
 	flaggy.Parse()
@@ -72,24 +75,48 @@
 }
 
 func measureOne(opts options, n int) ([]row, error) {
-	b, err := startBench(opts, n)
+	if opts.measure == "cost" {
+		return costOf(opts, n)
+	}
+	e, err := startEntries(opts, n)
 	if err != nil {
 		return nil, err
 	}
-	defer b.stop()
-	if opts.measure == "cost" {
-		r, err := b.measureCost()
-		return []row{r}, err
+	defer e.stop()
+	o := newOperator(e.url())
+	if err := o.found(opts.tree); err != nil {
+		return nil, err
 	}
-	whole, err := b.measureLatency("log up")
+	whole, err := measureLatency("log up", opts.appends, o, e)
 	if err != nil {
 		return nil, err
 	}
-	b.cutHalf()
-	half, err := b.measureLatency("log cut from half")
+	e.cutHalf()
+	half, err := measureLatency("log cut from half", opts.appends, o, e)
 	return []row{whole, half}, err
 }
 
+func costOf(opts options, n int) ([]row, error) {
+	f, err := startNodes(opts, n)
+	if err != nil {
+		return nil, err
+	}
+	defer f.stop()
+	o := newOperator(f.url())
+	if err := o.found(opts.tree); err != nil {
+		return nil, err
+	}
+	r, err := f.measureCost(o)
+	return []row{r}, err
+}
+
+func startEntries(opts options, n int) (entries, error) {
+	if opts.daemons {
+		return startDaemons(n)
+	}
+	return startNodes(opts, n)
+}
+
 // nodeCommand returns the command of one entry process.
 func nodeCommand() (*exec.Cmd, error) {
 	self, err := os.Executable()
--- a/bench/control/measure.go
+++ b/bench/control/measure.go
@@ -36,16 +36,28 @@
 	Servers       int     `json:"servers,omitempty"`
 }
 
-// measureLatency appends changes and takes the time until the last entry has
+// entries are the entry processes of one run.
+type entries interface {
+	url() string
+	count() int
+	// cutHalf cuts every second entry off the platform.
+	cutHalf()
+	// awaitApplied returns when the last entry had the offset in force.
+	awaitApplied(offset int64) (time.Time, error)
+	stop()
+}
+
+// measureLatency publishes changes and takes the time until the last entry has
 // each in force.
-func (b *bench) measureLatency(name string) (row, error) {
+func measureLatency(name string, appends int, o *operator, e entries) (row, error) {
 	var times []time.Duration
-	for range b.opts.appends {
+	for range appends {
 		start := time.Now()
-		if err := b.change(); err != nil {
+		offset, err := o.change()
+		if err != nil {
 			return row{}, err
 		}
-		last, err := b.awaitApplied(b.state.Offset())
+		last, err := e.awaitApplied(offset)
 		if err != nil {
 			return row{}, err
 		}
@@ -54,7 +66,7 @@
 	}
 	slices.Sort(times)
 	return row{
-		Nodes:    len(b.children),
+		Nodes:    e.count(),
 		Measure:  name,
 		MedianMs: milliseconds(times[len(times)/2]),
 		WorstMs:  milliseconds(times[len(times)-1]),
@@ -62,45 +74,45 @@
 	}, nil
 }
 
-// awaitApplied returns when the last entry had the offset in force.
-func (b *bench) awaitApplied(offset int64) (time.Time, error) {
-	var last int64
-	for _, c := range b.children {
-		m, err := c.await(appliedTimeout, func(m message) bool {
-			return m.Applied != nil && m.Applied.Offset >= offset
-		})
-		if err != nil {
-			return time.Time{}, fmt.Errorf("%s: %w", c.vm.Name, err)
-		}
-		last = max(last, m.Applied.UnixNanos)
-	}
-	return time.Unix(0, last), nil
-}
-
 // measureCost takes what the entries use while changes come at the target rate.
-func (b *bench) measureCost() (row, error) {
-	before, err := b.usages()
+func (f *nodeFleet) measureCost(o *operator) (row, error) {
+	before, err := f.usages()
 	if err != nil {
 		return row{}, err
 	}
 	start := time.Now()
-	length := time.Duration(b.opts.seconds) * time.Second
+	length := time.Duration(f.opts.seconds) * time.Second
 	for time.Since(start) < length {
-		if err := b.change(); err != nil {
+		if _, err := o.change(); err != nil {
 			return row{}, err
 		}
 		time.Sleep(min(changeInterval, length-time.Since(start)))
 	}
-	after, err := b.usages()
+	after, err := f.usages()
 	if err != nil {
 		return row{}, err
 	}
-	return b.costRow(before, after, time.Since(start)), nil
+	return f.costRow(before, after, time.Since(start)), nil
+}
+
+// awaitApplied implements entries.
+func (f *nodeFleet) awaitApplied(offset int64) (time.Time, error) {
+	var last int64
+	for _, c := range f.children {
+		m, err := c.await(appliedTimeout, func(m message) bool {
+			return m.Applied != nil && m.Applied.Offset >= offset
+		})
+		if err != nil {
+			return time.Time{}, fmt.Errorf("%s: %w", c.vm.Name, err)
+		}
+		last = max(last, m.Applied.UnixNanos)
+	}
+	return time.Unix(0, last), nil
 }
 
-func (b *bench) usages() ([]*usage, error) {
+func (f *nodeFleet) usages() ([]*usage, error) {
 	var out []*usage
-	for _, c := range b.children {
+	for _, c := range f.children {
 		u, err := c.usage()
 		if err != nil {
 			return nil, err
@@ -110,9 +122,9 @@
 	return out, nil
 }
 
-func (b *bench) costRow(before, after []*usage, length time.Duration) row {
+func (f *nodeFleet) costRow(before, after []*usage, length time.Duration) row {
 	seconds, n := length.Seconds(), float64(len(before))
-	r := row{Nodes: len(before), Measure: "cost", Seconds: int(seconds), Servers: b.opts.servers}
+	r := row{Nodes: len(before), Measure: "cost", Seconds: int(seconds), Servers: f.opts.servers}
 	for i, x := range before {
 		y := after[i]
 		cpu := 100 * float64(y.CPUMicros-x.CPUMicros) / 1e6 / seconds
--- a/bench/control/bench.go
+++ b/bench/control/nodes.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,17 +12,12 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
-	"chestnutrouter.example/chestnutrouter/internal/tree"
 	standin "chestnutrouter.example/chestnutrouter/standin/platform"
 )
 
 const (
 	// benchService is the service of all backend servers in the VM list.
 	benchService = "glazenpot/shop"
-	// changedBranch is the branch that each append changes.
-	changedBranch = tree.Branch("/glazenpot/intake")
 	// zones is the number of availability zones.
 	zones = 8
 	// startTimeout bounds the start of one run.
@@ -32,13 +26,11 @@
 	appliedTimeout = 30 * time.Second
 )
 
-// bench is a stand-in platform and the entry processes.
-type bench struct {
+// nodeFleet is a stand-in platform and entry processes without the request path.
+type nodeFleet struct {
 	opts     options
 	platform *standin.Server
 	server   *httptest.Server
-	log      *platform.HTTP
-	state    *fold.State // of the records appended here
 	children []*child
 }
 
@@ -50,85 +42,34 @@
 	messages chan message
 }
 
-func startBench(opts options, n int) (*bench, error) {
-	b := &bench{opts: opts, platform: standin.New(), state: fold.Empty()}
-	b.server = httptest.NewServer(b.platform)
-	b.log = platform.NewHTTP([]string{b.server.URL}, platform.Options{Client: "operator"})
-	b.platform.SetFaults(standin.Faults{PlainVMs: opts.plain})
-	if err := b.found(); err != nil {
-		b.stop()
-		return nil, err
-	}
+func startNodes(opts options, n int) (*nodeFleet, error) {
+	f := &nodeFleet{opts: opts, platform: standin.New()}
+	f.server = httptest.NewServer(f.platform)
+	f.platform.SetFaults(standin.Faults{PlainVMs: opts.plain})
 	for i := range n {
-		if err := b.startChild(i); err != nil {
-			b.stop()
+		if err := f.startChild(i); err != nil {
+			f.stop()
 			return nil, err
 		}
 	}
-	b.platform.SetVMs(b.vms())
-	if err := b.awaitFleet(); err != nil {
-		b.stop()
+	f.platform.SetVMs(f.vms())
+	if err := f.awaitFleet(); err != nil {
+		f.stop()
 		return nil, err
 	}
-	return b, nil
+	return f, nil
 }
 
-// found publishes the tree.
-func (b *bench) found() error {
-	docs, findings := tree.ReadFS(os.DirFS(b.opts.tree), b.opts.tree)
-	if len(findings) > 0 {
-		return findings
-	}
-	p := fold.Publish{Branch: string(tree.Root), Publisher: "glazenpot", PublishID: "founding"}
-	for branch, doc := range docs {
-		if branch == tree.Root {
-			p.Content = doc.Content
-			continue
-		}
-		p.Children = append(p.Children, fold.Child{Branch: string(branch), Content: doc.Content})
-	}
-	return b.append(p)
-}
-
-// change publishes the changed branch with another comment.
-func (b *bench) change() error {
-	inForce, ok := b.state.Branch(changedBranch)
-	if !ok {
-		return fmt.Errorf("the tree has no %s", changedBranch)
-	}
-	n := b.state.Offset()
-	return b.append(fold.Publish{
-		Branch:       string(changedBranch),
-		BaseRevision: inForce.Revision,
-		Content:      fmt.Sprintf("// change %d\n%s", n, inForce.Content),
-		Publisher:    "glazenpot",
-		PublishID:    fmt.Sprint("change-", n),
-	})
-}
+func (f *nodeFleet) url() string { return f.server.URL }
 
-func (b *bench) append(p fold.Publish) error {
-	data, err := fold.NewPublish(p).Encode()
-	if err != nil {
-		return err
-	}
-	offset, err := b.log.Append(context.Background(), platform.StreamConfig, data)
-	if err != nil {
-		return err
-	}
-	next, decision := b.state.Apply(offset, data)
-	b.state = next
-	if decision.Outcome != fold.Accepted {
-		return fmt.Errorf("record not in force: %s %s", decision, decision.Findings)
-	}
-	return nil
-}
+func (f *nodeFleet) count() int { return len(f.children) }
 
-func (b *bench) vms() []fleet.VM {
+func (f *nodeFleet) vms() []fleet.VM {
 	var out []fleet.VM
-	for _, c := range b.children {
+	for _, c := range f.children {
 		out = append(out, c.vm)
 	}
-	for i := range b.opts.servers {
+	for i := range f.opts.servers {
 		out = append(out, fleet.VM{
 			Name:    fmt.Sprintf("server-%04d", i),
 			Address: fmt.Sprintf("10.0.%d.%d:8080", i/200, i%200),
@@ -140,7 +81,7 @@
 	return out
 }
 
-func (b *bench) startChild(i int) error {
+func (f *nodeFleet) startChild(i int) error {
 	cmd, err := nodeCommand()
 	if err != nil {
 		return err
@@ -158,7 +99,7 @@
 		return err
 	}
 	c := &child{cmd: cmd, stdin: stdin, messages: make(chan message, 1024)}
-	b.children = append(b.children, c)
+	f.children = append(f.children, c)
 	go c.read(stdout)
 	c.vm = fleet.VM{
 		Name:    fmt.Sprintf("entry-%03d", i),
@@ -167,7 +108,7 @@
 		Service: fleet.EntryService,
 		State:   fleet.Live,
 	}
-	settings, err := json.Marshal(nodeSettings{VM: c.vm, Platform: b.server.URL})
+	settings, err := json.Marshal(nodeSettings{VM: c.vm, Platform: f.server.URL})
 	if err != nil {
 		return err
 	}
@@ -219,16 +160,16 @@
 	return m.Usage, err
 }
 
-// awaitFleet returns when every entry names all of them.
-func (b *bench) awaitFleet() error {
+// awaitFleet returns when every entry sees all of them.
+func (f *nodeFleet) awaitFleet() error {
 	deadline := time.Now().Add(startTimeout)
-	for _, c := range b.children {
+	for _, c := range f.children {
 		for {
 			u, err := c.usage()
 			if err != nil {
 				return err
 			}
-			if u.AddressAnswer == len(b.children) && u.Servers == b.opts.servers {
+			if u.Entries == len(f.children) && u.Servers == f.opts.servers {
 				break
 			}
 			if time.Now().After(deadline) {
@@ -241,25 +182,24 @@
 }
 
 // cutHalf cuts every second entry off the log service and the VM list.
-func (b *bench) cutHalf() {
-	f := standin.Faults{PlainVMs: b.opts.plain}
-	for i, c := range b.children {
+func (f *nodeFleet) cutHalf() {
+	faults := standin.Faults{PlainVMs: f.opts.plain}
+	for i, c := range f.children {
 		if i%2 == 1 {
-			f.Cut = append(f.Cut, c.vm.Name)
+			faults.Cut = append(faults.Cut, c.vm.Name)
 		}
 	}
-	b.platform.SetFaults(f)
+	f.platform.SetFaults(faults)
 }
 
 // stop ends the processes, each by the end of its input.
-func (b *bench) stop() {
-	for _, c := range b.children {
+func (f *nodeFleet) stop() {
+	for _, c := range f.children {
 		c.stdin.Close()
 	}
-	for _, c := range b.children {
+	for _, c := range f.children {
 		_ = c.cmd.Wait()
 	}
-	b.log.Close()
-	b.server.CloseClientConnections()
-	b.server.Close()
+	f.server.CloseClientConnections()
+	f.server.Close()
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -144,6 +144,7 @@
 	for _, s := range f.subscribers {
 		s(state)
 	}
+	f.opts.Logger.Info("configuration in force", "applied", state.Offset(), "revision", state.Revision())
 }
 
 // report counts and logs what became of a record; the caller holds advance.
