--- a/bench/latency/children.go
+++ b/bench/latency/children.go
@@ -13,6 +13,7 @@
 	"runtime/pprof"
 	"strings"
 	"syscall"
+	"time"
 
 	"chestnutrouter.example/chestnutrouter/standin/backend"
 )
@@ -89,13 +90,42 @@
 	defer cancel()
 	servers := strings.Split(o.servers, ",")
 	if o.role == roleHop {
-		return serve([]http.Handler{newHop(servers)})
+		return serve([]http.Handler{newHop(servers), http.HandlerFunc(serveUsage)})
 	}
 	handler, err := newEntry(ctx, servers)
 	if err != nil {
 		return err
 	}
-	return serve([]http.Handler{handler})
+	return serve([]http.Handler{handler, http.HandlerFunc(serveUsage)})
+}
+
+// serveUsage answers with the processor time of this process in microseconds.
+func serveUsage(w http.ResponseWriter, _ *http.Request) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	used := time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	// A caller that has left needs no answer.
+	_, _ = fmt.Fprint(w, used.Microseconds())
+}
+
+// usage reads the processor time of a child; zero where there is no child.
+func usage(address string) time.Duration {
+	if address == "" {
+		return 0
+	}
+	response, err := http.Get("http://" + address)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var micros int64
+	if _, err := fmt.Fscan(response.Body, &micros); err != nil {
+		return 0
+	}
+	return time.Duration(micros) * time.Microsecond
 }
 
 // serve listens once for each handler, prints the addresses and serves until it
