Do not propose a pending change again

Cause: until a vote passed, every publish of the directory made another proposal of the same change (the test saw p2 beside p1).

--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -25,6 +25,8 @@
 	// Replaced tells that the content was in force before: the directory is out
 	// of date, and publishing it would undo what came after.
 	Replaced bool `json:"replaced,omitempty"`
+	// Pending is the id of a proposal of just this change.
+	Pending string `json:"pending,omitempty"`
 
 	document *tree.Document
 }
@@ -57,6 +59,8 @@
 	changes []Change
 	// onlyInForce are branches that the directory lacks and that stay.
 	onlyInForce []tree.Branch
+	// pending are changes that wait for a vote already.
+	pending []Change
 	// foreign are branches of other members that differ.
 	foreign []tree.Branch
 	// outdated are changes that would bring back a replaced content.
@@ -83,6 +87,8 @@
 			p.foreign = append(p.foreign, b)
 		case c.Remove && !o.Remove:
 			p.onlyInForce = append(p.onlyInForce, b)
+		case c.Pending != "":
+			p.pending = append(p.pending, c)
 		case c.Replaced && o.Base < 0:
 			p.outdated = append(p.outdated, c)
 		default:
@@ -127,6 +133,7 @@
 		Replaced:     doc != nil && f.Replaced(doc.Content),
 		document:     doc,
 	}
+	c.Pending = pendingID(state, c)
 	for _, change := range tree.Diff(current, doc) {
 		c.Changes = append(c.Changes, change.String())
 	}
@@ -160,6 +167,17 @@
 	p.blocked = p.blocked.Sorted()
 }
 
+// pendingID returns the proposal that asks for just this change, or "".
+func pendingID(state *fold.State, c Change) string {
+	for _, p := range state.Proposals() {
+		same := p.Branch == c.Branch && p.BaseRevision == c.BaseRevision && p.Remove == c.Remove
+		if same && (c.Remove || p.Content == c.document.Content) {
+			return p.ID
+		}
+	}
+	return ""
+}
+
 func check(c Change, docs tree.Documents) finding.List {
 	_, findings := tree.Build(c.on(docs))
 	return findings
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -31,6 +31,8 @@
 	Findings    finding.List  `json:"findings,omitempty"`
 	Changes     []Change      `json:"changes"`
 	OnlyInForce []tree.Branch `json:"only_in_force,omitempty"`
+	// Pending are changes that wait for a vote already.
+	Pending []Change `json:"pending,omitempty"`
 	// Foreign are branches of other members that differ and were not published.
 	Foreign []tree.Branch `json:"foreign,omitempty"`
 	// Outdated are changes that were not published, as they would bring back a
@@ -56,6 +58,9 @@
 	for _, b := range r.OnlyInForce {
 		lines = append(lines, fmt.Sprintf("only in force: %s (--remove takes it out)", b))
 	}
+	for _, c := range r.Pending {
+		lines = append(lines, fmt.Sprintf("already proposed: %s waits for a vote as %s", c.Branch, c.Pending))
+	}
 	for _, b := range r.Foreign {
 		lines = append(lines, fmt.Sprintf("not published: %s differs and belongs to %s", b, b.Member()))
 	}
@@ -66,7 +71,7 @@
 	for _, f := range r.Blocked {
 		lines = append(lines, "blocked until other changes are in force: "+f.String())
 	}
-	if len(r.Findings)+len(r.Changes)+len(r.Blocked)+len(r.Outdated) == 0 {
+	if len(r.Findings)+len(r.Changes)+len(r.Blocked)+len(r.Outdated)+len(r.Pending) == 0 {
 		lines = append(lines, "nothing differs from what is in force")
 	}
 	for _, d := range r.Decisions {
@@ -97,6 +102,7 @@
 	result := &PublishResult{
 		Changes:     p.changes,
 		OnlyInForce: p.onlyInForce,
+		Pending:     p.pending,
 		Foreign:     p.foreign,
 		Outdated:    p.outdated,
 		Blocked:     p.blocked,
--- a/internal/ctl/publish_test.go
+++ b/internal/ctl/publish_test.go
@@ -72,6 +72,7 @@
 	b.contains(out, "needs a vote", "proposed /glazenpot p1")
 	b.contains(b.run(CodeDone, "x", "show"), "pending p1 on /glazenpot by glazenpot/ann: approved by 0 of 2", "25000 -> 24000")
 	b.contains(b.run(CodeRefused, "x", "approve", "p9"), "no proposal p9 is pending")
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "already proposed: /glazenpot waits for a vote as p1")
 
 	b.run(CodeDone, "glazenpot/bob", "approve", "p1", "--directory", b.dir)
 	b.contains(b.run(CodeRefused, "glazenpot/bob", "approve", "p1"), "already approves")
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -12,11 +12,8 @@
 func (c *Control) await(ctx context.Context, r *reader, result *PublishResult) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	for _, d := range result.Decisions {
-		if d.Outcome != fold.Proposed {
-			continue
-		}
-		end, err := c.awaitVote(ctx, r, d.Proposal)
+	for _, id := range result.proposals() {
+		end, err := c.awaitVote(ctx, r, id)
 		if err != nil {
 			return err
 		}
@@ -29,6 +26,20 @@
 	return c.awaitEntries(ctx, result)
 }
 
+// proposals returns the proposals that the command made or found.
+func (r *PublishResult) proposals() []string {
+	var ids []string
+	for _, c := range r.Pending {
+		ids = append(ids, c.Pending)
+	}
+	for _, d := range r.Decisions {
+		if d.Outcome == fold.Proposed {
+			ids = append(ids, d.Proposal)
+		}
+	}
+	return ids
+}
+
 func (c *Control) awaitVote(ctx context.Context, r *reader, id string) (fold.Settlement, error) {
 	for {
 		if end, settled := r.state.Settlement(id); settled {
--- a/internal/fold/bench_test.go
+++ b/internal/fold/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -160,3 +161,34 @@
 		})
 	}
 }
+
+// BenchmarkMemory measures the heap that a restored state holds.
+func BenchmarkMemory(b *testing.B) {
+	for _, services := range benchServices {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			data, err := json.Marshal(benchFold(b, benchDay(services, recordsADay)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			var held []*State
+			before := heapBytes()
+			for b.Loop() {
+				s, err := Restore(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				held = append(held, s)
+			}
+			b.ReportMetric(float64(heapBytes()-before)/float64(len(held)), "heap-B/state")
+			runtime.KeepAlive(held)
+		})
+	}
+}
+
+// heapBytes returns the live heap after a collection.
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
