Publish a directory that holds one member's branches alone

Cause: members keep repositories of their own; publish asked for a root in each. Change: without a root, branches are checked each by itself and, before they are published, on top of what is in force. Publish is split into short steps.

--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -14,8 +14,11 @@
 // CheckResult is the answer of Check.
 type CheckResult struct {
 	// Documents is the number of documents that were read.
-	Documents int          `json:"documents"`
-	Findings  finding.List `json:"findings"`
+	Documents int `json:"documents"`
+	// Partial tells that there is no root, so that the branches were checked
+	// each by itself.
+	Partial  bool         `json:"partial,omitempty"`
+	Findings finding.List `json:"findings"`
 }
 
 func (r *CheckResult) text() []string {
@@ -23,10 +26,14 @@
 	for _, f := range r.Findings {
 		lines = append(lines, f.String())
 	}
-	if len(lines) == 0 {
+	switch {
+	case len(lines) > 0:
+		return lines
+	case r.Partial:
+		return []string{fmt.Sprintf("%d documents, no findings in each by itself; there is no root to check them against", r.Documents)}
+	default:
 		return []string{fmt.Sprintf("%d documents, no findings", r.Documents)}
 	}
-	return lines
 }
 
 // Check checks a directory of branches or one file. A file in a directory of
@@ -55,14 +62,16 @@
 	return r, nil
 }
 
-// checkDirectory reads and checks all branches. The documents are complete only
-// when there are no findings.
+// checkDirectory reads and checks all branches. A directory without a root is
+// that of one member, whose branches are checked each by itself. The documents
+// are complete only when there are no findings.
 func checkDirectory(dir string) (tree.Documents, *CheckResult) {
 	docs, findings := tree.ReadFS(os.DirFS(dir), filepath.ToSlash(dir))
-	if len(findings) == 0 {
+	partial := docs[tree.Root] == nil && len(docs) > 0
+	if len(findings) == 0 && !partial {
 		_, findings = tree.Build(docs)
 	}
-	return docs, &CheckResult{Documents: len(docs), Findings: findings.Sorted()}
+	return docs, &CheckResult{Documents: len(docs), Partial: partial, Findings: findings.Sorted()}
 }
 
 func checkAlone(path string, branch tree.Branch) *CheckResult {
--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -82,7 +82,7 @@
 		c, differs := compare(b, docs[b], state)
 		own := founding || b == tree.Root || b.Member() == member || b == o.Branch
 		switch {
-		case !differs:
+		case !differs, c.Remove && b == tree.Root:
 		case !own:
 			p.foreign = append(p.foreign, b)
 		case c.Remove && !o.Remove:
@@ -100,6 +100,31 @@
 	return p
 }
 
+// result returns what the plan shows before anything is published.
+func (p plan) result(offset int64) *PublishResult {
+	return &PublishResult{
+		Changes:     append([]Change{}, p.changes...),
+		Pending:     p.pending,
+		Foreign:     p.foreign,
+		OnlyInForce: p.onlyInForce,
+		Outdated:    p.outdated,
+		Blocked:     p.blocked,
+		Offset:      offset,
+	}
+}
+
+// err says what of the difference cannot be published.
+func (p plan) err() error {
+	switch {
+	case len(p.outdated) > 0:
+		return &RefusedError{Detail: "the directory is out of date"}
+	case len(p.blocked) > 0:
+		return &RefusedError{Detail: "some changes are not valid before others are in force"}
+	default:
+		return nil
+	}
+}
+
 func allBranches(a, b tree.Documents) []tree.Branch {
 	branches := slices.Collect(maps.Keys(a))
 	branches = slices.AppendSeq(branches, maps.Keys(b))
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -48,6 +48,21 @@
 }
 
 func (r *PublishResult) text() []string {
+	lines := r.differenceText()
+	if len(lines) == 0 {
+		lines = append(lines, "nothing differs from what is in force")
+	}
+	for _, d := range r.Decisions {
+		lines = append(lines, decisionText(d)...)
+	}
+	for _, v := range r.Votes {
+		lines = append(lines, settlementText(v))
+	}
+	return append(lines, entryText(r.Entries)...)
+}
+
+// differenceText describes what differs and what of it is not published.
+func (r *PublishResult) differenceText() []string {
 	var lines []string
 	for _, f := range r.Findings {
 		lines = append(lines, f.String())
@@ -55,15 +70,15 @@
 	for _, c := range r.Changes {
 		lines = append(lines, c.text()...)
 	}
-	for _, b := range r.OnlyInForce {
-		lines = append(lines, fmt.Sprintf("only in force: %s (--remove takes it out)", b))
-	}
 	for _, c := range r.Pending {
 		lines = append(lines, fmt.Sprintf("already proposed: %s waits for a vote as %s", c.Branch, c.Pending))
 	}
 	for _, b := range r.Foreign {
 		lines = append(lines, fmt.Sprintf("not published: %s differs and belongs to %s", b, b.Member()))
 	}
+	for _, b := range r.OnlyInForce {
+		lines = append(lines, fmt.Sprintf("only in force: %s (--remove takes it out)", b))
+	}
 	for _, c := range r.Outdated {
 		lines = append(lines, fmt.Sprintf("out of date: %s holds a content that revision %d replaced; update the directory, or go back on purpose with --branch %s --base %d",
 			c.Branch, c.BaseRevision, c.Branch, c.BaseRevision))
@@ -71,16 +86,7 @@
 	for _, f := range r.Blocked {
 		lines = append(lines, "blocked until other changes are in force: "+f.String())
 	}
-	if len(r.Findings)+len(r.Changes)+len(r.Blocked)+len(r.Outdated)+len(r.Pending) == 0 {
-		lines = append(lines, "nothing differs from what is in force")
-	}
-	for _, d := range r.Decisions {
-		lines = append(lines, decisionText(d)...)
-	}
-	for _, v := range r.Votes {
-		lines = append(lines, settlementText(v))
-	}
-	return append(lines, entryText(r.Entries)...)
+	return lines
 }
 
 // Publish publishes the branches of the directory that differ from what is in
@@ -88,7 +94,7 @@
 func (c *Control) Publish(ctx context.Context, o PublishOptions) (*PublishResult, error) {
 	docs, checked := checkDirectory(o.Directory)
 	if len(checked.Findings) > 0 {
-		return &PublishResult{Findings: checked.Findings}, &RefusedError{Detail: fmt.Sprintf("%d findings", len(checked.Findings))}
+		return refuse(checked.Findings)
 	}
 	r, err := c.load(ctx)
 	if err != nil {
@@ -98,31 +104,32 @@
 	if founding && o.Branch != "" {
 		return nil, &RefusedError{Detail: "no tree is in force: the first publish brings the whole directory, so leave --branch out"}
 	}
-	p := newPlan(docs, r.state, fold.PublisherMember(c.Publisher), o)
-	result := &PublishResult{
-		Changes:     p.changes,
-		OnlyInForce: p.onlyInForce,
-		Pending:     p.pending,
-		Foreign:     p.foreign,
-		Outdated:    p.outdated,
-		Blocked:     p.blocked,
-		Offset:      r.state.Offset(),
+	if checked.Partial {
+		if _, findings := tree.Build(r.state.Documents().Over(docs)); len(findings) > 0 {
+			return refuse(findings)
+		}
 	}
-	if !o.DryRun {
-		err = c.publishAll(ctx, r, p.publishes(founding, c.Publisher), result)
+	p := newPlan(docs, r.state, fold.PublisherMember(c.Publisher), o)
+	result := p.result(r.state.Offset())
+	if o.DryRun {
+		return result, p.err()
 	}
-	if err == nil && len(p.outdated) > 0 {
-		err = &RefusedError{Detail: "the directory is out of date"}
+	if err := c.publishAll(ctx, r, p.publishes(founding, c.Publisher), result); err != nil {
+		return result, err
 	}
-	if err == nil && len(p.blocked) > 0 {
-		err = &RefusedError{Detail: "some changes are not valid before others are in force"}
+	if err := p.err(); err != nil {
+		return result, err
 	}
-	if err == nil && o.Wait && !o.DryRun {
+	if o.Wait {
 		err = c.await(ctx, r, result)
 	}
 	return result, err
 }
 
+func refuse(findings finding.List) (*PublishResult, error) {
+	return &PublishResult{Findings: findings, Changes: []Change{}}, &RefusedError{Detail: fmt.Sprintf("%d findings", len(findings))}
+}
+
 // publishAll submits the publishes one after the other. A refused one does not
 // hold back the others, as branches are independent.
 func (c *Control) publishAll(ctx context.Context, r *reader, all []fold.Publish, result *PublishResult) error {
--- a/internal/ctl/publish_test.go
+++ b/internal/ctl/publish_test.go
@@ -129,6 +129,25 @@
 	b.contains(out, "accepted /glazenpot/shop revision 4")
 }
 
+// A member may keep its own branches alone.
+func TestDirectoryOfOneMember(t *testing.T) {
+	b := newBench(t)
+	own := copyTree(t)
+	for _, name := range []string{"branch.jsonc", "tabloblan"} {
+		if err := os.RemoveAll(own + "/" + name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.contains(b.run(CodeDone, "x", "check", own), "7 documents", "no root")
+	b.contains(b.run(CodeRefused, "glazenpot/ann", "publish", own), "missing: the root comes first")
+	b.run(CodeDone, "tabloblan/cleo", "publish", b.dir)
+	edit(t, own, "glazenpot/shop", `"timeout_ms": 2000`, `"timeout_ms": 1500`)
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", own, "--remove"), "accepted /glazenpot/shop revision 2")
+	edit(t, own, "glazenpot/shop", `"rank": "lookups"`, `"rank": "pages"`)
+	b.contains(b.run(CodeRefused, "glazenpot/ann", "publish", own), `routes[2].rank: the root has no rank "pages"`)
+	b.contains(b.run(CodeDone, "x", "show"), "/tabloblan/booking revision 1", "offset 1")
+}
+
 func TestStatusReportsTwoStatesAtOneOffset(t *testing.T) {
 	entries := []EntryStatus{{Offset: 3, Hash: "a"}, {Offset: 4, Hash: "b"}, {Offset: 4, Hash: "b"}, {Offset: -1, Error: "down"}}
 	if _, split := splitAt(entries); split {
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -28,6 +28,14 @@
 	return c
 }
 
+// Over returns a copy in which the others replace those of their branches.
+func (ds Documents) Over(others Documents) Documents {
+	c := make(Documents, len(ds)+len(others))
+	maps.Copy(c, ds)
+	maps.Copy(c, others)
+	return c
+}
+
 // Without returns a copy that lacks the branch.
 func (ds Documents) Without(b Branch) Documents {
 	c := maps.Clone(ds)
