--- /dev/null
+++ b/internal/ctl/faults_test.go
@@ -0,0 +1,105 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+	standin "chestnutrouter.example/chestnutrouter/standin/platform"
+)
+
+// TestPublishUnderFaults publishes while the log is faulty. Whatever the
+// operator is told, a publish after the faults brings the tree in force once.
+func TestPublishUnderFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.Faults
+		want   Code
+	}{
+		{"slow", standin.Faults{DelayMs: 100}, CodeDone},
+		{"answer lost", standin.Faults{LoseAppendAnswers: 1}, CodeDone},
+		{"answers lost again and again", standin.Faults{LoseAppendAnswers: 4}, CodeDone},
+		{"records twice", standin.Faults{RepeatRecords: true}, CodeDone},
+		{"records out of order", standin.Faults{ReverseRecords: true}, CodeDone},
+		{"all at once", standin.Faults{DelayMs: 50, LoseAppendAnswers: 1, RepeatRecords: true, ReverseRecords: true}, CodeDone},
+		{"down", standin.Faults{Down: true}, CodeUnknown},
+		{"cut", standin.Faults{Cut: []string{standin.EveryClient}}, CodeUnknown},
+		{"frozen", standin.Faults{Frozen: []string{standin.EveryClient}}, CodeUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.platform.SetFaults(c.faults)
+			b.run(c.want, "glazenpot/ann", "publish", b.dir, "--timeout", "2s")
+			b.platform.SetFaults(standin.Faults{})
+			b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+			b.contains(b.run(CodeDone, "x", "show"), "revision 1,")
+			b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "nothing differs")
+		})
+	}
+}
+
+// cutLog is a log whose answers to the publisher end right after an append.
+type cutLog struct {
+	platform.Log
+	cut func()
+}
+
+func (l *cutLog) Append(ctx context.Context, stream string, data json.RawMessage) (int64, error) {
+	if _, err := l.Log.Append(ctx, stream, data); err != nil {
+		return 0, err
+	}
+	l.cut()
+	return 0, &platform.UnavailableError{Operation: "append", Err: context.Canceled}
+}
+
+// TestKilledAfterTheAppend ends chestnutctl between its append and the answer.
+func TestKilledAfterTheAppend(t *testing.T) {
+	b := newBench(t)
+	client := platform.NewHTTP([]string{b.endpoint}, platform.Options{})
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	control := &Control{Log: &cutLog{client, cancel}, VMs: client, Publisher: "glazenpot/ann", Timeout: time.Minute}
+	_, err := control.Publish(ctx, PublishOptions{Directory: b.dir, Base: -1})
+	var unknown *UnknownError
+	if !errors.As(err, &unknown) {
+		t.Fatalf("got %v", err)
+	}
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "nothing differs")
+	b.contains(b.run(CodeDone, "x", "show"), "offset 0, revision 1")
+}
+
+// TestExpiredLog starts from a snapshot, and says so when there is none.
+func TestExpiredLog(t *testing.T) {
+	b := newBench(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot/shop", `"timeout_ms": 2000`, `"timeout_ms": 1500`)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	client := platform.NewHTTP([]string{b.endpoint}, platform.Options{})
+	defer client.Close()
+	r := newReader(client)
+	if err := r.catchUp(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	b.platform.Expire(platform.StreamConfig, 2)
+	b.contains(b.run(CodeUnknown, "x", "show", "--timeout", "300ms"), "records before offset 2 have expired and no snapshot reaches it")
+	for _, data := range [][]byte{mustSnapshot(t, fold.Empty()), mustSnapshot(t, r.state), []byte(`{"version":9}`)} {
+		if _, err := client.Append(t.Context(), platform.StreamSnapshots, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.contains(b.run(CodeDone, "x", "show"), "offset 1, revision 2")
+	b.contains(b.run(CodeDone, "glazenpot/ann", "publish", b.dir), "nothing differs")
+}
+
+func mustSnapshot(t *testing.T, s *fold.State) []byte {
+	t.Helper()
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
