--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -204,9 +204,7 @@
 // hear takes in the report of an answer.
 func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
 	others := h.news.hear(r.Report, own, now.UnixNano())
-	if r.Report.Draining && b.options.Draining != nil {
-		b.options.Draining(h.vm.Name)
-	}
+	b.tellDraining(h, r.Report)
 	if r.Kind != OK {
 		return
 	}
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -30,6 +30,7 @@
 	news   news
 	joined int64 // nanoseconds since the Unix epoch; zero where it was there before this entry
 	health health
+	probed atomic.Int64 // nanoseconds since the Unix epoch
 	vm     fleet.VM
 	places [maxPlaces]Server
 }
@@ -44,6 +45,9 @@
 	return h
 }
 
+// inFlight is the number of reserved places.
+func (h *host) inFlight() int { return bits.OnesCount32(h.busy.Load()) }
+
 // reserve takes a free place if the busy mask still is the one that was judged.
 func (h *host) reserve(seen uint32, now int64) (*Server, bool) {
 	index := bits.TrailingZeros32(^seen)
--- /dev/null
+++ b/internal/balancer/probe.go
@@ -0,0 +1,53 @@
+package balancer
+
+import (
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+)
+
+// newsWanted is the age of the last report from which a probe is worth its cost.
+const newsWanted = time.Second
+
+// ProbeNext is the server whose load has been unknown for longest, and false
+// when answers or probes brought news of all of late. The server is not offered
+// again before newsWanted has passed.
+func (b *Balancer) ProbeNext(now time.Time) (fleet.VM, bool) {
+	var oldest *host
+	since := now.Add(-newsWanted).UnixNano()
+	for _, h := range b.snapshot.Load().hosts {
+		if known := max(h.news.heard.Load(), h.probed.Load()); known <= since {
+			oldest, since = h, known
+		}
+	}
+	if oldest == nil {
+		return fleet.VM{}, false
+	}
+	oldest.probed.Store(now.UnixNano())
+	return oldest.vm, true
+}
+
+// ProbeAnswered takes in the report of a probe. It ends no ejection, as a server
+// may answer probes well and requests badly.
+func (b *Balancer) ProbeAnswered(server string, now time.Time, r Report) {
+	h := b.snapshot.Load().host(server)
+	if h == nil {
+		return
+	}
+	own := h.inFlight()
+	h.news.hear(r, own, now.UnixNano())
+	b.tellDraining(h, r)
+}
+
+// ProbeFailed counts like a failed dial.
+func (b *Balancer) ProbeFailed(server string, now time.Time) {
+	if h := b.snapshot.Load().host(server); h != nil {
+		b.fail(h, now, DialFailed)
+	}
+}
+
+func (b *Balancer) tellDraining(h *host, r Report) {
+	if r.Draining && b.options.Draining != nil {
+		b.options.Draining(h.vm.Name)
+	}
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -51,6 +51,16 @@
 	return n
 }
 
+// host returns the host of that name, or nil.
+func (s *snapshot) host(name string) *host {
+	for _, h := range s.hosts {
+		if h.vm.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
 // first is the index at which a pick starts to judge, scattered by the turn.
 func (s *snapshot) first(turn uint64) int {
 	if len(s.hosts) == 0 {
