Spend the probes in the bench and keep their reports in their place

Change: the load of a probe counts only where answers carry reports; the doubt about a silent server is at most the usual load; a shed answer holds the server like a failed one. bench/engine spends probes through the real Prober.

--- a/bench/engine/queued.go
+++ b/bench/engine/queued.go
@@ -7,6 +7,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/probe"
 )
 
 // pollInterval is how often an entry with waiting calls looks again.
@@ -23,6 +24,7 @@
 	calls     map[*admission.Item]*call
 	polling   bool
 	hedges    float64 // tokens
+	prober    *probe.Prober
 }
 
 func newQueued(e *entry) *queued {
@@ -30,6 +32,8 @@
 	q := &queued{entry: e, balancer: b, calls: make(map[*admission.Item]*call)}
 	q.scheduler = admission.NewScheduler(b)
 	q.scheduler.SetRanks(e.run.service.Ranks)
+	q.prober = newProber(q)
+	q.probe()
 	return q
 }
 
--- a/bench/engine/run.go
+++ b/bench/engine/run.go
@@ -125,4 +125,8 @@
 	return reportBytes
 }
 
-func (r *run) measuring() bool { return r.clock.now >= r.scenario.WarmUp }
+// measuring reports whether the measured time runs.
+func (r *run) measuring() bool {
+	since := r.clock.now - r.scenario.WarmUp
+	return since >= 0 && since < r.scenario.Length
+}
--- a/bench/policy/faults.go
+++ b/bench/policy/faults.go
@@ -34,7 +34,7 @@
 		Title: fmt.Sprintf("Lookups under faults, 85%% load, 19 entries, seed %d", seed),
 		Header: []string{
 			"fault", "policy", "p50 ms", "p99 ms", "p99.9 ms", "served/s",
-			"refused", "failed", "hedges", "measuring B/s", "payments failed",
+			"refused", "failed", "hedges", "probes/s", "measuring B/s", "payments failed",
 		},
 	}
 	var scenarios []engine.Scenario
--- a/bench/policy/load.go
+++ b/bench/policy/load.go
@@ -35,7 +35,7 @@
 		Title: fmt.Sprintf("Lookups by load, noisy neighbours, seed %d", seed),
 		Header: []string{
 			"entries", "load", "policy", "p50 ms", "p99 ms", "p99.9 ms", "served/s",
-			"refused", "failed", "hedges", "measuring B/s",
+			"refused", "failed", "hedges", "probes/s", "measuring B/s",
 		},
 	}
 	var scenarios []engine.Scenario
@@ -62,6 +62,7 @@
 		ms(f.Quantile(50)), ms(f.Quantile(99)), ms(f.Quantile(99.9)),
 		fmt.Sprintf("%.0f", float64(f.Served)/length.Seconds()),
 		percent(f.Refused, f.Offered), percent(f.Failed, f.Offered), percent(r.Hedges, f.Offered),
+		fmt.Sprintf("%.0f", float64(r.Probes)/length.Seconds()),
 		fmt.Sprintf("%.0f", float64(r.Bytes)/length.Seconds()),
 	}
 }
--- a/bench/policy/work.go
+++ b/bench/policy/work.go
@@ -13,7 +13,7 @@
 		Title: fmt.Sprintf("Lookups by kind of work, 19 entries, seed %d", seed),
 		Header: []string{
 			"work", "load", "policy", "p50 ms", "p99 ms", "p99.9 ms", "served/s",
-			"refused", "failed", "hedges", "measuring B/s",
+			"refused", "failed", "hedges", "probes/s", "measuring B/s",
 		},
 	}
 	works := []struct {
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -64,8 +64,12 @@
 	if r.Kind == balancer.Shed {
 		w.limit -= shedCut * w.limit
 	}
-	if r.HasReport && r.Kind == balancer.OK {
+	switch {
+	case r.Kind != balancer.OK:
+	case r.HasReport:
 		w.follow(r.Report, inProgress, waiting)
+	default:
+		w.grow(inProgress, waiting)
 	}
 	w.limit = min(max(w.limit, leastLimit), mostLimit)
 }
@@ -76,6 +80,11 @@
 		w.limit -= w.cut() * float64(min(excess, mostExcess))
 		return
 	}
+	w.grow(inProgress, waiting)
+}
+
+// grow raises the limit of a window in use.
+func (w *window) grow(inProgress, waiting int) {
 	if float64(inProgress) >= usedShare*w.limit {
 		w.limit += w.rise(waiting) / w.limit
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
@@ -36,15 +35,16 @@
 
 // Balancer chooses among the backend servers of one service.
 type Balancer struct {
-	options  Options
-	snapshot atomic.Pointer[snapshot]
-	latency  mean // nanoseconds of an answer
-	others   mean // requests of other entries at a server
-	busy     mean // busy share of a server's slots
-	echo     *echo
-	quantile *quantile
-	turn     atomic.Uint64 // moves the server at which equal ones are judged first
-	mu       sync.Mutex    // guards making a new snapshot
+	options   Options
+	snapshot  atomic.Pointer[snapshot]
+	latency   mean        // nanoseconds of an answer
+	others    mean        // requests of other entries at a server
+	busy      mean        // busy share of a server's slots
+	reporting atomic.Bool // answers carry reports
+	echo      *echo
+	quantile  *quantile
+	turn      atomic.Uint64 // moves the server at which equal ones are judged first
+	mu        sync.Mutex    // guards making a new snapshot
 }
 
 // New returns a balancer without servers.
@@ -82,28 +82,6 @@
 // too little was measured.
 func (b *Balancer) HighLatency() time.Duration { return b.quantile.value() }
 
-const (
-	// maxHedgeLoad is the busy share of all slots above which a second attempt
-	// costs others more than it gains.
-	maxHedgeLoad = 0.9
-	// minHedgeTrust is how far reports must be believed for the busy share to count.
-	minHedgeTrust = 0.5
-)
-
-// HedgeAfter is how long an idempotent request may stay unanswered before a
-// second attempt is worth its cost. It is false when too little was measured
-// or the servers are too busy for second attempts.
-func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
-	wait := b.quantile.value()
-	if wait == 0 || b.echo.value() < minHedgeTrust {
-		return 0, false
-	}
-	return wait, b.Load() <= maxHedgeLoad
-}
-
-// Load is the busy share of the servers' slots, 0 to 1, by their recent reports.
-func (b *Balancer) Load() float64 { return b.busy.value() }
-
 // Pick reserves a place at the server with the shortest estimated wait. It is
 // false when no server that is not excluded by name has a free slot.
 func (b *Balancer) Pick(now time.Time, exclude []string) (*Server, bool) {
@@ -133,12 +111,13 @@
 
 // view is what a pick at that time judges all servers by.
 func (b *Balancer) view(s *snapshot, now time.Time, limit float64) view {
+	usual := b.others.value()
 	return view{
 		now:   now.UnixNano(),
 		late:  b.lateAfter(),
 		limit: limit,
 		slots: float64(s.slots),
-		usual: b.others.value() + doubt,
+		usual: usual + min(doubt, usual),
 		trust: b.echo.value(),
 	}
 }
@@ -147,8 +126,8 @@
 	// lateMeans is how many mean latencies a request may be out before its
 	// server is taken to be slow.
 	lateMeans = 3
-	// doubt is added to the usual load of a server without news, as a load that
-	// is known costs less on average than one that is only likely.
+	// doubt is the most that is added to the usual load of a server without news,
+	// as a load that is known costs less on average than one that is only likely.
 	doubt = 0.5
 	// meanWeight is the weight of the newest answer in the means.
 	meanWeight = 0.02
@@ -164,55 +143,6 @@
 	return int64(lateMeans * usual)
 }
 
-// Done ends the reservation with what the attempt showed. It must be called
-// exactly once for each pick.
-func (b *Balancer) Done(s *Server, now time.Time, r Result) {
-	own := s.host.release(s)
-	if r.HasReport {
-		b.hear(s.host, own, now, r)
-	}
-	switch r.Kind {
-	case OK:
-		s.host.health.succeed()
-		if !r.Upload {
-			b.latency.learn(float64(r.Latency), meanWeight)
-			b.quantile.learn(now, r.Latency)
-		}
-	case Error, DialFailed:
-		b.fail(s.host, now, r.Kind)
-	}
-}
-
-// fail lets the failed answer count as a long one, so that a server that fails
-// fast draws no load.
-func (b *Balancer) fail(h *host, now time.Time, kind ResultKind) {
-	hold := time.Duration(lateMeans * b.latency.value())
-	if !h.health.fail(now, max(hold, minErrorHold)) {
-		return
-	}
-	snapshot := b.snapshot.Load()
-	if tooMany(snapshot.suspended(now.UnixNano()), len(snapshot.hosts)) {
-		metrics.Count(b.options.Scope, metrics.Ejections, "ignored_past_cap")
-		return
-	}
-	metrics.Count(b.options.Scope, metrics.Ejections, kind.String())
-}
-
-// minErrorHold is the shortest time that a failure counts as in progress.
-const minErrorHold = 10 * time.Millisecond
-
-// hear takes in the report of an answer.
-func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
-	others := h.news.hear(r.Report, own, now.UnixNano())
-	b.tellDraining(h, r.Report)
-	if r.Kind != OK {
-		return
-	}
-	b.others.learn(others, meanWeight)
-	b.busy.learn(r.Report.busyShare(), busyWeight)
-	b.echo.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
-}
-
 func excluded(exclude []string, name string) bool {
 	return len(exclude) > 0 && slices.Contains(exclude, name)
 }
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -24,7 +24,7 @@
 // atomic fields; the others belong to Done.
 type health struct {
 	ejectedUntil atomic.Int64 // nanoseconds since the Unix epoch
-	failedUntil  atomic.Int64 // until then, a failed answer counts as in progress
+	failedUntil  atomic.Int64 // until then, a failed or shed answer counts as in progress
 	trial        atomic.Bool  // one request at a time until an answer is whole
 
 	mu    sync.Mutex // guards share and inRow
@@ -41,12 +41,15 @@
 	h.trial.Store(false)
 }
 
-// fail takes in a failed one, which counts as in progress for the hold time. It
-// reports whether the server is ejected by it.
-func (h *health) fail(now time.Time, hold time.Duration) bool {
+// hold lets a failed or shed answer count as in progress for a while.
+func (h *health) hold(now time.Time, length time.Duration) {
+	h.failedUntil.Store(now.Add(length).UnixNano())
+}
+
+// fail takes in a failed answer. It reports whether the server is ejected by it.
+func (h *health) fail(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failedUntil.Store(now.Add(hold).UnixNano())
 	h.share += errorWeight * (1 - h.share)
 	ejected := h.ejectedUntil.Load() > now.UnixNano()
 	if ejected || h.share <= ejectShare && !h.trial.Load() {
--- /dev/null
+++ b/internal/balancer/hedge.go
@@ -0,0 +1,25 @@
+package balancer
+
+import "time"
+
+const (
+	// maxHedgeLoad is the busy share of all slots above which a second attempt
+	// costs others more than it gains.
+	maxHedgeLoad = 0.9
+	// minTrust is the trust in reports from which they count as believed.
+	minTrust = 0.5
+)
+
+// HedgeAfter is how long an idempotent request may stay unanswered before a
+// second attempt is worth its cost. It is false when too little was measured
+// or the servers are too busy for second attempts.
+func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
+	wait := b.quantile.value()
+	if wait == 0 || b.echo.value() < minTrust {
+		return 0, false
+	}
+	return wait, b.Load() <= maxHedgeLoad
+}
+
+// Load is the busy share of the servers' slots, 0 to 1, by their recent reports.
+func (b *Balancer) Load() float64 { return b.busy.value() }
--- /dev/null
+++ b/internal/balancer/learn.go
@@ -0,0 +1,71 @@
+package balancer
+
+import (
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
+)
+
+// Done ends the reservation with what the attempt showed. It must be called
+// exactly once for each pick.
+func (b *Balancer) Done(s *Server, now time.Time, r Result) {
+	own := s.host.release(s)
+	if r.HasReport {
+		b.hear(s.host, own, now, r)
+	}
+	switch r.Kind {
+	case OK:
+		s.host.health.succeed()
+		if !r.Upload {
+			b.latency.learn(float64(r.Latency), meanWeight)
+			b.quantile.learn(now, r.Latency)
+		}
+	case Shed:
+		s.host.health.hold(now, b.holdTime())
+	case Error, DialFailed:
+		b.fail(s.host, now, r.Kind)
+	}
+}
+
+// fail lets the failed answer count as a long one, so that a server that fails
+// fast draws no load.
+func (b *Balancer) fail(h *host, now time.Time, kind ResultKind) {
+	h.health.hold(now, b.holdTime())
+	if !h.health.fail(now) {
+		return
+	}
+	snapshot := b.snapshot.Load()
+	if tooMany(snapshot.suspended(now.UnixNano()), len(snapshot.hosts)) {
+		metrics.Count(b.options.Scope, metrics.Ejections, "ignored_past_cap")
+		return
+	}
+	metrics.Count(b.options.Scope, metrics.Ejections, kind.String())
+}
+
+// holdTime is how long a failed or shed request counts as in progress.
+func (b *Balancer) holdTime() time.Duration {
+	return max(time.Duration(lateMeans*b.latency.value()), minHold)
+}
+
+// minHold is the shortest time that a failure counts as in progress.
+const minHold = 10 * time.Millisecond
+
+// hear takes in the report of an answer. Only whole answers count in the means,
+// as a server that fails answers at times of its own.
+func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
+	others := h.news.hear(r.Report, own, now.UnixNano())
+	b.tellDraining(h, r.Report)
+	if r.Kind != OK {
+		return
+	}
+	b.reporting.Store(true)
+	b.others.learn(others, meanWeight)
+	b.busy.learn(r.Report.busyShare(), busyWeight)
+	b.echo.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
+}
+
+func (b *Balancer) tellDraining(h *host, r Report) {
+	if r.Draining && b.options.Draining != nil {
+		b.options.Draining(h.vm.Name)
+	}
+}
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -28,15 +28,21 @@
 }
 
 // ProbeAnswered takes in the report of a probe. It ends no ejection, as a server
-// may answer probes well and requests badly.
+// may answer probes well and requests badly. The load counts only in a service
+// whose answers carry reports too: without these nothing corrects it, and all
+// work would go where a probe last found an idle server.
 func (b *Balancer) ProbeAnswered(server string, now time.Time, r Report) {
 	h := b.snapshot.Load().host(server)
 	if h == nil {
 		return
 	}
-	own := h.inFlight()
-	h.news.hear(r, own, now.UnixNano())
 	b.tellDraining(h, r)
+	b.busy.learn(r.busyShare(), busyWeight)
+	if b.reporting.Load() {
+		h.news.hear(r, h.inFlight(), now.UnixNano())
+		return
+	}
+	h.news.draining.Store(r.Draining)
 }
 
 // ProbeFailed counts like a failed dial.
@@ -45,9 +51,3 @@
 		b.fail(h, now, DialFailed)
 	}
 }
-
-func (b *Balancer) tellDraining(h *host, r Report) {
-	if r.Draining && b.options.Draining != nil {
-		b.options.Draining(h.vm.Name)
-	}
-}
