Let operations of other entries end before an entry stops

Cause: http.Server.Shutdown waits for callers' requests only. An operation that another entry passed on over net/rpc is in no HTTP server's count, so an entry that stopped gracefully cut it in the middle and its seal said unknown. Now the table is sealed after the last caller, the entry waits for what is in progress, and the seal is made again from what it came to. Drain.Wait has a test in virtual time. The caller side's own errors go to the JSON log.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"chestnutrouter.example/chestnutrouter/internal/escrow"
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/membership"
@@ -42,6 +44,7 @@
 		IdleTimeout:       p.Settings.KeepAlive(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          p.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 	e.status = &http.Server{
 		Handler:           status.NewHandler(e, p.Registry.Handler),
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -20,7 +20,7 @@
 	e.parts.Members.SetDraining()
 	e.parts.Drain.Start()
 	e.awaitCallers(ctx)
-	err := e.drainCallers(ctx)
+	err := e.drainRequests(ctx)
 	e.leaveSeal()
 	e.close()
 	return err
@@ -35,11 +35,16 @@
 	}
 }
 
-// drainCallers lets the requests in progress end.
-func (e *Entry) drainCallers(ctx context.Context) error {
+// drainRequests lets the requests in progress end: those of callers, then the
+// operations that other entries passed on. From then on no operation is begun.
+func (e *Entry) drainRequests(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, e.parts.Settings.DrainLimit())
 	defer cancel()
 	err := e.caller.Shutdown(ctx)
+	e.parts.Operations.Seal()
+	if err == nil {
+		err = e.parts.Drain.Wait(ctx)
+	}
 	if err != nil {
 		e.parts.Logger.Error("requests were cut", "in_flight", e.parts.Drain.InFlight(), "error", err)
 		return errors.Join(err, e.caller.Close())
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/forward"
@@ -182,6 +183,24 @@
 	}
 }
 
+// An operation that another entry passed on is in no HTTP server's count.
+func TestDrainWaitsForOperationsOfOtherEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		ended := false
+		b.run = func(context.Context, *http.Request) (*forward.Answer, *outcome.Refusal) {
+			time.Sleep(time.Minute)
+			ended = true
+			return wholeAnswer("ok"), nil
+		}
+		go b.RunAsked(context.Background(), "caller", httptest.NewRequest("GET", "http://"+testHost+"/", nil), nil)
+		synctest.Wait()
+		if err := b.Drain.Wait(context.Background()); err != nil || !ended {
+			t.Errorf("wait: %v, operation ended: %v", err, ended)
+		}
+	})
+}
+
 func TestCallsAreCountedByServiceRankAndOutcome(t *testing.T) {
 	b := newBench(t)
 	b.send("GET", "/", "")
