--- a/internal/membership/build.go
+++ b/internal/membership/build.go
@@ -55,11 +55,15 @@
 	}
 }
 
-// withListState returns the VM with the state that the VM list gives it.
+// withListState returns the VM with the state that this entry's VM list gives it,
+// or leaving where another entry's list says so.
 func (t *table) withListState(vm fleet.VM) fleet.VM {
 	if listed, ok := t.list.byName[vm.Name]; ok {
 		vm.State = listed.State
 	}
+	if t.notices.isDraining(vm.Name) {
+		vm.State = fleet.Leaving
+	}
 	return vm
 }
 
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -49,7 +49,7 @@
 	return out
 }
 
-// setList takes in a VM list and notes what it says of leaving backend servers.
+// setList takes in a VM list and notes what it says of leaving VMs.
 // It reports whether anything changed.
 func (t *table) setList(now time.Time, next vmList) bool {
 	before := t.list
@@ -58,9 +58,6 @@
 		return false
 	}
 	for _, vm := range next.vms {
-		if vm.Service == fleet.EntryService {
-			continue
-		}
 		wasLeaving := before.byName[vm.Name].State == fleet.Leaving
 		if vm.State == fleet.Leaving {
 			t.notices.report(now, vm.Name, true)
--- a/internal/membership/notice.go
+++ b/internal/membership/notice.go
@@ -16,14 +16,15 @@
 	oldPerMessage   = 2
 )
 
-// notice is the newest word on one backend server.
+// notice is the newest word on one VM: a backend server, or an entry that the VM
+// list calls leaving.
 type notice struct {
 	peer.Notice
 	changed time.Time
 	sent    int
 }
 
-// noticeTable holds the newest notice of each backend server.
+// noticeTable holds the newest notice of each VM.
 type noticeTable struct {
 	byServer map[string]*notice
 }
@@ -111,6 +112,11 @@
 	return out
 }
 
+func (t noticeTable) isDraining(server string) bool {
+	n := t.byServer[server]
+	return n != nil && n.Draining
+}
+
 // draining returns the servers that take no new work.
 func (t noticeTable) draining() map[string]bool {
 	out := map[string]bool{}
