--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -38,6 +38,8 @@
 	host    string
 	time    time.Duration
 	rounds  int
+	callers int
+	rate    int
 }
 
 func main() {
@@ -54,6 +56,8 @@
 	flaggy.String(&o.host, "", "host", "host name of the calls")
 	flaggy.Duration(&o.time, "", "time", "length of one measurement")
 	flaggy.Int(&o.rounds, "", "rounds", "measurements of each kind, direct and through in turn")
+	flaggy.Int(&o.callers, "", "callers", "measure only this number of callers, at --rate")
+	flaggy.Int(&o.rate, "", "rate", "calls a second with --callers")
 	flaggy.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "latency:", err)
--- a/bench/latency/measure.go
+++ b/bench/latency/measure.go
@@ -73,6 +73,13 @@
 			"added p50", "added p90", "added p99", "added p99.9", "entry CPU us/call", "failed",
 		},
 	}
+	if c.callers > 0 {
+		l := load{callers: c.callers, rate: float64(c.rate), length: c.time}
+		c.through.run(l)
+		c.direct.run(l)
+		c.runAt(&t, l, 0)
+		return t
+	}
 	for _, callers := range callerCounts {
 		c.through.run(load{callers: callers, length: warmupTime})
 		c.direct.run(load{callers: callers, length: warmupTime})
@@ -107,7 +114,11 @@
 		calls += with[i].latencies.TotalCount()
 		failed += with[i].failed + without[i].failed
 	}
-	t.Add(l.callers, fmt.Sprintf("%.0f", l.rate), fmt.Sprintf("%.0f%%", 100*share),
+	shareText := "-"
+	if share > 0 {
+		shareText = fmt.Sprintf("%.0f%%", 100*share)
+	}
+	t.Add(l.callers, fmt.Sprintf("%.0f", l.rate), shareText,
 		medianOf(without, 50), medianOf(without, 99), medianOf(with, 50), medianOf(with, 99),
 		added[0], added[1], added[2], added[3],
 		fmt.Sprintf("%.0f", float64(used.Microseconds())/float64(calls)), failed)
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/wire"
@@ -169,10 +170,19 @@
 	dst.Set(wire.HeaderServer, a.Server)
 }
 
+// copyBuffers keeps the buffers of copyBody: a new one for each answer made the
+// garbage collector the largest part of a call.
+var copyBuffers = sync.Pool{New: func() any {
+	buf := make([]byte, copyBufferBytes)
+	return &buf
+}}
+
 // copyBody flushes after each read, as an answer may be a slow stream.
 func copyBody(w http.ResponseWriter, body io.Reader) error {
 	flusher := http.NewResponseController(w)
-	buf := make([]byte, copyBufferBytes)
+	pooled := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(pooled)
+	buf := *pooled
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
