Count what the voted limits refuse and show what an entry holds

Cause: operators could not see who holds which part of a limit, nor why an entry refuses. Conclusion: TestCounters trips each, TestHoldings shows the parts.

--- a/bench/limits/main.go
+++ b/bench/limits/main.go
@@ -21,7 +21,12 @@
 	flaggy.SetDescription("voted limits over many entries")
 	flaggy.Bool(&asJSON, "", "json", "print JSON in place of text")
 	flaggy.Duration(&length, "", "time", "length of one scenario")
+	entries := 0
+	flaggy.Int(&entries, "", "entries", "measure only this number of entries")
 	flaggy.Parse()
+	if entries > 0 {
+		sizes = []int{entries}
+	}
 	tables, err := measure(length)
 	if err == nil {
 		err = table.Write(os.Stdout, tables, asJSON)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -111,13 +111,14 @@
 }
 
 func newLedger(ops *operation.Table, f *follow.Follower, m *membership.Membership, client peer.Client,
-	contact *escrow.Contact,
+	contact *escrow.Contact, scope tally.Scope,
 ) *escrow.Ledger {
 	own := ops.Incarnation()
 	return escrow.New(escrow.Options{
 		Incarnation:   own,
 		Client:        client,
 		Peers:         func() []escrow.Peer { return lenders(m.View(), own) },
+		Scope:         scope,
 		LastHeard:     contact.Last,
 		LowestApplied: func() int64 { return lowestApplied(f.Current().Seats(), m.View()) },
 	})
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/seat"
@@ -40,6 +42,8 @@
 	// LowestApplied returns an offset that all holders of seats are known to have
 	// applied, and -1 where nothing is known; nil is the same as -1.
 	LowestApplied func() int64
+	// Scope gets the counters; nil drops them.
+	Scope tally.Scope
 	// Now reads the time; nil means time.Now.
 	Now func() time.Time
 }
@@ -48,6 +52,8 @@
 // Its single lock is a leaf: nothing else is locked while it is held.
 type Ledger struct {
 	opts  Options
+	count counters
+
 	mu    sync.Mutex // guards what follows
 	clock clock
 	book  *book
@@ -61,7 +67,12 @@
 	if opts.LowestApplied == nil {
 		opts.LowestApplied = func() int64 { return -1 }
 	}
-	return &Ledger{opts: opts, clock: newClock(opts.Now), book: newBook(opts.Incarnation)}
+	return &Ledger{
+		opts:  opts,
+		count: newCounters(opts.Scope),
+		clock: newClock(opts.Now),
+		book:  newBook(opts.Incarnation),
+	}
 }
 
 // SetTree puts the limits of a tree in force.
@@ -115,6 +126,7 @@
 func (l *Ledger) tick() time.Duration {
 	now, gap := l.clock.read()
 	if gap {
+		l.count.pauses.Inc(1)
 		l.book.pause(now)
 	}
 	if l.opts.LastHeard != nil {
@@ -135,6 +147,7 @@
 	}
 	detail := "the voted limit of " + scopeName(a.key.scope) + " is spent; try again later"
 	if l.book.fence.closed(now) {
+		l.count.fenced.Inc(1)
 		detail = "this entry has heard neither the log nor a peer lately and may not spend a voted limit; try another entry"
 	}
 	refusal := outcome.NewNotRun(http.StatusTooManyRequests, reason, detail)
--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/seat"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 // seated returns a table in which the incarnation holds the only seat.
@@ -77,6 +82,59 @@
 	})
 }
 
+func TestHoldings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newSeated(t, Options{Incarnation: "a"}, 10, 5)
+		l.Spend("m", "s", "lookups")
+		want := []Holding{
+			{Kind: "calls_per_second", Limit: 10, Own: 10, InUse: 1},
+			{Kind: "concurrent_calls", Limit: 5, Own: 5, InUse: 1},
+			{Scope: tree.Scope{Member: "m"}, Kind: "calls_per_second", Limit: 11, Own: 11, InUse: 1},
+		}
+		if got := l.Holdings(); !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
+// TestCounters trips each counter of the ledger.
+func TestCounters(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	now := time.Now()
+	heard := now
+	l := newSeated(t, Options{
+		Incarnation: "without a seat", Scope: scope, Client: silentClient{},
+		Now:       func() time.Time { return now },
+		LastHeard: func() time.Time { return heard },
+		Peers:     func() []Peer { return []Peer{{Incarnation: "b"}} },
+	}, 1, 10)
+	for range 3 {
+		l.Spend("m", "s", "lookups")
+	}
+	for _, o := range l.plan(rand.New(rand.NewPCG(1, 2))) {
+		l.ask(t.Context(), o)
+	}
+	l.clock.wall -= time.Hour
+	now = now.Add(time.Millisecond)
+	l.Spend("m", "s", "lookups")
+	if err := l.Receiver().Lend(&peer.BorrowRequest{Lender: "other"}, &peer.BorrowReply{}); err == nil {
+		t.Error("a request for another entry was answered")
+	}
+	counted := scope.Snapshot().Counters()
+	for _, name := range []string{CounterRequests, CounterRequestsFailed, CounterLendRefused, CounterFenced, CounterPauses} {
+		if c := counted[name+"+"]; c == nil || c.Value() == 0 {
+			t.Errorf("%s was not counted", name)
+		}
+	}
+}
+
+// silentClient reaches nobody.
+type silentClient struct{}
+
+func (silentClient) Call(context.Context, string, string, any, any) error {
+	return &peer.UnreachableError{}
+}
+
 func TestCallsOutsideEveryLimitAreFree(t *testing.T) {
 	l := New(Options{Incarnation: "a"})
 	if _, refusal := l.Spend("m", "s", "lookups"); refusal != nil {
@@ -97,7 +155,7 @@
 	if _, refusal := l.Spend("m", "s", "lookups"); refusal != nil {
 		t.Fatal(refusal)
 	}
-	// A time without a monotonic reading stands for the stepped wall clock.
+	// The wall clock seems to have stepped ahead since the last reading.
 	l.clock.wall -= time.Hour
 	now = now.Add(time.Millisecond)
 	if _, refusal := l.Spend("m", "s", "lookups"); refusal == nil {
--- a/internal/escrow/run.go
+++ b/internal/escrow/run.go
@@ -54,11 +54,13 @@
 func (l *Ledger) ask(ctx context.Context, o order) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
+	l.count.requests.Inc(1)
 	var reply peer.BorrowReply
 	err := l.opts.Client.Call(ctx, o.to.Address, peer.BorrowMethod, &o.request, &reply)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
+		l.count.requestsFailed.Inc(1)
 		l.book.failed(l.tick(), o)
 		return
 	}
@@ -87,6 +89,7 @@
 	defer l.mu.Unlock()
 	answer, ok := l.book.lend(l.tick(), request)
 	if !ok {
+		l.count.lendRefused.Inc(1)
 		return &RefusedError{Borrower: request.Borrower, Lender: request.Lender}
 	}
 	*reply = answer
