Mark states that leave out records of a newer version

Ruled out: stopping the older entry at the record; a flag kept outside of the state, which is lost when the state goes to a peer. Conclusion: TestRestoreRefusesWhatAnOlderProgramLeftOut passes; fold, follow and ctl tests pass.

--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -31,7 +31,7 @@
 	next := s.clone(offset)
 	record, err := DecodeRecord(data)
 	if err != nil {
-		return next, Decision{Offset: offset, Outcome: recordOutcome(err), Message: err.Error()}
+		return next, next.leaveOut(offset, err)
 	}
 	if record.Kind == KindSeat {
 		return next, next.applySeat(offset, *record.Seat)
@@ -39,12 +39,19 @@
 	return next, next.applyPublish(offset, *record.Publish)
 }
 
-func recordOutcome(err error) Outcome {
+// leaveOut decides a record that was not decoded. One of a newer version is
+// remembered, as the state lacks what it says.
+func (s *State) leaveOut(offset int64, err error) Decision {
+	d := Decision{Offset: offset, Outcome: Malformed, Message: err.Error()}
 	var unsupported *UnsupportedError
-	if errors.As(err, &unsupported) {
-		return Unsupported
+	if !errors.As(err, &unsupported) {
+		return d
+	}
+	d.Outcome = Unsupported
+	if s.lacks == nil || unsupported.Version < s.lacks.Version {
+		s.lacks = &Lack{Version: unsupported.Version, Offset: offset}
 	}
-	return Malformed
+	return d
 }
 
 func (s *State) applySeat(offset int64, c seat.Claim) Decision {
--- a/internal/fold/record.go
+++ b/internal/fold/record.go
@@ -83,7 +83,8 @@
 // Error says what is wrong.
 func (e *MalformedError) Error() string { return "malformed record: " + e.Detail }
 
-// UnsupportedError tells that a record comes from a newer version.
+// UnsupportedError tells that a record comes from a newer version. A new kind
+// comes with a new version, so an unknown kind of a known version is malformed.
 type UnsupportedError struct {
 	Version int
 	Kind    Kind
@@ -107,8 +108,7 @@
 	if err := json.Unmarshal(data, &head); err != nil {
 		return Record{}, &MalformedError{Detail: err.Error()}
 	}
-	known := head.Kind == KindPublish || head.Kind == KindSeat
-	if head.Version > Version || !known {
+	if head.Version > Version {
 		return Record{}, &UnsupportedError{Version: head.Version, Kind: head.Kind}
 	}
 	return decodeKnown(data)
@@ -127,8 +127,8 @@
 		return Record{}, &MalformedError{Detail: "data after the record"}
 	}
 	switch {
-	case r.Version < 1:
-		return Record{}, &MalformedError{Detail: fmt.Sprintf("version %d", r.Version)}
+	case r.Version < 1, r.Kind != KindPublish && r.Kind != KindSeat:
+		return Record{}, &MalformedError{Detail: fmt.Sprintf("version %d, kind %q", r.Version, r.Kind)}
 	case (r.Kind == KindPublish) != (r.Publish != nil), (r.Kind == KindSeat) != (r.Seat != nil):
 		return Record{}, &MalformedError{Detail: fmt.Sprintf("fields do not fit kind %q", r.Kind)}
 	default:
--- a/internal/fold/snapshot.go
+++ b/internal/fold/snapshot.go
@@ -29,6 +29,7 @@
 	Settled   []Settlement `json:"settled,omitempty"`
 	Receipts  []Receipt    `json:"receipts,omitempty"`
 	Seats     seat.Table   `json:"seats"`
+	Lacks     *Lack        `json:"lacks,omitempty"`
 }
 
 // SnapshotError tells why a snapshot cannot be restored.
@@ -65,11 +66,14 @@
 		Settled:   s.settled,
 		Receipts:  s.receipts,
 		Seats:     s.seats,
+		Lacks:     s.lacks,
 	}
 }
 
 // Restore returns the state of a snapshot. A snapshot that is damaged, of a
-// newer version or of a tree that is not valid is a *SnapshotError.
+// newer version or of a tree that is not valid is a *SnapshotError, and so is
+// one of an older program that left out records which this program understands:
+// it would take back what is in force.
 func Restore(data []byte) (*State, error) {
 	var snap snapshot
 	if err := json.Unmarshal(data, &snap); err != nil {
@@ -78,6 +82,9 @@
 	if snap.Version != snapshotVersion {
 		return nil, &SnapshotError{Detail: fmt.Sprintf("version %d is not known", snap.Version)}
 	}
+	if lack := snap.State.Lacks; lack != nil && lack.Version <= Version {
+		return nil, &SnapshotError{Detail: fmt.Sprintf("leaves out records of version %d from offset %d on", lack.Version, lack.Offset)}
+	}
 	s := snap.State.state()
 	if err := s.rebuild(); err != nil {
 		return nil, err
@@ -96,6 +103,7 @@
 		settled:   b.Settled,
 		receipts:  b.Receipts,
 		seats:     b.Seats,
+		lacks:     b.Lacks,
 		hash:      &lazyHash{},
 	}
 	if len(b.Branches) > 0 {
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -67,6 +67,14 @@
 	Changes      []string    `json:"changes,omitempty"`
 }
 
+// Lack says that a state leaves out records of a newer version.
+type Lack struct {
+	// Version is the lowest version of those records.
+	Version int `json:"version"`
+	// Offset is the first record of that version.
+	Offset int64 `json:"offset"`
+}
+
 // State is the state in force at an offset. It is immutable and safe for
 // concurrent use.
 type State struct {
@@ -79,6 +87,7 @@
 	settled   []Settlement
 	receipts  []Receipt
 	seats     seat.Table
+	lacks     *Lack
 	// hash is computed when it is first asked for.
 	hash *lazyHash
 }
@@ -105,6 +114,15 @@
 // Seats returns who holds the shares of the voted limits.
 func (s *State) Seats() seat.Table { return s.seats }
 
+// Lacks returns which records of a newer version the state leaves out, and
+// false where it is whole.
+func (s *State) Lacks() (Lack, bool) {
+	if s.lacks == nil {
+		return Lack{}, false
+	}
+	return *s.lacks, true
+}
+
 // Branch returns a branch in force.
 func (s *State) Branch(b tree.Branch) (InForce, bool) {
 	f, ok := s.branches[b]
