--- a/internal/fold/fold_test.go
+++ b/internal/fold/fold_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -160,6 +161,39 @@
 	}
 }
 
+func TestPendingProposalsAreBounded(t *testing.T) {
+	h := newHistory()
+	h.found(t, 2)
+	for range maxPending {
+		if d := h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(70), Publisher: "a"}); d.Outcome != Proposed {
+			t.Fatal(d)
+		}
+	}
+	if d := h.publish(Publish{Branch: "/a", BaseRevision: 1, Content: limitText(70), Publisher: "a"}); d.Outcome != Conflict {
+		t.Errorf("one more: %s", d)
+	}
+	if d := h.publish(Publish{Branch: "/b", BaseRevision: 1, Content: limitText(70), Publisher: "b"}); d.Outcome != Proposed {
+		t.Errorf("another branch: %s", d)
+	}
+	h.state.proposals[0].Content = strings.Repeat("x", maxPendingBytes)
+	if d := h.publish(Publish{Branch: "/b", BaseRevision: 1, Content: limitText(60), Publisher: "b"}); d.Outcome != Conflict {
+		t.Errorf("too much content: %s", d)
+	}
+}
+
+func TestOldReceiptsAreForgotten(t *testing.T) {
+	h := newHistory()
+	for i := range maxReceipts + 1 {
+		h.publish(Publish{Branch: "/a", Content: "{}", Publisher: "a", PublishID: fmt.Sprint(i)})
+	}
+	if _, known := h.state.Receipt("0"); known || len(h.state.receipts) != maxReceipts {
+		t.Errorf("%d receipts, the first is known: %v", len(h.state.receipts), known)
+	}
+	if _, known := h.state.Receipt("1"); !known {
+		t.Error("a receipt is missing")
+	}
+}
+
 func TestRemoval(t *testing.T) {
 	h := newHistory()
 	h.found(t, 2)
--- a/internal/jsonc/jsonc_test.go
+++ b/internal/jsonc/jsonc_test.go
@@ -69,6 +69,7 @@
 				"f:4:10: share: out of range: 1e999",
 			},
 		},
+		{"escaped name", `{"na\u006de": 1}`, []string{"f:1:15: name: expected a string, found a number"}},
 		{"name in another case", `{"name": "x", "Port": 1}`, []string{"f:1:15: Port: unknown field"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -105,6 +106,22 @@
 	}
 }
 
+func TestDiffIgnoresCommentsAndLayout(t *testing.T) {
+	from, _ := Parse("f", []byte(`{"a": 1, "b": {"c": [1, 2], "d": {}}, "e": "x"}`))
+	to, _ := Parse("f", []byte("// new\n{\"b\": {\"d\": {}, \"c\": [1, 3, 4]}, \"a\": 1}"))
+	var got []string
+	for _, c := range Diff(from, to) {
+		got = append(got, c.String())
+	}
+	want := []string{"~ b.c[1]: 2 -> 3", `- e: "x"`, "+ b.c[2]: 4"}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if n := len(Diff(nil, from)); n != 5 || len(Diff(from, from)) != 0 {
+		t.Errorf("%d values in a new document", n)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"name": "x", "routes": [{"rank": "a"}]} // done`))
 	f.Add([]byte(`{"name": 1, "name": {}, "share": 1e400, "epoch": 4294967296}`))
