Do not append a record that entries would not take

Cause: a founding publish over 1 MiB was appended, ignored by the fold without a publish id, not found, and appended again until the timeout: 13 copies in 3 s in TestTooLargeAFoundingIsNotAppended before the change. Change: chestnutctl decodes its record before it appends it and refuses; some names are clearer.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -43,7 +43,7 @@
 	c := &Control{Log: client, VMs: client, Publisher: cmd.publisher, Timeout: cmd.timeout}
 	result, err := cmd.run(ctx, c)
 	if result != nil {
-		print(stdout, result, cmd.json)
+		write(stdout, result, cmd.json)
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, "chestnutctl:", err)
@@ -68,7 +68,7 @@
 	text() []string
 }
 
-func print(w io.Writer, r result, asJSON bool) {
+func write(w io.Writer, r result, asJSON bool) {
 	if asJSON {
 		enc := json.NewEncoder(w)
 		enc.SetIndent("", "  ")
--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -175,7 +175,7 @@
 		return
 	}
 	for len(wanted) > 0 {
-		i := slices.IndexFunc(wanted, func(c Change) bool { return len(check(c, docs)) == 0 })
+		i := slices.IndexFunc(wanted, func(c Change) bool { return len(c.findingsOn(docs)) == 0 })
 		if i < 0 {
 			break
 		}
@@ -187,7 +187,7 @@
 		}
 	}
 	for _, c := range wanted {
-		p.blocked = append(p.blocked, check(c, docs)...)
+		p.blocked = append(p.blocked, c.findingsOn(docs)...)
 	}
 	p.blocked = p.blocked.Sorted()
 }
@@ -203,7 +203,8 @@
 	return ""
 }
 
-func check(c Change, docs tree.Documents) finding.List {
+// findingsOn returns what is wrong with the change on top of the documents.
+func (c Change) findingsOn(docs tree.Documents) finding.List {
 	_, findings := tree.Build(c.on(docs))
 	return findings
 }
--- a/internal/ctl/publish_test.go
+++ b/internal/ctl/publish_test.go
@@ -148,6 +148,25 @@
 	b.contains(b.run(CodeDone, "x", "show"), "/tabloblan/booking revision 1", "offset 1")
 }
 
+// A record that no entry would take is not appended.
+func TestTooLargeAFoundingIsNotAppended(t *testing.T) {
+	b := newBench(t)
+	comment := "// " + strings.Repeat("x", 50<<10) + "\n"
+	for i := range 22 {
+		dir := fmt.Sprintf("%s/glazenpot/extra-%d", b.dir, i)
+		if err := os.Mkdir(dir, 0o755); err != nil {
+			t.Fatal(err)
+		}
+		service := fmt.Sprintf(`{"hosts": ["x%d"], "connections_per_server": 1, "slots_per_server": 1,
+"routes": [{"path_prefix": "/", "rank": "lookups", "max_body_bytes": 0, "timeout_ms": 1}]}`, i)
+		if err := os.WriteFile(dir+"/branch.jsonc", []byte(comment+service), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.contains(b.run(CodeRefused, "glazenpot/ann", "publish", b.dir), "bytes are more than")
+	b.contains(b.run(CodeDone, "x", "show"), "offset -1")
+}
+
 func TestStatusReportsTwoStatesAtOneOffset(t *testing.T) {
 	entries := []EntryStatus{{Offset: 3, Hash: "a"}, {Offset: 4, Hash: "b"}, {Offset: 4, Hash: "b"}, {Offset: -1, Error: "down"}}
 	if _, split := splitAt(entries); split {
--- a/internal/ctl/settle.go
+++ b/internal/ctl/settle.go
@@ -27,9 +27,9 @@
 // copy that took effect late is ignored by the fold. On an *UnknownError the
 // publish may still take effect.
 func (c *Control) submit(ctx context.Context, r *reader, p fold.Publish) (fold.Decision, error) {
-	data, err := fold.NewPublish(p).Encode()
+	data, err := encode(p)
 	if err != nil {
-		return fold.Decision{}, &RefusedError{Detail: err.Error()}
+		return fold.Decision{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
@@ -52,6 +52,18 @@
 	}
 }
 
+// encode returns the record, if entries would take it.
+func encode(p fold.Publish) (json.RawMessage, error) {
+	data, err := fold.NewPublish(p).Encode()
+	if err == nil {
+		_, err = fold.DecodeRecord(data)
+	}
+	if err != nil {
+		return nil, &RefusedError{Detail: err.Error()}
+	}
+	return data, nil
+}
+
 // tryOnce appends the record and reads the log up to its end.
 func (c *Control) tryOnce(ctx context.Context, r *reader, data json.RawMessage) error {
 	offset, err := c.Log.Append(ctx, platform.StreamConfig, data)
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
@@ -132,12 +133,7 @@
 // Branches returns all branches in force, parents before their children.
 func (s *State) Branches() []InForce {
 	all := slices.Collect(maps.Values(s.branches))
-	slices.SortFunc(all, func(a, b InForce) int {
-		if a.Branch < b.Branch {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b InForce) int { return cmp.Compare(a.Branch, b.Branch) })
 	return all
 }
 
