Spend the measuring budget: probe servers without news and draining ones

Cause: probes stood without a place in the daemon, and a server that once said draining stayed out of every view until its VM was replaced, although a restarted server often keeps its VM. The doubled draining hook of the attempts is taken out: the balancer tells.

--- a/internal/attempt/queue.go
+++ b/internal/attempt/queue.go
@@ -16,9 +16,6 @@
 type Queues struct {
 	// Services holds the queue and the balancer of each service.
 	Services *service.Set
-	// Draining is told the name of a server whose report says that it wants no
-	// new work; nil tells nobody.
-	Draining func(server string)
 }
 
 var _ Admitter = Queues{}
@@ -34,7 +31,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return queueGrant{grant, q.Draining}, nil
+	return queueGrant{grant}, nil
 }
 
 // HedgeAfter asks the service's balancer.
@@ -47,21 +44,10 @@
 }
 
 // queueGrant adapts admission's grant.
-type queueGrant struct {
-	grant    *admission.Grant
-	draining func(server string)
-}
+type queueGrant struct{ grant *admission.Grant }
 
 // Server returns the granted backend server.
 func (g queueGrant) Server() fleet.VM { return g.grant.Server.VM }
 
-// Done gives the place back and passes on that the server is draining. A report
-// to the contrary is not passed on: it may be older than the one before it.
-func (g queueGrant) Done(r balancer.Result) {
-	// The server is the grant's only until Done.
-	name := g.grant.Server.VM.Name
-	g.grant.Done(r)
-	if g.draining != nil && r.HasReport && r.Report.Draining {
-		g.draining(name)
-	}
-}
+// Done gives the place back.
+func (g queueGrant) Done(r balancer.Result) { g.grant.Done(r) }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -110,6 +110,7 @@
 	e.background.Go(func() { e.parts.Members.Run(ctx) })
 	e.background.Go(func() { e.parts.Ledger.Run(ctx) })
 	e.background.Go(func() { e.parts.Claimer.Run(ctx) })
+	e.background.Go(func() { e.parts.Prober.Run(ctx) })
 	e.background.Go(func() { e.parts.Seals.Run(ctx, e.parts.Platform) })
 }
 
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -14,6 +14,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/probe"
 	"chestnutrouter.example/chestnutrouter/internal/seat"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 	"chestnutrouter.example/chestnutrouter/internal/settings"
@@ -36,6 +37,7 @@
 	Claimer    *seat.Claimer
 	Workers    *admission.Workers
 	Services   *service.Set
+	Prober     *probe.Prober
 	Forwarder  *forward.Forwarder
 	Handler    *entry.Handler
 	Drain      *entry.Drain
@@ -64,6 +66,7 @@
 			newClaimer,
 			admission.NewWorkers,
 			newServices,
+			newProber,
 			newForwarder,
 			newRunner,
 			newDrain,
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -188,8 +188,8 @@
 	return forward.New(forward.Options{Entries: func() int { return len(m.View().Entries) }})
 }
 
-func newRunner(services *service.Set, m *membership.Membership, f *forward.Forwarder, scope tally.Scope) *attempt.Runner {
-	return attempt.New(attempt.Queues{Services: services, Draining: m.ReportDraining}, f, scope)
+func newRunner(services *service.Set, f *forward.Forwarder, scope tally.Scope) *attempt.Runner {
+	return attempt.New(attempt.Queues{Services: services}, f, scope)
 }
 
 func newOwners(client peer.Client, m *membership.Membership, seals *operation.Seals) *operation.Owners {
