--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"chestnutrouter.example/chestnutrouter/internal/escrow"
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/membership"
@@ -42,6 +44,7 @@
 		IdleTimeout:       p.Settings.KeepAlive(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          p.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 	e.status = &http.Server{
 		Handler:           status.NewHandler(e, p.Registry.Handler),
@@ -107,6 +110,7 @@
 	e.background.Go(func() { e.parts.Members.Run(ctx) })
 	e.background.Go(func() { e.parts.Ledger.Run(ctx) })
 	e.background.Go(func() { e.parts.Claimer.Run(ctx) })
+	e.background.Go(func() { e.parts.Prober.Run(ctx) })
 	e.background.Go(func() { e.parts.Seals.Run(ctx, e.parts.Platform) })
 }
 
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
@@ -67,6 +68,14 @@
 	Changes      []string    `json:"changes,omitempty"`
 }
 
+// Lack says that a state leaves out records of a newer version.
+type Lack struct {
+	// Version is the lowest version of those records.
+	Version int `json:"version"`
+	// Offset is the first record of that version.
+	Offset int64 `json:"offset"`
+}
+
 // State is the state in force at an offset. It is immutable and safe for
 // concurrent use.
 type State struct {
@@ -79,6 +88,7 @@
 	settled   []Settlement
 	receipts  []Receipt
 	seats     seat.Table
+	lacks     *Lack
 	// hash is computed when it is first asked for.
 	hash *lazyHash
 }
@@ -105,6 +115,15 @@
 // Seats returns who holds the shares of the voted limits.
 func (s *State) Seats() seat.Table { return s.seats }
 
+// Lacks returns which records of a newer version the state leaves out, and
+// false where it is whole.
+func (s *State) Lacks() (Lack, bool) {
+	if s.lacks == nil {
+		return Lack{}, false
+	}
+	return *s.lacks, true
+}
+
 // Branch returns a branch in force.
 func (s *State) Branch(b tree.Branch) (InForce, bool) {
 	f, ok := s.branches[b]
@@ -114,12 +133,7 @@
 // Branches returns all branches in force, parents before their children.
 func (s *State) Branches() []InForce {
 	all := slices.Collect(maps.Values(s.branches))
-	slices.SortFunc(all, func(a, b InForce) int {
-		if a.Branch < b.Branch {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b InForce) int { return cmp.Compare(a.Branch, b.Branch) })
 	return all
 }
 
