Count the requests of a slow server more

Cause: with one zone's servers twice as slow, an entry kept filling them by request count alone. Change: an answer time that is lasting 1.3 times the service's own (weight 0.02 an answer) scales the estimate of a server, up to 3. A pick judges 32 servers at first and looks at failures and slow starts only where there was one.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -116,6 +116,7 @@
 		now:   now.UnixNano(),
 		late:  b.lateAfter(),
 		limit: limit,
+		pace:  b.pace(),
 		slots: float64(s.slots),
 		usual: usual + min(doubt, usual),
 		trust: b.echo.value(),
@@ -135,6 +136,14 @@
 	busyWeight = 0.005
 )
 
+func (b *Balancer) pace() float64 {
+	usual := b.latency.value()
+	if usual == 0 {
+		return 0
+	}
+	return 1 / usual
+}
+
 func (b *Balancer) lateAfter() int64 {
 	usual := b.latency.value()
 	if usual == 0 {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -89,3 +89,24 @@
 		}
 	}
 }
+
+func TestSlowServerGetsLess(t *testing.T) {
+	b := newShop("fast", "slow")
+	picks := map[string]int{}
+	for i := range 2000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		s, ok := b.Pick(now, nil)
+		if !ok {
+			t.Fatal("no server")
+		}
+		picks[s.VM.Name]++
+		latency := 10 * time.Millisecond
+		if s.VM.Name == "slow" {
+			latency = 40 * time.Millisecond
+		}
+		b.Done(s, now, Result{Latency: latency})
+	}
+	if picks["slow"]*4 > picks["fast"] {
+		t.Errorf("picks %v, want at most a fifth at the slow server", picks)
+	}
+}
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -23,9 +23,10 @@
 // health is what the answers of a server say about its failures. Picks read the
 // atomic fields; the others belong to Done.
 type health struct {
-	ejectedUntil atomic.Int64 // nanoseconds since the Unix epoch
-	failedUntil  atomic.Int64 // until then, a failed or shed answer counts as in progress
-	trial        atomic.Bool  // one request at a time until an answer is whole
+	ejectedUntil  atomic.Int64 // nanoseconds since the Unix epoch
+	troubledUntil atomic.Int64 // from then on there is neither a failure nor a slow start
+	failedUntil   atomic.Int64 // until then, a failed or shed answer counts as in progress
+	trial         atomic.Bool  // one request at a time until an answer is whole
 
 	mu    sync.Mutex // guards share and inRow
 	share float64    // decayed share of errors
@@ -43,7 +44,9 @@
 
 // hold lets a failed or shed answer count as in progress for a while.
 func (h *health) hold(now time.Time, length time.Duration) {
-	h.failedUntil.Store(now.Add(length).UnixNano())
+	until := now.Add(length).UnixNano()
+	h.failedUntil.Store(until)
+	h.troubledUntil.Store(max(until, h.troubledUntil.Load()))
 }
 
 // fail takes in a failed answer. It reports whether the server is ejected by it.
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -28,9 +28,10 @@
 type host struct {
 	busy   atomic.Uint32 // one bit for each reserved place
 	news   news
-	far    bool  // in another availability zone
-	joined int64 // nanoseconds since the Unix epoch; zero where it was there before this entry
+	far    bool // in another availability zone
+	pace   mean // nanoseconds of an answer
 	health health
+	joined int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
 	probed atomic.Int64 // nanoseconds since the Unix epoch
 	vm     fleet.VM
 	places [maxPlaces]Server
@@ -38,6 +39,7 @@
 
 func newHost(vm fleet.VM, joined int64, far bool) *host {
 	h := &host{vm: vm, joined: joined, far: far}
+	h.health.troubledUntil.Store(joined + int64(slowStart))
 	for i := range h.places {
 		h.places[i].VM = vm
 		h.places[i].host = h
@@ -81,14 +83,28 @@
 }
 
 // load estimates the requests at the server: own ones, those of other entries,
-// and handicaps for what speaks against it.
+// and handicaps for what speaks against it. Those of a slow server count more.
 func (h *host) load(mask uint32, v *view) float64 {
 	estimate := float64(bits.OnesCount32(mask)) + h.news.othersAt(v)
 	estimate += h.late(mask, v)
 	estimate += h.handicap(v)
-	return estimate
+	slowness := h.pace.value() * v.pace
+	if slowness < slowFrom {
+		return estimate
+	}
+	return (estimate+ownWeight)*min(slowness, slowMost) - ownWeight
 }
 
+const (
+	// slowFrom is how much longer than usual the answers of a server take from
+	// which it counts as slow, as a factor.
+	slowFrom = 1.3
+	// slowMost bounds the factor.
+	slowMost = 3
+	// ownWeight is what the request to place counts at a slow server, in requests.
+	ownWeight = 0.5
+)
+
 // late counts the own requests that have been out for long.
 func (h *host) late(mask uint32, v *view) float64 {
 	count := 0.0
@@ -117,12 +133,12 @@
 }
 
 func (h *host) trouble(v *view) float64 {
+	if v.now >= h.health.troubledUntil.Load() {
+		return 0
+	}
 	if v.now < h.health.failedUntil.Load() {
 		return v.slots
 	}
-	age := v.now - h.joined
-	if age >= int64(slowStart) {
-		return 0
-	}
+	age := min(v.now-h.joined, int64(slowStart))
 	return v.slots * (1 - float64(age)/float64(slowStart))
 }
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -19,6 +19,7 @@
 		if !r.Upload {
 			b.latency.learn(float64(r.Latency), meanWeight)
 			b.quantile.learn(now, r.Latency)
+			s.host.pace.learn(float64(r.Latency), meanWeight)
 		}
 	case Shed:
 		s.host.health.hold(now, b.holdTime())
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -14,6 +14,7 @@
 	late  int64   // nanoseconds after which a request shows a slow server
 	usual float64 // requests of other entries at a server without news
 	limit float64 // estimated load at which a server takes nothing more
+	pace  float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
 	slots float64 // requests that a server runs at a time
 	trust float64 // how far reports are believed, from 0 to 1
 }
@@ -72,7 +73,7 @@
 
 // maxScan is the most hosts that a pick judges at first, so that its cost stays
 // bounded for a service of any size.
-const maxScan = 40
+const maxScan = 32
 
 // best returns the host with the least estimated load and a free place, with
 // the busy mask that was judged, or nil. Of equal hosts it is the next one from
