--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -25,6 +25,8 @@
 	// Replaced tells that the content was in force before: the directory is out
 	// of date, and publishing it would undo what came after.
 	Replaced bool `json:"replaced,omitempty"`
+	// Pending is the id of a proposal of just this change.
+	Pending string `json:"pending,omitempty"`
 
 	document *tree.Document
 }
@@ -57,6 +59,8 @@
 	changes []Change
 	// onlyInForce are branches that the directory lacks and that stay.
 	onlyInForce []tree.Branch
+	// pending are changes that wait for a vote already.
+	pending []Change
 	// foreign are branches of other members that differ.
 	foreign []tree.Branch
 	// outdated are changes that would bring back a replaced content.
@@ -78,11 +82,13 @@
 		c, differs := compare(b, docs[b], state)
 		own := founding || b == tree.Root || b.Member() == member || b == o.Branch
 		switch {
-		case !differs:
+		case !differs, c.Remove && b == tree.Root:
 		case !own:
 			p.foreign = append(p.foreign, b)
 		case c.Remove && !o.Remove:
 			p.onlyInForce = append(p.onlyInForce, b)
+		case c.Pending != "":
+			p.pending = append(p.pending, c)
 		case c.Replaced && o.Base < 0:
 			p.outdated = append(p.outdated, c)
 		default:
@@ -94,6 +100,31 @@
 	return p
 }
 
+// result returns what the plan shows before anything is published.
+func (p plan) result(offset int64) *PublishResult {
+	return &PublishResult{
+		Changes:     append([]Change{}, p.changes...),
+		Pending:     p.pending,
+		Foreign:     p.foreign,
+		OnlyInForce: p.onlyInForce,
+		Outdated:    p.outdated,
+		Blocked:     p.blocked,
+		Offset:      offset,
+	}
+}
+
+// err says what of the difference cannot be published.
+func (p plan) err() error {
+	switch {
+	case len(p.outdated) > 0:
+		return &RefusedError{Detail: "the directory is out of date"}
+	case len(p.blocked) > 0:
+		return &RefusedError{Detail: "some changes are not valid before others are in force"}
+	default:
+		return nil
+	}
+}
+
 func allBranches(a, b tree.Documents) []tree.Branch {
 	branches := slices.Collect(maps.Keys(a))
 	branches = slices.AppendSeq(branches, maps.Keys(b))
@@ -127,6 +158,7 @@
 		Replaced:     doc != nil && f.Replaced(doc.Content),
 		document:     doc,
 	}
+	c.Pending = pendingID(state, c)
 	for _, change := range tree.Diff(current, doc) {
 		c.Changes = append(c.Changes, change.String())
 	}
@@ -143,7 +175,7 @@
 		return
 	}
 	for len(wanted) > 0 {
-		i := slices.IndexFunc(wanted, func(c Change) bool { return len(check(c, docs)) == 0 })
+		i := slices.IndexFunc(wanted, func(c Change) bool { return len(c.findingsOn(docs)) == 0 })
 		if i < 0 {
 			break
 		}
@@ -155,12 +187,24 @@
 		}
 	}
 	for _, c := range wanted {
-		p.blocked = append(p.blocked, check(c, docs)...)
+		p.blocked = append(p.blocked, c.findingsOn(docs)...)
 	}
 	p.blocked = p.blocked.Sorted()
 }
 
-func check(c Change, docs tree.Documents) finding.List {
+// pendingID returns the proposal that asks for just this change, or "".
+func pendingID(state *fold.State, c Change) string {
+	for _, p := range state.Proposals() {
+		same := p.Branch == c.Branch && p.BaseRevision == c.BaseRevision && p.Remove == c.Remove
+		if same && (c.Remove || p.Content == c.document.Content) {
+			return p.ID
+		}
+	}
+	return ""
+}
+
+// findingsOn returns what is wrong with the change on top of the documents.
+func (c Change) findingsOn(docs tree.Documents) finding.List {
 	_, findings := tree.Build(c.on(docs))
 	return findings
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -111,13 +111,14 @@
 }
 
 func newLedger(ops *operation.Table, f *follow.Follower, m *membership.Membership, client peer.Client,
-	contact *escrow.Contact,
+	contact *escrow.Contact, scope tally.Scope,
 ) *escrow.Ledger {
 	own := ops.Incarnation()
 	return escrow.New(escrow.Options{
 		Incarnation:   own,
 		Client:        client,
 		Peers:         func() []escrow.Peer { return lenders(m.View(), own) },
+		Scope:         scope,
 		LastHeard:     contact.Last,
 		LowestApplied: func() int64 { return lowestApplied(f.Current().Seats(), m.View()) },
 	})
@@ -187,8 +188,8 @@
 	return forward.New(forward.Options{Entries: func() int { return len(m.View().Entries) }})
 }
 
-func newRunner(services *service.Set, m *membership.Membership, f *forward.Forwarder, scope tally.Scope) *attempt.Runner {
-	return attempt.New(attempt.Queues{Services: services, Draining: m.ReportDraining}, f, scope)
+func newRunner(services *service.Set, f *forward.Forwarder, scope tally.Scope) *attempt.Runner {
+	return attempt.New(attempt.Queues{Services: services}, f, scope)
 }
 
 func newOwners(client peer.Client, m *membership.Membership, seals *operation.Seals) *operation.Owners {
