Claim seats by the VM list that membership already reads

Cause: the claimer read the whole VM list every second; at the target size that is about 125 KB a second for each entry, against 6 KB/s for all control. Change: seat.Options.Listed asks the view of membership (View.Listed, a small addition to internal/membership); no read of its own. The daemon passes it on. Conclusion: scripts/test ./internal/seat ./internal/membership passes.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -142,14 +142,14 @@
 }
 
 // newClaimer returns the claimer of this entry's seat.
-func newClaimer(s *settings.Settings, ops *operation.Table, p *platform.HTTP, l platform.Log,
+func newClaimer(s *settings.Settings, ops *operation.Table, l platform.Log,
 	f *follow.Follower, m *membership.Membership,
 ) *seat.Claimer {
 	return seat.NewClaimer(seat.Options{
 		Incarnation: ops.Incarnation(),
 		VM:          s.VM,
 		Log:         l,
-		VMs:         p,
+		Listed:      func(vm string) (listed, known bool) { return m.View().Listed(vm) },
 		Encode:      func(c seat.Claim) (json.RawMessage, error) { return fold.NewSeat(c).Encode() },
 		State:       func() (seat.Table, int) { return seatsOf(f.Current()) },
 		Live:        func() []string { return liveIncarnations(m.View()) },
--- a/internal/membership/build.go
+++ b/internal/membership/build.go
@@ -73,6 +73,7 @@
 		taking:   map[string][]fleet.VM{},
 		leaving:  map[string][]fleet.VM{},
 		draining: t.notices.draining(),
+		listed:   t.list.byName,
 	}
 	for _, vm := range t.list.vms {
 		switch {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -45,6 +45,7 @@
 	taking   map[string][]fleet.VM
 	leaving  map[string][]fleet.VM
 	draining map[string]bool
+	listed   map[string]fleet.VM // nil before the first VM list
 }
 
 // Servers returns the backend servers of a service ("member/service") that take
@@ -58,6 +59,13 @@
 // Draining reports whether a backend server is known to take no new work.
 func (v *View) Draining(server string) bool { return v.servers.draining[server] }
 
+// Listed reports whether the newest known VM list has a VM of that name; known is
+// false before the first list.
+func (v *View) Listed(name string) (listed, known bool) {
+	_, listed = v.servers.listed[name]
+	return listed, v.servers.listed != nil
+}
+
 // Order returns how many live entries come before this one in the rendezvous
 // order of a key, so that the first in it can do a piece of work for all.
 func (v *View) Order(key string) int {
--- a/internal/seat/absence.go
+++ b/internal/seat/absence.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"chestnutrouter.example/chestnutrouter/internal/fleet"
 )
 
 // absences notes since when this process has seen VMs gone and other processes
@@ -14,15 +12,12 @@
 	silent map[string]time.Time // by incarnation
 }
 
-// noteGone takes one answer of the VM list.
-func (a *absences) noteGone(now time.Time, table Table, vms []fleet.VM) {
-	listed := make(map[string]bool, len(vms))
-	for _, vm := range vms {
-		listed[vm.Name] = true
-	}
+// noteGone takes the newest VM list; without any list no VM is gone.
+func (a *absences) noteGone(now time.Time, table Table, isListed func(vm string) (listed, known bool)) {
 	gone := make(map[string]time.Time)
 	for _, h := range table.holders {
-		if h.VM != "" && !listed[h.VM] {
+		listed, known := isListed(h.VM)
+		if h.VM != "" && known && !listed {
 			gone[h.VM] = firstSeen(a.gone, h.VM, now)
 		}
 	}
--- a/internal/seat/claimer.go
+++ b/internal/seat/claimer.go
@@ -27,8 +27,9 @@
 	Incarnation, VM string
 	// Log takes the claims.
 	Log platform.Log
-	// VMs is the platform's VM list.
-	VMs platform.VMList
+	// Listed reports whether the newest known VM list has a VM; known is false
+	// before the first list.
+	Listed func(vm string) (listed, known bool)
 	// Encode returns the log record of a claim.
 	Encode func(Claim) (json.RawMessage, error)
 	// State returns the table in force and the number of seats that the tree
@@ -92,7 +93,7 @@
 	if seats == 0 {
 		return
 	}
-	c.observe(ctx, table, seats)
+	c.observe(table, seats)
 	if c.now().Before(c.waiting) {
 		return
 	}
@@ -115,12 +116,10 @@
 }
 
 // observe notes since when VMs are gone, processes silent and seats free.
-func (c *Claimer) observe(ctx context.Context, table Table, seats int) {
+func (c *Claimer) observe(table Table, seats int) {
 	now := c.now()
 	c.absences.noteSilent(now, table, c.opts.Live())
-	if vms, err := c.opts.VMs.VMs(ctx); err == nil {
-		c.absences.noteGone(now, table, vms)
-	}
+	c.absences.noteGone(now, table, c.opts.Listed)
 	for seat := range seats {
 		if _, held := table.Holder(seat); held {
 			delete(c.freeFrom, seat)
--- a/internal/seat/claimer_test.go
+++ b/internal/seat/claimer_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/platform"
 )
 
@@ -21,7 +20,7 @@
 	seats int
 	down  bool
 	count int64
-	vms   []fleet.VM
+	vms   []string
 	live  []string
 }
 
@@ -38,11 +37,13 @@
 	return c.count, nil
 }
 
-func (c *cluster) VMs(context.Context) ([]fleet.VM, error) { return c.vms, nil }
+func (c *cluster) listed(vm string) (listed, known bool) {
+	return slices.Contains(c.vms, vm), c.vms != nil
+}
 
 func (c *cluster) claimer(incarnation, vm string) *Claimer {
 	return NewClaimer(Options{
-		Incarnation: incarnation, VM: vm, Log: c, VMs: c,
+		Incarnation: incarnation, VM: vm, Log: c, Listed: c.listed,
 		Encode: func(claim Claim) (json.RawMessage, error) { return json.Marshal(claim) },
 		State:  func() (Table, int) { return c.table, c.seats },
 		Live:   func() []string { return c.live },
@@ -50,14 +51,14 @@
 }
 
 func (c *cluster) leave(vm, incarnation string) {
-	c.vms = slices.DeleteFunc(c.vms, func(v fleet.VM) bool { return v.Name == vm })
+	c.vms = slices.DeleteFunc(c.vms, func(name string) bool { return name == vm })
 	c.live = slices.DeleteFunc(c.live, func(name string) bool { return name == incarnation })
 }
 
 func newCluster(seats int) *cluster {
 	return &cluster{
 		seats: seats,
-		vms:   []fleet.VM{{Name: "v1"}, {Name: "v2"}, {Name: "v3"}},
+		vms:   []string{"v1", "v2", "v3"},
 		live:  []string{"a", "b", "c"},
 	}
 }
@@ -88,6 +89,7 @@
 	}{
 		{"silent for hours, still listed", func(c *cluster) { c.live = []string{"b"} }, false},
 		{"not listed, still heard", func(c *cluster) { c.vms = c.vms[1:] }, false},
+		{"silent, no list known", func(c *cluster) { c.live, c.vms = []string{"b"}, nil }, false},
 		{"not listed, silent", func(c *cluster) { c.leave("v1", "a") }, true},
 		{"not listed, silent, log down", func(c *cluster) { c.leave("v1", "a"); c.down = true }, false},
 	}
