Add an approval anew when another of the same member came first

Cause: two operators of one member that approve at once conflict on the branch of approvals, though both approvals may stand; the second was refused (TestRacingApprovalsBothCount failed with a conflict before the change). Change: approve builds its list on the newer one and publishes again. Conclusion: both approvals count.

--- a/internal/ctl/approve.go
+++ b/internal/ctl/approve.go
@@ -25,26 +25,14 @@
 	if err != nil {
 		return nil, err
 	}
-	p, pending := r.state.Proposal(id)
-	if !pending {
-		return nil, notPending(r.state, id)
-	}
-	member := fold.PublisherMember(c.Publisher)
 	result := &PublishResult{Offset: r.state.Offset(), Changes: []Change{}}
-	if slices.Contains(r.state.Approvals(p), member) {
-		return result, &RefusedError{Detail: fmt.Sprintf("%s already approves %s", member, id)}
-	}
-	publish, change, err := approval(r.state, member, id)
+	content, err := c.addApproval(ctx, r, id, result)
 	if err != nil {
-		return nil, err
-	}
-	publish.Publisher = c.Publisher
-	result.Changes = []Change{change}
-	if err := c.publishAll(ctx, r, []fold.Publish{publish}, result); err != nil {
 		return result, err
 	}
 	if directory != "" {
-		if err := writeBranch(directory, change.Branch, publish.Content); err != nil {
+		branch := tree.ApprovalsBranch(fold.PublisherMember(c.Publisher))
+		if err := writeBranch(directory, branch, content); err != nil {
 			return result, err
 		}
 	}
@@ -54,6 +42,33 @@
 	return result, nil
 }
 
+// addApproval publishes the member's approvals with one more and returns their
+// content. It adds the approval anew when another operator of the member
+// published first, as the two approvals do not exclude each other.
+func (c *Control) addApproval(ctx context.Context, r *reader, id string, result *PublishResult) (string, error) {
+	member := fold.PublisherMember(c.Publisher)
+	for {
+		p, pending := r.state.Proposal(id)
+		if !pending {
+			return "", notPending(r.state, id)
+		}
+		if slices.Contains(r.state.Approvals(p), member) {
+			return "", &RefusedError{Detail: fmt.Sprintf("%s already approves %s", member, id)}
+		}
+		publish, change, err := approval(r.state, member, id)
+		if err != nil {
+			return "", err
+		}
+		publish.Publisher = c.Publisher
+		result.Changes = []Change{change}
+		err = c.publishAll(ctx, r, []fold.Publish{publish}, result)
+		last := len(result.Decisions) - 1
+		if last < 0 || result.Decisions[last].Outcome != fold.Conflict {
+			return publish.Content, err
+		}
+	}
+}
+
 func notPending(state *fold.State, id string) error {
 	if end, settled := state.Settlement(id); settled {
 		return &RefusedError{Detail: settlementText(end)}
--- a/internal/ctl/faults_test.go
+++ b/internal/ctl/faults_test.go
@@ -72,6 +72,42 @@
 	b.contains(b.run(CodeDone, "x", "show"), "offset 0, revision 1")
 }
 
+// rivalLog appends a record of somebody else before the first one.
+type rivalLog struct {
+	platform.Log
+	rival json.RawMessage
+}
+
+func (l *rivalLog) Append(ctx context.Context, stream string, data json.RawMessage) (int64, error) {
+	if rival := l.rival; rival != nil {
+		l.rival = nil
+		if _, err := l.Log.Append(ctx, stream, rival); err != nil {
+			return 0, err
+		}
+	}
+	return l.Log.Append(ctx, stream, data)
+}
+
+// TestRacingApprovalsBothCount lets two operators of one member approve at once.
+func TestRacingApprovalsBothCount(t *testing.T) {
+	b := newBench(t)
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	edit(t, b.dir, "glazenpot", "25000", "24000")
+	edit(t, b.dir, "glazenpot/intake/uploads", "96", "90")
+	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
+	rival, err := encode(fold.Publish{Branch: "/glazenpot/approvals", BaseRevision: 1, Content: `{"approve": ["p2"]}`, Publisher: "glazenpot/bob", PublishID: "rival"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := platform.NewHTTP([]string{b.endpoint}, platform.Options{})
+	defer client.Close()
+	control := &Control{Log: &rivalLog{client, rival}, VMs: client, Publisher: "glazenpot/ann", Timeout: time.Minute}
+	if _, err := control.Approve(t.Context(), "p1", "", false); err != nil {
+		t.Error(err)
+	}
+	b.contains(b.run(CodeDone, "x", "show"), "pending p1 on /glazenpot by glazenpot/ann: approved by 1 of 2", "pending p2 on /glazenpot/intake/uploads by glazenpot/ann: approved by 1 of 2")
+}
+
 // TestExpiredLog starts from a snapshot, and says so when there is none.
 func TestExpiredLog(t *testing.T) {
 	b := newBench(t)
