Keep an entry's requests inside its part of a server's connections

Change: an entry has at most min(slots, connections / live entries) requests in progress at a server, at least one; daemon passes the number of entries. Workers holds no table of queues any more: service.Set is the table, and the lock order says so. Left: above one entry a connection (200 to 250 entries) the limit can't hold; that needs a subset of servers for each entry, which is not built. Tests: scripts/test ./internal/balancer ./internal/admission ./internal/attempt.

--- a/bench/latency/path.go
+++ b/bench/latency/path.go
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	scope := metrics.NewRegistry().Scope
-	workers := admission.NewWorkers(scope)
+	workers := admission.NewWorkers()
 	go workers.Run(ctx, runtime.GOMAXPROCS(0))
 	services := service.NewSet(service.Options{Entry: "entry1", Zone: "z1", Scope: scope, Workers: workers})
 	services.SetTree(f.tree)
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -6,7 +6,7 @@
 // mutex for concurrent requests, and Workers is the process's pool of
 // goroutines that dispatch for all queues.
 //
-// Lock order, outermost first: Workers.mu, Queue.mu, then the balancer's own
-// locks. No two queues are locked at the same time, and no lock is held while a
-// goroutine waits or a result is delivered.
+// Lock order, outermost first: the table of services (service.Set), Queue.mu, then
+// the balancer's own locks. No two queues are locked at the same time, and no
+// lock is held while a goroutine waits or a result is delivered.
 package admission
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -33,12 +33,12 @@
 		vms = append(vms, fleet.VM{Name: name, Address: name + ":80", Zone: "a", State: fleet.Live})
 	}
 	b.Update(vms, shop())
-	workers := NewWorkers(scope)
+	workers := NewWorkers()
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { workers.Run(ctx, 2); close(ended) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	q := workers.Queue(shop().Key(), b)
+	q := NewQueue(workers, b, scope)
 	q.Update(shop())
 	return q
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -31,6 +31,9 @@
 	// Draining is told the name of each backend server whose answer says that it
 	// is draining; nil is told nothing. It is called on the request path.
 	Draining func(server string)
+	// Entries is the number of live entries, which share each server's
+	// connections; nil means one.
+	Entries func() int
 }
 
 // Balancer chooses among the backend servers of one service.
@@ -49,6 +52,9 @@
 
 // New returns a balancer without servers.
 func New(options Options) *Balancer {
+	if options.Entries == nil {
+		options.Entries = func() int { return 1 }
+	}
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
@@ -69,7 +75,9 @@
 func (b *Balancer) UpdateAt(now time.Time, servers []fleet.VM, svc *tree.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.snapshot.Store(b.snapshot.Load().next(servers, svc, b.options.Zone, now.UnixNano()))
+	next := b.snapshot.Load().next(servers, svc, b.options.Zone, now.UnixNano())
+	next.places = placesOf(next.slots, svc.ConnectionsPerServer, b.options.Entries())
+	b.snapshot.Store(next)
 }
 
 // Len is the number of servers.
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -110,3 +110,23 @@
 		t.Errorf("picks %v, want at most a fifth at the slow server", picks)
 	}
 }
+
+func TestEntriesShareTheConnectionsOfAServer(t *testing.T) {
+	for _, c := range []struct{ entries, connections, want int }{
+		{1, 250, 3}, {19, 250, 3}, {83, 250, 3}, {100, 250, 2}, {200, 250, 1}, {1000, 250, 1}, {19, 0, 3},
+	} {
+		b := New(Options{Entries: func() int { return c.entries }})
+		svc := shop()
+		svc.ConnectionsPerServer = c.connections
+		b.Update(vms("s1"), svc)
+		places := 0
+		for range 2 * maxPlaces {
+			if _, ok := b.Pick(start, nil); ok {
+				places++
+			}
+		}
+		if places != c.want {
+			t.Errorf("%d entries, %d connections: %d places, want %d", c.entries, c.connections, places, c.want)
+		}
+	}
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -21,8 +21,18 @@
 
 // snapshot is an immutable set of servers with the service's limits.
 type snapshot struct {
-	hosts []*host
-	slots int
+	hosts  []*host
+	slots  int
+	places int // requests that this entry may have in progress at one server
+}
+
+// placesOf is a server's slots, or this entry's part of its connections where
+// that is less.
+func placesOf(slots, connections, entries int) int {
+	if connections > 0 {
+		slots = min(slots, connections/max(entries, 1))
+	}
+	return min(max(slots, 1), maxPlaces)
 }
 
 // next returns the snapshot of the given servers; known hosts are carried over.
@@ -116,7 +126,7 @@
 				continue
 			}
 		}
-		if !h.takes(mask, s.slots) || excluded(exclude, h.vm.Name) {
+		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) {
 			continue
 		}
 		if load := h.load(mask, v); load < least {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -46,6 +46,7 @@
 		Scope:    scope,
 		Workers:  workers,
 		Draining: m.ReportDraining,
+		Entries:  func() int { return len(m.View().Entries) },
 	})
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -44,6 +44,9 @@
 	// Draining is told the name of each backend server whose answer says that it
 	// is draining; nil is told nothing.
 	Draining func(server string)
+	// Entries is the number of live entries, which share each server's
+	// connections; nil means one.
+	Entries func() int
 }
 
 // Set is the table of running services. It is safe for concurrent use.
@@ -109,6 +112,7 @@
 			Zone:     s.options.Zone,
 			Scope:    s.options.Scope,
 			Draining: s.options.Draining,
+			Entries:  s.options.Entries,
 		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Running{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
