--- a/bench/engine/result.go
+++ b/bench/engine/result.go
@@ -51,6 +51,7 @@
 	Bytes int64
 
 	scenario *Scenario
+	recovery recovery
 }
 
 func newResult(s *Scenario) *Result {
@@ -103,6 +104,7 @@
 	f.Served++
 	latency := c.entry.run.clock.now - c.arrived
 	_ = f.latency.RecordValue(max(latency.Microseconds(), shortestLatency))
+	r.recovery.add(r, c, latency)
 	if ended := r.clockPhase(c); ended != nil {
 		ended.Ended++
 	}
--- a/bench/policy/flood.go
+++ b/bench/policy/flood.go
@@ -14,6 +14,21 @@
 	floodEnd   = 28 * time.Second
 )
 
+// rankOrder is the order of the rows, most urgent first.
+var rankOrder = []string{engine.Payments, engine.Lookups, engine.Uploads}
+
+// recovered is the time to recover, which only the last phase has.
+func recovered(r *engine.Result, p engine.Phase, rank string) string {
+	if p != engine.After {
+		return "-"
+	}
+	after := r.Recovery(rank)
+	if after < 0 {
+		return "not in the run"
+	}
+	return after.String()
+}
+
 // floodTables shows what each rank keeps in a flood of another.
 func floodTables(seed uint64) []Table {
 	var tables []Table
@@ -26,16 +41,26 @@
 func floodTable(seed uint64, flooded string) Table {
 	t := Table{
 		Title:  fmt.Sprintf("Flood of %s at 3x capacity over a base load of 60%%, 19 entries, seed %d", flooded, seed),
-		Header: []string{"phase", "rank", "offered/s", "served/s", "share of ended", "p50 ms", "p99 ms", "refused", "failed"},
+		Header: []string{"phase", "rank", "offered/s", "served/s", "share of ended", "p50 ms", "p99 ms", "refused", "failed", "recovered after"},
 	}
 	s := base(seed, floodEnd)
 	s.Load = 0.6
 	s.Mix = map[string]float64{engine.Payments: 0.1, engine.Lookups: 0.85, engine.Uploads: 0.05}
 	s.Flood = engine.Flood{Rank: flooded, Load: 3, From: floodFrom, Until: floodUntil}
-	r := engine.Run(s)
+	simple := s
+	simple.Policy = engine.LeastOwn
+	results := runAll([]engine.Scenario{s, simple})
+	r := results[0]
 	lengths := []time.Duration{floodFrom, floodUntil - floodFrom, floodEnd - floodUntil}
 	for p, name := range []string{"before", "during", "after"} {
-		t.Rows = append(t.Rows, phaseRows(name, r.Ranks[p], lengths[p])...)
+		rows := phaseRows(name, r.Ranks[p], lengths[p])
+		for i, rank := range rankOrder {
+			rows[i] = append(rows[i], recovered(r, engine.Phase(p), rank))
+		}
+		t.Rows = append(t.Rows, rows...)
+	}
+	for _, cells := range phaseRows("during, "+string(engine.LeastOwn), results[1].Ranks[engine.During], lengths[1]) {
+		t.Rows = append(t.Rows, append(cells, "-"))
 	}
 	return t
 }
@@ -46,7 +71,7 @@
 		served += f.Ended
 	}
 	var rows [][]string
-	for _, rank := range []string{engine.Payments, engine.Lookups, engine.Uploads} {
+	for _, rank := range rankOrder {
 		f := ranks[rank]
 		rows = append(rows, []string{
 			phase, rank,
