Let uploads yield further to more urgent work

Cause: in a flood of uploads the slots were never idle, so payments and lookups waited for uploads to end. Change: the windows of yielding ranks are cut by 0.4 of a request for each one above the target in place of 0.1.

--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -21,7 +21,7 @@
 	// target, while the window's requests are answered once.
 	limitCut = 0.03
 	// yieldCut is limitCut of ranks that yield to more urgent ones.
-	yieldCut = 0.1
+	yieldCut = 0.4
 	// shedCut is the part of the limit that goes with a shed answer.
 	shedCut = 0.1
 	// usedShare is the part of the limit in use from which it may grow.
