Let an entry's heap grow before it collects garbage

Ruled out: our own code, of which no function stood out. The daemon's own setting has not been measured apart from these.

--- a/examples/quickstart/tour/plan.go
+++ b/examples/quickstart/tour/plan.go
@@ -22,7 +22,6 @@
 	addressTTLMs = 300
 	keepAliveMs  = 300
 	drainLimitMs = 5_000
-	workers      = 4
 )
 
 // plan is the quick start's little fleet.
@@ -99,20 +98,17 @@
 }
 
 func (p *plan) settingsOf(vm fleet.VM) settings.Settings {
-	s := settings.Settings{
-		VM:                vm.Name,
-		Zone:              vm.Zone,
-		CallerAddress:     vm.Address,
-		PeerAddress:       vm.PeerAddress,
-		StatusAddress:     vm.StatusAddress,
-		PlatformEndpoints: []string{"http://" + p.Platform},
-		Peers:             []string{},
-		LogLevel:          "info",
-		AddressTTLMs:      addressTTLMs,
-		KeepAliveMs:       keepAliveMs,
-		DrainLimitMs:      drainLimitMs,
-		Workers:           workers,
-	}
+	s := settings.Default()
+	s.VM = vm.Name
+	s.Zone = vm.Zone
+	s.CallerAddress = vm.Address
+	s.PeerAddress = vm.PeerAddress
+	s.StatusAddress = vm.StatusAddress
+	s.PlatformEndpoints = []string{"http://" + p.Platform}
+	s.Peers = []string{}
+	s.AddressTTLMs = addressTTLMs
+	s.KeepAliveMs = keepAliveMs
+	s.DrainLimitMs = drainLimitMs
 	for _, other := range p.entries() {
 		if other.Name != vm.Name {
 			s.Peers = append(s.Peers, other.PeerAddress)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 // The first signal begins a graceful shutdown; a second one ends the process at
 // once and logs what is lost.
 func Run(s *settings.Settings) int {
+	setMemory(s)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 
--- a/internal/proctest/entry.go
+++ b/internal/proctest/entry.go
@@ -23,7 +23,6 @@
 	addressTTLMs = 300
 	keepAliveMs  = 300
 	drainLimitMs = 10_000
-	workers      = 4
 )
 
 // Entry is an entry process.
@@ -55,20 +54,17 @@
 		Service:       fleet.EntryService,
 		State:         fleet.Live,
 	}}
-	e.Settings = settings.Settings{
-		VM:                name,
-		Zone:              zone,
-		CallerAddress:     addresses[0],
-		PeerAddress:       addresses[1],
-		StatusAddress:     addresses[2],
-		PlatformEndpoints: []string{f.PlatformURL},
-		Peers:             []string{},
-		LogLevel:          "info",
-		AddressTTLMs:      addressTTLMs,
-		KeepAliveMs:       keepAliveMs,
-		DrainLimitMs:      drainLimitMs,
-		Workers:           workers,
-	}
+	e.Settings = settings.Default()
+	e.Settings.VM = name
+	e.Settings.Zone = zone
+	e.Settings.CallerAddress = addresses[0]
+	e.Settings.PeerAddress = addresses[1]
+	e.Settings.StatusAddress = addresses[2]
+	e.Settings.PlatformEndpoints = []string{f.PlatformURL}
+	e.Settings.Peers = []string{}
+	e.Settings.AddressTTLMs = addressTTLMs
+	e.Settings.KeepAliveMs = keepAliveMs
+	e.Settings.DrainLimitMs = drainLimitMs
 	for _, other := range f.Entries() {
 		e.Settings.Peers = append(e.Settings.Peers, other.VM.PeerAddress)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,15 +42,19 @@
 	DrainLimitMs int64 `json:"drain_limit_ms" min:"100" max:"86400000"`
 	// Workers is the number of goroutines that dispatch queued requests.
 	Workers int `json:"workers" min:"1" max:"1024"`
+	// MemoryLimitMB is the memory in 2^20 bytes from which garbage is collected
+	// as often as it takes.
+	MemoryLimitMB int64 `json:"memory_limit_mb" min:"64" max:"1048576"`
 }
 
 // Values of fields that a settings file leaves out.
 const (
-	defaultLogLevel     = "info"
-	defaultAddressTTLMs = 2_000
-	defaultKeepAliveMs  = 5_000
-	defaultDrainLimitMs = 15 * 60 * 1000
-	defaultWorkers      = 8
+	defaultLogLevel      = "info"
+	defaultAddressTTLMs  = 2_000
+	defaultKeepAliveMs   = 5_000
+	defaultDrainLimitMs  = 15 * 60 * 1000
+	defaultWorkers       = 8
+	defaultMemoryLimitMB = 256
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -64,8 +68,23 @@
 // DrainLimit is DrainLimitMs as a duration.
 func (s *Settings) DrainLimit() time.Duration { return milliseconds(s.DrainLimitMs) }
 
+// MemoryLimit is MemoryLimitMB in bytes.
+func (s *Settings) MemoryLimit() int64 { return s.MemoryLimitMB << 20 }
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// Default returns the values of the fields that a settings file may leave out.
+func Default() Settings {
+	return Settings{
+		LogLevel:      defaultLogLevel,
+		AddressTTLMs:  defaultAddressTTLMs,
+		KeepAliveMs:   defaultKeepAliveMs,
+		DrainLimitMs:  defaultDrainLimitMs,
+		Workers:       defaultWorkers,
+		MemoryLimitMB: defaultMemoryLimitMB,
+	}
+}
+
 // Load reads and checks a settings file. The error is a finding.List with every
 // problem of the file, or the error of reading it.
 func Load(file string) (*Settings, error) {
@@ -82,16 +101,10 @@
 	if doc == nil {
 		return nil, findings.Err()
 	}
-	s := &Settings{
-		LogLevel:     defaultLogLevel,
-		AddressTTLMs: defaultAddressTTLMs,
-		KeepAliveMs:  defaultKeepAliveMs,
-		DrainLimitMs: defaultDrainLimitMs,
-		Workers:      defaultWorkers,
-	}
-	findings = append(findings, doc.Decode(s)...)
-	findings = append(findings, check(doc, s)...)
-	return s, findings.Sorted().Err()
+	s := Default()
+	findings = append(findings, doc.Decode(&s)...)
+	findings = append(findings, check(doc, &s)...)
+	return &s, findings.Sorted().Err()
 }
 
 // check returns the findings that the types of the fields cannot show.
