--- a/caller/entries.go
+++ b/caller/entries.go
@@ -59,29 +59,53 @@
 	zone   string
 	caller string
 
+	asking sync.Mutex // held while an entry is asked; taken before mu
+
 	mu      sync.Mutex
 	entries []Entry
 	until   time.Time
 }
 
-// list returns the kept entries, or asks for them. An expired answer is used
-// again where nobody gives a new one.
+// list returns the kept entries, or asks for them. While one call asks, and
+// where nobody answers, the others go on with an expired answer.
 func (r *resolver) list(ctx context.Context) ([]Entry, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if time.Now().Before(r.until) && len(r.entries) > 0 {
-		return r.entries, nil
+	known, fresh := r.kept()
+	if fresh {
+		return known, nil
 	}
-	answer, err := r.ask(ctx)
-	if err != nil && len(r.entries) > 0 {
-		return r.entries, nil
+	if len(known) == 0 {
+		r.asking.Lock()
+	} else if !r.asking.TryLock() {
+		return known, nil
 	}
-	if err != nil {
+	defer r.asking.Unlock()
+	if known, fresh = r.kept(); fresh {
+		return known, nil
+	}
+	answer, err := r.ask(ctx, known)
+	switch {
+	case err == nil:
+		r.keep(answer)
+		return answer.Entries, nil
+	case len(known) > 0:
+		return known, nil
+	default:
 		return nil, err
 	}
+}
+
+// kept returns the kept entries and whether their time to live lasts.
+func (r *resolver) kept() (entries []Entry, fresh bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries, len(r.entries) > 0 && time.Now().Before(r.until)
+}
+
+func (r *resolver) keep(answer *entriesAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.entries = answer.Entries
 	r.until = time.Now().Add(time.Duration(answer.TTLMs) * time.Millisecond)
-	return r.entries, nil
 }
 
 // expire makes the next call ask again, as an entry did not work.
@@ -92,9 +116,9 @@
 }
 
 // ask tries the entries known so far, then the seeds.
-func (r *resolver) ask(ctx context.Context) (*entriesAnswer, error) {
+func (r *resolver) ask(ctx context.Context, known []Entry) (*entriesAnswer, error) {
 	var addresses []string
-	for _, e := range r.entries {
+	for _, e := range known {
 		addresses = append(addresses, e.Address)
 	}
 	addresses = append(addresses, r.seeds...)
--- a/test/process/once_test.go
+++ b/test/process/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -42,10 +43,16 @@
 
 // order sends an order through an entry on a connection of its own.
 func order(ctx context.Context, e *proctest.Entry, operation string) answer {
-	return exchange(ctx, e, "POST", "shop.glazenpot.example", "/orders", operation, strings.NewReader("kit 7"))
+	return orderFor(ctx, e, operation, orderTime)
 }
 
-func exchange(ctx context.Context, e *proctest.Entry, method, host, path, operation string, body io.Reader) answer {
+// orderFor sends an order that takes its server that long.
+func orderFor(ctx context.Context, e *proctest.Entry, operation string, service time.Duration) answer {
+	header := http.Header{wire.HeaderOperation: {operation}, backend.HeaderServiceTime: {service.String()}}
+	return exchange(ctx, e, "POST", "shop.glazenpot.example", "/orders", header, strings.NewReader("kit 7"))
+}
+
+func exchange(ctx context.Context, e *proctest.Entry, method, host, path string, header http.Header, body io.Reader) answer {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.VM.Address+path, body)
@@ -53,12 +60,9 @@
 		return answer{err: err}
 	}
 	req.Host = host
+	maps.Copy(req.Header, header)
 	req.Header.Set(wire.HeaderCaller, "anna")
 	req.Header.Set(wire.HeaderTimeoutMs, "8000")
-	if operation != "" {
-		req.Header.Set(wire.HeaderOperation, operation)
-	}
-	req.Header.Set(backend.HeaderServiceTime, orderTime.String())
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{err: err}
@@ -111,7 +115,7 @@
 func serving(t *testing.T, e *proctest.Entry) {
 	t.Helper()
 	err := proctest.Until(t.Context(), startTimeout, func() bool {
-		return exchange(t.Context(), e, "GET", "shop.glazenpot.example", "/kits", "", nil).status == http.StatusOK
+		return exchange(t.Context(), e, "GET", "shop.glazenpot.example", "/kits", nil, nil).status == http.StatusOK
 	})
 	if err != nil {
 		t.Fatalf("%s does not serve", e.VM.Name)
@@ -203,7 +207,7 @@
 	photo := &slowBody{left: 60, begun: make(chan struct{})}
 	go func() { orders <- order(t.Context(), first, caught) }()
 	go func() {
-		uploads <- exchange(t.Context(), first, "PUT", "intake.glazenpot.example", "/scans/7", "", photo)
+		uploads <- exchange(t.Context(), first, "PUT", "intake.glazenpot.example", "/scans/7", nil, photo)
 	}()
 	begun(t, shop, 1)
 	<-photo.begun
@@ -229,6 +233,26 @@
 	atMostOnce(t, shop)
 }
 
+// An entry leaves while it runs an order that another entry passed on.
+func TestLeavingEntryEndsTheOrdersOfOtherEntries(t *testing.T) {
+	_, shop, first, second := startShop(t)
+	caught := newOperation(t, first, 1)
+	orders := make(chan answer, 1)
+	go func() { orders <- orderFor(t.Context(), second, caught, 3*orderTime) }()
+	begun(t, shop, 1)
+	if err := first.Leave(); err != nil {
+		t.Fatal(err)
+	}
+	if a := <-orders; a.status != http.StatusOK || a.outcome != "ran" {
+		t.Errorf("order: %+v", a)
+	}
+	<-first.Ended()
+	if first.ExitCode() != 0 {
+		t.Errorf("exit code %d", first.ExitCode())
+	}
+	atMostOnce(t, shop)
+}
+
 // keptAddress is the time for which callers keep addresses in the test of leaving.
 const keptAddress = 3 * time.Second
 
@@ -250,7 +274,7 @@
 	}
 	for end := time.Now().Add(keptAddress / 3); time.Now().Before(end); {
 		kept := lookup(t, first)
-		fresh := exchange(t.Context(), first, "GET", "shop.glazenpot.example", "/kits", "", nil)
+		fresh := exchange(t.Context(), first, "GET", "shop.glazenpot.example", "/kits", nil, nil)
 		if kept != http.StatusOK || fresh.status != http.StatusOK {
 			t.Fatalf("kept connection %d, new connection %+v", kept, fresh)
 		}
