Keep answers packed in one piece of memory

Cause: a kept answer of 200 bytes took 895 to 916 bytes an operation (go test -run '^$' -bench Memory -benchtime 3x ./internal/operation), most of it its header map and its channel, and the bound counted the text alone. Ruled out: gob, whose type description is longer than the answer.

--- a/internal/operation/call.go
+++ b/internal/operation/call.go
@@ -21,26 +21,28 @@
 	Server string
 }
 
-// size is the memory of a kept answer in bytes.
-func (a *Answer) size() int {
-	n := len(a.Body) + len(a.Server)
-	for name, values := range a.Header {
-		n += len(name)
-		for _, v := range values {
-			n += len(v)
-		}
-	}
-	return n
-}
-
 // result is what an operation came to. done is closed once the other fields are
-// set; they never change after that.
+// set; they never change after that. At most one of answer, packed and refusal
+// is set.
 type result struct {
 	done    chan struct{}
-	answer  Answer
+	answer  *Answer // for those who wait while it runs
+	packed  []byte  // the kept form of answer
 	refusal *outcome.Refusal
 }
 
+// value returns the answer or the refusal of a settled operation.
+func (r *result) value() (Answer, *outcome.Refusal) {
+	switch {
+	case r.refusal != nil:
+		return Answer{}, r.refusal
+	case r.packed != nil:
+		return unpack(r.packed), nil
+	default:
+		return *r.answer, nil
+	}
+}
+
 // Call is one request's hold on an operation.
 type Call struct {
 	table  *Table // nil unless this is the owner's call
@@ -56,12 +58,12 @@
 func (c *Call) Wait(ctx context.Context) (Answer, *outcome.Refusal) {
 	select {
 	case <-c.result.done:
-		return c.result.answer, c.result.refusal
+		return c.result.value()
 	default:
 	}
 	select {
 	case <-c.result.done:
-		return c.result.answer, c.result.refusal
+		return c.result.value()
 	case <-ctx.Done():
 		return Answer{}, stillRunning()
 	}
--- /dev/null
+++ b/internal/operation/memory_bench_test.go
@@ -0,0 +1,73 @@
+package operation
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+)
+
+// keptBody is the body of a typical answer to an order, in bytes.
+const keptBody = 200
+
+// BenchmarkMemory reports the bytes that one kept operation takes, with and
+// without its answer.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []int{10_000, 100_000, 250_000} {
+		b.Run(fmt.Sprintf("refused/%d", size), func(b *testing.B) {
+			refusal := outcome.NewNotRun(503, outcome.ReasonQueueFull, "full")
+			reportMemory(b, size, func(c *Call) { c.NotRun(refusal) })
+		})
+		b.Run(fmt.Sprintf("answered/%d", size), func(b *testing.B) {
+			reportMemory(b, size, func(c *Call) {
+				header := http.Header{"Content-Type": {"application/json"}}
+				c.Ran(Answer{Status: 201, Header: header, Body: make([]byte, keptBody), BodyKept: true, Server: "server-1"})
+			})
+		})
+	}
+}
+
+func reportMemory(b *testing.B, size int, settle func(*Call)) {
+	var bytes float64
+	for b.Loop() {
+		before := heapBytes()
+		table := New(Options{MaxOperations: size, MaxKeptBytes: 1 << 30})
+		fill(table, size, settle)
+		bytes = float64(heapBytes()-before) / float64(size)
+		runtime.KeepAlive(table)
+	}
+	b.ReportMetric(bytes, "B/operation")
+	b.ReportMetric(0, "ns/op")
+}
+
+func fill(table *Table, size int, settle func(*Call)) {
+	id := ID{Incarnation: table.Incarnation()}
+	for n := range size {
+		binary.BigEndian.PutUint64(id.Call[:], uint64(n))
+		call, _ := table.Begin(id, "anna", Fingerprint{1})
+		settle(call)
+	}
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkBegin is the time of one operation in the table, settling included.
+func BenchmarkBegin(b *testing.B) {
+	table := New(Options{MaxOperations: 1 << 30, MaxKeptBytes: 1 << 20})
+	id := ID{Incarnation: table.Incarnation()}
+	n := uint64(0)
+	for b.Loop() {
+		n++
+		binary.BigEndian.PutUint64(id.Call[:], n)
+		call, _ := table.Begin(id, "anna", Fingerprint{1})
+		call.Ran(Answer{Status: 201})
+	}
+}
--- a/internal/operation/settle.go
+++ b/internal/operation/settle.go
@@ -47,9 +47,11 @@
 	}
 	if refusal == nil && !a.BodyKept {
 		refusal = answerNotKept()
-		a = Answer{}
 	}
-	c.result.answer, c.result.refusal = a, refusal
+	if refusal == nil {
+		c.result.answer = &a
+	}
+	c.result.refusal = refusal
 	close(c.result.done)
 	t.keep(c, refusal)
 }
@@ -74,19 +76,23 @@
 // keepAnswer reports whether the answer fits. Where it does not, the answers of
 // the oldest epochs are forgotten first.
 func (t *Table) keepAnswer(e *epoch, c *Call) bool {
-	size := int64(c.result.answer.size())
-	if size > int64(t.opts.MaxAnswerBytes) {
+	packed := pack(c.result.answer)
+	if len(packed) > t.opts.MaxAnswerBytes {
 		return false
 	}
+	size := int64(len(packed)) + resultBytes
 	for i := range t.epochs {
 		if t.keptBytes+size <= t.opts.MaxKeptBytes {
 			break
 		}
 		t.forgetAnswers(&t.epochs[i])
 	}
-	if e.records[c.id.Call].result != c.result {
+	r := e.records[c.id.Call]
+	if r.result != c.result {
 		return false
 	}
+	r.result = &result{done: closedChannel, packed: packed}
+	e.records[c.id.Call] = r
 	t.keptBytes += size
 	e.keptBytes += size
 	return true
