--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -30,7 +31,8 @@
 }
 
 func TestNothingIsWrittenAfterTheSeal(t *testing.T) {
-	c, _ := pipeConn(t)
+	c, far := pipeConn(t)
+	go func() { _, _ = io.Copy(io.Discard, far) }()
 	transfer := c.bind(false)
 	if got := c.seal(transfer); got != 0 {
 		t.Errorf("%d bytes counted", got)
@@ -77,7 +79,8 @@
 // What waits in the kernel decides before a request is written on a reused connection.
 func TestReuseLooksIntoTheKernel(t *testing.T) {
 	for _, seen := range []peekResult{peekData, peekClosed} {
-		c, _ := pipeConn(t)
+		c, far := pipeConn(t)
+		go func() { _, _ = io.Copy(io.Discard, far) }()
 		c.peek = func(net.Conn) peekResult { return seen }
 		c.reading = true
 		c.bind(true)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -46,7 +46,10 @@
 			sendOK(t, f, s)
 			r := newRequest(c.method, "/orders", 0)
 			r.Header.Set(c.header, "k-1")
-			_, failure := f.Send(context.Background(), s.vm(), orders(false), r, nil)
+			a, failure := f.Send(context.Background(), s.vm(), orders(false), r, nil)
+			if a != nil {
+				a.Body.Close()
+			}
 			if failure == nil || failure.Outcome != outcome.Unknown || failure.Written == 0 {
 				t.Fatalf("failure %v, want unknown after written bytes", failure)
 			}
