Let no load report undo what the VM list says of a leaving VM

Cause: an entry whose VM list lagged could take a leaving server back into all views, as its probe of the server showed no draining yet. Change: notices from the VM list are marked and outrank load reports; each read of the list states them anew.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -49,21 +49,20 @@
 	return out
 }
 
-// setList takes in a VM list and notes what it says of leaving VMs.
-// It reports whether anything changed.
+// setList takes in a VM list and notes what it says of leaving VMs, each time
+// anew, as a peer whose list lags may have said otherwise since. It reports
+// whether anything changed.
 func (t *table) setList(now time.Time, next vmList) bool {
 	before := t.list
 	t.list = next
-	if before.known() && before.hash == next.hash {
-		return false
-	}
+	changed := !before.known() || before.hash != next.hash
 	for _, vm := range next.vms {
 		wasLeaving := before.byName[vm.Name].State == fleet.Leaving
 		if vm.State == fleet.Leaving {
-			t.notices.report(now, vm.Name, true)
+			changed = t.notices.reportList(now, vm.Name, true) || changed
 		} else if wasLeaving {
-			t.notices.report(now, vm.Name, false)
+			changed = t.notices.reportList(now, vm.Name, false) || changed
 		}
 	}
-	return true
+	return changed
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -122,7 +122,7 @@
 
 func (m *Membership) report(server string, draining bool) {
 	m.mu.Lock()
-	changed := m.table.notices.report(time.Now(), server, draining)
+	changed := m.table.notices.reportLoad(time.Now(), server, draining)
 	m.mu.Unlock()
 	if !changed {
 		return
--- a/internal/membership/notice.go
+++ b/internal/membership/notice.go
@@ -31,22 +31,33 @@
 
 func newNoticeTable() noticeTable { return noticeTable{byServer: map[string]*notice{}} }
 
-// report records what this process has seen itself, and reports whether it is new.
-func (t noticeTable) report(now time.Time, server string, draining bool) bool {
-	n := t.byServer[server]
-	if n == nil && !draining {
+// reportLoad records what a load report says, and reports whether it is new.
+func (t noticeTable) reportLoad(now time.Time, server string, draining bool) bool {
+	n := t.get(server)
+	if n.Listed || n.Draining == draining {
 		return false
 	}
-	if n != nil && n.Draining == draining {
+	return t.mergeOne(now, peer.Notice{Server: server, Sequence: n.Sequence + 1, Draining: draining})
+}
+
+// reportList records what the VM list says, and reports whether it is new.
+func (t noticeTable) reportList(now time.Time, server string, leaving bool) bool {
+	n := t.get(server)
+	if n.Listed == leaving {
 		return false
 	}
-	next := peer.Notice{Server: server, Sequence: 1, Draining: draining}
-	if n != nil {
-		next.Sequence = n.Sequence + 1
-	}
+	next := peer.Notice{Server: server, Sequence: n.Sequence + 1, Draining: leaving, Listed: leaving}
 	return t.mergeOne(now, next)
 }
 
+// get returns the newest notice, the zero one where there is none.
+func (t noticeTable) get(server string) peer.Notice {
+	if n := t.byServer[server]; n != nil {
+		return n.Notice
+	}
+	return peer.Notice{}
+}
+
 // merge takes in notices of peers and reports whether one was new.
 func (t noticeTable) merge(now time.Time, notices []peer.Notice) bool {
 	changed := false
@@ -70,12 +81,16 @@
 	return true
 }
 
-// newerNotice orders notices; of two with the same sequence, draining holds.
+// newerNotice orders notices; of two with the same sequence, the one holds that
+// sends less work.
 func newerNotice(a, b peer.Notice) bool {
 	if a.Sequence != b.Sequence {
 		return a.Sequence > b.Sequence
 	}
-	return a.Draining && !b.Draining
+	if a.Draining != b.Draining {
+		return a.Draining
+	}
+	return a.Listed && !b.Listed
 }
 
 // toSend returns fresh notices, and a few old ones in turn for those that
@@ -112,10 +127,7 @@
 	return out
 }
 
-func (t noticeTable) isDraining(server string) bool {
-	n := t.byServer[server]
-	return n != nil && n.Draining
-}
+func (t noticeTable) isDraining(server string) bool { return t.get(server).Draining }
 
 // draining returns the servers that take no new work.
 func (t noticeTable) draining() map[string]bool {
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -32,7 +32,7 @@
 	Draining bool
 }
 
-// Notice tells that a backend server is draining, or is no longer.
+// Notice tells that a VM takes no new work, or does again.
 type Notice struct {
 	// Server is the VM's name.
 	Server string
@@ -40,6 +40,8 @@
 	Sequence uint32
 	// Draining is true where the server takes no new work.
 	Draining bool
+	// Listed is true where the VM list says so; load reports do not undo that.
+	Listed bool
 }
 
 // Heartbeat is sent to a few peers each second; its answer is a Heartbeat too.
