--- a/bench/capacity/limits.go
+++ b/bench/capacity/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/gob"
 	"fmt"
 	"time"
@@ -17,6 +18,8 @@
 	borrowerName = "fedcba9876543210fedcba9876543210"
 	// benchLimit is far beyond what the probes spend.
 	benchLimit = 1_000_000_000
+	// idleTime is how long a ledger without work is measured.
+	idleTime = 3 * time.Second
 )
 
 func limitProbes() []probe {
@@ -29,6 +32,10 @@
 			name: "processor time of spending", unit: "us/limit that governs the call", sizes: []int{1, 2, 4, 8},
 			value: spendCPU,
 		},
+		{
+			name: "processor time of a ledger without borrowing, by limits", unit: "us/s/limit", sizes: []int{30, 120, 480},
+			value: idleCPU,
+		},
 		{
 			name: "processor time of lending, by limits in a request", unit: "us/limit", sizes: []int{1, 10, 100},
 			value: lendCPU,
@@ -43,12 +50,17 @@
 // newLedger returns a ledger that holds the only seat, with count limits that
 // all govern every call.
 func newLedger(count, callsPerSecond int) (*escrow.Ledger, error) {
+	return newLedgerWith(count, callsPerSecond, escrow.Options{})
+}
+
+func newLedgerWith(count, callsPerSecond int, opts escrow.Options) (*escrow.Ledger, error) {
 	claim := seat.Claim{Incarnation: lenderName, VM: "entry-01"}
 	seats, err := seat.Table{}.Apply(0, claim, 1)
 	if err != nil {
 		return nil, err
 	}
-	l := escrow.New(escrow.Options{Incarnation: lenderName, LastHeard: time.Now})
+	opts.Incarnation, opts.LastHeard = lenderName, time.Now
+	l := escrow.New(opts)
 	l.SetTree(limitTree(count, callsPerSecond))
 	l.SetSeats(seats)
 	return l, nil
@@ -100,6 +112,34 @@
 	}), nil
 }
 
+// nobody is a peer that does not exist; no request is sent to it.
+type nobody struct{}
+
+func (nobody) Call(context.Context, string, string, any, any) error {
+	return &peer.UnreachableError{}
+}
+
+// idleCPU returns the microseconds a second that a running ledger uses whose
+// callers ask for nothing beyond its share.
+func idleCPU(size int) (float64, error) {
+	peers := make([]escrow.Peer, 60)
+	for i := range peers {
+		peers[i] = escrow.Peer{Incarnation: fmt.Sprintf("%032d", i)}
+	}
+	l, err := newLedgerWith(size, benchLimit, escrow.Options{
+		Client: nobody{},
+		Peers:  func() []escrow.Peer { return peers },
+	})
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), idleTime)
+	defer cancel()
+	before := processCPU()
+	l.Run(ctx)
+	return float64((processCPU() - before).Microseconds()) / idleTime.Seconds(), nil
+}
+
 // benchRequest is about count limits.
 func benchRequest(count int, sequence uint64) *peer.BorrowRequest {
 	r := &peer.BorrowRequest{Lender: lenderName, Borrower: borrowerName, Sequence: sequence}
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -54,6 +54,7 @@
 	return slices.Concat(
 		operationProbes(),
 		routingProbes(),
+		connectionProbes(),
 		configurationProbes(),
 		membershipProbes(),
 		limitProbes(),
--- a/internal/escrow/ask.go
+++ b/internal/escrow/ask.go
@@ -73,7 +73,7 @@
 	b.forgetBorrowers(now)
 	idle := b.idlePeers(now, peers, random)
 	items := make(map[string][]peer.BorrowItem)
-	for _, a := range b.sorted() {
+	for _, a := range b.ordered {
 		a.advance(now)
 		b.planLimit(now, a, idle, items)
 	}
@@ -141,6 +141,9 @@
 	switch {
 	case missing <= 0:
 		a.askAgain(now)
+		if len(a.borrowed) == 0 {
+			return
+		}
 	case now >= a.askAt:
 		lenders = b.willing(a, idle)
 		a.pauseAsking(now)
--- a/internal/escrow/book.go
+++ b/internal/escrow/book.go
@@ -25,6 +25,7 @@
 	settled     map[int64]time.Duration // when all holders had applied a resize, by its offset
 	accounts    map[limitKey]*account
 	byHash      map[uint64]*account
+	ordered     []*account // by hash
 	covering    map[tree.Scope][]*account
 	seatSeen    map[seatTerm]time.Duration
 	borrowers   map[string]borrower
@@ -77,6 +78,7 @@
 		b.setLimit(limitKey{l.Scope, ConcurrentCalls}, l.ConcurrentCalls, longestCall(t, l))
 	}
 	b.dropUnused(now)
+	b.ordered = b.sorted()
 	b.refreshShares(now)
 }
 
