Start a server's answer time from the usual one

Cause: the first answer set the answer time of a server, so a single long one marked it slow, kept work away and was not corrected; probes rose from 7 to 88 a second, as those servers had no news. Change: the answer time starts at the service's mean. Probes weigh 0.05 in the busy share where answers carry no reports, so that hedging closes there too. Test: TestOneLongAnswerKeepsNoWorkAway fails without the change (0 of 100).

--- a/bench/policy/faults.go
+++ b/bench/policy/faults.go
@@ -25,6 +25,12 @@
 	{"reports say idle", func(s *engine.Scenario) { s.Faults.ReportIdle = true }},
 	{"no reports", func(s *engine.Scenario) { s.Faults.NoReports = true }},
 	{"restart every 5 s", func(s *engine.Scenario) { s.Faults.Restarts = 5 * time.Second }},
+	{"reports say idle, 95% load", func(s *engine.Scenario) { s.Faults.ReportIdle, s.Load = true, 0.95 }},
+	{"no reports, 95% load", func(s *engine.Scenario) { s.Faults.NoReports, s.Load = true, 0.95 }},
+	{"no reports, uneven callers", func(s *engine.Scenario) { s.Faults.NoReports, s.Uneven = true, true }},
+	{"one zone", func(s *engine.Scenario) { s.Zones = 1 }},
+	{"one zone, no reports", func(s *engine.Scenario) { s.Zones, s.Faults.NoReports = 1, true }},
+	{"one zone, reports 2 s old", func(s *engine.Scenario) { s.Zones, s.Faults.ReportAge = 1, 2*time.Second }},
 	{"no hedges", func(s *engine.Scenario) { s.NoHedges = true }},
 }
 
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -130,3 +130,20 @@
 		}
 	}
 }
+
+func TestOneLongAnswerKeepsNoWorkAway(t *testing.T) {
+	b := newShop("s1", "s2")
+	first, _ := b.Pick(start, nil)
+	b.Done(first, start, Result{Latency: 10 * time.Millisecond})
+	other, _ := b.Pick(start, []string{first.VM.Name})
+	b.Done(other, start, Result{Latency: 50 * time.Millisecond})
+	picks := map[string]int{}
+	for range 100 {
+		s, _ := b.Pick(start, nil)
+		picks[s.VM.Name]++
+		b.Done(s, start, Result{Latency: 10 * time.Millisecond})
+	}
+	if picks[other.VM.Name] < 25 {
+		t.Errorf("%s got %d of 100 requests after one long answer", other.VM.Name, picks[other.VM.Name])
+	}
+}
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -105,6 +105,15 @@
 	ownWeight = 0.5
 )
 
+// learnPace takes in an answer time. It starts from the usual one, as a single
+// long answer would keep work away and so be the last one for long.
+func (h *host) learnPace(sample time.Duration, usual float64) {
+	if h.pace.value() == 0 {
+		h.pace.learn(usual, 1)
+	}
+	h.pace.learn(float64(sample), meanWeight)
+}
+
 // late counts the own requests that have been out for long.
 func (h *host) late(mask uint32, v *view) float64 {
 	count := 0.0
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -19,7 +19,7 @@
 		if !r.Upload {
 			b.latency.learn(float64(r.Latency), meanWeight)
 			b.quantile.learn(now, r.Latency)
-			s.host.pace.learn(float64(r.Latency), meanWeight)
+			s.host.learnPace(r.Latency, b.latency.value())
 		}
 	case Shed:
 		s.host.health.hold(now, b.holdTime())
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -9,6 +9,10 @@
 // newsWanted is the age of the last report from which a probe is worth its cost.
 const newsWanted = time.Second
 
+// probeWeight is the weight of a probe in the busy share, where answers carry
+// no reports and probes are few.
+const probeWeight = 0.05
+
 // ProbeNext is the server whose load has been unknown for longest, and false
 // when answers or probes brought news of all of late. The server is not offered
 // again before newsWanted has passed.
@@ -37,12 +41,12 @@
 		return
 	}
 	b.tellDraining(h, r)
-	b.busy.learn(r.busyShare(), busyWeight)
 	if b.reporting.Load() {
 		h.news.hear(r, h.inFlight(), now.UnixNano())
 		return
 	}
 	h.news.draining.Store(r.Draining)
+	b.busy.learn(r.busyShare(), probeWeight)
 }
 
 // ProbeFailed counts like a failed dial.
