--- a/bench/engine/result.go
+++ b/bench/engine/result.go
@@ -30,10 +30,19 @@
 type RankFigures struct {
 	Offered, Served, Failed, Refused int64
 	// Ended counts the calls served in the phase, whenever they arrived.
-	Ended   int64
+	Ended int64
+	// Reasons counts the refused calls by reason.
+	Reasons map[outcome.Reason]int64
 	latency *hdrhistogram.Histogram
 }
 
+func newRankFigures() *RankFigures {
+	return &RankFigures{
+		Reasons: make(map[outcome.Reason]int64),
+		latency: hdrhistogram.New(shortestLatency, longestLatency, latencyDigits),
+	}
+}
+
 // Quantile is the latency in milliseconds below which q percent were served.
 func (f *RankFigures) Quantile(q float64) float64 {
 	return float64(f.latency.ValueAtQuantile(q)) / 1000
@@ -43,8 +52,6 @@
 type Result struct {
 	// Ranks holds the figures by phase and rank.
 	Ranks [phases]map[string]*RankFigures
-	// Refusals counts by reason.
-	Refusals map[outcome.Reason]int64
 	// Retries, Hedges and Probes count extra work in the measured time.
 	Retries, Hedges, Probes int64
 	// Bytes of measuring: load reports and probes in the measured time.
@@ -55,11 +62,11 @@
 }
 
 func newResult(s *Scenario) *Result {
-	r := &Result{Refusals: make(map[outcome.Reason]int64), scenario: s}
+	r := &Result{scenario: s}
 	for p := range r.Ranks {
 		r.Ranks[p] = make(map[string]*RankFigures)
 		for _, rank := range []string{Payments, Lookups, Uploads} {
-			r.Ranks[p][rank] = &RankFigures{latency: hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)}
+			r.Ranks[p][rank] = newRankFigures()
 		}
 	}
 	return r
@@ -126,12 +133,12 @@
 		return
 	}
 	f.Refused++
-	r.Refusals[refusal.Reason]++
+	f.Reasons[refusal.Reason]++
 }
 
 // Total sums the figures of a rank over the phases.
 func (r *Result) Total(rank string) *RankFigures {
-	sum := &RankFigures{latency: hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)}
+	sum := newRankFigures()
 	for p := range r.Ranks {
 		f := r.Ranks[p][rank]
 		sum.Offered += f.Offered
@@ -139,6 +146,9 @@
 		sum.Failed += f.Failed
 		sum.Refused += f.Refused
 		sum.latency.Merge(f.latency)
+		for reason, n := range f.Reasons {
+			sum.Reasons[reason] += n
+		}
 	}
 	return sum
 }
--- a/bench/policy/flood.go
+++ b/bench/policy/flood.go
@@ -79,7 +79,7 @@
 			fmt.Sprintf("%.0f", float64(f.Served)/length.Seconds()),
 			percent(f.Ended, served),
 			ms(f.Quantile(50)), ms(f.Quantile(99)),
-			percent(f.Refused, f.Offered), percent(f.Failed, f.Offered),
+			refused(f), percent(f.Failed, f.Offered),
 		})
 	}
 	return rows
--- a/bench/policy/load.go
+++ b/bench/policy/load.go
@@ -61,7 +61,7 @@
 	return []string{
 		ms(f.Quantile(50)), ms(f.Quantile(99)), ms(f.Quantile(99.9)),
 		fmt.Sprintf("%.0f", float64(f.Served)/length.Seconds()),
-		percent(f.Refused, f.Offered), percent(f.Failed, f.Offered), percent(r.Hedges, f.Offered),
+		refused(f), percent(f.Failed, f.Offered), percent(r.Hedges, f.Offered),
 		fmt.Sprintf("%.0f", float64(r.Probes)/length.Seconds()),
 		fmt.Sprintf("%.0f", float64(r.Bytes)/length.Seconds()),
 	}
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -98,3 +100,16 @@
 	}
 	return fmt.Sprintf("%.2f%%", 100*float64(part)/float64(whole))
 }
+
+// refused is the refused share of the offered calls with its reasons.
+func refused(f *engine.RankFigures) string {
+	text := percent(f.Refused, f.Offered)
+	if f.Refused == 0 {
+		return text
+	}
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(f.Reasons)) {
+		parts = append(parts, string(reason)+" "+percent(f.Reasons[reason], f.Offered))
+	}
+	return text + ": " + strings.Join(parts, ", ")
+}
