Decide a request's place in its own goroutine

Cause: every request woke a worker and waited for it, also where a place was free, and each end woke one for an empty queue. Each wake-up is a trip through the Go scheduler, which costs most where processors are busy. Ruled out: the order of ranks would change (the same Scheduler.Next decides, under the same mutex; the state machine of the queue passes). Workers still dispatch what waits when a place comes free.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -60,20 +60,25 @@
 	q.balancer.Done(g.Server, time.Now(), r)
 	q.mu.Lock()
 	q.scheduler.Finish(g.item, r)
+	waiting := q.scheduler.Waiting() > 0
 	q.mu.Unlock()
-	q.workers.schedule(q)
+	if waiting {
+		q.workers.schedule(q)
+	}
 }
 
 // Admit waits for a place at a backend server. A refusal is always not-run.
 func (q *Queue) Admit(ctx context.Context, r Request) (*Grant, *outcome.Refusal) {
 	i := &Item{Request: r, ready: make(chan Decision, 1)}
+	now := time.Now()
 	q.mu.Lock()
-	refusal := q.scheduler.Offer(i, time.Now())
+	refusal := q.scheduler.Offer(i, now)
+	decisions := q.decide(now)
 	q.mu.Unlock()
+	q.deliver(decisions)
 	if refusal != nil {
 		return nil, q.count(i, refusal)
 	}
-	q.workers.schedule(q)
 	select {
 	case d := <-i.ready:
 		return q.settle(d)
@@ -111,11 +116,19 @@
 	return refusal
 }
 
-// dispatch decides all items that can be decided now.
+// dispatch decides all items that can be decided now, for a worker.
 func (q *Queue) dispatch() {
 	q.mu.Lock()
+	decisions := q.decide(time.Now())
+	q.mu.Unlock()
+	q.deliver(decisions)
+}
+
+// decide decides all items that can be decided now, in the scheduler's order. The
+// mutex is held. A request that arrives decides in its own goroutine: where a
+// place is free it spares a worker's wake-up.
+func (q *Queue) decide(now time.Time) []Decision {
 	var decisions []Decision
-	now := time.Now()
 	for {
 		d, ok := q.scheduler.Next(now)
 		if !ok {
@@ -124,8 +137,7 @@
 		decisions = append(decisions, d)
 	}
 	q.poll()
-	q.mu.Unlock()
-	q.deliver(decisions)
+	return decisions
 }
 
 // poll arranges the next look while requests wait. The mutex is held.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -26,7 +26,7 @@
 
 // newQueue returns a queue over the named servers of one slot each, with a
 // running pool that ends with the test.
-func newQueue(t *testing.T, scope tally.Scope, servers ...string) *Queue {
+func newQueue(t testing.TB, scope tally.Scope, servers ...string) *Queue {
 	b := balancer.New(balancer.Options{Zone: "a"})
 	var vms []fleet.VM
 	for _, name := range servers {
