--- a/internal/proctest/binaries.go
+++ b/internal/proctest/binaries.go
@@ -18,16 +18,19 @@
 	Router string
 	// Ctl is the path of chestnutctl.
 	Ctl string
+	// Standin is the path of the stand-ins' program, which is not shipped.
+	Standin string
 }
 
 // Build builds the programs into a directory.
 func Build(ctx context.Context, dir string) (Binaries, error) {
 	b := Binaries{
-		Router: filepath.Join(dir, "chestnutrouter"),
-		Ctl:    filepath.Join(dir, "chestnutctl"),
+		Router:  filepath.Join(dir, "chestnutrouter"),
+		Ctl:     filepath.Join(dir, "chestnutctl"),
+		Standin: filepath.Join(dir, "standin"),
 	}
 	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir,
-		modulePath+"/cmd/chestnutrouter", modulePath+"/cmd/chestnutctl")
+		modulePath+"/cmd/chestnutrouter", modulePath+"/cmd/chestnutctl", modulePath+"/standin/cmd/standin")
 	output, err := cmd.CombinedOutput()
 	if err != nil {
 		return b, fmt.Errorf("build: %w\n%s", err, output)
--- a/test/process/once_test.go
+++ b/test/process/once_test.go
@@ -60,9 +60,9 @@
 		return answer{err: err}
 	}
 	req.Host = host
+	req.Header.Set(wire.HeaderTimeoutMs, "8000")
 	maps.Copy(req.Header, header)
 	req.Header.Set(wire.HeaderCaller, "anna")
-	req.Header.Set(wire.HeaderTimeoutMs, "8000")
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{err: err}
