--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -2,20 +2,21 @@
 
 import "bytes"
 
-// Bounds of an HTTP/1.1 message head.
-var (
-	headEnd       = []byte("\r\n\r\n")
-	interimStatus = []byte("HTTP/1.1 1")
-)
+// interimStart starts the status line of an interim answer (1xx).
+const interimStart = "HTTP/1.1 1"
+
+// headEnd ends the head of an HTTP/1.1 message.
+var headEnd = []byte("\r\n\r\n")
 
 // headScanner finds the end of an answer's head in the bytes read from a
-// connection, so that the bytes after it can be counted. Interim answers (1xx)
-// before it are skipped.
+// connection, so that the bytes after it can be counted. Interim answers before
+// it are skipped.
 type headScanner struct {
 	done  bool
 	body  int64 // bytes after the final head
-	start []byte
-	tail  []byte // last bytes seen, at most len(headEnd)-1
+	start [len(interimStart)]byte
+	seen  int    // bytes in start
+	tail  []byte // unfinished head, only where it came in several reads
 }
 
 func (s *headScanner) feed(p []byte) {
@@ -27,17 +28,16 @@
 
 // scan consumes bytes up to the end of one head and returns the rest.
 func (s *headScanner) scan(p []byte) []byte {
-	if missing := len(interimStatus) - len(s.start); missing > 0 {
-		s.start = append(s.start, p[:min(missing, len(p))]...)
+	s.seen += copy(s.start[s.seen:], p)
+	if len(s.tail) > 0 {
+		p = append(s.tail, p...)
 	}
-	joined := append(s.tail, p...)
-	at := bytes.Index(joined, headEnd)
+	at := bytes.Index(p, headEnd)
 	if at < 0 {
-		s.tail = bytes.Clone(joined[max(0, len(joined)-len(headEnd)+1):])
+		s.tail = bytes.Clone(p[max(0, len(p)-len(headEnd)+1):])
 		return nil
 	}
-	rest := joined[at+len(headEnd):]
-	s.done = !bytes.Equal(s.start, interimStatus)
-	s.start, s.tail = nil, nil
-	return rest
+	s.done = string(s.start[:s.seen]) != interimStart
+	s.seen, s.tail = 0, nil
+	return p[at+len(headEnd):]
 }
