--- a/internal/proctest/entry.go
+++ b/internal/proctest/entry.go
@@ -65,6 +65,9 @@
 	e.Settings.AddressTTLMs = addressTTLMs
 	e.Settings.KeepAliveMs = keepAliveMs
 	e.Settings.DrainLimitMs = drainLimitMs
+	if f.AddressTTL > 0 {
+		e.Settings.AddressTTLMs = f.AddressTTL.Milliseconds()
+	}
 	for _, other := range f.Entries() {
 		e.Settings.Peers = append(e.Settings.Peers, other.VM.PeerAddress)
 	}
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -27,6 +27,9 @@
 	PlatformURL string
 	// Log is a client of the log service, named "operator".
 	Log *platform.HTTP
+	// AddressTTL is how long callers of entries that are started from now on keep
+	// their addresses; zero means 300 ms.
+	AddressTTL time.Duration
 
 	dir      string
 	binaries Binaries
