Keep warm connections as entries come and go; end a joined wait on time

Cause: each change of the entries across a multiple of 4 made a new transport and closed its service's idle connections (16 to 17 and back). And a repeat that joined a run waited past its own timeout (entry/once.go, one line). Ruled out: changing MaxConnsPerHost of a transport in use, which is a data race. Change: a slightly larger limit keeps the transport, a smaller one never does. Checked: TestJoinedCallKeepsItsOwnDeadline failed before (deadlock of the bubble) and passes; TestEntriesThatComeAndGoKeepWarmConnections passes (new, not run on the old code); go test -race -count=2 ./internal/forward ./internal/entry.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -23,7 +23,9 @@
 		return h.refuse(w, refusal)
 	}
 	if !held.Owner() {
-		answer, refusal := held.Wait(r.Context())
+		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		defer cancel()
+		answer, refusal := held.Wait(ctx)
 		return h.writeKept(w, answer, refusal)
 	}
 	return h.runOwned(w, r, c, held)
--- a/internal/forward/message_test.go
+++ b/internal/forward/message_test.go
@@ -271,3 +271,21 @@
 		t.Errorf("%d connections, want at most 3", most.Load())
 	}
 }
+
+func TestEntriesThatComeAndGoKeepWarmConnections(t *testing.T) {
+	entries := 16
+	f := New(Options{Entries: func() int { return entries }})
+	svc := orders(false).Service
+	at := func(n int) *http.Transport { entries = n; return f.pools.transport(svc) }
+	sixteen := at(16)
+	seventeen := at(17)
+	if sixteen == seventeen {
+		t.Error("a smaller limit was not put in force")
+	}
+	if at(16) != seventeen || at(18) != seventeen {
+		t.Error("connections were dropped for a slightly larger limit")
+	}
+	if at(8) == seventeen {
+		t.Error("a much larger limit was not put in force")
+	}
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -13,54 +13,58 @@
 // does not replace the connections of all services.
 const entriesStep = 4
 
-// poolKey names a transport: services never share connections, and a changed
-// limit makes a new one.
-type poolKey struct {
-	service string
-	limit   int
+// pool is one service's transport and its limit of connections to each server.
+type pool struct {
+	limit     int
+	transport *http.Transport
 }
 
-// pools holds one transport a service.
+// fits reports whether the pool may go on with a new limit. A smaller one always
+// replaces it; a slightly larger one does not, as entries that come and go would
+// otherwise close warm connections each time.
+func (p *pool) fits(limit int) bool {
+	return limit >= p.limit && limit*2 < p.limit*3
+}
+
+// pools holds one transport a service; services never share connections.
 type pools struct {
 	entries func() int
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mu    sync.RWMutex
-	byKey map[poolKey]*http.Transport
+	mu        sync.RWMutex
+	byService map[string]*pool
 }
 
 // transport returns the service's transport for the present number of entries.
 func (p *pools) transport(svc *tree.Service) *http.Transport {
-	key := poolKey{svc.Key(), connectionLimit(svc.ConnectionsPerServer, p.entries())}
+	key, limit := svc.Key(), connectionLimit(svc.ConnectionsPerServer, p.entries())
 	p.mu.RLock()
-	t := p.byKey[key]
+	have := p.byService[key]
 	p.mu.RUnlock()
-	if t != nil {
-		return t
+	if have != nil && have.fits(limit) {
+		return have.transport
 	}
-	return p.replace(key)
+	return p.replace(key, limit)
 }
 
 // replace makes the transport for a new limit. Requests in progress finish on
 // the old one, whose idle connections are closed.
-func (p *pools) replace(key poolKey) *http.Transport {
+func (p *pools) replace(key string, limit int) *http.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t := p.byKey[key]; t != nil {
-		return t
+	have := p.byService[key]
+	if have != nil && have.fits(limit) {
+		return have.transport
 	}
-	if p.byKey == nil {
-		p.byKey = map[poolKey]*http.Transport{}
+	if have != nil {
+		have.transport.CloseIdleConnections()
 	}
-	for old, t := range p.byKey {
-		if old.service == key.service {
-			t.CloseIdleConnections()
-			delete(p.byKey, old)
-		}
+	if p.byService == nil {
+		p.byService = map[string]*pool{}
 	}
-	t := p.newTransport(key.limit)
-	p.byKey[key] = t
-	return t
+	made := &pool{limit: limit, transport: p.newTransport(limit)}
+	p.byService[key] = made
+	return made.transport
 }
 
 func (p *pools) newTransport(limit int) *http.Transport {
@@ -86,8 +90,8 @@
 func (p *pools) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, t := range p.byKey {
-		t.CloseIdleConnections()
+	for _, have := range p.byService {
+		have.transport.CloseIdleConnections()
 	}
 }
 
