--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
@@ -32,23 +31,30 @@
 	// Draining is told the name of each backend server whose answer says that it
 	// is draining; nil is told nothing. It is called on the request path.
 	Draining func(server string)
+	// Entries is the number of live entries, which share each server's
+	// connections; nil means one.
+	Entries func() int
 }
 
 // Balancer chooses among the backend servers of one service.
 type Balancer struct {
-	options  Options
-	snapshot atomic.Pointer[snapshot]
-	latency  mean // nanoseconds of an answer
-	others   mean // requests of other entries at a server
-	busy     mean // busy share of a server's slots
-	echo     *echo
-	quantile *quantile
-	turn     atomic.Uint64 // moves the server at which equal ones are judged first
-	mu       sync.Mutex    // guards making a new snapshot
+	options   Options
+	snapshot  atomic.Pointer[snapshot]
+	latency   mean        // nanoseconds of an answer
+	others    mean        // requests of other entries at a server
+	busy      mean        // busy share of a server's slots
+	reporting atomic.Bool // answers carry reports
+	echo      *echo
+	quantile  *quantile
+	turn      atomic.Uint64 // moves the server at which equal ones are judged first
+	mu        sync.Mutex    // guards making a new snapshot
 }
 
 // New returns a balancer without servers.
 func New(options Options) *Balancer {
+	if options.Entries == nil {
+		options.Entries = func() int { return 1 }
+	}
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
@@ -69,7 +75,9 @@
 func (b *Balancer) UpdateAt(now time.Time, servers []fleet.VM, svc *tree.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.snapshot.Store(b.snapshot.Load().next(servers, svc, now.UnixNano()))
+	next := b.snapshot.Load().next(servers, svc, b.options.Zone, now.UnixNano())
+	next.places = placesOf(next.slots, svc.ConnectionsPerServer, b.options.Entries())
+	b.snapshot.Store(next)
 }
 
 // Len is the number of servers.
@@ -82,28 +90,6 @@
 // too little was measured.
 func (b *Balancer) HighLatency() time.Duration { return b.quantile.value() }
 
-const (
-	// maxHedgeLoad is the busy share of all slots above which a second attempt
-	// costs others more than it gains.
-	maxHedgeLoad = 0.9
-	// minHedgeTrust is how far reports must be believed for the busy share to count.
-	minHedgeTrust = 0.5
-)
-
-// HedgeAfter is how long an idempotent request may stay unanswered before a
-// second attempt is worth its cost. It is false when too little was measured
-// or the servers are too busy for second attempts.
-func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
-	wait := b.quantile.value()
-	if wait == 0 || b.echo.value() < minHedgeTrust {
-		return 0, false
-	}
-	return wait, b.Load() <= maxHedgeLoad
-}
-
-// Load is the busy share of the servers' slots, 0 to 1, by their recent reports.
-func (b *Balancer) Load() float64 { return b.busy.value() }
-
 // Pick reserves a place at the server with the shortest estimated wait. It is
 // false when no server that is not excluded by name has a free slot.
 func (b *Balancer) Pick(now time.Time, exclude []string) (*Server, bool) {
@@ -133,12 +119,14 @@
 
 // view is what a pick at that time judges all servers by.
 func (b *Balancer) view(s *snapshot, now time.Time, limit float64) view {
+	usual := b.others.value()
 	return view{
 		now:   now.UnixNano(),
 		late:  b.lateAfter(),
 		limit: limit,
+		pace:  b.pace(),
 		slots: float64(s.slots),
-		usual: b.others.value() + doubt,
+		usual: usual + min(doubt, usual),
 		trust: b.echo.value(),
 	}
 }
@@ -147,8 +135,8 @@
 	// lateMeans is how many mean latencies a request may be out before its
 	// server is taken to be slow.
 	lateMeans = 3
-	// doubt is added to the usual load of a server without news, as a load that
-	// is known costs less on average than one that is only likely.
+	// doubt is the most that is added to the usual load of a server without news,
+	// as a load that is known costs less on average than one that is only likely.
 	doubt = 0.5
 	// meanWeight is the weight of the newest answer in the means.
 	meanWeight = 0.02
@@ -156,61 +144,20 @@
 	busyWeight = 0.005
 )
 
-func (b *Balancer) lateAfter() int64 {
+func (b *Balancer) pace() float64 {
 	usual := b.latency.value()
 	if usual == 0 {
-		return math.MaxInt64
-	}
-	return int64(lateMeans * usual)
-}
-
-// Done ends the reservation with what the attempt showed. It must be called
-// exactly once for each pick.
-func (b *Balancer) Done(s *Server, now time.Time, r Result) {
-	own := s.host.release(s)
-	if r.HasReport {
-		b.hear(s.host, own, now, r)
-	}
-	switch r.Kind {
-	case OK:
-		s.host.health.succeed()
-		if !r.Upload {
-			b.latency.learn(float64(r.Latency), meanWeight)
-			b.quantile.learn(now, r.Latency)
-		}
-	case Error, DialFailed:
-		b.fail(s.host, now, r.Kind)
-	}
-}
-
-// fail lets the failed answer count as a long one, so that a server that fails
-// fast draws no load.
-func (b *Balancer) fail(h *host, now time.Time, kind ResultKind) {
-	hold := time.Duration(lateMeans * b.latency.value())
-	if !h.health.fail(now, max(hold, minErrorHold)) {
-		return
-	}
-	snapshot := b.snapshot.Load()
-	if tooMany(snapshot.suspended(now.UnixNano()), len(snapshot.hosts)) {
-		metrics.Count(b.options.Scope, metrics.Ejections, "ignored_past_cap")
-		return
+		return 0
 	}
-	metrics.Count(b.options.Scope, metrics.Ejections, kind.String())
+	return 1 / usual
 }
 
-// minErrorHold is the shortest time that a failure counts as in progress.
-const minErrorHold = 10 * time.Millisecond
-
-// hear takes in the report of an answer.
-func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
-	others := h.news.hear(r.Report, own, now.UnixNano())
-	b.tellDraining(h, r.Report)
-	if r.Kind != OK {
-		return
+func (b *Balancer) lateAfter() int64 {
+	usual := b.latency.value()
+	if usual == 0 {
+		return math.MaxInt64
 	}
-	b.others.learn(others, meanWeight)
-	b.busy.learn(r.Report.busyShare(), busyWeight)
-	b.echo.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
+	return int64(lateMeans * usual)
 }
 
 func excluded(exclude []string, name string) bool {
