--- a/test/process/outage_test.go
+++ b/test/process/outage_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -58,3 +60,42 @@
 		}
 	}
 }
+
+// changedTree returns a copy of the example tree with another comment in a branch.
+func changedTree(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.CopyFS(dir, os.DirFS(exampleTree)); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "glazenpot", "intake", "branch.jsonc")
+	content, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, append([]byte("// changed\n"), content...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func TestPublishReachesEntriesThatAreCutFromTheLog(t *testing.T) {
+	f := startFleet(t, 3)
+	entries := f.Entries()
+	before := agreed(t, f)
+	f.Platform.SetFaults(standin.Faults{
+		Cut:    []string{entries[1].VM.Name},
+		Frozen: []string{entries[2].VM.Name},
+	})
+	if _, err := f.Ctl(t.Context(), "publish", changedTree(t), "--publisher", "glazenpot/test"); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		err := proctest.Until(t.Context(), agreeTimeout, func() bool {
+			return mustStatus(t, e.Status).Revision == before.Revision+1
+		})
+		if err != nil {
+			t.Errorf("%s: the change is not in force: %v", e.VM.Name, err)
+		}
+	}
+}
