Report a peer that holds another configuration at the same offset

Cause: equal offsets must mean equal states; nothing at run time would have shown that they do not, such as while two versions run. Change: heartbeats carry a fingerprint of the state, a difference is counted (config_divergence) and logged once for an offset.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -44,6 +44,7 @@
 	state     atomic.Pointer[fold.State]
 	lastHeard atomic.Int64 // when the log answered, in Unix nanoseconds
 	reachable atomic.Bool  // the last request to the log was answered
+	diverged  atomic.Int64 // the offset at which a peer was last reported to differ
 
 	advance     sync.Mutex // guards recent and partial, and orders changes of state
 	recent      ring
@@ -73,6 +74,7 @@
 		snapshots: newSnapshotMark(time.Now()),
 	}
 	f.state.Store(fold.Empty())
+	f.diverged.Store(-1)
 	return f
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/platform"
@@ -140,6 +142,27 @@
 	}
 }
 
+func TestPeerWithAnotherStateAtTheSameOffsetIsReported(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	f := New(Options{Scope: scope})
+	f.applyRecords([]platform.Record{{Offset: 0, Data: founding()}})
+	offset, state := f.Fingerprint()
+	for _, c := range []struct {
+		offset int64
+		state  uint64
+		want   int64
+	}{{offset, state, 0}, {offset + 1, state + 1, 0}, {-1, 0, 0}, {offset, state + 1, 1}} {
+		f.ComparePeer("peer", c.offset, c.state)
+		var got int64
+		if counter := scope.Snapshot().Counters()["config_divergence+"]; counter != nil {
+			got = counter.Value()
+		}
+		if got != c.want {
+			t.Errorf("offset %d, state %x: count %d, want %d", c.offset, c.state, got, c.want)
+		}
+	}
+}
+
 func TestSubscribersHearOffsetsInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -44,6 +44,7 @@
 	isNews := m.table.mergeRows(append(h.Rows, h.Row))
 	isNews = m.table.notices.merge(now, h.Notices) || isNews
 	m.mu.Unlock()
+	m.opts.Config.ComparePeer(h.Address, h.Row.Offset, h.Row.State)
 	m.offer()
 	if isFirst {
 		unknown = nil // asks for everything
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -27,6 +27,10 @@
 	// Position returns the applied offset of the config stream and the place of
 	// the newest known snapshot in its stream; -1 stands for none.
 	Position() (offset, snapshot int64)
+	// Fingerprint returns the applied offset and a fingerprint of its state.
+	Fingerprint() (offset int64, state uint64)
+	// ComparePeer tells which state the entry at a peer address has at an offset.
+	ComparePeer(address string, offset int64, state uint64)
 	// OfferPeer tells that the entry at a peer address has applied an offset.
 	OfferPeer(address string, offset int64)
 	// OfferSnapshot tells that the snapshots stream has a snapshot at that place.
@@ -156,7 +160,8 @@
 // or is the only user.
 func (m *Membership) refreshSelf() {
 	row := m.table.self.Row
-	row.Offset, row.Snapshot = m.opts.Config.Position()
+	_, row.Snapshot = m.opts.Config.Position()
+	row.Offset, row.State = m.opts.Config.Fingerprint()
 	row.Epoch = m.opts.Epoch()
 	if row != m.table.self.Row {
 		row.Version++
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -26,6 +26,8 @@
 	Epoch uint32
 	// Offset is the applied offset of the config stream, -1 before the first.
 	Offset int64
+	// State is the fingerprint of the state at that offset.
+	State uint64
 	// Snapshot is the place of the newest known snapshot in its stream, -1 for none.
 	Snapshot int64
 	// Draining is set when the process takes no new callers.
