--- a/bench/capacity/membership.go
+++ b/bench/capacity/membership.go
@@ -78,6 +78,8 @@
 func (still) Position() (offset, snapshot int64) { return 1, -1 }
 func (still) OfferPeer(string, int64)            {}
 func (still) OfferSnapshot(int64)                {}
+func (still) Fingerprint() (int64, uint64)       { return 1, 1 }
+func (still) ComparePeer(string, int64, uint64)  {}
 
 // list is a VM list that never changes.
 type list []fleet.VM
