Show queues, windows, trust in reports and busy slots as gauges

Cause: the counters say what was refused; nothing said whether reports are believed, how far windows have closed and how many requests wait. Change: four gauges for each service, set when a queue decides. Test: TestGaugesShowTheQueue failed before observe was called.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,8 +23,9 @@
 	balancer *balancer.Balancer
 	scope    tally.Scope
 
-	mu        sync.Mutex // guards scheduler and polling
+	mu        sync.Mutex // guards the fields below
 	scheduler *Scheduler
+	gauges    gauges
 	polling   bool
 
 	scheduled atomic.Bool // in the workers' channel
@@ -33,13 +34,20 @@
 // NewQueue returns a queue whose requests the workers dispatch to servers of
 // the balancer. Refusals are counted in the scope by reason and rank.
 func NewQueue(workers *Workers, b *balancer.Balancer, scope tally.Scope) *Queue {
-	return &Queue{workers: workers, balancer: b, scope: scope, scheduler: NewScheduler(b)}
+	return &Queue{
+		workers:   workers,
+		balancer:  b,
+		scope:     scope,
+		scheduler: NewScheduler(b),
+		gauges:    newGauges(scope, nil),
+	}
 }
 
 // Update puts the ranks of the service in force.
 func (q *Queue) Update(svc *tree.Service) {
 	q.mu.Lock()
 	refused := q.scheduler.SetRanks(svc.Ranks)
+	q.gauges = newGauges(q.scope, q.scheduler.lines)
 	q.mu.Unlock()
 	q.deliver(refused)
 	q.workers.schedule(q)
@@ -137,6 +145,7 @@
 		decisions = append(decisions, d)
 	}
 	q.poll()
+	q.observe()
 	return decisions
 }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -93,3 +93,25 @@
 		}
 	})
 }
+
+func TestGaugesShowTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := tally.NewTestScope("", nil)
+		q := newQueue(t, scope, "s1")
+		held, _ := q.Admit(t.Context(), Request{Rank: "lookups"})
+		wait(t, q, 2, Request{Rank: "lookups"})
+		for name, want := range map[string]float64{
+			"queue_waiting+rank=lookups":  2,
+			"queue_waiting+rank=payments": 0,
+			"queue_window+rank=payments":  firstLimit,
+			"report_trust+":               1,
+			"busy_share+":                 0,
+		} {
+			g := scope.Snapshot().Gauges()[name]
+			if g == nil || g.Value() != want {
+				t.Errorf("%s is %v, want %v", name, g, want)
+			}
+		}
+		held.Done(balancer.Result{})
+	})
+}
--- a/internal/balancer/hedge.go
+++ b/internal/balancer/hedge.go
@@ -23,3 +23,6 @@
 
 // Load is the busy share of the servers' slots, 0 to 1, by their recent reports.
 func (b *Balancer) Load() float64 { return b.busy.value() }
+
+// Trust is how far load reports are believed, from 0 to 1.
+func (b *Balancer) Trust() float64 { return b.echo.value() }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,6 +34,19 @@
 	Probes = "probes"
 )
 
+// Names of the gauges of a service.
+const (
+	// QueueWaiting is the requests of a rank that wait at this entry.
+	QueueWaiting = "queue_waiting"
+	// QueueWindow is the requests of a rank and the less urgent ones that this
+	// entry may have in progress whatever the servers' estimated load.
+	QueueWindow = "queue_window"
+	// ReportTrust is how far the service's load reports are believed, 0 to 1.
+	ReportTrust = "report_trust"
+	// BusyShare is the busy share of the service's slots by reports, 0 to 1.
+	BusyShare = "busy_share"
+)
+
 // Registry is the process's metrics: a scope to count in and a page to read.
 type Registry struct {
 	// Scope is the root scope.
