--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -63,6 +63,7 @@
 	table, err := s.seats.Apply(offset, c, seats)
 	if err == nil {
 		s.seats = table
+		d.Message = seatMessage(c)
 		return d
 	}
 	d.Outcome = Invalid
@@ -74,6 +75,14 @@
 	return d
 }
 
+// seatMessage says in one line what became of a seat.
+func seatMessage(c seat.Claim) string {
+	if c.Incarnation == "" {
+		return fmt.Sprintf("seat %d given up by %s", c.Seat, c.VM)
+	}
+	return fmt.Sprintf("seat %d taken by %s", c.Seat, c.VM)
+}
+
 // applyPublish decides one publish; s is the copy that becomes the next state.
 func (s *State) applyPublish(offset int64, p Publish) Decision {
 	d := Decision{Offset: offset, Kind: KindPublish, Publisher: p.Publisher, PublishID: p.PublishID}
--- a/internal/fold/decision.go
+++ b/internal/fold/decision.go
@@ -44,7 +44,8 @@
 	Revision int64 `json:"revision,omitempty"`
 	// Proposal is the id of the proposal that the record made.
 	Proposal string `json:"proposal,omitempty"`
-	// Message says in one line why the record is not in force.
+	// Message says in one line why the record is not in force, or what became of
+	// a seat.
 	Message string `json:"message,omitempty"`
 	// Findings are all problems of an invalid publish.
 	Findings finding.List `json:"findings,omitempty"`
