Give nested calls the rank of their outermost call

Cause: the rank header went on to backend servers, but an entry that got a nested call queued it by its route alone, so the lookups inside a payment waited behind a flood of lookups, and those inside an upload did not wait. Now the header decides, with one limit: only a request from the IP number of a backend server may become more urgent than its route; from any other caller the header can but lower it, and uploads are never raised.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -210,6 +210,12 @@
 // Tree returns the tree in force, or nil.
 func (t treeSource) Tree() *tree.Tree { return t.follower.Current().Tree() }
 
+// serverHosts asks the newest view for the IP numbers of backend servers.
+type serverHosts struct{ members *membership.Membership }
+
+// IsServerHost reports whether a backend server has that IP number.
+func (s serverHosts) IsServerHost(ip string) bool { return s.members.View().IsServerHost(ip) }
+
 func newHandler(s *settings.Settings, f *follow.Follower, ops *operation.Table, owners *operation.Owners,
 	ledger *escrow.Ledger, runner *attempt.Runner, drain *entry.Drain, m *membership.Membership, scope tally.Scope,
 ) *entry.Handler {
@@ -222,6 +228,7 @@
 		Owners:     owners,
 		Limits:     ledger,
 		Runner:     runner,
+		Servers:    serverHosts{m},
 		Drain:      drain,
 		Scope:      scope,
 	})
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -27,7 +27,7 @@
 func testTree() *tree.Tree {
 	return &tree.Tree{Services: []*tree.Service{{
 		Member: "glazenpot", Name: "shop", Hosts: []string{testHost},
-		Ranks: []tree.Rank{{Name: "payments"}, {Name: "lookups"}},
+		Ranks: []tree.Rank{{Name: "payments", Order: 1}, {Name: "lookups", Order: 2}, {Name: "uploads", Order: 3}},
 		Routes: []*tree.Route{
 			{Methods: []string{"POST"}, PathPrefix: "/orders", Rank: "payments", MaxBodyBytes: 64, Timeout: 10 * time.Second},
 			{Methods: []string{"GET"}, PathPrefix: "/", Rank: "lookups", Idempotent: true, Timeout: time.Second},
@@ -44,6 +44,8 @@
 	limited *outcome.Refusal
 	// run stands for the backend servers.
 	run func(ctx context.Context, r *http.Request) (*forward.Answer, *outcome.Refusal)
+	// rank is that of the last call that ran; serverHost is the only server's IP number.
+	rank, serverHost string
 	// asked is what other entries' operations come to.
 	asked *outcome.Refusal
 }
@@ -60,6 +62,7 @@
 		Operations: operation.New(operation.Options{}),
 		Owners:     b,
 		Limits:     b,
+		Servers:    b,
 		Runner:     b,
 		Drain:      &Drain{},
 		Scope:      b.scope,
@@ -73,8 +76,9 @@
 	return func() {}, b.limited
 }
 
-func (b *bench) Do(ctx context.Context, _ tree.Match, r *http.Request) (*forward.Answer, *outcome.Refusal) {
+func (b *bench) Do(ctx context.Context, m tree.Match, r *http.Request) (*forward.Answer, *outcome.Refusal) {
 	b.runs.Add(1)
+	b.rank = m.Rank.Name
 	return b.run(ctx, r)
 }
 
@@ -82,6 +86,8 @@
 	return operation.Answer{}, b.asked
 }
 
+func (b *bench) IsServerHost(ip string) bool { return ip == b.serverHost }
+
 // newID returns a fresh operation id of this entry.
 func (b *bench) newID(last string) string {
 	return b.Operations.Ticket() + ".0000000000000000000000000000000" + last
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -44,6 +44,11 @@
 	Ask(ctx context.Context, id operation.ID, caller string, r *http.Request, body []byte) (operation.Answer, *outcome.Refusal)
 }
 
+// ServerHosts knows the IP numbers of the backend servers.
+type ServerHosts interface {
+	IsServerHost(ip string) bool
+}
+
 // Options are the stages that a Handler puts calls through.
 type Options struct {
 	// Entry is the name of this entry VM.
@@ -62,6 +67,8 @@
 	Addresses *membership.Membership
 	// AddressTTL is how long callers keep the address answer.
 	AddressTTL time.Duration
+	// Servers knows the backend servers, whose nested calls keep their rank.
+	Servers ServerHosts
 	// Drain counts requests and says when the entry leaves.
 	Drain *Drain
 	// Scope receives the counters.
@@ -108,6 +115,7 @@
 		h.refuse(w, h.disclaim(r, refusal))
 		return
 	}
+	h.applyRank(&c.match, r)
 	if !c.match.Route.Upload {
 		if refusal := c.bufferBody(w, r); refusal != nil {
 			h.refuse(w, h.disclaim(r, refusal))
--- a/internal/membership/build.go
+++ b/internal/membership/build.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -74,8 +75,12 @@
 		leaving:  map[string][]fleet.VM{},
 		draining: t.notices.draining(),
 		listed:   t.list.byName,
+		hosts:    map[string]bool{},
 	}
 	for _, vm := range t.list.vms {
+		if vm.Service != fleet.EntryService {
+			s.hosts[hostOf(vm.Address)] = true
+		}
 		switch {
 		case vm.Service == fleet.EntryService:
 		case vm.State == fleet.Leaving || s.draining[vm.Name]:
@@ -94,3 +99,12 @@
 		return x.Incarnation == y.Incarnation && x.VM == y.VM && x.Draining == y.Draining
 	})
 }
+
+// hostOf returns the IP number of an address with a port.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -46,6 +46,7 @@
 	leaving  map[string][]fleet.VM
 	draining map[string]bool
 	listed   map[string]fleet.VM // nil before the first VM list
+	hosts    map[string]bool     // IP numbers of all backend servers
 }
 
 // Servers returns the backend servers of a service ("member/service") that take
@@ -66,6 +67,9 @@
 	return listed, v.servers.listed != nil
 }
 
+// IsServerHost reports whether a backend server has that IP number.
+func (v *View) IsServerHost(ip string) bool { return v.servers.hosts[ip] }
+
 // Order returns how many live entries come before this one in the rendezvous
 // order of a key, so that the first in it can do a piece of work for all.
 func (v *View) Order(key string) int {
