--- a/internal/entry/asked.go
+++ b/internal/entry/asked.go
@@ -10,6 +10,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
 )
 
 // maxAskedAnswerBytes is the largest answer that is passed on to the entry that
@@ -32,6 +33,10 @@
 		return operation.Answer{}, refusal
 	}
 	c.body = body
+	// The entry that asks has checked the header against its caller.
+	if rank, ok := c.match.Service.Rank(r.Header.Get(wire.HeaderRank)); ok {
+		c.match.Rank = rank
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	answer, release, refusal := h.attempt(ctx, r, c)
