Leave room for the 99th percentile of answers in a wait

Cause: the queue let requests wait until the target less the 95th percentile, so the 99th percentile of a flooded rank passed its target. Change: HighLatency is the 99th percentile; hedging keeps the 95th.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -88,7 +88,7 @@
 
 // HighLatency is a high quantile of the latency of recent answers, zero while
 // too little was measured.
-func (b *Balancer) HighLatency() time.Duration { return b.quantile.value() }
+func (b *Balancer) HighLatency() time.Duration { return micros(&b.quantile.high) }
 
 // Pick reserves a place at the server with the shortest estimated wait. It is
 // false when no server that is not excluded by name has a free slot.
--- a/internal/balancer/hedge.go
+++ b/internal/balancer/hedge.go
@@ -14,7 +14,7 @@
 // second attempt is worth its cost. It is false when too little was measured
 // or the servers are too busy for second attempts.
 func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
-	wait := b.quantile.value()
+	wait := micros(&b.quantile.hedge)
 	if wait == 0 || b.echo.value() < minTrust {
 		return 0, false
 	}
--- a/internal/balancer/quantile.go
+++ b/internal/balancer/quantile.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// quantilePercent is the quantile that quantiles measures, in percent.
-	quantilePercent = 95
+	// hedgePercent is the quantile after which a second attempt is worth its cost.
+	hedgePercent = 95
+	// highPercent is the quantile that stands for a long answer.
+	highPercent = 99
 	// quantileWindow is how long answers count, at the least.
 	quantileWindow = 5 * time.Second
 	// quantileRefresh is how often the quantile is computed.
@@ -23,11 +25,12 @@
 	latencyDigits = 2
 )
 
-// quantile is a high quantile of the recent latencies of a service. Answers
-// are counted in two histograms that take turns, under the mutex; the result is
-// read without it.
+// quantile is two high quantiles of the recent latencies of a service. Answers
+// are counted in two histograms that take turns, under the mutex; the results
+// are read without it.
 type quantile struct {
-	micros atomic.Int64 // zero while unknown
+	hedge atomic.Int64 // microseconds, zero while unknown
+	high  atomic.Int64 // microseconds, zero while unknown
 
 	mu        sync.Mutex // guards the fields below
 	old       *hdrhistogram.Histogram
@@ -67,13 +70,14 @@
 		fuller = q.old
 	}
 	if fuller.TotalCount() < quantileSamples {
-		q.micros.Store(0)
+		q.hedge.Store(0)
+		q.high.Store(0)
 		return
 	}
-	q.micros.Store(fuller.ValueAtQuantile(quantilePercent))
+	q.hedge.Store(fuller.ValueAtQuantile(hedgePercent))
+	q.high.Store(fuller.ValueAtQuantile(highPercent))
 }
 
-// value is zero while too few answers were seen.
-func (q *quantile) value() time.Duration {
-	return time.Duration(q.micros.Load()) * time.Microsecond
+func micros(v *atomic.Int64) time.Duration {
+	return time.Duration(v.Load()) * time.Microsecond
 }
