--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -44,7 +44,7 @@
 	others    mean        // requests of other entries at a server
 	busy      mean        // busy share of a server's slots
 	reporting atomic.Bool // answers carry reports
-	echo      *echo
+	trust     *trust
 	quantile  *quantile
 	turn      atomic.Uint64 // moves the server at which equal ones are judged first
 	mu        sync.Mutex    // guards making a new snapshot
@@ -58,7 +58,7 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
-	b := &Balancer{options: options, echo: newEcho(), quantile: newQuantile()}
+	b := &Balancer{options: options, trust: newTrust(), quantile: newQuantile()}
 	b.snapshot.Store(&snapshot{})
 	b.turn.Store(xxhash.Sum64String(options.Entry))
 	return b
@@ -121,30 +121,30 @@
 func (b *Balancer) view(s *snapshot, now time.Time, limit float64) view {
 	usual := b.others.value()
 	return view{
-		now:   now.UnixNano(),
-		late:  b.lateAfter(),
-		limit: limit,
-		pace:  b.pace(),
-		slots: float64(s.slots),
-		usual: usual + min(doubt, usual),
-		trust: b.echo.value(),
+		now:            now.UnixNano(),
+		overdue:        b.overdueAfter(),
+		limit:          limit,
+		inverseLatency: b.inverseLatency(),
+		slots:          float64(s.slots),
+		usual:          usual + min(uncertainty, usual),
+		trust:          b.trust.value(),
 	}
 }
 
 const (
-	// lateMeans is how many mean latencies a request may be out before its
+	// overdueMeans is how many mean latencies a request may be out before its
 	// server is taken to be slow.
-	lateMeans = 3
-	// doubt is the most that is added to the usual load of a server without news,
+	overdueMeans = 3
+	// uncertainty is the most that is added to the usual load of a server without a fresh report,
 	// as a load that is known costs less on average than one that is only likely.
-	doubt = 0.5
+	uncertainty = 0.5
 	// meanWeight is the weight of the newest answer in the means.
 	meanWeight = 0.02
 	// busyWeight is the weight of the newest report in the busy share.
 	busyWeight = 0.005
 )
 
-func (b *Balancer) pace() float64 {
+func (b *Balancer) inverseLatency() float64 {
 	usual := b.latency.value()
 	if usual == 0 {
 		return 0
@@ -152,12 +152,12 @@
 	return 1 / usual
 }
 
-func (b *Balancer) lateAfter() int64 {
+func (b *Balancer) overdueAfter() int64 {
 	usual := b.latency.value()
 	if usual == 0 {
 		return math.MaxInt64
 	}
-	return int64(lateMeans * usual)
+	return int64(overdueMeans * usual)
 }
 
 func excluded(exclude []string, name string) bool {
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -23,10 +23,10 @@
 // health is what the answers of a server say about its failures. Picks read the
 // atomic fields; the others belong to Done.
 type health struct {
-	ejectedUntil  atomic.Int64 // nanoseconds since the Unix epoch
-	troubledUntil atomic.Int64 // from then on there is neither a failure nor a slow start
-	failedUntil   atomic.Int64 // until then, a failed or shed answer counts as in progress
-	trial         atomic.Bool  // one request at a time until an answer is whole
+	ejectedUntil   atomic.Int64 // nanoseconds since the Unix epoch
+	penalizedUntil atomic.Int64 // from then on there is neither a failure nor a slow start
+	failedUntil    atomic.Int64 // until then, a failed or shed answer counts as in progress
+	trial          atomic.Bool  // one request at a time until an answer is whole
 
 	mu    sync.Mutex // guards share and inRow
 	share float64    // decayed share of errors
@@ -42,11 +42,11 @@
 	h.trial.Store(false)
 }
 
-// hold lets a failed or shed answer count as in progress for a while.
-func (h *health) hold(now time.Time, length time.Duration) {
+// penalize lets a failed or shed answer count as in progress for a while.
+func (h *health) penalize(now time.Time, length time.Duration) {
 	until := now.Add(length).UnixNano()
 	h.failedUntil.Store(until)
-	h.troubledUntil.Store(max(until, h.troubledUntil.Load()))
+	h.penalizedUntil.Store(max(until, h.penalizedUntil.Load()))
 }
 
 // fail takes in a failed answer. It reports whether the server is ejected by it.
--- a/internal/balancer/hedge.go
+++ b/internal/balancer/hedge.go
@@ -15,7 +15,7 @@
 // or the servers are too busy for second attempts.
 func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
 	wait := micros(&b.quantile.hedge)
-	if wait == 0 || b.echo.value() < minTrust {
+	if wait == 0 || b.trust.value() < minTrust {
 		return 0, false
 	}
 	return wait, b.Load() <= maxHedgeLoad
@@ -25,4 +25,4 @@
 func (b *Balancer) Load() float64 { return b.busy.value() }
 
 // Trust is how far load reports are believed, from 0 to 1.
-func (b *Balancer) Trust() float64 { return b.echo.value() }
+func (b *Balancer) Trust() float64 { return b.trust.value() }
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -26,20 +26,20 @@
 // without a lock; the fields that they read of every host come first, so that
 // they share a cache line.
 type host struct {
-	busy   atomic.Uint32 // one bit for each reserved place
-	news   news
-	far    bool // in another availability zone
-	pace   mean // nanoseconds of an answer
-	health health
-	joined int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
-	probed atomic.Int64 // nanoseconds since the Unix epoch
-	vm     fleet.VM
-	places [maxPlaces]Server
+	busy    atomic.Uint32 // one bit for each reserved place
+	report  reportState
+	far     bool // in another availability zone
+	latency mean // nanoseconds of an answer
+	health  health
+	joined  int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
+	probed  atomic.Int64 // nanoseconds since the Unix epoch
+	vm      fleet.VM
+	places  [maxPlaces]Server
 }
 
 func newHost(vm fleet.VM, joined int64, far bool) *host {
 	h := &host{vm: vm, joined: joined, far: far}
-	h.health.troubledUntil.Store(joined + int64(slowStart))
+	h.health.penalizedUntil.Store(joined + int64(slowStart))
 	for i := range h.places {
 		h.places[i].VM = vm
 		h.places[i].host = h
@@ -73,7 +73,7 @@
 
 // takes reports whether the server may get another request.
 func (h *host) takes(mask uint32, limit int) bool {
-	return bits.OnesCount32(mask) < limit && !h.news.draining.Load()
+	return bits.OnesCount32(mask) < limit && !h.report.draining.Load()
 }
 
 // suspended reports whether the server is ejected, or back from it with its
@@ -85,10 +85,10 @@
 // load estimates the requests at the server: own ones, those of other entries,
 // and handicaps for what speaks against it. Those of a slow server count more.
 func (h *host) load(mask uint32, v *view) float64 {
-	estimate := float64(bits.OnesCount32(mask)) + h.news.othersAt(v)
-	estimate += h.late(mask, v)
+	estimate := float64(bits.OnesCount32(mask)) + h.report.othersAt(v)
+	estimate += h.overdue(mask, v)
 	estimate += h.handicap(v)
-	slowness := h.pace.value() * v.pace
+	slowness := h.latency.value() * v.inverseLatency
 	if slowness < slowFrom {
 		return estimate
 	}
@@ -105,20 +105,20 @@
 	ownWeight = 0.5
 )
 
-// learnPace takes in an answer time. It starts from the usual one, as a single
+// learnLatency takes in an answer time. It starts from the usual one, as a single
 // long answer would keep work away and so be the last one for long.
-func (h *host) learnPace(sample time.Duration, usual float64) {
-	if h.pace.value() == 0 {
-		h.pace.learn(usual, 1)
+func (h *host) learnLatency(sample time.Duration, usual float64) {
+	if h.latency.value() == 0 {
+		h.latency.learn(usual, 1)
 	}
-	h.pace.learn(float64(sample), meanWeight)
+	h.latency.learn(float64(sample), meanWeight)
 }
 
-// late counts the own requests that have been out for long.
-func (h *host) late(mask uint32, v *view) float64 {
+// overdue counts the own requests that have been out for long.
+func (h *host) overdue(mask uint32, v *view) float64 {
 	count := 0.0
 	for rest := mask; rest != 0; rest &= rest - 1 {
-		if v.now-h.places[bits.TrailingZeros32(rest)].started.Load() > v.late {
+		if v.now-h.places[bits.TrailingZeros32(rest)].started.Load() > v.overdue {
 			count++
 		}
 	}
@@ -136,13 +136,13 @@
 // and a little for the way to another availability zone.
 func (h *host) handicap(v *view) float64 {
 	if h.far {
-		return farCost + h.trouble(v)
+		return farCost + h.penalty(v)
 	}
-	return h.trouble(v)
+	return h.penalty(v)
 }
 
-func (h *host) trouble(v *view) float64 {
-	if v.now >= h.health.troubledUntil.Load() {
+func (h *host) penalty(v *view) float64 {
+	if v.now >= h.health.penalizedUntil.Load() {
 		return 0
 	}
 	if v.now < h.health.failedUntil.Load() {
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -19,10 +19,10 @@
 		if !r.Upload {
 			b.latency.learn(float64(r.Latency), meanWeight)
 			b.quantile.learn(now, r.Latency)
-			s.host.learnPace(r.Latency, b.latency.value())
+			s.host.learnLatency(r.Latency, b.latency.value())
 		}
 	case Shed:
-		s.host.health.hold(now, b.holdTime())
+		s.host.health.penalize(now, b.penaltyTime())
 	case Error, DialFailed:
 		b.fail(s.host, now, r.Kind)
 	}
@@ -31,7 +31,7 @@
 // fail lets the failed answer count as a long one, so that a server that fails
 // fast draws no load.
 func (b *Balancer) fail(h *host, now time.Time, kind ResultKind) {
-	h.health.hold(now, b.holdTime())
+	h.health.penalize(now, b.penaltyTime())
 	if !h.health.fail(now) {
 		return
 	}
@@ -43,18 +43,18 @@
 	metrics.Count(b.options.Scope, metrics.Ejections, kind.String())
 }
 
-// holdTime is how long a failed or shed request counts as in progress.
-func (b *Balancer) holdTime() time.Duration {
-	return max(time.Duration(lateMeans*b.latency.value()), minHold)
+// penaltyTime is how long a failed or shed request counts as in progress.
+func (b *Balancer) penaltyTime() time.Duration {
+	return max(time.Duration(overdueMeans*b.latency.value()), minPenalty)
 }
 
-// minHold is the shortest time that a failure counts as in progress.
-const minHold = 10 * time.Millisecond
+// minPenalty is the shortest time that a failure counts as in progress.
+const minPenalty = 10 * time.Millisecond
 
 // hear takes in the report of an answer. Only whole answers count in the means,
 // as a server that fails answers at times of its own.
 func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
-	others := h.news.hear(r.Report, own, now.UnixNano())
+	others := h.report.update(r.Report, own, now.UnixNano())
 	b.tellDraining(h, r.Report)
 	if r.Kind != OK {
 		return
@@ -62,7 +62,7 @@
 	b.reporting.Store(true)
 	b.others.learn(others, meanWeight)
 	b.busy.learn(r.Report.busyShare(), busyWeight)
-	b.echo.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
+	b.trust.learn(float64(own), float64(r.Report.InFlight+r.Report.Queue))
 }
 
 func (b *Balancer) tellDraining(h *host, r Report) {
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -6,21 +6,21 @@
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 )
 
-// newsWanted is the age of the last report from which a probe is worth its cost.
-const newsWanted = time.Second
+// probeAge is the age of the last report from which a probe is worth its cost.
+const probeAge = time.Second
 
 // probeWeight is the weight of a probe in the busy share, where answers carry
 // no reports and probes are few.
 const probeWeight = 0.05
 
 // ProbeNext is the server whose load has been unknown for longest, and false
-// when answers or probes brought news of all of late. The server is not offered
-// again before newsWanted has passed.
+// when answers or probes reported the load of every server within probeAge. A
+// server is not offered again before probeAge has passed.
 func (b *Balancer) ProbeNext(now time.Time) (fleet.VM, bool) {
 	var oldest *host
-	since := now.Add(-newsWanted).UnixNano()
+	since := now.Add(-probeAge).UnixNano()
 	for _, h := range b.snapshot.Load().hosts {
-		if known := max(h.news.heard.Load(), h.probed.Load()); known <= since {
+		if known := max(h.report.received.Load(), h.probed.Load()); known <= since {
 			oldest, since = h, known
 		}
 	}
@@ -42,10 +42,10 @@
 	}
 	b.tellDraining(h, r)
 	if b.reporting.Load() {
-		h.news.hear(r, h.inFlight(), now.UnixNano())
+		h.report.update(r, h.inFlight(), now.UnixNano())
 		return
 	}
-	h.news.draining.Store(r.Draining)
+	h.report.draining.Store(r.Draining)
 	b.busy.learn(r.busyShare(), probeWeight)
 }
 
--- a/internal/balancer/probe_test.go
+++ b/internal/balancer/probe_test.go
@@ -16,14 +16,14 @@
 		}
 		seen[vm.Name] = true
 	}
-	if vm, ok := b.ProbeNext(start.Add(newsWanted / 2)); ok {
+	if vm, ok := b.ProbeNext(start.Add(probeAge / 2)); ok {
 		t.Fatalf("%s was probed again at once", vm.Name)
 	}
 	s, _ := b.Pick(start, nil)
-	b.Done(s, start.Add(newsWanted), Result{HasReport: true, Report: Report{Slots: 3}})
+	b.Done(s, start.Add(probeAge), Result{HasReport: true, Report: Report{Slots: 3}})
 	for range 2 {
-		if vm, ok := b.ProbeNext(start.Add(newsWanted)); !ok || vm.Name == s.VM.Name {
-			t.Fatalf("probe of %q, %v; answers of %s brought news", vm.Name, ok, s.VM.Name)
+		if vm, ok := b.ProbeNext(start.Add(probeAge)); !ok || vm.Name == s.VM.Name {
+			t.Fatalf("probe of %q, %v; the load of %s is known", vm.Name, ok, s.VM.Name)
 		}
 	}
 }
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -10,13 +10,13 @@
 
 // view is what one pick judges all servers by.
 type view struct {
-	now   int64   // nanoseconds since the Unix epoch
-	late  int64   // nanoseconds after which a request shows a slow server
-	usual float64 // requests of other entries at a server without news
-	limit float64 // estimated load at which a server takes nothing more
-	pace  float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
-	slots float64 // requests that a server runs at a time
-	trust float64 // how far reports are believed, from 0 to 1
+	now            int64   // nanoseconds since the Unix epoch
+	overdue        int64   // nanoseconds after which a request shows a slow server
+	usual          float64 // requests of other entries at a server without a fresh report
+	limit          float64 // estimated load at which a server takes nothing more
+	inverseLatency float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
+	slots          float64 // requests that a server runs at a time
+	trust          float64 // how far reports are believed, from 0 to 1
 }
 
 // snapshot is an immutable set of servers with the service's limits.
--- a/internal/balancer/news.go
+++ b/internal/balancer/state.go
@@ -10,33 +10,33 @@
 // weight evenly until then.
 const reportFade = 500 * time.Millisecond
 
-// news is the last report of a backend server. The fields are written one by
+// reportState is the last report of a backend server. The fields are written one by
 // one; a pick that reads between two writes is off by one report.
-type news struct {
-	heard    atomic.Int64  // nanoseconds since the Unix epoch
+type reportState struct {
+	received atomic.Int64  // nanoseconds since the Unix epoch
 	others   atomic.Uint64 // bits of the number of requests of other entries
 	draining atomic.Bool
 }
 
-// hear takes in a report that arrived while own requests of this entry were
+// update takes in a report that arrived while own requests of this entry were
 // still in progress at the server. It returns the load of the other entries.
-func (n *news) hear(r Report, own int, now int64) float64 {
+func (s *reportState) update(r Report, own int, now int64) float64 {
 	others := float64(max(r.InFlight+r.Queue-own, 0))
-	n.others.Store(math.Float64bits(others))
-	n.heard.Store(now)
-	n.draining.Store(r.Draining)
+	s.others.Store(math.Float64bits(others))
+	s.received.Store(now)
+	s.draining.Store(r.Draining)
 	return others
 }
 
 // othersAt is the load of other entries as the view sees it: what was reported,
 // as far as reports are believed, faded with its age into what is usual for a
 // server of the service.
-func (n *news) othersAt(v *view) float64 {
-	age := float64(v.now - n.heard.Load())
+func (s *reportState) othersAt(v *view) float64 {
+	age := float64(v.now - s.received.Load())
 	weight := v.trust * (1 - age/float64(reportFade))
 	if weight <= 0 {
 		return v.usual
 	}
-	others := math.Float64frombits(n.others.Load())
+	others := math.Float64frombits(s.others.Load())
 	return v.usual + weight*(others-v.usual)
 }
--- a/internal/balancer/echo_test.go
+++ b/internal/balancer/trust_test.go
@@ -6,7 +6,7 @@
 )
 
 // feed teaches n answers whose reported total is made from the own requests.
-func feed(e *echo, n int, total func(own float64, rng *rand.Rand) float64) {
+func feed(e *trust, n int, total func(own float64, rng *rand.Rand) float64) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range n {
 		own := float64(rng.IntN(2))
@@ -14,11 +14,11 @@
 	}
 }
 
-func TestEchoBelievesOnlyReportsThatShowOwnRequests(t *testing.T) {
+func TestTrustBelievesOnlyReportsThatShowOwnRequests(t *testing.T) {
 	fresh := func(own float64, rng *rand.Rand) float64 { return own + float64(rng.IntN(3)) }
 	late := func(_ float64, rng *rand.Rand) float64 { return float64(rng.IntN(4)) }
 	idle := func(float64, *rand.Rand) float64 { return 0 }
-	e := newEcho()
+	e := newTrust()
 	for _, step := range []struct {
 		name   string
 		total  func(float64, *rand.Rand) float64
