Put retried and hedged lookups into the state machine

Cause: it sent operations only, so hedges never met broken and forged answers. Change: lookups with a path of their own, hedged after 100 ms; each answer must name its own request.

--- a/test/once/entry_test.go
+++ b/test/once/entry_test.go
@@ -37,6 +37,9 @@
 	epochsKept    = 3
 )
 
+// hedgeAfter is when a lookup gets its second attempt.
+const hedgeAfter = 100 * time.Millisecond
+
 // gate holds back everything that a frozen process does, and fails everything
 // that a killed one does.
 type gate struct {
@@ -199,7 +202,7 @@
 	return nil, outcome.NewNotRun(503, outcome.ReasonNoServer, "all were tried")
 }
 
-func (p *process) HedgeAfter(string) (time.Duration, bool) { return 0, false }
+func (p *process) HedgeAfter(string) (time.Duration, bool) { return hedgeAfter, true }
 
 type grant string
 
--- a/test/once/machine_test.go
+++ b/test/once/machine_test.go
@@ -58,8 +58,9 @@
 // machine is the state machine: a world and the operations sent so far.
 type machine struct {
 	*world
-	sent  []call
-	steps int
+	sent    []call
+	lookups int
+	steps   int
 }
 
 // order sends a new operation through any entry.
@@ -89,6 +90,12 @@
 	m.send(m.at(rapid.IntRange(0, entries-1).Draw(t, "entry")), c)
 }
 
+// lookup sends an idempotent call, which may be retried and hedged.
+func (m *machine) lookup(t *rapid.T) {
+	m.lookups++
+	m.send(m.at(rapid.IntRange(0, entries-1).Draw(t, "entry")), newLookup(m.lookups))
+}
+
 func (m *machine) behave(t *rapid.T) {
 	name := rapid.SampledFrom(m.names).Draw(t, "server")
 	m.servers[name+":80"].set(behaviour(rapid.IntRange(0, int(behaviours)-1).Draw(t, "acts")))
@@ -171,6 +178,7 @@
 				"order2":  m.order,
 				"repeat":  m.repeat,
 				"repeat2": m.repeat,
+				"lookup":  m.lookup,
 				"behave":  m.behave,
 				"release": m.releaseAnswers,
 				"freeze":  m.freeze,
--- a/test/once/oracle_test.go
+++ b/test/once/oracle_test.go
@@ -8,7 +8,7 @@
 )
 
 // attemptKey names what a caller asked for: one operation id may be used, by
-// mistake, for several requests.
+// mistake, for several requests. A lookup has no operation and may run often.
 type attemptKey struct{ operation, caller, request string }
 
 // oracle knows what ran and what callers were told. It is safe for concurrent use.
@@ -35,7 +35,7 @@
 	defer o.mu.Unlock()
 	o.runs[k.operation]++
 	o.ran[k]++
-	if o.runs[k.operation] > 1 {
+	if k.operation != "" && o.runs[k.operation] > 1 {
 		o.problem("operation %s ran %d times", k.operation, o.runs[k.operation])
 	}
 	if o.notRun[k] {
--- a/test/once/world_test.go
+++ b/test/once/world_test.go
@@ -51,9 +51,10 @@
 	w := &world{oracle: newOracle(), servers: map[string]*server{}, links: map[[2]int]linkState{}}
 	w.tree = &tree.Tree{Services: []*tree.Service{{
 		Member: "glazenpot", Name: "shop", Hosts: []string{"shop.example"}, ConnectionsPerServer: 20,
-		Budgets: tree.Budgets{RetryShare: 0.5},
+		Budgets: tree.Budgets{RetryShare: 0.5, HedgeShare: 0.5},
 		Ranks:   []tree.Rank{{Name: "payments"}},
 		Routes: []*tree.Route{
+			{PathPrefix: "/kits", Rank: "payments", MaxBodyBytes: 100, Timeout: callTimeout, Idempotent: true},
 			{PathPrefix: "/orders", Rank: "payments", MaxBodyBytes: 100, Timeout: callTimeout},
 			{PathPrefix: "/scans", Rank: "payments", MaxBodyBytes: 100, Timeout: callTimeout, Upload: true},
 		},
@@ -140,6 +141,15 @@
 	}
 }
 
+// newLookup returns an idempotent call with a path of its own.
+func newLookup(number int) call {
+	path := fmt.Sprint("/kits/", number)
+	return call{
+		key: attemptKey{"", "anna", path}, method: "GET", path: path,
+		headers: http.Header{wire.HeaderCaller: {"anna"}},
+	}
+}
+
 // send starts a call at an entry; the oracle hears its end.
 func (w *world) send(p *process, c call) {
 	w.calls.Go(func() {
