Ask for addresses again after a close; test the counted reasons

Cause: a client kept a leaving entry's address for its whole time to live. Change: an answer with Connection: close expires the kept addresses. Checked: TestLeavingEntryMakesTheClientAskAgain failed without it (asked once) and passes; TestReasonsAreCounted passes.

--- a/caller/call.go
+++ b/caller/call.go
@@ -78,6 +78,9 @@
 		}
 		resp, err := c.send(ctx, k, entry)
 		k.sent++
+		if err == nil && resp.Close {
+			c.resolver.expire() // the entry may be leaving
+		}
 		resp, err = k.read(resp, err)
 		if err == nil {
 			c.budget.success()
--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -217,3 +217,23 @@
 		t.Errorf("%d sends of %d calls, want the burst of %d more", got, calls, burstTokens)
 	}
 }
+
+// An entry that leaves closes its connections; the next call asks for addresses.
+func TestLeavingEntryMakesTheClientAskAgain(t *testing.T) {
+	leaving := func(w http.ResponseWriter) {
+		w.Header().Set("Connection", "close")
+		ran(w)
+	}
+	f := startEntries(t, 1, leaving, ran)
+	c := f.client(t)
+	for range 2 {
+		resp, err := c.DoOnce(newOrder(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	if f.resolved != 2 {
+		t.Errorf("asked for addresses %d times, want again after the close", f.resolved)
+	}
+}
--- a/internal/attempt/runner_test.go
+++ b/internal/attempt/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -157,3 +158,46 @@
 		t.Errorf("%d retries after 100 successes, want a tenth", retries)
 	}
 }
+
+// Every retry and every denied one is counted by its reason.
+func TestReasonsAreCounted(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	f := &fakes{}
+	r := New(f, f, scope)
+	svc := &tree.Service{Budgets: tree.Budgets{RetryShare: 0.1}}
+	shed := failed(outcome.NotRun, outcome.ReasonShed, true)
+	for _, c := range []struct {
+		replies    []any
+		idempotent bool
+		nested     string
+		stream     bool
+	}{
+		{replies: []any{shed, 200}},
+		{replies: []any{503, 200}, idempotent: true},
+		{replies: []any{shed, shed, shed}},
+		{replies: []any{shed, 200}, nested: "1"},
+		{replies: []any{shed, 200}, stream: true},
+	} {
+		f.replies = c.replies
+		req := httptest.NewRequest("POST", "/orders", nil)
+		if c.stream {
+			req = httptest.NewRequest("POST", "/orders", strings.NewReader("kit"))
+		}
+		req.Header.Set(wire.HeaderAttempt, c.nested)
+		a, _ := r.Do(context.Background(), tree.Match{Service: svc, Route: &tree.Route{Idempotent: c.idempotent}}, req)
+		if a != nil {
+			a.Body.Close()
+		}
+	}
+	got := map[string]int64{}
+	for _, counter := range scope.Snapshot().Counters() {
+		got[counter.Name()+" "+counter.Tags()["reason"]] = counter.Value()
+	}
+	want := map[string]int64{
+		"retries shed": 3, "retries status_503": 1,
+		"retries_denied attempts": 1, "retries_denied nested": 1, "retries_denied body_sent": 1,
+	}
+	if !maps.Equal(got, want) {
+		t.Errorf("counted %v, want %v", got, want)
+	}
+}
