Try an entry that gave no answer last

Cause: a hanging entry stays first in the address answer until the others notice it, and each call would have waited for it and spent a repeat. Change: the client puts such an address last for 5 s; after a refusal it takes the next one.

--- a/caller/call.go
+++ b/caller/call.go
@@ -32,6 +32,7 @@
 	once      bool
 	operation string // present operation id of a call that runs at most once
 	sent      int    // attempts made
+	answered  int    // attempts that an entry answered with a refusal
 	maybeRan  bool   // an earlier attempt under the present id may have run
 }
 
@@ -68,19 +69,17 @@
 func (c *Client) run(k *call) (*http.Response, error) {
 	ctx := k.req.Context()
 	for {
-		entries, err := c.resolver.list(ctx)
+		entries, err := c.resolver.choices(ctx)
 		if err != nil {
 			return nil, k.unresolved(err)
 		}
-		entry := entries[k.sent%len(entries)]
+		entry := entries[k.answered%len(entries)] // after a refusal the next one
 		if k.once && k.operation == "" {
 			k.operation = newOperation(entry.Ticket)
 		}
 		resp, err := c.send(ctx, k, entry)
 		k.sent++
-		if err == nil && resp.Close {
-			c.resolver.expire() // the entry may be leaving
-		}
+		c.judge(entry, resp, err)
 		resp, err = k.read(resp, err)
 		if err == nil {
 			c.budget.success()
@@ -92,6 +91,17 @@
 	}
 }
 
+// judge notes what an attempt tells about its entry.
+func (c *Client) judge(entry Entry, resp *http.Response, err error) {
+	var body *BodyError
+	switch {
+	case err == nil && resp.Close:
+		c.resolver.expire() // the entry may be leaving
+	case err != nil && !errors.As(err, &body):
+		c.resolver.avoid(entry.Address)
+	}
+}
+
 // again decides on a repeat and prepares it.
 func (c *Client) again(k *call, err error) bool {
 	ctx := k.req.Context()
@@ -142,6 +152,7 @@
 	if !answeredByEntry(resp) {
 		return resp, nil
 	}
+	k.answered++
 	defer resp.Body.Close()
 	detail := refusalDetail(resp.Body)
 	reason := resp.Header.Get(headerReason)
--- a/caller/entries.go
+++ b/caller/entries.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"sync"
@@ -16,6 +17,8 @@
 	entriesPath = "/chestnut/v1/entries"
 	// maxEntriesBytes bounds the address answer.
 	maxEntriesBytes = 1 << 20
+	// avoidTime is how long an entry that gave no answer is tried last.
+	avoidTime = 5 * time.Second
 	// resolveTimeout bounds one question for addresses.
 	resolveTimeout = 2 * time.Second
 )
@@ -64,6 +67,40 @@
 	mu      sync.Mutex
 	entries []Entry
 	until   time.Time
+	failed  map[string]time.Time // addresses that gave no answer, and until when they come last
+}
+
+// choices returns the entries in the order in which to try them: those that gave
+// no answer lately come last.
+func (r *resolver) choices(ctx context.Context) ([]Entry, error) {
+	entries, err := r.list(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var good, bad []Entry
+	for _, e := range entries {
+		if time.Now().Before(r.failed[e.Address]) {
+			bad = append(bad, e)
+		} else {
+			good = append(good, e)
+		}
+	}
+	return append(good, bad...), nil
+}
+
+// avoid puts an address that gave no answer last for a while.
+func (r *resolver) avoid(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(r.failed, func(_ string, until time.Time) bool { return now.After(until) })
+	if r.failed == nil {
+		r.failed = map[string]time.Time{}
+	}
+	r.failed[address] = now.Add(avoidTime)
+	r.until = time.Time{}
 }
 
 // list returns the kept entries, or asks for them. While one call asks, and
