--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -89,3 +89,61 @@
 		}
 	}
 }
+
+func TestSlowServerGetsLess(t *testing.T) {
+	b := newShop("fast", "slow")
+	picks := map[string]int{}
+	for i := range 2000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		s, ok := b.Pick(now, nil)
+		if !ok {
+			t.Fatal("no server")
+		}
+		picks[s.VM.Name]++
+		latency := 10 * time.Millisecond
+		if s.VM.Name == "slow" {
+			latency = 40 * time.Millisecond
+		}
+		b.Done(s, now, Result{Latency: latency})
+	}
+	if picks["slow"]*4 > picks["fast"] {
+		t.Errorf("picks %v, want at most a fifth at the slow server", picks)
+	}
+}
+
+func TestEntriesShareTheConnectionsOfAServer(t *testing.T) {
+	for _, c := range []struct{ entries, connections, want int }{
+		{1, 250, 3}, {19, 250, 3}, {83, 250, 3}, {100, 250, 2}, {200, 250, 1}, {1000, 250, 1}, {19, 0, 3},
+	} {
+		b := New(Options{Entries: func() int { return c.entries }})
+		svc := shop()
+		svc.ConnectionsPerServer = c.connections
+		b.Update(vms("s1"), svc)
+		places := 0
+		for range 2 * maxPlaces {
+			if _, ok := b.Pick(start, nil); ok {
+				places++
+			}
+		}
+		if places != c.want {
+			t.Errorf("%d entries, %d connections: %d places, want %d", c.entries, c.connections, places, c.want)
+		}
+	}
+}
+
+func TestOneLongAnswerKeepsNoWorkAway(t *testing.T) {
+	b := newShop("s1", "s2")
+	first, _ := b.Pick(start, nil)
+	b.Done(first, start, Result{Latency: 10 * time.Millisecond})
+	other, _ := b.Pick(start, []string{first.VM.Name})
+	b.Done(other, start, Result{Latency: 50 * time.Millisecond})
+	picks := map[string]int{}
+	for range 100 {
+		s, _ := b.Pick(start, nil)
+		picks[s.VM.Name]++
+		b.Done(s, start, Result{Latency: 10 * time.Millisecond})
+	}
+	if picks[other.VM.Name] < 25 {
+		t.Errorf("%s got %d of 100 requests after one long answer", other.VM.Name, picks[other.VM.Name])
+	}
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -14,18 +14,29 @@
 	late  int64   // nanoseconds after which a request shows a slow server
 	usual float64 // requests of other entries at a server without news
 	limit float64 // estimated load at which a server takes nothing more
+	pace  float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
 	slots float64 // requests that a server runs at a time
 	trust float64 // how far reports are believed, from 0 to 1
 }
 
 // snapshot is an immutable set of servers with the service's limits.
 type snapshot struct {
-	hosts []*host
-	slots int
+	hosts  []*host
+	slots  int
+	places int // requests that this entry may have in progress at one server
+}
+
+// placesOf is a server's slots, or this entry's part of its connections where
+// that is less.
+func placesOf(slots, connections, entries int) int {
+	if connections > 0 {
+		slots = min(slots, connections/max(entries, 1))
+	}
+	return min(max(slots, 1), maxPlaces)
 }
 
 // next returns the snapshot of the given servers; known hosts are carried over.
-func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, now int64) *snapshot {
+func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, zone string, now int64) *snapshot {
 	known := make(map[string]*host, len(s.hosts))
 	for _, h := range s.hosts {
 		known[h.vm.Name] = h
@@ -44,7 +55,7 @@
 		}
 		h := known[vm.Name]
 		if h == nil || h.vm.Address != vm.Address {
-			h = newHost(vm, joined)
+			h = newHost(vm, joined, vm.Zone != zone)
 		}
 		n.hosts = append(n.hosts, h)
 	}
@@ -72,7 +83,7 @@
 
 // maxScan is the most hosts that a pick judges at first, so that its cost stays
 // bounded for a service of any size.
-const maxScan = 40
+const maxScan = 32
 
 // best returns the host with the least estimated load and a free place, with
 // the busy mask that was judged, or nil. Of equal hosts it is the next one from
@@ -115,7 +126,7 @@
 				continue
 			}
 		}
-		if !h.takes(mask, s.slots) || excluded(exclude, h.vm.Name) {
+		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) {
 			continue
 		}
 		if load := h.load(mask, v); load < least {
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -26,13 +26,15 @@
 	Epoch uint32
 	// Offset is the applied offset of the config stream, -1 before the first.
 	Offset int64
+	// State is the fingerprint of the state at that offset.
+	State uint64
 	// Snapshot is the place of the newest known snapshot in its stream, -1 for none.
 	Snapshot int64
 	// Draining is set when the process takes no new callers.
 	Draining bool
 }
 
-// Notice tells that a backend server is draining, or is no longer.
+// Notice tells that a VM takes no new work, or does again.
 type Notice struct {
 	// Server is the VM's name.
 	Server string
@@ -40,6 +42,8 @@
 	Sequence uint32
 	// Draining is true where the server takes no new work.
 	Draining bool
+	// Listed is true where the VM list says so; load reports do not undo that.
+	Listed bool
 }
 
 // Heartbeat is sent to a few peers each second; its answer is a Heartbeat too.
