Show holdings on the status page; give seats up on a graceful stop

Cause: an operator could not see who holds which part of a limit, and a stopped entry's share lay idle until the VM list and the guard time had passed. Change: status.Report.Limits; daemon.Stop calls Claimer.GiveUp (2 s at most); a claimer that gave up claims no more.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -9,8 +9,12 @@
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 )
 
-// sealTimeout bounds how long the entry waits for somebody to take its seal.
-const sealTimeout = 5 * time.Second
+const (
+	// sealTimeout bounds how long the entry waits for somebody to take its seal.
+	sealTimeout = 5 * time.Second
+	// giveUpTimeout bounds how long it tries to give its seats up.
+	giveUpTimeout = 2 * time.Second
+)
 
 // Stop leaves without cutting a request: first the address answer, then the
 // callers' connections, then the requests in progress, then what is known of
@@ -21,11 +25,22 @@
 	e.parts.Drain.Start()
 	e.awaitCallers(ctx)
 	err := e.drainRequests(ctx)
+	e.giveUpSeats()
 	e.leaveSeal()
 	e.close()
 	return err
 }
 
+// giveUpSeats lets other entries claim this one's share of the voted limits
+// before the VM list shows that its VM has left.
+func (e *Entry) giveUpSeats() {
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpTimeout)
+	defer cancel()
+	if err := e.parts.Claimer.GiveUp(ctx); err != nil {
+		e.parts.Logger.Warn("seats not given up; they are claimed once the VM has left", "error", err)
+	}
+}
+
 // awaitCallers waits until no caller keeps this entry's address and no idle
 // connection is left on which a request may be on its way.
 func (e *Entry) awaitCallers(ctx context.Context) {
--- a/internal/seat/claimer.go
+++ b/internal/seat/claimer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/platform"
@@ -48,6 +49,7 @@
 	absences absences
 	freeFrom map[int]time.Time
 	waiting  time.Time // no further claim before this time
+	leaving  atomic.Bool
 }
 
 // NewClaimer returns a claimer that does nothing until Run is called.
@@ -75,10 +77,11 @@
 	}
 }
 
-// GiveUp releases all seats of this entry. Call it after Run has ended and no
-// more calls are admitted. A release that the log does not take costs nothing:
+// GiveUp releases all seats of this entry and ends the claiming. Call it when no
+// more calls are admitted. A release that the log does not take costs only time:
 // the seat is claimed once the VM list shows the VM as gone.
 func (c *Claimer) GiveUp(ctx context.Context) error {
+	c.leaving.Store(true)
 	table, _ := c.opts.State()
 	for _, seat := range table.Held(c.opts.Incarnation) {
 		if err := c.append(ctx, Claim{Seat: seat, Previous: c.opts.Incarnation}); err != nil {
@@ -90,7 +93,7 @@
 
 func (c *Claimer) step(ctx context.Context) {
 	table, seats := c.opts.State()
-	if seats == 0 {
+	if seats == 0 || c.leaving.Load() {
 		return
 	}
 	c.observe(table, seats)
--- a/internal/seat/claimer_test.go
+++ b/internal/seat/claimer_test.go
@@ -140,8 +140,12 @@
 		if len(c.table.Held("c")) == 0 {
 			t.Error("the newcomer got no seat")
 		}
-		if err := a.GiveUp(t.Context()); err != nil || len(c.table.Held("a")) != 0 {
-			t.Errorf("after giving up: %v, %v", c.table.Held("a"), err)
+		if err := a.GiveUp(t.Context()); err != nil {
+			t.Error(err)
+		}
+		a.step(t.Context())
+		if held := c.table.Held("a"); len(held) != 0 {
+			t.Errorf("holds %v after giving up", held)
 		}
 	})
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/gin-gonic/gin"
+
+	"chestnutrouter.example/chestnutrouter/internal/escrow"
 )
 
 // Report is the state of an entry, as chestnutctl status prints it.
@@ -31,6 +33,8 @@
 	Entries []Entry `json:"entries"`
 	// Seats are the numbers of the seats that this entry holds.
 	Seats []int `json:"seats"`
+	// Limits are what this entry has of each voted limit.
+	Limits []escrow.Holding `json:"limits"`
 }
 
 // Entry is one live entry as another one sees it.
