Claim another seat where the held one is no longer declared

Cause: a claimer counted a seat beyond the declared number as held, so after a vote for fewer seats its entry lived on loans for ever. Change: only declared seats count as held, for this entry and for others. Test first: 'holds only [3] of 2 seats'.

--- a/internal/seat/claimer.go
+++ b/internal/seat/claimer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -137,14 +138,14 @@
 // decide returns the claim to append now.
 func (c *Claimer) decide(table Table, seats int) (Claim, bool) {
 	open := c.open(table, seats)
-	held := len(table.Held(c.opts.Incarnation))
+	held := len(heldOf(table, c.opts.Incarnation, seats))
 	if held == 0 {
 		return c.pick(open, table)
 	}
 	live := max(1, len(c.opts.Live()))
-	seatless := c.seatless(table)
+	seatless := c.seatless(table, seats)
 	if seatless > 0 && len(open) == 0 && held > max(1, seats/live) {
-		return c.release(table), true
+		return c.release(table, seats), true
 	}
 	if len(open) > seatless && held < (seats+live-1)/live {
 		return c.pick(c.spare(open), table)
@@ -152,6 +153,13 @@
 	return Claim{}, false
 }
 
+// heldOf returns the seats of an incarnation that the tree still declares.
+func heldOf(table Table, incarnation string, seats int) []int {
+	held := table.Held(incarnation)
+	declared, _ := slices.BinarySearch(held, seats)
+	return held[:declared]
+}
+
 // open returns the seats that nobody can be using.
 func (c *Claimer) open(table Table, seats int) []int {
 	var open []int
@@ -186,10 +194,10 @@
 }
 
 // seatless returns how many live entries hold no seat.
-func (c *Claimer) seatless(table Table) int {
+func (c *Claimer) seatless(table Table, seats int) int {
 	count := 0
 	for _, incarnation := range c.opts.Live() {
-		if len(table.Held(incarnation)) == 0 {
+		if len(heldOf(table, incarnation, seats)) == 0 {
 			count++
 		}
 	}
@@ -207,7 +215,7 @@
 	return Claim{Seat: seat, Incarnation: c.opts.Incarnation, VM: c.opts.VM, Previous: h.Incarnation}, true
 }
 
-func (c *Claimer) release(table Table) Claim {
-	held := table.Held(c.opts.Incarnation)
+func (c *Claimer) release(table Table, seats int) Claim {
+	held := heldOf(table, c.opts.Incarnation, seats)
 	return Claim{Seat: held[len(held)-1], Previous: c.opts.Incarnation}
 }
--- a/internal/seat/claimer_test.go
+++ b/internal/seat/claimer_test.go
@@ -149,3 +149,16 @@
 		}
 	})
 }
+
+func TestHolderOfASeatThatIsNoMoreClaimsAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		c.live = []string{"a"}
+		c.table, _ = c.table.Apply(0, Claim{Seat: 3, Incarnation: "a", VM: "v1"}, 4)
+		c.seats = 2 // a tree with fewer seats came into force
+		c.run(10*time.Second, c.claimer("a", "v1"))
+		if held := c.table.Held("a"); held[0] > 1 {
+			t.Errorf("holds only %v of 2 seats", held)
+		}
+	})
+}
