Do not count a claimer's own pause as another's absence

Cause: a claimer that was paused between two looks took the whole pause as time in which the VM list had shown a VM as gone. Change: after a gap of 5 s between two looks it starts to observe anew. Test first: 'the seat moved after two looks at the VM list'.

--- a/internal/seat/absence.go
+++ b/internal/seat/absence.go
@@ -12,6 +12,10 @@
 	silent map[string]time.Time // by incarnation
 }
 
+func newAbsences() absences {
+	return absences{gone: make(map[string]time.Time), silent: make(map[string]time.Time)}
+}
+
 // noteGone takes the newest VM list; without any list no VM is gone.
 func (a *absences) noteGone(now time.Time, table Table, isListed func(vm string) (listed, known bool)) {
 	gone := make(map[string]time.Time)
--- a/internal/seat/claimer.go
+++ b/internal/seat/claimer.go
@@ -17,6 +17,9 @@
 	guardTime = 30 * time.Second
 	// claimInterval is the time between two looks at the seats.
 	claimInterval = time.Second
+	// pauseTime is the time between two looks from which this process counts as
+	// paused: what it saw before says nothing about the time between.
+	pauseTime = 5 * time.Second
 	// foldTime is how long an appended claim may take to show in the table.
 	foldTime = 5 * time.Second
 	// spareTime is how long a seat has to be free before an entry takes a second one.
@@ -49,6 +52,7 @@
 	now      func() time.Time
 	absences absences
 	freeFrom map[int]time.Time
+	looked   time.Time // at the seats
 	waiting  time.Time // no further claim before this time
 	leaving  atomic.Bool
 }
@@ -58,7 +62,7 @@
 	return &Claimer{
 		opts:     opts,
 		now:      time.Now,
-		absences: absences{gone: make(map[string]time.Time), silent: make(map[string]time.Time)},
+		absences: newAbsences(),
 		freeFrom: make(map[int]time.Time),
 	}
 }
@@ -83,8 +87,8 @@
 // the seat is claimed once the VM list shows the VM as gone.
 func (c *Claimer) GiveUp(ctx context.Context) error {
 	c.leaving.Store(true)
-	table, _ := c.opts.State()
-	for _, seat := range table.Held(c.opts.Incarnation) {
+	table, seats := c.opts.State()
+	for _, seat := range heldOf(table, c.opts.Incarnation, seats) {
 		if err := c.append(ctx, Claim{Seat: seat, Previous: c.opts.Incarnation}); err != nil {
 			return err
 		}
@@ -122,6 +126,11 @@
 // observe notes since when VMs are gone, processes silent and seats free.
 func (c *Claimer) observe(table Table, seats int) {
 	now := c.now()
+	if now.Sub(c.looked) > pauseTime {
+		c.absences = newAbsences()
+		clear(c.freeFrom)
+	}
+	c.looked = now
 	c.absences.noteSilent(now, table, c.opts.Live())
 	c.absences.noteGone(now, table, c.opts.Listed)
 	for seat := range seats {
--- a/internal/seat/claimer_test.go
+++ b/internal/seat/claimer_test.go
@@ -162,3 +162,22 @@
 		}
 	})
 }
+
+func TestPausedClaimerDoesNotCountThePauseAsAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1)
+		c.table, _ = c.table.Apply(0, Claim{Incarnation: "a", VM: "v1"}, 1)
+		c.leave("v1", "a")
+		b := c.claimer("b", "v2")
+		b.step(t.Context())
+		time.Sleep(time.Hour) // the process is paused
+		b.step(t.Context())
+		if h, _ := c.table.Holder(0); h.Incarnation != "a" {
+			t.Error("the seat moved after two looks at the VM list")
+		}
+		c.run(guardTime+10*time.Second, b)
+		if h, _ := c.table.Holder(0); h.Incarnation != "b" {
+			t.Error("the seat did not move after the guard time")
+		}
+	})
+}
