--- a/internal/seat/claimer.go
+++ b/internal/seat/claimer.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/platform"
@@ -15,6 +17,9 @@
 	guardTime = 30 * time.Second
 	// claimInterval is the time between two looks at the seats.
 	claimInterval = time.Second
+	// pauseTime is the time between two looks from which this process counts as
+	// paused: what it saw before says nothing about the time between.
+	pauseTime = 5 * time.Second
 	// foldTime is how long an appended claim may take to show in the table.
 	foldTime = 5 * time.Second
 	// spareTime is how long a seat has to be free before an entry takes a second one.
@@ -47,7 +52,9 @@
 	now      func() time.Time
 	absences absences
 	freeFrom map[int]time.Time
+	looked   time.Time // at the seats
 	waiting  time.Time // no further claim before this time
+	leaving  atomic.Bool
 }
 
 // NewClaimer returns a claimer that does nothing until Run is called.
@@ -55,7 +62,7 @@
 	return &Claimer{
 		opts:     opts,
 		now:      time.Now,
-		absences: absences{gone: make(map[string]time.Time), silent: make(map[string]time.Time)},
+		absences: newAbsences(),
 		freeFrom: make(map[int]time.Time),
 	}
 }
@@ -75,12 +82,13 @@
 	}
 }
 
-// GiveUp releases all seats of this entry. Call it after Run has ended and no
-// more calls are admitted. A release that the log does not take costs nothing:
+// GiveUp releases all seats of this entry and ends the claiming. Call it when no
+// more calls are admitted. A release that the log does not take costs only time:
 // the seat is claimed once the VM list shows the VM as gone.
 func (c *Claimer) GiveUp(ctx context.Context) error {
-	table, _ := c.opts.State()
-	for _, seat := range table.Held(c.opts.Incarnation) {
+	c.leaving.Store(true)
+	table, seats := c.opts.State()
+	for _, seat := range heldOf(table, c.opts.Incarnation, seats) {
 		if err := c.append(ctx, Claim{Seat: seat, Previous: c.opts.Incarnation}); err != nil {
 			return err
 		}
@@ -90,7 +98,7 @@
 
 func (c *Claimer) step(ctx context.Context) {
 	table, seats := c.opts.State()
-	if seats == 0 {
+	if seats == 0 || c.leaving.Load() {
 		return
 	}
 	c.observe(table, seats)
@@ -118,6 +126,11 @@
 // observe notes since when VMs are gone, processes silent and seats free.
 func (c *Claimer) observe(table Table, seats int) {
 	now := c.now()
+	if now.Sub(c.looked) > pauseTime {
+		c.absences = newAbsences()
+		clear(c.freeFrom)
+	}
+	c.looked = now
 	c.absences.noteSilent(now, table, c.opts.Live())
 	c.absences.noteGone(now, table, c.opts.Listed)
 	for seat := range seats {
@@ -134,14 +147,14 @@
 // decide returns the claim to append now.
 func (c *Claimer) decide(table Table, seats int) (Claim, bool) {
 	open := c.open(table, seats)
-	held := len(table.Held(c.opts.Incarnation))
+	held := len(heldOf(table, c.opts.Incarnation, seats))
 	if held == 0 {
 		return c.pick(open, table)
 	}
 	live := max(1, len(c.opts.Live()))
-	seatless := c.seatless(table)
+	seatless := c.seatless(table, seats)
 	if seatless > 0 && len(open) == 0 && held > max(1, seats/live) {
-		return c.release(table), true
+		return c.release(table, seats), true
 	}
 	if len(open) > seatless && held < (seats+live-1)/live {
 		return c.pick(c.spare(open), table)
@@ -149,6 +162,13 @@
 	return Claim{}, false
 }
 
+// heldOf returns the seats of an incarnation that the tree still declares.
+func heldOf(table Table, incarnation string, seats int) []int {
+	held := table.Held(incarnation)
+	declared, _ := slices.BinarySearch(held, seats)
+	return held[:declared]
+}
+
 // open returns the seats that nobody can be using.
 func (c *Claimer) open(table Table, seats int) []int {
 	var open []int
@@ -183,10 +203,10 @@
 }
 
 // seatless returns how many live entries hold no seat.
-func (c *Claimer) seatless(table Table) int {
+func (c *Claimer) seatless(table Table, seats int) int {
 	count := 0
 	for _, incarnation := range c.opts.Live() {
-		if len(table.Held(incarnation)) == 0 {
+		if len(heldOf(table, incarnation, seats)) == 0 {
 			count++
 		}
 	}
@@ -204,7 +224,7 @@
 	return Claim{Seat: seat, Incarnation: c.opts.Incarnation, VM: c.opts.VM, Previous: h.Incarnation}, true
 }
 
-func (c *Claimer) release(table Table) Claim {
-	held := table.Held(c.opts.Incarnation)
+func (c *Claimer) release(table Table, seats int) Claim {
+	held := heldOf(table, c.opts.Incarnation, seats)
 	return Claim{Seat: held[len(held)-1], Previous: c.opts.Incarnation}
 }
