Keep calls in their region while it has room

Work spilled to a server of another region as soon as the own zone was busier by 0.2 requests, and a caller's second choice of an entry could be in another region. Now the root may group zones into regions: a server of another region counts as a full server, so work goes there only where the own region has no room, and the address answer names the own zone, the own region, then the others. Trees without regions act as before. Ruled out: leaving other regions out whole, as a region that lost most of its servers would refuse what another has room for.

--- a/bench/control/node.go
+++ b/bench/control/node.go
@@ -16,6 +16,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/membership"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 // nodeArgument has the command run as one entry process.
@@ -140,7 +141,7 @@
 		MaxResidentKB:    r.Maxrss,
 		Entries:          len(view.Entries),
 		Servers:          len(view.Servers(benchService)),
-		AddressAnswer:    len(view.Addresses("zone-0", "caller")),
+		AddressAnswer:    len(view.Addresses("zone-0", "caller", tree.Regions(nil).Same)),
 	}
 }
 
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 // maxPlaces is the most requests that one entry has in progress at one backend server.
@@ -28,8 +29,8 @@
 type host struct {
 	busy   atomic.Uint32 // one bit for each reserved place
 	news   news
-	far    bool // in another availability zone
-	pace   mean // nanoseconds of an answer
+	way    float64 // what the way to it counts, in requests
+	pace   mean    // nanoseconds of an answer
 	health health
 	joined int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
 	probed atomic.Int64 // nanoseconds since the Unix epoch
@@ -37,8 +38,8 @@
 	places [maxPlaces]Server
 }
 
-func newHost(vm fleet.VM, joined int64, far bool) *host {
-	h := &host{vm: vm, joined: joined, far: far}
+func newHost(vm fleet.VM, joined int64, way float64) *host {
+	h := &host{vm: vm, joined: joined, way: way}
 	h.health.troubledUntil.Store(joined + int64(slowStart))
 	for i := range h.places {
 		h.places[i].VM = vm
@@ -132,13 +133,23 @@
 // there as soon as the own zone is busier by as much.
 const farCost = 0.2
 
+// wayCost is what the way to a server counts, in requests. Another region counts
+// as a full server: work goes there only where the own one has no room.
+func wayCost(own, other string, regions tree.Regions, slots int) float64 {
+	switch {
+	case own == other:
+		return 0
+	case regions.Same(own, other):
+		return farCost
+	default:
+		return float64(slots)
+	}
+}
+
 // handicap is up to a full server for a failure or a start a short while ago,
-// and a little for the way to another availability zone.
+// and what the way counts.
 func (h *host) handicap(v *view) float64 {
-	if h.far {
-		return farCost + h.trouble(v)
-	}
-	return h.trouble(v)
+	return h.way + h.trouble(v)
 }
 
 func (h *host) trouble(v *view) float64 {
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -54,8 +54,9 @@
 			continue
 		}
 		h := known[vm.Name]
-		if h == nil || h.vm.Address != vm.Address {
-			h = newHost(vm, joined, vm.Zone != zone)
+		way := wayCost(zone, vm.Zone, svc.Regions, n.slots)
+		if h == nil || h.vm.Address != vm.Address || h.way != way {
+			h = newHost(vm, joined, way)
 		}
 		n.hosts = append(n.hosts, h)
 	}
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -34,7 +34,7 @@
 	if caller == "" {
 		caller = c.ClientIP()
 	}
-	choices := h.Addresses.View().Addresses(c.Query("zone"), caller)
+	choices := h.Addresses.View().Addresses(c.Query("zone"), caller, h.near)
 	if len(choices) == 0 {
 		detail := "no entry takes work now; ask another entry or try again"
 		refusal := outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, detail)
@@ -43,3 +43,9 @@
 	}
 	c.JSON(http.StatusOK, addressAnswer{Entries: choices, TTLMs: h.AddressTTL.Milliseconds()})
 }
+
+// near asks the tree in force; before the first one all zones are near.
+func (h *Handler) near(zone, other string) bool {
+	t := h.Trees.Tree()
+	return t == nil || t.Regions.Same(zone, other)
+}
--- a/internal/membership/address.go
+++ b/internal/membership/address.go
@@ -23,35 +23,40 @@
 type candidate struct {
 	entry Entry
 	class int
+	late  bool // left out by the ramp for this caller
 	hash  uint64
 }
 
-// Classes of candidates, first choice first. An entry that has just come back
-// ranks behind the others for those callers that its readiness leaves out.
+// Near reports whether two availability zones are in one region.
+type Near func(zone, other string) bool
+
+// Classes of candidates, first choice first. Within a region, an entry that has
+// just come back ranks behind the others for those callers that its readiness
+// leaves out, so that a ramp never sends a caller to another region.
 const (
 	classOwnZone = iota
-	classOtherZone
-	classOwnZoneNotReady
-	classOtherZoneNotReady
+	classOwnRegion
+	classOtherRegion
 	classSilent
 )
 
 // Addresses returns the entries that a caller may use, first choice first: its
-// own zone before the others, spread by rendezvous hash of the caller. Entries
+// own zone, its region, then the others, spread by rendezvous hash of the caller.
+// Entries
 // that are draining, leaving, silent or without a configuration are left out.
 // Where all others are silent, it is this entry that is cut off, so they follow
 // behind: the caller may still reach them.
-func (v *View) Addresses(zone, caller string) []AddressChoice {
+func (v *View) Addresses(zone, caller string, near Near) []AddressChoice {
 	candidates := make([]candidate, 0, len(v.Entries))
 	for _, e := range v.Entries {
 		if e.takesCallers() {
-			candidates = append(candidates, newCandidate(e, zone, caller))
+			candidates = append(candidates, newCandidate(e, zone, caller, near))
 		}
 	}
 	if v.isAlone() {
 		for _, e := range v.silent {
 			if e.takesCallers() {
-				c := newCandidate(e, zone, caller)
+				c := newCandidate(e, zone, caller, near)
 				c.class = classSilent
 				candidates = append(candidates, c)
 			}
@@ -60,6 +65,7 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.class, b.class),
+			compareLate(a.late, b.late),
 			cmp.Compare(b.hash, a.hash),
 			cmp.Compare(a.entry.Incarnation, b.entry.Incarnation),
 		)
@@ -75,19 +81,31 @@
 	return choices
 }
 
+// compareLate puts those that the ramp leaves out behind.
+func compareLate(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // isAlone reports whether this entry hears no other one.
 func (v *View) isAlone() bool {
 	return len(v.Entries) <= 1
 }
 
-func newCandidate(e Entry, zone, caller string) candidate {
+func newCandidate(e Entry, zone, caller string, near Near) candidate {
 	hash := rendezvous(caller, e.VM.Name)
-	c := candidate{entry: e, class: classOtherZone, hash: hash}
-	if e.VM.Zone == zone {
+	c := candidate{entry: e, class: classOtherRegion, hash: hash, late: !isReadyFor(e, caller)}
+	switch {
+	case e.VM.Zone == zone && !c.late:
 		c.class = classOwnZone
-	}
-	if !isReadyFor(e, caller) {
-		c.class += classOwnZoneNotReady
+	case near(zone, e.VM.Zone):
+		c.class = classOwnRegion
 	}
 	return c
 }
--- a/internal/membership/cut_test.go
+++ b/internal/membership/cut_test.go
@@ -70,12 +70,12 @@
 		entries := f.startAll(16, 0)
 		first := map[string]int{}
 		for i := range 400 {
-			choices := entries[0].View().Addresses("zone-1", fmt.Sprint("caller-", i))
+			choices := entries[0].View().Addresses("zone-1", fmt.Sprint("caller-", i), oneRegion)
 			first[choices[0].Address]++
 			if len(choices) != 16 || choices[0].Zone != "zone-1" || choices[3].Zone != "zone-1" {
 				t.Fatalf("choices %v", choices)
 			}
-			again := entries[5].View().Addresses("zone-1", fmt.Sprint("caller-", i))
+			again := entries[5].View().Addresses("zone-1", fmt.Sprint("caller-", i), oneRegion)
 			if again[0] != choices[0] {
 				t.Fatalf("entries differ: %v and %v", choices[0], again[0])
 			}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -84,7 +84,7 @@
 		f.kill(entries[3])
 		time.Sleep(2 * silentAfter)
 		for _, e := range entries {
-			if e != entries[3] && hasAddress(e.View().Addresses("zone-3", "caller"), entries[3].vm) {
+			if e != entries[3] && hasAddress(e.View().Addresses("zone-3", "caller", oneRegion), entries[3].vm) {
 				t.Errorf("%s still names the dead entry", e.vm.Name)
 			}
 		}
@@ -99,7 +99,7 @@
 		entries[3].SetDraining()
 		time.Sleep(leaveTarget)
 		for _, e := range entries {
-			if hasAddress(e.View().Addresses("zone-3", "caller"), entries[3].vm) {
+			if hasAddress(e.View().Addresses("zone-3", "caller", oneRegion), entries[3].vm) {
 				t.Errorf("%s still names the draining entry", e.vm.Name)
 			}
 			if _, ok := e.View().ByIncarnation("incarnation-3"); !ok {
@@ -143,7 +143,7 @@
 			if got := len(e.View().Servers("glazenpot/shop")); got != 4 {
 				t.Errorf("%s sees %d servers", e.vm.Name, got)
 			}
-			if got := len(e.View().Addresses("zone-1", "caller")); got != 3 {
+			if got := len(e.View().Addresses("zone-1", "caller", oneRegion)); got != 3 {
 				t.Errorf("%s names %d entries", e.vm.Name, got)
 			}
 		}
@@ -164,11 +164,11 @@
 		if got := len(fresh.View().Servers("glazenpot/shop")); got != 3 {
 			t.Errorf("the new entry sees %d servers, want 3", got)
 		}
-		if got := len(fresh.View().Addresses("zone-1", "caller")); got != 6 {
+		if got := len(fresh.View().Addresses("zone-1", "caller", oneRegion)); got != 6 {
 			t.Errorf("the new entry names %d entries, want 6", got)
 		}
 		for _, e := range entries {
-			if !hasAddress(e.View().Addresses("zone-1", "caller"), vm) {
+			if !hasAddress(e.View().Addresses("zone-1", "caller", oneRegion), vm) {
 				t.Errorf("%s does not name the new entry", e.vm.Name)
 			}
 		}
@@ -185,7 +185,7 @@
 		entries[1].config.mu.Unlock()
 		time.Sleep(leaveTarget)
 		for _, e := range entries {
-			if hasAddress(e.View().Addresses("zone-1", "caller"), entries[1].vm) {
+			if hasAddress(e.View().Addresses("zone-1", "caller", oneRegion), entries[1].vm) {
 				t.Errorf("%s names an entry without a configuration", e.vm.Name)
 			}
 		}
@@ -231,7 +231,7 @@
 		})
 		time.Sleep(2 * silentAfter)
 		outside := entries[0]
-		for _, c := range outside.View().Addresses("zone-2", "caller") {
+		for _, c := range outside.View().Addresses("zone-2", "caller", oneRegion) {
 			if c.Zone == "zone-2" {
 				t.Errorf("an entry of the cut zone is named")
 			}
@@ -263,7 +263,7 @@
 func firstChoices(e *testEntry, zone string) int {
 	n := 0
 	for i := range ramCallers {
-		if e.View().Addresses(zone, fmt.Sprint("caller-", i))[0].Zone == zone {
+		if e.View().Addresses(zone, fmt.Sprint("caller-", i), oneRegion)[0].Zone == zone {
 			n++
 		}
 	}
@@ -280,7 +280,7 @@
 			f.cut = func(from, to fleet.VM) bool { return (from.Name == alone.Name) != (to.Name == alone.Name) }
 		})
 		time.Sleep(2 * silentAfter)
-		choices := entries[2].View().Addresses("zone-1", "caller")
+		choices := entries[2].View().Addresses("zone-1", "caller", oneRegion)
 		if len(choices) != 4 || choices[0].Address != alone.Address {
 			t.Errorf("choices %v", choices)
 		}
--- a/internal/membership/pause_test.go
+++ b/internal/membership/pause_test.go
@@ -94,7 +94,7 @@
 		entries[0].setList(newVMList(leaving, time.Now()))
 		time.Sleep(leaveTarget)
 		for _, e := range entries {
-			if hasAddress(e.View().Addresses("zone-1", "caller"), entries[1].vm) {
+			if hasAddress(e.View().Addresses("zone-1", "caller", oneRegion), entries[1].vm) {
 				t.Errorf("%s names an entry that one list calls leaving", e.vm.Name)
 			}
 		}
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -124,12 +124,15 @@
 		Members: slices.Clone(b.root.Members),
 		Quorum:  b.root.Quorum,
 		Seats:   b.root.Seats,
+		Regions: newRegions(b.root.Regions),
 		Budgets: Budgets(b.root.Budgets),
 		Limits:  b.limits(),
 	}
 	for _, branch := range b.branches {
 		if branch.Level() == LevelService {
-			t.Services = append(t.Services, b.service(branch))
+			s := b.service(branch)
+			s.Regions = t.Regions
+			t.Services = append(t.Services, s)
 		}
 	}
 	slices.SortFunc(t.Services, compareServices)
--- a/internal/tree/check.go
+++ b/internal/tree/check.go
@@ -31,6 +31,7 @@
 	if len(root.Members) > 0 && root.Quorum > len(root.Members) {
 		report("quorum", fmt.Sprintf("out of range: %d is more than the %d members", root.Quorum, len(root.Members)))
 	}
+	checkRegions(root.Regions, report)
 	checkRanks(root.Ranks, report)
 	return found
 }
--- a/internal/tree/schema.go
+++ b/internal/tree/schema.go
@@ -12,6 +12,9 @@
 	Quorum int `json:"quorum" required:"true" min:"1"`
 	// Seats is the number of equal shares into which each voted limit is split.
 	Seats int `json:"seats" required:"true" min:"1" max:"1024"`
+	// Regions group availability zones that are near each other. A zone that none
+	// names is in one further region together with all such zones.
+	Regions []RegionDocument `json:"regions"`
 	// Ranks are the ranks of work of every service.
 	Ranks []RankDefaults `json:"ranks" required:"true"`
 	// Budgets bound what the system does by itself at each entry.
@@ -20,6 +23,12 @@
 	Limits LimitValues `json:"limits"`
 }
 
+// RegionDocument names the availability zones of one region.
+type RegionDocument struct {
+	Name  string   `json:"name" required:"true"`
+	Zones []string `json:"zones" required:"true"`
+}
+
 // RankDefaults is one rank as the root defines it for every service.
 type RankDefaults struct {
 	Name        string  `json:"name" required:"true"`
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -17,6 +17,8 @@
 	Quorum int
 	// Seats is the number of equal shares into which each voted limit is split.
 	Seats int
+	// Regions group the availability zones.
+	Regions Regions
 	// Services are all services of all members, sorted by member, then name.
 	Services []*Service
 	// Limits are the voted limits of every scope, widest scope first.
@@ -43,6 +45,8 @@
 	ConnectionsPerServer int
 	// SlotsPerServer is how many requests one backend server runs at a time.
 	SlotsPerServer int
+	// Regions group the availability zones, as in the Tree.
+	Regions Regions
 	// LoadReportHeader and LoadShedHeader name the service's own headers.
 	LoadReportHeader, LoadShedHeader string
 }
