--- a/cmd/chestnutctl/main_test.go
+++ b/cmd/chestnutctl/main_test.go
@@ -30,18 +30,18 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	dir := t.TempDir()
-	build := exec.Command("go", "build", "-o", dir, ".", "../../standin/cmd/standinplatform")
+	build := exec.Command("go", "build", "-o", dir, ".", "../../standin/cmd/standin")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	return &bench{t: t, binary: filepath.Join(dir, "chestnutctl"), endpoint: startPlatform(t, filepath.Join(dir, "standinplatform"))}
+	return &bench{t: t, binary: filepath.Join(dir, "chestnutctl"), endpoint: startPlatform(t, filepath.Join(dir, "standin"))}
 }
 
 // startPlatform starts the stand-in on a free port and stops it after the test.
 func startPlatform(t *testing.T, binary string) string {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	cmd := exec.CommandContext(ctx, binary)
+	cmd := exec.CommandContext(ctx, binary, "platform")
 	stdout, err := cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -57,7 +57,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return strings.TrimSpace(line)
+	address, ok := strings.CutPrefix(strings.TrimSpace(line), "listening ")
+	if !ok {
+		t.Fatalf("the stand-in's first line is %q", line)
+	}
+	return "http://" + address
 }
 
 // run runs chestnutctl with --json and returns its output and exit code.
