--- a/internal/seat/claimer_test.go
+++ b/internal/seat/claimer_test.go
@@ -140,8 +140,44 @@
 		if len(c.table.Held("c")) == 0 {
 			t.Error("the newcomer got no seat")
 		}
-		if err := a.GiveUp(t.Context()); err != nil || len(c.table.Held("a")) != 0 {
-			t.Errorf("after giving up: %v, %v", c.table.Held("a"), err)
+		if err := a.GiveUp(t.Context()); err != nil {
+			t.Error(err)
+		}
+		a.step(t.Context())
+		if held := c.table.Held("a"); len(held) != 0 {
+			t.Errorf("holds %v after giving up", held)
+		}
+	})
+}
+
+func TestHolderOfASeatThatIsNoMoreClaimsAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		c.live = []string{"a"}
+		c.table, _ = c.table.Apply(0, Claim{Seat: 3, Incarnation: "a", VM: "v1"}, 4)
+		c.seats = 2 // a tree with fewer seats came into force
+		c.run(10*time.Second, c.claimer("a", "v1"))
+		if held := c.table.Held("a"); held[0] > 1 {
+			t.Errorf("holds only %v of 2 seats", held)
+		}
+	})
+}
+
+func TestPausedClaimerDoesNotCountThePauseAsAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1)
+		c.table, _ = c.table.Apply(0, Claim{Incarnation: "a", VM: "v1"}, 1)
+		c.leave("v1", "a")
+		b := c.claimer("b", "v2")
+		b.step(t.Context())
+		time.Sleep(time.Hour) // the process is paused
+		b.step(t.Context())
+		if h, _ := c.table.Holder(0); h.Incarnation != "a" {
+			t.Error("the seat moved after two looks at the VM list")
+		}
+		c.run(guardTime+10*time.Second, b)
+		if h, _ := c.table.Holder(0); h.Incarnation != "b" {
+			t.Error("the seat did not move after the guard time")
 		}
 	})
 }
