--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -10,29 +10,29 @@
 
 // Finish accounts the end of a granted item.
 func (s *Scheduler) Finish(i *Item, r balancer.Result) {
-	for index, l := range s.lines {
+	for index, l := range s.queues {
 		l.window.learn(r, s.inProgress(index), l.items.Len())
-		if l == i.line {
+		if l == i.queue {
 			break
 		}
 	}
-	i.line.finished(i)
+	i.queue.finished(i)
 }
 
-// inProgress counts the granted requests of the line and the less urgent ones.
+// inProgress counts the granted requests of the queue and the less urgent ones.
 func (s *Scheduler) inProgress(from int) int {
 	n := 0
-	for _, l := range s.lines[from:] {
+	for _, l := range s.queues[from:] {
 		n += l.granted
 	}
 	return n
 }
 
-// room is the estimated load below which a server may get a request of the line.
+// room is the estimated load below which a server may get a request of the queue.
 func (s *Scheduler) room(index int) float64 {
-	for i, l := range s.lines[:index+1] {
+	for i, l := range s.queues[:index+1] {
 		if l.window.full(s.inProgress(i)) {
-			return s.lines[index].window.spareLoad(s.servers.Slots())
+			return s.queues[index].window.spareLoad(s.servers.Slots())
 		}
 	}
 	return math.Inf(1)
@@ -46,7 +46,7 @@
 	if d, ok := s.nextKept(now); ok {
 		return d, true
 	}
-	for index, l := range s.lines {
+	for index, l := range s.queues {
 		if d, ok := s.dispatch(l, now, s.room(index)); ok {
 			return d, true
 		}
@@ -57,7 +57,7 @@
 // nextKept dispatches for a rank that got less than its kept share, as if it
 // were the most urgent one.
 func (s *Scheduler) nextKept(now time.Time) (Decision, bool) {
-	for _, l := range s.lines {
+	for _, l := range s.queues {
 		if !l.belowShare() {
 			continue
 		}
@@ -70,7 +70,7 @@
 
 // expire refuses one item that waited as long as it may.
 func (s *Scheduler) expire(now time.Time) (Decision, bool) {
-	for _, l := range s.lines {
+	for _, l := range s.queues {
 		front := l.items.Front()
 		if front == nil {
 			continue
@@ -90,8 +90,8 @@
 // maxLookahead bounds how many items with excluded servers are passed over.
 const maxLookahead = 4
 
-// dispatch grants the first item of the line that a server below the load takes.
-func (s *Scheduler) dispatch(l *line, now time.Time, load float64) (Decision, bool) {
+// dispatch grants the first item of the queue that a server below the load takes.
+func (s *Scheduler) dispatch(l *rankQueue, now time.Time, load float64) (Decision, bool) {
 	element := l.items.Front()
 	for range maxLookahead {
 		if element == nil {
@@ -115,8 +115,8 @@
 }
 
 // account moves the shares of all ranks after a dispatch from l.
-func (s *Scheduler) account(l *line) {
-	for _, other := range s.lines {
+func (s *Scheduler) account(l *rankQueue) {
+	for _, other := range s.queues {
 		other.share -= other.share / shareWindow
 	}
 	l.share = min(l.share+1.0/shareWindow, mostShare*l.rank.KeptShare)
--- a/internal/admission/gauges.go
+++ b/internal/admission/gauges.go
@@ -8,7 +8,7 @@
 
 // gauges show the present state of a queue. They are guarded by Queue.mu.
 type gauges struct {
-	ranks []rankGauges // in the order of the scheduler's lines
+	ranks []rankGauges // in the order of the scheduler's queues
 	trust tally.Gauge
 	busy  tally.Gauge
 }
@@ -18,9 +18,9 @@
 	window  tally.Gauge
 }
 
-func newGauges(scope tally.Scope, lines []*line) gauges {
+func newGauges(scope tally.Scope, queues []*rankQueue) gauges {
 	g := gauges{trust: scope.Gauge(metrics.ReportTrust), busy: scope.Gauge(metrics.BusyShare)}
-	for _, l := range lines {
+	for _, l := range queues {
 		ranked := scope.Tagged(map[string]string{"rank": l.rank.Name})
 		g.ranks = append(g.ranks, rankGauges{
 			waiting: ranked.Gauge(metrics.QueueWaiting),
@@ -32,7 +32,7 @@
 
 // observe sets the gauges. The mutex is held.
 func (q *Queue) observe() {
-	for n, l := range q.scheduler.lines {
+	for n, l := range q.scheduler.queues {
 		q.gauges.ranks[n].waiting.Update(float64(l.items.Len()))
 		q.gauges.ranks[n].window.Update(l.window.limit)
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -47,7 +47,7 @@
 func (q *Queue) Update(svc *tree.Service) {
 	q.mu.Lock()
 	refused := q.scheduler.SetRanks(svc.Ranks)
-	q.gauges = newGauges(q.scope, q.scheduler.lines)
+	q.gauges = newGauges(q.scope, q.scheduler.queues)
 	q.mu.Unlock()
 	q.deliver(refused)
 	q.workers.schedule(q)
--- a/internal/admission/line.go
+++ b/internal/admission/rankqueue.go
@@ -10,8 +10,8 @@
 // intervalWeight is the weight of the newest sample in the mean dispatch interval.
 const intervalWeight = 0.1
 
-// line is the waiting requests of one rank, oldest first.
-type line struct {
+// rankQueue is the waiting requests of one rank, oldest first.
+type rankQueue struct {
 	rank    tree.Rank
 	items   list.List
 	bytes   int64
@@ -24,8 +24,8 @@
 	lastDispatch time.Time     // zero unless requests have waited ever since
 }
 
-func (l *line) push(i *Item) {
-	i.line = l
+func (l *rankQueue) push(i *Item) {
+	i.queue = l
 	i.element = l.items.PushBack(i)
 	l.bytes += i.Bytes
 	if l.lastDispatch.IsZero() {
@@ -33,7 +33,7 @@
 	}
 }
 
-func (l *line) remove(i *Item) {
+func (l *rankQueue) remove(i *Item) {
 	l.items.Remove(i.element)
 	i.element = nil
 	l.bytes -= i.Bytes
@@ -42,8 +42,8 @@
 	}
 }
 
-// dispatched accounts a dispatch from this line.
-func (l *line) dispatched(i *Item, now time.Time) {
+// dispatched accounts a dispatch from this queue.
+func (l *rankQueue) dispatched(i *Item, now time.Time) {
 	l.learnInterval(now)
 	l.remove(i)
 	l.granted++
@@ -53,14 +53,14 @@
 }
 
 // finished accounts the end of a dispatched request.
-func (l *line) finished(i *Item) {
+func (l *rankQueue) finished(i *Item) {
 	l.granted--
 	if i.Upload {
 		l.streams--
 	}
 }
 
-func (l *line) learnInterval(now time.Time) {
+func (l *rankQueue) learnInterval(now time.Time) {
 	sample := float64(now.Sub(l.lastDispatch))
 	l.lastDispatch = now
 	if l.interval == 0 {
@@ -71,7 +71,7 @@
 }
 
 // wait estimates how long a request that joins now would wait.
-func (l *line) wait(now time.Time) time.Duration {
+func (l *rankQueue) wait(now time.Time) time.Duration {
 	waiting := l.items.Len()
 	if waiting == 0 {
 		return 0
@@ -80,9 +80,9 @@
 	return time.Duration(waiting+1) * interval
 }
 
-func (l *line) streamsUsedUp(i *Item) bool {
+func (l *rankQueue) streamsUsedUp(i *Item) bool {
 	return i.Upload && l.rank.Streams > 0 && l.streams >= l.rank.Streams
 }
 
 // belowShare reports whether the rank got less than its kept share of late.
-func (l *line) belowShare() bool { return l.share < l.rank.KeptShare }
+func (l *rankQueue) belowShare() bool { return l.share < l.rank.KeptShare }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -26,7 +26,7 @@
 type Item struct {
 	Request
 	enqueued time.Time
-	line     *line
+	queue    *rankQueue
 	element  *list.Element // nil when not waiting
 	ready    chan Decision
 }
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -23,7 +23,7 @@
 // backend servers. It is not safe for concurrent use.
 type Scheduler struct {
 	servers Servers
-	lines   []*line // most urgent first
+	queues  []*rankQueue // most urgent first
 }
 
 // NewScheduler returns a scheduler without ranks.
@@ -33,16 +33,16 @@
 
 // SetRanks replaces the ranks. Requests of a rank that is gone are refused.
 func (s *Scheduler) SetRanks(ranks []tree.Rank) []Decision {
-	old := s.lines
-	s.lines = nil
+	old := s.queues
+	s.queues = nil
 	for index, r := range ranks {
-		l := lineFor(old, r)
+		l := queueFor(old, r)
 		l.window.headroom = headroomOf(index)
-		s.lines = append(s.lines, l)
+		s.queues = append(s.queues, l)
 	}
 	var refused []Decision
 	for _, l := range old {
-		if s.line(l.rank.Name) != nil {
+		if s.queue(l.rank.Name) != nil {
 			continue
 		}
 		for l.items.Len() > 0 {
@@ -52,25 +52,25 @@
 	return refused
 }
 
-func lineFor(old []*line, r tree.Rank) *line {
+func queueFor(old []*rankQueue, r tree.Rank) *rankQueue {
 	for _, l := range old {
 		if l.rank.Name == r.Name {
 			l.rank = r
 			return l
 		}
 	}
-	return &line{rank: r, share: r.KeptShare, window: newWindow()}
+	return &rankQueue{rank: r, share: r.KeptShare, window: newWindow()}
 }
 
-// drop takes the first item off the line with a refusal.
-func drop(l *line, refusal *outcome.Refusal) Decision {
+// drop takes the first item off the queue with a refusal.
+func drop(l *rankQueue, refusal *outcome.Refusal) Decision {
 	i := l.items.Front().Value.(*Item)
 	l.remove(i)
 	return Decision{Item: i, Refusal: refusal}
 }
 
-func (s *Scheduler) line(rank string) *line {
-	for _, l := range s.lines {
+func (s *Scheduler) queue(rank string) *rankQueue {
+	for _, l := range s.queues {
 		if l.rank.Name == rank {
 			return l
 		}
@@ -81,7 +81,7 @@
 // Waiting is the number of requests that wait, over all ranks.
 func (s *Scheduler) Waiting() int {
 	n := 0
-	for _, l := range s.lines {
+	for _, l := range s.queues {
 		n += l.items.Len()
 	}
 	return n
@@ -89,7 +89,7 @@
 
 // Offer takes the item in, or refuses it at once.
 func (s *Scheduler) Offer(i *Item, now time.Time) *outcome.Refusal {
-	l := s.line(i.Rank)
+	l := s.queue(i.Rank)
 	if l == nil {
 		return refuseUnknownRank()
 	}
@@ -101,7 +101,7 @@
 	return nil
 }
 
-func (s *Scheduler) judge(l *line, i *Item, now time.Time) *outcome.Refusal {
+func (s *Scheduler) judge(l *rankQueue, i *Item, now time.Time) *outcome.Refusal {
 	wait := l.wait(now)
 	if s.servers.Len() <= len(i.Exclude) {
 		return refuseBusy(outcome.ReasonNoServer, "no backend server is left to try", 0)
@@ -129,7 +129,7 @@
 
 // longestWait is how long the item may wait so that its target and deadline
 // can still be met.
-func (s *Scheduler) longestWait(l *line, i *Item, now time.Time) time.Duration {
+func (s *Scheduler) longestWait(l *rankQueue, i *Item, now time.Time) time.Duration {
 	latency := s.servers.HighLatency()
 	least := time.Duration(minWaitShare * float64(l.rank.Target))
 	longest := max(l.rank.Target-latency, least)
@@ -144,6 +144,6 @@
 	if i.element == nil {
 		return false
 	}
-	i.line.remove(i)
+	i.queue.remove(i)
 	return true
 }
