--- a/internal/balancer/hedge.go
+++ b/internal/balancer/hedge.go
@@ -14,7 +14,7 @@
 // second attempt is worth its cost. It is false when too little was measured
 // or the servers are too busy for second attempts.
 func (b *Balancer) HedgeAfter(_ time.Time) (time.Duration, bool) {
-	wait := b.quantile.value()
+	wait := micros(&b.quantile.hedge)
 	if wait == 0 || b.echo.value() < minTrust {
 		return 0, false
 	}
@@ -23,3 +23,6 @@
 
 // Load is the busy share of the servers' slots, 0 to 1, by their recent reports.
 func (b *Balancer) Load() float64 { return b.busy.value() }
+
+// Trust is how far load reports are believed, from 0 to 1.
+func (b *Balancer) Trust() float64 { return b.echo.value() }
