--- /dev/null
+++ b/internal/follow/http_test.go
@@ -0,0 +1,65 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	"chestnutrouter.example/chestnutrouter/internal/fold"
+	"chestnutrouter.example/chestnutrouter/internal/platform"
+	standin "chestnutrouter.example/chestnutrouter/standin/platform"
+)
+
+func TestFollowerStartsFromASnapshotOverHTTP(t *testing.T) {
+	service := standin.New()
+	server := httptest.NewServer(service)
+	defer server.Close()
+	client := platform.NewHTTP([]string{server.URL}, platform.Options{Client: "vm-1"})
+	defer client.Close()
+	mustAppend := func(stream string, data json.RawMessage) {
+		if _, err := client.Append(t.Context(), stream, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	state := fold.Empty()
+	for offset, data := range []json.RawMessage{founding(), claim(0, "i0", ""), claim(1, "i1", ""), claim(2, "i2", "")} {
+		mustAppend(platform.StreamConfig, data)
+		state, _ = state.Apply(int64(offset), data)
+		if offset == 2 {
+			snapshot, err := json.Marshal(state)
+			if err != nil {
+				t.Fatal(err)
+			}
+			mustAppend(platform.StreamSnapshots, json.RawMessage(`{"damaged":true}`))
+			mustAppend(platform.StreamSnapshots, snapshot)
+		}
+	}
+	service.Expire(platform.StreamConfig, 3)
+	service.Expire(platform.StreamSnapshots, 1)
+	service.SetFaults(standin.Faults{RepeatRecords: true, ReverseRecords: true})
+
+	f := New(Options{Log: client})
+	done := make(chan struct{})
+	f.Subscribe(func(s *fold.State) {
+		if s.Offset() == state.Offset() {
+			close(done)
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	<-done
+	cancel()
+	<-ended
+	if f.Current().Hash() != state.Hash() {
+		t.Errorf("hash %s, want %s", f.Current().Hash(), state.Hash())
+	}
+	if f.LastHeard().IsZero() {
+		t.Error("the log was never heard")
+	}
+}
