Hold a call for the moment that a loan takes

Its callers lost calls that the limit had room for. Lines of net/http's transport come as JSON lines now.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -36,6 +37,7 @@
 	var e *Entry
 	app := fx.New(Module(s), fx.NopLogger, fx.Populate(&e))
 	logger := newLogger(s)
+	redirectStandardLog(logger)
 	if err := app.Err(); err != nil {
 		logger.Error("start failed", "error", err)
 		return exitFailed
@@ -71,6 +73,13 @@
 	}
 }
 
+// redirectStandardLog brings the lines of net/http's transport, which knows no
+// other logger, into the JSON lines.
+func redirectStandardLog(logger *log.Logger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}).Writer())
+}
+
 // newLogger returns a logger of JSON lines on standard error.
 func newLogger(s *settings.Settings) *log.Logger {
 	logger := log.NewWithOptions(os.Stderr, log.Options{
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -26,9 +26,10 @@
 
 // Limits spends voted limits.
 type Limits interface {
-	// Spend takes one call off every limit that covers it. The release is called
-	// once when the call has ended; a refusal is always not-run.
-	Spend(member, service, rank string) (release func(), refusal *outcome.Refusal)
+	// Await takes one call off every limit that covers it and may wait a little
+	// for it. The release is called once when the call has ended; a refusal is
+	// always not-run.
+	Await(ctx context.Context, member, service, rank string) (release func(), refusal *outcome.Refusal)
 }
 
 // Runner makes the attempts of one call.
@@ -151,7 +152,7 @@
 // the answer has been written.
 func (h *Handler) attempt(ctx context.Context, r *http.Request, c call) (*forward.Answer, func(), *outcome.Refusal) {
 	s := c.match.Service
-	release, refusal := h.Limits.Spend(s.Member, s.Name, c.match.Rank.Name)
+	release, refusal := h.Limits.Await(ctx, s.Member, s.Name, c.match.Rank.Name)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
--- /dev/null
+++ b/internal/escrow/await_test.go
@@ -0,0 +1,70 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/peer"
+)
+
+// directClient calls a lender in process, a few milliseconds away.
+type directClient struct{ lender *Ledger }
+
+func (c directClient) Call(_ context.Context, _, _ string, args, reply any) error {
+	time.Sleep(3 * time.Millisecond)
+	return c.lender.Receiver().Lend(args.(*peer.BorrowRequest), reply.(*peer.BorrowReply))
+}
+
+// newBorrower runs a ledger without a seat beside a lender that holds them all.
+func newBorrower(t *testing.T, callsPerSecond int) *Ledger {
+	t.Helper()
+	lender := newSeated(t, Options{Incarnation: "a"}, callsPerSecond, 1000)
+	contact := &Contact{}
+	b := New(Options{
+		Incarnation: "b",
+		Client:      contact.Client(directClient{lender}),
+		LastHeard:   contact.Last,
+		Peers:       func() []Peer { return []Peer{{Incarnation: "a"}} },
+	})
+	b.SetTree(testTree(callsPerSecond, 1000, 1))
+	b.SetSeats(seated(t, "a"))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		b.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return b
+}
+
+func TestFirstCallOfAnEntryWithoutSeatIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBorrower(t, 1000)
+		if _, refusal := b.Await(t.Context(), "m", "s", "lookups"); refusal != nil {
+			t.Errorf("refused although a peer lends: %v", refusal)
+		}
+	})
+}
+
+func TestSpentLimitIsRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBorrower(t, 1)
+		var refused, longest time.Duration
+		for range 4 {
+			start := time.Now()
+			if _, refusal := b.Await(t.Context(), "m", "s", "lookups"); refusal != nil {
+				refused++
+			}
+			longest = max(longest, time.Since(start))
+		}
+		if refused == 0 || longest > awaitTime {
+			t.Errorf("%d of 4 calls refused under a limit of one, the longest wait was %v", refused, longest)
+		}
+	})
+}
--- a/internal/escrow/book.go
+++ b/internal/escrow/book.go
@@ -230,18 +230,22 @@
 
 // spend takes one unit of each limit, or none. It returns the limit that refused.
 func (b *book) spend(now time.Duration, limits []*account) *account {
-	var refusing *account
 	closed := b.fence.closed(now)
 	for _, a := range limits {
 		a.advance(now)
-		refused := closed || a.free() < 1
-		a.note(now, refused)
-		if refused && refusing == nil {
-			refusing = a
-		}
+		a.note(now, closed || a.free() < 1)
 	}
-	if refusing != nil {
-		return refusing
+	return b.take(now, limits)
+}
+
+// take takes a unit of each limit, or none and returns the limit that refuses.
+func (b *book) take(now time.Duration, limits []*account) *account {
+	closed := b.fence.closed(now)
+	for _, a := range limits {
+		a.advance(now)
+		if closed || a.free() < 1 {
+			return a
+		}
 	}
 	for _, a := range limits {
 		a.take(now)
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -17,6 +17,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -51,9 +52,10 @@
 // Ledger spends the voted limits of one entry. It is safe for concurrent use.
 // Its single lock is a leaf: nothing else is locked while it is held.
 type Ledger struct {
-	opts    Options
-	count   counters
-	refused chan struct{} // holds a token where a call was refused lately
+	opts     Options
+	count    counters
+	awaiting atomic.Int64  // calls that wait for a loan
+	refused  chan struct{} // holds a token where a call was refused lately
 
 	mu    sync.Mutex // guards what follows
 	clock clock
