Bound how long a slow caller may take to send or to read

Cause: a caller that did not read its answer held its handler, and with it a place at a backend server, for ever, and one that did not send its body held a handler: no deadline stood on its connection, and the call's own deadline cannot interrupt a blocked write. Now a call's connection is bound by the call's deadline and a second, other answers by 10 s.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -22,6 +22,7 @@
 		detail := "the request body ended early; send the request again"
 		return outcome.NewNotRun(http.StatusBadRequest, outcome.ReasonMalformed, detail)
 	}
+	unboundRead(w)
 	c.setBody(r, body)
 	return nil
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -94,6 +94,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.Drain.enter()
 	defer h.Drain.exit()
+	boundShortAnswer(w, time.Now())
 	if h.Drain.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -117,6 +118,7 @@
 		return
 	}
 	h.applyRank(&c.match, r)
+	boundCall(w, c.deadline)
 	if !c.match.Route.Upload {
 		if refusal := c.bufferBody(w, r); refusal != nil {
 			h.refuse(w, h.disclaim(r, refusal))
