Make two escrow tests notice their rule again

Cause: with loans of 8 s two rules could be left out unnoticed (overdue units, free units in a grant): the tests' loans of the other limits ended first, and the lender lent the same units again at once. Change: both entries have a seat of their own, and the lender wants its units back. Conclusion: each rule left out in turn fails a test or the machine (3000 checks of 60 steps), but for the cap on own units in grant, which repeats what the free units say. scripts/test ./internal/escrow passes.

--- a/internal/escrow/scenario_test.go
+++ b/internal/escrow/scenario_test.go
@@ -93,21 +93,60 @@
 	}
 }
 
+// newSeatedPair returns a world of two entries with a seat each.
+func newSeatedPair(rate, calls int) (w *world, lender, borrower *node) {
+	w = newWorld(2, 2, rate, calls)
+	w.claim(w.nodes[0])
+	w.claim(w.nodes[1])
+	w.settle(1)
+	return w, w.nodes[0], w.nodes[1]
+}
+
+// concurrentOf returns a node's limit on calls in progress.
+func concurrentOf(n *node) *account {
+	for _, a := range n.limitsOf(scopeOfTest) {
+		if a.key.kind == ConcurrentCalls {
+			return a
+		}
+	}
+	return nil
+}
+
 func TestUnitsOfRunningCallsAreNotReportedAsFree(t *testing.T) {
-	w, lender, borrower := newPair(t, 100, 8)
+	w, lender, borrower := newSeatedPair(100, 8)
 	borrowAll(w, borrower)
-	untilTermEnds(t, w, lender, borrower)
-	if w.burst(borrower, 20) == 0 {
-		t.Fatal("the borrower admitted nothing")
+	end := concurrentOf(borrower).borrowed[lender.name].until
+	w.advance(end - w.clock(borrower) - 2*time.Millisecond)
+	w.readLog(borrower)
+	if got := w.burst(borrower, 20); got <= 4 {
+		t.Fatalf("%d calls admitted, not more than the own share", got)
 	}
 	w.advance(5 * time.Millisecond) // the term ends while the calls run
+	w.readLog(lender)
 	for range 20 {
+		w.burst(lender, 20) // wants its units back
 		w.settle(1)
 		w.burst(lender, 20)
 		mustHold(t, w)
 	}
 }
 
+func TestLenderKeepsTheUnitsOfItsOwnCalls(t *testing.T) {
+	w, lender, borrower := newSeatedPair(100, 8)
+	if got := w.burst(lender, 20); got != 4 {
+		t.Fatalf("%d of 4 calls admitted", got)
+	}
+	for range 25 { // the lender forgets the demand, its calls still run
+		w.settle(1)
+	}
+	for range 3 {
+		w.burst(borrower, 20)
+		w.settle(1)
+	}
+	w.burst(borrower, 20)
+	mustHold(t, w)
+}
+
 func TestLenderWaitsForWhatTheBorrowerMayStillUse(t *testing.T) {
 	w, lender, borrower := newPair(t, 10, 10)
 	borrowAll(w, borrower)
