--- a/bench/latency/children.go
+++ b/bench/latency/children.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"runtime/debug"
 	"runtime/pprof"
 	"strings"
 	"syscall"
@@ -75,6 +76,7 @@
 
 // runEntry is the child between the callers and the backend servers.
 func runEntry(o options) error {
+	debug.SetGCPercent(o.gcPercent)
 	if o.profile != "" {
 		file, err := os.Create(o.profile)
 		if err != nil {
--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -40,10 +40,12 @@
 	rounds  int
 	callers int
 	rate    int
+	// gcPercent is the heap growth between two collections of the entry.
+	gcPercent int
 }
 
 func main() {
-	o := options{role: roleMeasure, path: roleEntry, host: benchHost, time: time.Second, rounds: 5}
+	o := options{role: roleMeasure, path: roleEntry, host: benchHost, time: time.Second, rounds: 5, gcPercent: 100}
 	flaggy.SetName("latency")
 	flaggy.SetDescription("latency that an entry adds to a call")
 	flaggy.String(&o.role, "", "role", "measure; the other roles are those of its children")
@@ -58,6 +60,7 @@
 	flaggy.Int(&o.rounds, "", "rounds", "measurements of each kind, direct and through in turn")
 	flaggy.Int(&o.callers, "", "callers", "measure only this number of callers, at --rate")
 	flaggy.Int(&o.rate, "", "rate", "calls a second with --callers")
+	flaggy.Int(&o.gcPercent, "", "gc-percent", "heap growth of the entry between two collections, as GOGC")
 	flaggy.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "latency:", err)
--- a/bench/latency/measure.go
+++ b/bench/latency/measure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,7 +37,9 @@
 		direct = servers.addresses
 	}
 	if o.through == "" {
-		arguments := []string{"--role", o.path, "--servers", strings.Join(direct, ",")}
+		arguments := []string{
+			"--role", o.path, "--servers", strings.Join(direct, ","), "--gc-percent", strconv.Itoa(o.gcPercent),
+		}
 		if o.profile != "" {
 			arguments = append(arguments, "--profile", o.profile)
 		}
