--- a/test/once/entry_test.go
+++ b/test/once/entry_test.go
@@ -274,4 +274,6 @@
 func (w *world) Tree() *tree.Tree { return w.tree }
 
 // Spend implements entry.Limits.
-func (w *world) Await(context.Context, string, string, string) (func(), *outcome.Refusal) { return func() {}, nil }
+func (w *world) Await(context.Context, string, string, string) (func(), *outcome.Refusal) {
+	return func() {}, nil
+}
