--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -15,6 +15,7 @@
 	"github.com/integrii/flaggy"
 
 	"chestnutrouter.example/chestnutrouter/bench/table"
+	"chestnutrouter.example/chestnutrouter/internal/daemon"
 )
 
 // Roles of the processes.
@@ -45,7 +46,7 @@
 }
 
 func main() {
-	o := options{role: roleMeasure, path: roleEntry, host: benchHost, time: time.Second, rounds: 5, gcPercent: 100}
+	o := options{role: roleMeasure, path: roleEntry, host: benchHost, time: time.Second, rounds: 5, gcPercent: daemon.GCPercent}
 	flaggy.SetName("latency")
 	flaggy.SetDescription("latency that an entry adds to a call")
 	flaggy.String(&o.role, "", "role", "measure; the other roles are those of its children")
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -6,13 +6,13 @@
 	"chestnutrouter.example/chestnutrouter/internal/settings"
 )
 
-// gcPercent lets the heap grow to five times the live memory before a
+// GCPercent lets the heap grow to five times the live memory before a
 // collection. An entry's live memory is small and each call leaves much garbage.
-const gcPercent = 400
+const GCPercent = 400
 
 // setMemory trades memory for processor time, up to the limit of the settings.
 // Beyond it the collector runs more often; it is no hard limit.
 func setMemory(s *settings.Settings) {
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(GCPercent)
 	debug.SetMemoryLimit(s.MemoryLimit())
 }
