--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -9,50 +9,42 @@
 // burstTokens is how many retries, or hedges, may follow each other at once.
 const burstTokens = 10
 
-// budget is a service's tokens: each success earns a share of a retry, and each
-// call a share of a hedge.
-type budget struct {
-	mu      sync.Mutex
-	shares  tree.Budgets
-	retries float64
-	hedges  float64
-}
-
-// call earns the configured share of a hedge.
-func (b *budget) call() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.hedges = min(burstTokens, b.hedges+b.shares.HedgeShare)
+// tokens are earned by a share at a time and spent one by one.
+type tokens struct {
+	mu    sync.Mutex
+	share float64
+	count float64
 }
 
-// hedge spends one token, or reports that there is none.
-func (b *budget) hedge() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return spend(&b.hedges, b.shares.HedgeShare)
+// earn adds one share.
+func (t *tokens) earn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count = min(burstTokens, t.count+t.share)
 }
 
-// spend takes a token. A share of zero turns the tokens off.
-func spend(tokens *float64, share float64) bool {
-	if share <= 0 || *tokens < 1 {
+// spend takes a token, or reports that there is none. A share of zero turns the
+// tokens off.
+func (t *tokens) spend() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.share <= 0 || t.count < 1 {
 		return false
 	}
-	*tokens--
+	t.count--
 	return true
 }
 
-// success earns the configured share of a retry.
-func (b *budget) success() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.retries = min(burstTokens, b.retries+b.shares.RetryShare)
+func (t *tokens) setShare(share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.share = share
 }
 
-// retry spends one token, or reports that there is none.
-func (b *budget) retry() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return spend(&b.retries, b.shares.RetryShare)
+// budget is a service's tokens: each success earns a share of a retry, and each
+// call a share of a hedge.
+type budget struct {
+	retries, hedges tokens
 }
 
 // budgets holds one budget a service.
@@ -70,15 +62,10 @@
 	}
 	got, ok := b.byService[svc.Key()]
 	if !ok {
-		got = &budget{retries: burstTokens}
+		got = &budget{retries: tokens{count: burstTokens}}
 		b.byService[svc.Key()] = got
 	}
-	got.setShares(svc.Budgets)
+	got.retries.setShare(svc.Budgets.RetryShare)
+	got.hedges.setShare(svc.Budgets.HedgeShare)
 	return got
 }
-
-func (b *budget) setShares(shares tree.Budgets) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.shares = shares
-}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -38,7 +38,7 @@
 
 // run makes attempts until one is final.
 func (c *call) run(ctx context.Context) (*forward.Answer, *outcome.Refusal) {
-	c.budget.call()
+	c.budget.hedges.earn()
 	for {
 		got := c.hedged(ctx)
 		reason := c.retryReason(got)
@@ -137,7 +137,7 @@
 	switch {
 	case got.answer != nil:
 		if got.answer.Status < http.StatusInternalServerError {
-			c.budget.success()
+			c.budget.retries.earn()
 		}
 		return got.answer, nil
 	case got.failure != nil:
--- a/internal/attempt/hedge.go
+++ b/internal/attempt/hedge.go
@@ -85,7 +85,7 @@
 // hedge starts the second attempt, or returns nil where the budget or the
 // servers have no room for it.
 func (c *call) hedge(ctx context.Context) *racer {
-	if !c.budget.hedge() {
+	if !c.budget.hedges.spend() {
 		metrics.Count(c.runner.scope, metrics.HedgesDenied, deniedBudget)
 		return nil
 	}
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -66,7 +66,7 @@
 		return deniedDeadline
 	case !c.replayable(got):
 		return deniedBody
-	case !c.budget.retry():
+	case !c.budget.retries.spend():
 		return deniedBudget
 	default:
 		return ""
