--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -214,3 +214,29 @@
 		}
 	}
 }
+
+func TestEveryReasonHasItsCounter(t *testing.T) {
+	for _, reason := range []outcome.Reason{
+		outcome.ReasonOperationDropped, outcome.ReasonOperationSealed, outcome.ReasonOwnerUnreachable,
+		outcome.ReasonOwnerUnknown, outcome.ReasonOperationTableFull, outcome.ReasonLimitRate,
+		outcome.ReasonLimitConcurrent, outcome.ReasonQueueFull, outcome.ReasonQueueBytes,
+		outcome.ReasonQueueWait, outcome.ReasonStreams, outcome.ReasonNoServer, outcome.ReasonShed,
+		outcome.ReasonDialFailed, outcome.ReasonServerHungUp, outcome.ReasonDeadline,
+		outcome.ReasonCallerGone, outcome.ReasonAnswerNotKept, outcome.ReasonInternal,
+	} {
+		b := newBench(t)
+		b.run = func(context.Context, *http.Request) (*forward.Answer, *outcome.Refusal) {
+			return nil, outcome.NewNotRun(http.StatusServiceUnavailable, reason, "refused by a stage")
+		}
+		w := b.send("GET", "/kits", "")
+		if b.refusals(reason) != 1 || w.Header().Get(wire.HeaderReason) != string(reason) {
+			t.Errorf("%s: counted %d, answered %q", reason, b.refusals(reason), w.Header().Get(wire.HeaderReason))
+		}
+	}
+	b := newBench(t)
+	b.tree = nil
+	b.send("GET", "/kits", "")
+	if b.refusals(outcome.ReasonNoConfiguration) != 1 {
+		t.Error("no_configuration is not counted")
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -34,7 +34,6 @@
 	ReasonNoRoute            Reason = "no_route"
 	ReasonTooLarge           Reason = "too_large"
 	ReasonNoConfiguration    Reason = "no_configuration"
-	ReasonDraining           Reason = "draining"
 	ReasonOperationMismatch  Reason = "operation_mismatch"
 	ReasonOperationDropped   Reason = "operation_dropped"
 	ReasonOperationSealed    Reason = "operation_sealed"
