--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -58,6 +58,7 @@
 		configurationProbes(),
 		membershipProbes(),
 		limitProbes(),
+		callerProbes(),
 	)
 }
 
