Send a call on another connection where the kept one had ended

Cause: a server answers a message that is too large while it is still being written. The call then ends with that answer, the connection stays in the pool, and the write that fails afterwards closes it. A next call that came before the reader noticed found the connection closed and was reported as sent and unanswered, though not a byte of it was written. Ruled out: the server, the order of the test's two sizes alone. Change: a connection that had ended before the first byte is an ended one (rpc.ErrShutdown), which the pool replaces and tries once more. TestCallOnAConnectionThatHasEndedIsSentOnAnother failed before, passes now.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -60,10 +60,11 @@
 // nextMessage allows the bytes of one more message.
 func (l *link) nextMessage() { l.left = MaxMessageBytes + readAheadBytes }
 
-// write sends a header and a body as one message.
+// write sends a header and a body as one message. It fails with rpc.ErrShutdown
+// where the connection had ended before, so that nothing of the message was sent.
 func (l *link) write(header, body any) error {
-	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	if l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+		return rpc.ErrShutdown
 	}
 	if err := l.encoder.Encode(header); err != nil {
 		return err
