Name the package of the log interface for what it is

Cause: with the users' platform a second thing is called platform, and a newcomer could not tell internal/platform from platform/. The package holds the log interface and the client of the project's own log service. Change: internal/platform is internal/logservice; no behaviour changes.

--- a/bench/control/node.go
+++ b/bench/control/node.go
@@ -15,7 +15,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/follow"
 	"chestnutrouter.example/chestnutrouter/internal/membership"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
@@ -56,7 +56,7 @@
 type node struct {
 	pool       *peer.Pool
 	server     *peer.Server
-	platform   *platform.HTTP
+	platform   *logservice.HTTP
 	follower   *follow.Follower
 	membership *membership.Membership
 }
@@ -102,7 +102,7 @@
 	n := &node{
 		pool:     peer.NewPool(peer.Options{}),
 		server:   peer.NewServer(),
-		platform: platform.NewHTTP([]string{settings.Platform}, platform.Options{Client: settings.VM.Name}),
+		platform: logservice.NewHTTP([]string{settings.Platform}, logservice.Options{Client: settings.VM.Name}),
 	}
 	n.follower = follow.New(follow.Options{
 		Log:    n.platform,
--- a/bench/control/operator.go
+++ b/bench/control/operator.go
@@ -6,7 +6,7 @@
 	"os"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
@@ -15,7 +15,7 @@
 
 // operator publishes on the log service.
 type operator struct {
-	log   *platform.HTTP
+	log   *logservice.HTTP
 	state *fold.State // of the records of the log
 	// content is that of the changed branch before the first change.
 	content string
@@ -23,7 +23,7 @@
 
 func newOperator(url string) *operator {
 	return &operator{
-		log:   platform.NewHTTP([]string{url}, platform.Options{Client: "operator"}),
+		log:   logservice.NewHTTP([]string{url}, logservice.Options{Client: "operator"}),
 		state: fold.Empty(),
 	}
 }
@@ -76,13 +76,13 @@
 	if err != nil {
 		return 0, err
 	}
-	return o.log.Append(context.Background(), platform.StreamConfig, data)
+	return o.log.Append(context.Background(), logservice.StreamConfig, data)
 }
 
 // readOn applies what the log has beyond the state.
 func (o *operator) readOn() error {
 	for {
-		page, err := o.log.Read(context.Background(), platform.StreamConfig, o.state.Offset()+1, 0)
+		page, err := o.log.Read(context.Background(), logservice.StreamConfig, o.state.Offset()+1, 0)
 		if err != nil || len(page.Records) == 0 {
 			return err
 		}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -11,7 +11,7 @@
 	"io"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // Code is the exit code of chestnutctl.
@@ -38,7 +38,7 @@
 		fmt.Fprintln(stderr, "chestnutctl:", err)
 		return codeOf(err)
 	}
-	client := platform.NewHTTP(cmd.endpoints, platform.Options{Client: "chestnutctl"})
+	client := logservice.NewHTTP(cmd.endpoints, logservice.Options{Client: "chestnutctl"})
 	defer client.Close()
 	c := &Control{Log: client, VMs: client, Publisher: cmd.publisher, Timeout: cmd.timeout}
 	result, err := cmd.run(ctx, c)
@@ -54,9 +54,9 @@
 // Control carries out the commands. Its fields are set before use.
 type Control struct {
 	// Log is the platform's log service.
-	Log platform.Log
+	Log logservice.Log
 	// VMs is the platform's VM list, which names the entries.
-	VMs platform.VMList
+	VMs logservice.VMList
 	// Publisher is "member" or "member/person".
 	Publisher string
 	// Timeout bounds the wait for the platform, votes and entries.
--- a/internal/ctl/faults_test.go
+++ b/internal/ctl/faults_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	standin "chestnutrouter.example/chestnutrouter/standin/platform"
 )
 
@@ -44,7 +44,7 @@
 
 // cutLog is a log whose answers to the publisher end right after an append.
 type cutLog struct {
-	platform.Log
+	logservice.Log
 	cut func()
 }
 
@@ -53,13 +53,13 @@
 		return 0, err
 	}
 	l.cut()
-	return 0, &platform.UnavailableError{Operation: "append", Err: context.Canceled}
+	return 0, &logservice.UnavailableError{Operation: "append", Err: context.Canceled}
 }
 
 // TestKilledAfterTheAppend ends chestnutctl between its append and the answer.
 func TestKilledAfterTheAppend(t *testing.T) {
 	b := newBench(t)
-	client := platform.NewHTTP([]string{b.endpoint}, platform.Options{})
+	client := logservice.NewHTTP([]string{b.endpoint}, logservice.Options{})
 	defer client.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	control := &Control{Log: &cutLog{client, cancel}, VMs: client, Publisher: "glazenpot/ann", Timeout: time.Minute}
@@ -74,7 +74,7 @@
 
 // rivalLog appends a record of somebody else before the first one.
 type rivalLog struct {
-	platform.Log
+	logservice.Log
 	rival json.RawMessage
 }
 
@@ -99,7 +99,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.NewHTTP([]string{b.endpoint}, platform.Options{})
+	client := logservice.NewHTTP([]string{b.endpoint}, logservice.Options{})
 	defer client.Close()
 	control := &Control{Log: &rivalLog{client, rival}, VMs: client, Publisher: "glazenpot/ann", Timeout: time.Minute}
 	if _, err := control.Approve(t.Context(), "p1", "", false); err != nil {
@@ -114,16 +114,16 @@
 	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
 	edit(t, b.dir, "glazenpot/shop", `"timeout_ms": 2000`, `"timeout_ms": 1500`)
 	b.run(CodeDone, "glazenpot/ann", "publish", b.dir)
-	client := platform.NewHTTP([]string{b.endpoint}, platform.Options{})
+	client := logservice.NewHTTP([]string{b.endpoint}, logservice.Options{})
 	defer client.Close()
 	r := newReader(client)
 	if err := r.catchUp(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	b.platform.Expire(platform.StreamConfig, 2)
+	b.platform.Expire(logservice.StreamConfig, 2)
 	b.contains(b.run(CodeUnknown, "x", "show", "--timeout", "300ms"), "records before offset 2 have expired and no snapshot reaches it")
 	for _, data := range [][]byte{mustSnapshot(t, fold.Empty()), mustSnapshot(t, r.state), []byte(`{"version":9}`)} {
-		if _, err := client.Append(t.Context(), platform.StreamSnapshots, data); err != nil {
+		if _, err := client.Append(t.Context(), logservice.StreamSnapshots, data); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/ctl/race_test.go
+++ b/internal/ctl/race_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -34,7 +34,7 @@
 	base := int64(1)
 	var racers []racer
 	for _, name := range []string{"glazenpot/ann", "glazenpot/bob"} {
-		client := platform.NewHTTP([]string{b.endpoint}, platform.Options{Client: name})
+		client := logservice.NewHTTP([]string{b.endpoint}, logservice.Options{Client: name})
 		defer client.Close()
 		racers = append(racers, racer{name: name, dir: copyOf(t, b.dir), control: &Control{Log: client, VMs: client, Publisher: name, Timeout: time.Minute}})
 	}
@@ -108,10 +108,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := observer.log.Append(t.Context(), platform.StreamSnapshots, data); err != nil {
+	if _, err := observer.log.Append(t.Context(), logservice.StreamSnapshots, data); err != nil {
 		t.Fatal(err)
 	}
-	b.platform.Expire(platform.StreamConfig, observer.state.Offset()+1)
+	b.platform.Expire(logservice.StreamConfig, observer.state.Offset()+1)
 }
 
 // keepOneService keeps the tree small, as each publish folds the whole log.
--- a/internal/ctl/reader.go
+++ b/internal/ctl/reader.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // maxGapReads is how often a page that skips offsets is read again.
@@ -18,12 +18,12 @@
 
 // reader folds the config stream and remembers the decisions.
 type reader struct {
-	log       platform.Log
+	log       logservice.Log
 	state     *fold.State
 	decisions []fold.Decision
 }
 
-func newReader(log platform.Log) *reader {
+func newReader(log logservice.Log) *reader {
 	return &reader{log: log, state: fold.Empty()}
 }
 
@@ -32,8 +32,8 @@
 func (r *reader) catchUp(ctx context.Context) error {
 	gaps := 0
 	for {
-		page, err := r.log.Read(ctx, platform.StreamConfig, r.state.Offset()+1, 0)
-		var expired *platform.ExpiredError
+		page, err := r.log.Read(ctx, logservice.StreamConfig, r.state.Offset()+1, 0)
+		var expired *logservice.ExpiredError
 		if errors.As(err, &expired) {
 			if err := r.restore(ctx, expired.Oldest); err != nil {
 				return err
@@ -59,9 +59,9 @@
 
 // apply applies the records that follow without a gap, in order of offset, and
 // reports whether there were any. A page may hold records twice or out of order.
-func (r *reader) apply(records []platform.Record) bool {
+func (r *reader) apply(records []logservice.Record) bool {
 	records = slices.Clone(records)
-	slices.SortStableFunc(records, func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortStableFunc(records, func(a, b logservice.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	before := r.state.Offset()
 	for _, record := range records {
 		if record.Offset != r.state.Offset()+1 {
@@ -77,7 +77,7 @@
 // restore goes on from the newest snapshot that reaches the oldest kept record.
 func (r *reader) restore(ctx context.Context, oldest int64) error {
 	best := r.state
-	err := eachRecord(ctx, r.log, platform.StreamSnapshots, func(data json.RawMessage) {
+	err := eachRecord(ctx, r.log, logservice.StreamSnapshots, func(data json.RawMessage) {
 		s, err := fold.Restore(data)
 		if err == nil && s.Offset() > best.Offset() {
 			best = s
@@ -94,11 +94,11 @@
 }
 
 // eachRecord calls f for each record that the stream keeps.
-func eachRecord(ctx context.Context, log platform.Log, stream string, f func(json.RawMessage)) error {
+func eachRecord(ctx context.Context, log logservice.Log, stream string, f func(json.RawMessage)) error {
 	from := int64(0)
 	for {
 		page, err := log.Read(ctx, stream, from, 0)
-		var expired *platform.ExpiredError
+		var expired *logservice.ExpiredError
 		if errors.As(err, &expired) && expired.Oldest > from {
 			from = expired.Oldest
 			continue
--- a/internal/ctl/settle.go
+++ b/internal/ctl/settle.go
@@ -9,7 +9,7 @@
 	"fmt"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // publishIDBytes is the length of a publish id before its hex encoding.
@@ -66,8 +66,8 @@
 
 // tryOnce appends the record and reads the log up to its end.
 func (c *Control) tryOnce(ctx context.Context, r *reader, data json.RawMessage) error {
-	offset, err := c.Log.Append(ctx, platform.StreamConfig, data)
-	var unavailable *platform.UnavailableError
+	offset, err := c.Log.Append(ctx, logservice.StreamConfig, data)
+	var unavailable *logservice.UnavailableError
 	if errors.As(err, &unavailable) && isRefusal(unavailable) {
 		return &RefusedError{Detail: err.Error()}
 	}
@@ -78,7 +78,7 @@
 }
 
 // isRefusal reports whether the platform will refuse the record every time.
-func isRefusal(err *platform.UnavailableError) bool {
+func isRefusal(err *logservice.UnavailableError) bool {
 	const badRequest, tooLarge = 400, 413
 	return err.Status == badRequest || err.Status == tooLarge
 }
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -13,7 +13,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/probe"
 	"chestnutrouter.example/chestnutrouter/internal/seat"
 	"chestnutrouter.example/chestnutrouter/internal/service"
@@ -27,7 +27,7 @@
 	Settings   *settings.Settings
 	Logger     *log.Logger
 	Registry   *metrics.Registry
-	Platform   *platform.HTTP
+	Platform   *logservice.HTTP
 	Pool       *peer.Pool
 	Follower   *follow.Follower
 	Members    *membership.Membership
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -20,7 +20,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/seat"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 	"chestnutrouter.example/chestnutrouter/internal/settings"
@@ -33,8 +33,8 @@
 
 func newPool() *peer.Pool { return peer.NewPool(peer.Options{}) }
 
-func newPlatform(s *settings.Settings) *platform.HTTP {
-	return platform.NewHTTP(s.PlatformEndpoints, platform.Options{Client: s.VM})
+func newPlatform(s *settings.Settings) *logservice.HTTP {
+	return logservice.NewHTTP(s.PlatformEndpoints, logservice.Options{Client: s.VM})
 }
 
 func newServices(s *settings.Settings, scope tally.Scope, workers *admission.Workers,
@@ -70,7 +70,7 @@
 func newClient(pool *peer.Pool, contact *escrow.Contact) peer.Client { return contact.Client(pool) }
 
 // newLog returns the log client whose answers count as contact.
-func newLog(p *platform.HTTP, contact *escrow.Contact) platform.Log { return contact.Log(p) }
+func newLog(p *logservice.HTTP, contact *escrow.Contact) logservice.Log { return contact.Log(p) }
 
 // memberOrder breaks the circle between the follower, which asks for its turn
 // among the live entries, and the membership, which tells the follower's offset.
@@ -89,11 +89,11 @@
 	return m.View().Order(key)
 }
 
-func newFollower(l platform.Log, client peer.Client, order *memberOrder, logger *log.Logger, scope tally.Scope) *follow.Follower {
+func newFollower(l logservice.Log, client peer.Client, order *memberOrder, logger *log.Logger, scope tally.Scope) *follow.Follower {
 	return follow.New(follow.Options{Log: l, Client: client, Order: order.order, Logger: logger, Scope: scope})
 }
 
-func newMembers(s *settings.Settings, ops *operation.Table, f *follow.Follower, p *platform.HTTP,
+func newMembers(s *settings.Settings, ops *operation.Table, f *follow.Follower, p *logservice.HTTP,
 	client peer.Client, order *memberOrder, logger *log.Logger, scope tally.Scope,
 ) *membership.Membership {
 	m := membership.New(membership.Options{
@@ -143,7 +143,7 @@
 }
 
 // newClaimer returns the claimer of this entry's seat.
-func newClaimer(s *settings.Settings, ops *operation.Table, l platform.Log,
+func newClaimer(s *settings.Settings, ops *operation.Table, l logservice.Log,
 	f *follow.Follower, m *membership.Membership,
 ) *seat.Claimer {
 	return seat.NewClaimer(seat.Options{
--- a/internal/escrow/contact.go
+++ b/internal/escrow/contact.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // longestRead bounds the wait of one read of the log, so that a quiet log is
@@ -63,23 +63,23 @@
 
 // Log returns a log whose answered requests count as contact. Its reads wait no
 // longer than the fence allows; an empty page is then read on as usual.
-func (c *Contact) Log(log platform.Log) platform.Log {
+func (c *Contact) Log(log logservice.Log) logservice.Log {
 	return contactLog{contact: c, log: log}
 }
 
 type contactLog struct {
 	contact *Contact
-	log     platform.Log
+	log     logservice.Log
 }
 
 func (c contactLog) Append(ctx context.Context, stream string, data json.RawMessage) (int64, error) {
 	return c.log.Append(ctx, stream, data)
 }
 
-func (c contactLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Page, error) {
+func (c contactLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (logservice.Page, error) {
 	sent := time.Now()
 	page, err := c.log.Read(ctx, stream, from, min(wait, longestRead))
-	if err == nil && stream == platform.StreamConfig {
+	if err == nil && stream == logservice.StreamConfig {
 		c.contact.note(sent)
 	}
 	return page, err
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,13 +18,13 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // Options are the parts that a Follower works with.
 type Options struct {
 	// Log is the platform's log service.
-	Log platform.Log
+	Log logservice.Log
 	// Client calls other entries.
 	Client peer.Client
 	// Order returns how many live entries come before this one in the order of a
@@ -105,7 +105,7 @@
 
 // applyRecords applies the records that continue the state without a gap and
 // returns how many did. The records are sorted by offset.
-func (f *Follower) applyRecords(records []platform.Record) int {
+func (f *Follower) applyRecords(records []logservice.Record) int {
 	f.advance.Lock()
 	defer f.advance.Unlock()
 	state, count := f.state.Load(), 0
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -10,7 +10,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // inWorld runs a test with entries that have caught up with some records.
@@ -145,7 +145,7 @@
 func TestPeerWithAnotherStateAtTheSameOffsetIsReported(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	f := New(Options{Scope: scope})
-	f.applyRecords([]platform.Record{{Offset: 0, Data: founding()}})
+	f.applyRecords([]logservice.Record{{Offset: 0, Data: founding()}})
 	offset, state := f.Fingerprint()
 	for _, c := range []struct {
 		offset int64
@@ -191,13 +191,13 @@
 
 func TestPeerGetsTheStateWhereRecordsAreMissing(t *testing.T) {
 	f := New(Options{})
-	f.applyRecords([]platform.Record{{Offset: 0, Data: founding()}})
+	f.applyRecords([]logservice.Record{{Offset: 0, Data: founding()}})
 	later := f.Current()
 	for offset := int64(1); offset <= 3; offset++ {
 		later, _ = later.Apply(offset, claim(0, "i0", ""))
 	}
 	f.takeState(later, "peer")
-	f.applyRecords([]platform.Record{{Offset: 4, Data: claim(1, "i1", "")}})
+	f.applyRecords([]logservice.Record{{Offset: 4, Data: claim(1, "i1", "")}})
 	for asked, wantRecords := range map[int64]int{-1: 0, 0: 0, 2: 0, 3: 1} {
 		reply := &peer.SinceReply{}
 		if err := f.Receiver().Since(&peer.SinceArgs{Offset: asked}, reply); err != nil {
--- a/internal/follow/http_test.go
+++ b/internal/follow/http_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	standin "chestnutrouter.example/chestnutrouter/standin/platform"
 )
 
@@ -15,7 +15,7 @@
 	service := standin.New()
 	server := httptest.NewServer(service)
 	defer server.Close()
-	client := platform.NewHTTP([]string{server.URL}, platform.Options{Client: "vm-1"})
+	client := logservice.NewHTTP([]string{server.URL}, logservice.Options{Client: "vm-1"})
 	defer client.Close()
 	mustAppend := func(stream string, data json.RawMessage) {
 		if _, err := client.Append(t.Context(), stream, data); err != nil {
@@ -25,19 +25,19 @@
 
 	state := fold.Empty()
 	for offset, data := range []json.RawMessage{founding(), claim(0, "i0", ""), claim(1, "i1", ""), claim(2, "i2", "")} {
-		mustAppend(platform.StreamConfig, data)
+		mustAppend(logservice.StreamConfig, data)
 		state, _ = state.Apply(int64(offset), data)
 		if offset == 2 {
 			snapshot, err := json.Marshal(state)
 			if err != nil {
 				t.Fatal(err)
 			}
-			mustAppend(platform.StreamSnapshots, json.RawMessage(`{"damaged":true}`))
-			mustAppend(platform.StreamSnapshots, snapshot)
+			mustAppend(logservice.StreamSnapshots, json.RawMessage(`{"damaged":true}`))
+			mustAppend(logservice.StreamSnapshots, snapshot)
 		}
 	}
-	service.Expire(platform.StreamConfig, 3)
-	service.Expire(platform.StreamSnapshots, 1)
+	service.Expire(logservice.StreamConfig, 3)
+	service.Expire(logservice.StreamSnapshots, 1)
 	service.SetFaults(standin.Faults{RepeatRecords: true, ReverseRecords: true})
 
 	f := New(Options{Log: client})
--- a/internal/follow/offer.go
+++ b/internal/follow/offer.go
@@ -8,7 +8,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -137,9 +137,9 @@
 
 // takeRecords applies a peer's records where they lead to the peer's state.
 func (f *Follower) takeRecords(reply *peer.SinceReply) error {
-	records := make([]platform.Record, len(reply.Records))
+	records := make([]logservice.Record, len(reply.Records))
 	for i, r := range reply.Records {
-		records[i] = platform.Record{Offset: r.Offset, Data: r.Data}
+		records[i] = logservice.Record{Offset: r.Offset, Data: r.Data}
 	}
 	before := f.Current()
 	trial := before
--- a/internal/follow/ring.go
+++ b/internal/follow/ring.go
@@ -1,7 +1,7 @@
 package follow
 
 import (
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -13,11 +13,11 @@
 // ring holds the newest applied records without a gap.
 type ring struct {
 	limit   int // the most records
-	records []platform.Record
+	records []logservice.Record
 	bytes   int
 }
 
-func (r *ring) add(record platform.Record) {
+func (r *ring) add(record logservice.Record) {
 	r.records = append(r.records, record)
 	r.bytes += len(record.Data)
 	drop := 0
@@ -26,14 +26,14 @@
 		drop++
 	}
 	if drop > 0 {
-		r.records = append([]platform.Record(nil), r.records[drop:]...)
+		r.records = append([]logservice.Record(nil), r.records[drop:]...)
 	}
 }
 
 func (r *ring) reset() { *r = ring{limit: r.limit} }
 
 // after returns the records after an offset, and false where one is missing.
-func (r *ring) after(offset int64) ([]platform.Record, bool) {
+func (r *ring) after(offset int64) ([]logservice.Record, bool) {
 	if len(r.records) == 0 || r.records[0].Offset > offset+1 {
 		return nil, false
 	}
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -104,7 +104,7 @@
 		f.opts.Logger.Error("snapshot not made", "error", err)
 		return
 	}
-	place, err := f.opts.Log.Append(ctx, platform.StreamSnapshots, data)
+	place, err := f.opts.Log.Append(ctx, logservice.StreamSnapshots, data)
 	if err != nil {
 		f.opts.Logger.Warn("snapshot not appended", "error", err)
 		return
@@ -126,8 +126,8 @@
 	var newest *fold.State
 	for {
 		from := f.snapshotsRead
-		page, err := f.opts.Log.Read(ctx, platform.StreamSnapshots, from, 0)
-		var expired *platform.ExpiredError
+		page, err := f.opts.Log.Read(ctx, logservice.StreamSnapshots, from, 0)
+		var expired *logservice.ExpiredError
 		if errors.As(err, &expired) && expired.Oldest > from {
 			f.snapshotsRead = expired.Oldest
 			continue
@@ -146,7 +146,7 @@
 }
 
 // newestOf returns the state with the highest offset of a page and one before.
-func (f *Follower) newestOf(page platform.Page, newest *fold.State) *fold.State {
+func (f *Follower) newestOf(page logservice.Page, newest *fold.State) *fold.State {
 	for _, r := range page.Records {
 		state, err := fold.Restore(r.Data)
 		if err != nil {
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -35,11 +35,11 @@
 // the wait ended without news.
 func (f *Follower) readOnce(ctx context.Context) bool {
 	from := f.Current().Offset() + 1
-	page, err := f.opts.Log.Read(ctx, platform.StreamConfig, from, f.waitTime())
+	page, err := f.opts.Log.Read(ctx, logservice.StreamConfig, from, f.waitTime())
 	if ctx.Err() != nil {
 		return false
 	}
-	var expired *platform.ExpiredError
+	var expired *logservice.ExpiredError
 	if errors.As(err, &expired) {
 		f.heard()
 		return f.bridge(ctx, expired.Oldest)
@@ -66,9 +66,9 @@
 
 // applyPage applies a page, whose records may be repeated or out of order. A
 // page that starts behind a gap is read again.
-func (f *Follower) applyPage(from int64, page platform.Page) bool {
+func (f *Follower) applyPage(from int64, page logservice.Page) bool {
 	records := slices.Clone(page.Records)
-	slices.SortFunc(records, func(a, b platform.Record) int { return int(a.Offset - b.Offset) })
+	slices.SortFunc(records, func(a, b logservice.Record) int { return int(a.Offset - b.Offset) })
 	if f.applyRecords(records) > 0 || f.Current().Offset() >= from {
 		return true
 	}
--- a/internal/follow/world_test.go
+++ b/internal/follow/world_test.go
@@ -11,7 +11,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/seat"
 )
 
@@ -41,10 +41,10 @@
 // oracle: the state at an offset is the fold of all records up to it.
 type world struct {
 	mu         sync.Mutex
-	history    []platform.Record
+	history    []logservice.Record
 	states     []*fold.State // states[n] is the state at offset n
 	oldest     int64
-	snapshots  []platform.Record
+	snapshots  []logservice.Record
 	changed    chan struct{}
 	down       map[int]bool // entries that cannot reach the log
 	frozen     map[int]bool // entries whose reads of the log are not answered
@@ -126,7 +126,7 @@
 		state = w.states[offset-1]
 	}
 	next, _ := state.Apply(offset, data)
-	w.history = append(w.history, platform.Record{Offset: offset, Data: data})
+	w.history = append(w.history, logservice.Record{Offset: offset, Data: data})
 	w.states = append(w.states, next)
 	w.wake()
 }
@@ -174,23 +174,23 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.down[l.n] {
-		return 0, &platform.UnavailableError{}
+		return 0, &logservice.UnavailableError{}
 	}
-	if stream != platform.StreamSnapshots {
+	if stream != logservice.StreamSnapshots {
 		return 0, errors.New("entries append only snapshots here")
 	}
 	offset := int64(len(w.snapshots))
-	w.snapshots = append(w.snapshots, platform.Record{Offset: offset, Data: data})
+	w.snapshots = append(w.snapshots, logservice.Record{Offset: offset, Data: data})
 	if w.loseAnswer {
 		w.loseAnswer = false
-		return 0, &platform.UnavailableError{}
+		return 0, &logservice.UnavailableError{}
 	}
 	return offset, nil
 }
 
-func (l worldLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Page, error) {
+func (l worldLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (logservice.Page, error) {
 	if !l.arrives(ctx) {
-		return platform.Page{}, &platform.UnavailableError{}
+		return logservice.Page{}, &logservice.UnavailableError{}
 	}
 	deadline := time.Now().Add(wait)
 	for {
@@ -221,30 +221,30 @@
 	return !frozen && ctx.Err() == nil
 }
 
-func (l worldLog) page(stream string, from int64) (platform.Page, chan struct{}, error) {
+func (l worldLog) page(stream string, from int64) (logservice.Page, chan struct{}, error) {
 	w := l.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.down[l.n] {
-		return platform.Page{}, nil, &platform.UnavailableError{}
+		return logservice.Page{}, nil, &logservice.UnavailableError{}
 	}
 	all, oldest := w.history, w.oldest
-	if stream == platform.StreamSnapshots {
+	if stream == logservice.StreamSnapshots {
 		all, oldest = w.snapshots, 0
 	}
 	if from < oldest {
-		return platform.Page{}, nil, &platform.ExpiredError{Oldest: oldest}
+		return logservice.Page{}, nil, &logservice.ExpiredError{Oldest: oldest}
 	}
 	records := slices.Clone(all[min(from, int64(len(all))):])
 	records = records[:min(len(records), 3)] // small pages
-	page := platform.Page{Records: records, Next: from + int64(len(records))}
-	if stream == platform.StreamConfig {
+	page := logservice.Page{Records: records, Next: from + int64(len(records))}
+	if stream == logservice.StreamConfig {
 		page.Records = w.distort(page.Records, from)
 	}
 	return page, w.changed, nil
 }
 
-func (w *world) distort(records []platform.Record, from int64) []platform.Record {
+func (w *world) distort(records []logservice.Record, from int64) []logservice.Record {
 	switch {
 	case len(records) == 0:
 	case w.pages == pageRepeated:
--- a/internal/platform/platform.go
+++ b/internal/logservice/logservice.go
@@ -1,6 +1,6 @@
-// Package platform holds the clients of the platform's HTTP services: the log
+// Package logservice holds the clients of the platform's HTTP services: the log
 // service and the VM list.
-package platform
+package logservice
 
 import (
 	"context"
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -19,7 +19,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // Config is the part of the follower that heartbeats need.
@@ -48,7 +48,7 @@
 	// Config is the follower of the config stream.
 	Config Config
 	// VMs is the platform's VM list.
-	VMs platform.VMList
+	VMs logservice.VMList
 	// Client calls other entries.
 	Client peer.Client
 	// Seeds are peer addresses to try when the platform is down.
--- a/internal/operation/seals.go
+++ b/internal/operation/seals.go
@@ -8,7 +8,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -67,11 +67,11 @@
 
 // Run follows the seals stream until ctx ends. A record that can't be read is
 // passed over.
-func (s *Seals) Run(ctx context.Context, log platform.Log) {
+func (s *Seals) Run(ctx context.Context, log logservice.Log) {
 	var next int64
 	for ctx.Err() == nil {
-		page, err := log.Read(ctx, platform.StreamSeals, next, sealsWait)
-		var expired *platform.ExpiredError
+		page, err := log.Read(ctx, logservice.StreamSeals, next, sealsWait)
+		var expired *logservice.ExpiredError
 		switch {
 		case err == nil:
 			s.addPage(page)
@@ -84,7 +84,7 @@
 	}
 }
 
-func (s *Seals) addPage(page platform.Page) {
+func (s *Seals) addPage(page logservice.Page) {
 	for _, r := range page.Records {
 		_ = s.AddRecord(r.Data)
 	}
@@ -100,11 +100,11 @@
 // Leave gives the seal to the peers and appends it to the log, all at once, and
 // returns when all have answered or ctx ends. The seal holds wherever one of
 // them took it; the errors are for the log of this process.
-func Leave(ctx context.Context, seal Seal, client peer.Client, peers []string, log platform.Log) []error {
+func Leave(ctx context.Context, seal Seal, client peer.Client, peers []string, log logservice.Log) []error {
 	record := seal.Record()
 	errs := make(chan error, len(peers)+1)
 	go func() {
-		_, err := log.Append(ctx, platform.StreamSeals, record)
+		_, err := log.Append(ctx, logservice.StreamSeals, record)
 		errs <- err
 	}()
 	for _, address := range peers {
--- a/internal/seat/claimer.go
+++ b/internal/seat/claimer.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -31,7 +31,7 @@
 	// Incarnation and VM name this entry process.
 	Incarnation, VM string
 	// Log takes the claims.
-	Log platform.Log
+	Log logservice.Log
 	// Listed reports whether the newest known VM list has a VM; known is false
 	// before the first list.
 	Listed func(vm string) (listed, known bool)
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.opts.Log.Append(ctx, platform.StreamConfig, data)
+	_, err = c.opts.Log.Append(ctx, logservice.StreamConfig, data)
 	return err
 }
 
--- a/internal/seat/claimer_test.go
+++ b/internal/seat/claimer_test.go
@@ -9,13 +9,13 @@
 	"testing/synctest"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // cluster is a log, a VM list and live processes for claimers; the test sets the
 // fields between steps.
 type cluster struct {
-	platform.Log
+	logservice.Log
 	table Table
 	seats int
 	down  bool
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // EveryClient in Cut or Frozen stands for all clients.
@@ -42,7 +42,7 @@
 // allow applies the faults that hit any request of a client, and reports
 // whether the request may go on.
 func (s *Server) allow(w http.ResponseWriter, r *http.Request) bool {
-	client := r.Header.Get(platform.HeaderClient)
+	client := r.Header.Get(logservice.HeaderClient)
 	f := s.currentFaults()
 	sleep(r.Context(), time.Duration(f.DelayMs)*time.Millisecond)
 	return s.passes(w, r, f, client)
@@ -85,7 +85,7 @@
 }
 
 // distort applies the faults that hit the records of a page.
-func (f Faults) distort(p platform.Page) platform.Page {
+func (f Faults) distort(p logservice.Page) logservice.Page {
 	if f.RepeatRecords {
 		p.Records = append(p.Records, p.Records...)
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -22,7 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
@@ -166,7 +166,7 @@
 	wait := min(time.Duration(waitMs)*time.Millisecond, maxWait)
 	s.await(r, name, from, wait)
 	f := s.currentFaults()
-	if !s.passes(w, r, f, r.Header.Get(platform.HeaderClient)) {
+	if !s.passes(w, r, f, r.Header.Get(logservice.HeaderClient)) {
 		return
 	}
 	page, oldest := s.page(name, from)
@@ -188,7 +188,7 @@
 	for {
 		s.mu.Lock()
 		ready := s.stream(name).next() > from || s.faults.Down != before.Down ||
-			names(s.faults.Cut, r.Header.Get(platform.HeaderClient))
+			names(s.faults.Cut, r.Header.Get(logservice.HeaderClient))
 		changed := s.changed
 		s.mu.Unlock()
 		if ready {
@@ -204,7 +204,7 @@
 	}
 }
 
-func (s *Server) page(name string, from int64) (platform.Page, int64) {
+func (s *Server) page(name string, from int64) (logservice.Page, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	standin "chestnutrouter.example/chestnutrouter/standin/platform"
 )
 
@@ -23,16 +23,16 @@
 	return s, server
 }
 
-func client(t *testing.T, name string, endpoints ...string) *platform.HTTP {
+func client(t *testing.T, name string, endpoints ...string) *logservice.HTTP {
 	t.Helper()
-	c := platform.NewHTTP(endpoints, platform.Options{Client: name, Timeout: time.Minute})
+	c := logservice.NewHTTP(endpoints, logservice.Options{Client: name, Timeout: time.Minute})
 	t.Cleanup(c.Close)
 	return c
 }
 
-func mustAppend(t *testing.T, c *platform.HTTP, data string) int64 {
+func mustAppend(t *testing.T, c *logservice.HTTP, data string) int64 {
 	t.Helper()
-	offset, err := c.Append(t.Context(), platform.StreamConfig, json.RawMessage(data))
+	offset, err := c.Append(t.Context(), logservice.StreamConfig, json.RawMessage(data))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 			t.Fatalf("offset %d, want %d", got, i)
 		}
 	}
-	page, err := c.Read(t.Context(), platform.StreamConfig, 1, 0)
+	page, err := c.Read(t.Context(), logservice.StreamConfig, 1, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,9 +59,9 @@
 func TestLongPollReturnsOnAppend(t *testing.T) {
 	_, server := start(t)
 	c := client(t, "vm-1", server.URL)
-	pages := make(chan platform.Page, 1)
+	pages := make(chan logservice.Page, 1)
 	go func() {
-		page, _ := c.Read(t.Context(), platform.StreamConfig, 0, time.Minute)
+		page, _ := c.Read(t.Context(), logservice.StreamConfig, 0, time.Minute)
 		pages <- page
 	}()
 	mustAppend(t, c, `1`)
@@ -76,13 +76,13 @@
 	for range 5 {
 		mustAppend(t, c, `1`)
 	}
-	s.Expire(platform.StreamConfig, 3)
-	_, err := c.Read(t.Context(), platform.StreamConfig, 2, 0)
-	var expired *platform.ExpiredError
-	if !errors.As(err, &expired) || expired.Oldest != 3 || expired.Stream != platform.StreamConfig {
+	s.Expire(logservice.StreamConfig, 3)
+	_, err := c.Read(t.Context(), logservice.StreamConfig, 2, 0)
+	var expired *logservice.ExpiredError
+	if !errors.As(err, &expired) || expired.Oldest != 3 || expired.Stream != logservice.StreamConfig {
 		t.Fatalf("error %v", err)
 	}
-	if _, err := c.Read(t.Context(), platform.StreamConfig, 3, 0); err != nil {
+	if _, err := c.Read(t.Context(), logservice.StreamConfig, 3, 0); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -92,12 +92,12 @@
 	c := client(t, "vm-1", server.URL, server.URL)
 	mustAppend(t, c, `1`) // leaves a kept connection, on which a repeat would be possible
 	s.SetFaults(standin.Faults{LoseAppendAnswers: 1})
-	_, err := c.Append(t.Context(), platform.StreamConfig, json.RawMessage(`2`))
-	var unavailable *platform.UnavailableError
+	_, err := c.Append(t.Context(), logservice.StreamConfig, json.RawMessage(`2`))
+	var unavailable *logservice.UnavailableError
 	if !errors.As(err, &unavailable) || unavailable.Certain {
 		t.Fatalf("error %v", err)
 	}
-	page, err := c.Read(t.Context(), platform.StreamConfig, 0, 0)
+	page, err := c.Read(t.Context(), logservice.StreamConfig, 0, 0)
 	if err != nil || len(page.Records) != 2 {
 		t.Fatalf("page %+v, error %v", page, err)
 	}
@@ -107,8 +107,8 @@
 	_, server := start(t)
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
-	_, err := client(t, "vm-1", gone.URL).Append(t.Context(), platform.StreamConfig, json.RawMessage(`1`))
-	var unavailable *platform.UnavailableError
+	_, err := client(t, "vm-1", gone.URL).Append(t.Context(), logservice.StreamConfig, json.RawMessage(`1`))
+	var unavailable *logservice.UnavailableError
 	if !errors.As(err, &unavailable) || !unavailable.Certain {
 		t.Fatalf("error %v", err)
 	}
@@ -121,13 +121,13 @@
 	s, server := start(t)
 	one, two := client(t, "vm-1", server.URL), client(t, "vm-2", server.URL)
 	s.SetFaults(standin.Faults{Cut: []string{"vm-1"}})
-	if _, err := one.Read(t.Context(), platform.StreamConfig, 0, 0); err == nil {
+	if _, err := one.Read(t.Context(), logservice.StreamConfig, 0, 0); err == nil {
 		t.Fatal("the cut client was answered")
 	}
 	mustAppend(t, two, `1`)
 	s.SetFaults(standin.Faults{Down: true})
 	_, err := two.VMs(t.Context())
-	var unavailable *platform.UnavailableError
+	var unavailable *logservice.UnavailableError
 	if !errors.As(err, &unavailable) || unavailable.Status != http.StatusServiceUnavailable {
 		t.Fatalf("error %v", err)
 	}
@@ -170,10 +170,10 @@
 
 func TestSlowPlatformIsWaitedFor(t *testing.T) {
 	s, server := start(t)
-	c := platform.NewHTTP([]string{server.URL}, platform.Options{Client: "vm-1"})
+	c := logservice.NewHTTP([]string{server.URL}, logservice.Options{Client: "vm-1"})
 	t.Cleanup(c.Close)
 	s.SetFaults(standin.Faults{DelayMs: 2500})
-	offset, err := c.Append(t.Context(), platform.StreamConfig, json.RawMessage(`1`))
+	offset, err := c.Append(t.Context(), logservice.StreamConfig, json.RawMessage(`1`))
 	if err != nil || offset != 0 {
 		t.Fatalf("offset %d, error %v", offset, err)
 	}
--- a/standin/platform/stream.go
+++ b/standin/platform/stream.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // maxPageRecords and maxPageBytes bound one page of records.
@@ -14,7 +14,7 @@
 
 // stream is one stream of records; the Server's lock guards it.
 type stream struct {
-	records []platform.Record
+	records []logservice.Record
 	oldest  int64 // offset of records[0]
 }
 
@@ -22,7 +22,7 @@
 
 func (s *stream) append(data json.RawMessage) int64 {
 	offset := s.next()
-	s.records = append(s.records, platform.Record{Offset: offset, Data: data})
+	s.records = append(s.records, logservice.Record{Offset: offset, Data: data})
 	return offset
 }
 
@@ -32,13 +32,13 @@
 	if offset <= s.oldest {
 		return
 	}
-	s.records = append([]platform.Record(nil), s.records[offset-s.oldest:]...)
+	s.records = append([]logservice.Record(nil), s.records[offset-s.oldest:]...)
 	s.oldest = offset
 }
 
 // page returns the kept records from an offset on, up to the bounds of a page.
-func (s *stream) page(from int64) platform.Page {
-	p := platform.Page{Records: []platform.Record{}, Next: from}
+func (s *stream) page(from int64) logservice.Page {
+	p := logservice.Page{Records: []logservice.Record{}, Next: from}
 	bytes := 0
 	for i := from - s.oldest; i >= 0 && i < int64(len(s.records)); i++ {
 		r := s.records[i]
--- a/test/once/machine_test.go
+++ b/test/once/machine_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
-	"chestnutrouter.example/chestnutrouter/internal/platform"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 // Size of a run where the command line names none: at least 10,000 steps.
@@ -48,11 +48,11 @@
 type noLog struct{}
 
 func (noLog) Append(context.Context, string, json.RawMessage) (int64, error) {
-	return 0, &platform.UnavailableError{Operation: "append"}
+	return 0, &logservice.UnavailableError{Operation: "append"}
 }
 
-func (noLog) Read(context.Context, string, int64, time.Duration) (platform.Page, error) {
-	return platform.Page{}, &platform.UnavailableError{Operation: "read"}
+func (noLog) Read(context.Context, string, int64, time.Duration) (logservice.Page, error) {
+	return logservice.Page{}, &logservice.UnavailableError{Operation: "read"}
 }
 
 // machine is the state machine: a world and the operations sent so far.
