Let a route name its services by weight, and a balancer use shared reports

Cause: on the users' platform a route is split over services, has its own number of attempts and is measured by all entries together; servers use other headers and say how slow their host is now. The product knew none of this. Change: tree.HostRoute with weights that low-discrepancy turns keep; a retry budget over all entries (earned by calls, starting empty); forward.Dialect, answers read whole, separate connections for calls that are not idempotent; the balancer's pace (slowdown now and usual), reports and outcomes of other entries; a record and a trace of each call for the log; idempotent calls repeat a 500.

--- a/bench/control/node.go
+++ b/bench/control/node.go
@@ -13,9 +13,9 @@
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/fold"
 	"chestnutrouter.example/chestnutrouter/internal/follow"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/membership"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -9,9 +9,9 @@
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 )
 
-// minRetryAfter is the shortest wait asked of a refused caller, in whole
-// seconds because Retry-After has no finer unit.
-const minRetryAfter = time.Second
+// minRetryAfter is the shortest wait asked of a refused caller: a round of
+// short answers. The entry rounds it up where its callers know whole seconds only.
+const minRetryAfter = 100 * time.Millisecond
 
 func refuse(reason outcome.Reason, detail string) *outcome.Refusal {
 	return outcome.NewNotRun(http.StatusServiceUnavailable, reason, detail)
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -13,6 +13,7 @@
 type tokens struct {
 	mu    sync.Mutex
 	share float64
+	burst float64
 	count float64
 }
 
@@ -20,7 +21,7 @@
 func (t *tokens) earn() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.count = min(burstTokens, t.count+t.share)
+	t.count = min(t.burst, t.count+t.share)
 }
 
 // spend takes a token, or reports that there is none. A share of zero turns the
@@ -35,16 +36,48 @@
 	return true
 }
 
-func (t *tokens) setShare(share float64) {
+func (t *tokens) set(share, burst float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.share = share
+	t.burst = burst
+	t.count = min(t.count, burst)
 }
 
 // budget is a service's tokens: each success earns a share of a retry, and each
 // call a share of a hedge.
+//
+// A service with a RetryBurst has a budget over all entries instead. Each entry
+// spends only from what its own calls earned, and starts with nothing, so that
+// the sum over all entries needs no message: hedges are retries there, and each
+// call earns whether or not it succeeds.
 type budget struct {
 	retries, hedges tokens
+	shared          bool
+}
+
+// begin earns for a call that begins.
+func (b *budget) begin() {
+	if b.shared {
+		b.retries.earn()
+		return
+	}
+	b.hedges.earn()
+}
+
+// succeed earns for a call that a server answered without a failure.
+func (b *budget) succeed() {
+	if !b.shared {
+		b.retries.earn()
+	}
+}
+
+// spendHedge takes a token for a hedge, or reports that there is none.
+func (b *budget) spendHedge() bool {
+	if b.shared {
+		return b.retries.spend()
+	}
+	return b.hedges.spend()
 }
 
 // budgets holds one budget a service.
@@ -62,10 +95,25 @@
 	}
 	got, ok := b.byService[svc.Key()]
 	if !ok {
-		got = &budget{retries: tokens{count: burstTokens}}
+		got = newBudget(svc.Budgets)
 		b.byService[svc.Key()] = got
 	}
-	got.retries.setShare(svc.Budgets.RetryShare)
-	got.hedges.setShare(svc.Budgets.HedgeShare)
+	got.set(svc.Budgets)
 	return got
 }
+
+func newBudget(settings tree.Budgets) *budget {
+	if settings.RetryBurst > 0 {
+		return &budget{shared: true}
+	}
+	return &budget{retries: tokens{count: burstTokens}}
+}
+
+func (b *budget) set(settings tree.Budgets) {
+	if b.shared {
+		b.retries.set(settings.RetryShare, settings.RetryBurst)
+		return
+	}
+	b.retries.set(settings.RetryShare, burstTokens)
+	b.hedges.set(settings.HedgeShare, burstTokens)
+}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -23,8 +23,10 @@
 	req    *http.Request
 	nested int // earlier attempts of the layers above
 	budget *budget
+	trace  *Trace
 
-	attempts int
+	attempts int // requests that may have reached a server, hedges included
+	dials    int // attempts of which no byte was written
 	tried    []string
 	maybeRan bool // an attempt's outcome is unknown
 }
@@ -36,9 +38,14 @@
 	refusal *outcome.Refusal
 }
 
+// unsent reports whether certainly no byte reached a server.
+func (r reply) unsent() bool {
+	return r.failure != nil && r.failure.Outcome == outcome.NotRun && r.failure.Stage != forward.StageAnswer
+}
+
 // run makes attempts until one is final.
 func (c *call) run(ctx context.Context) (*forward.Answer, *outcome.Refusal) {
-	c.budget.hedges.earn()
+	c.budget.begin()
 	for {
 		got := c.hedged(ctx)
 		reason := c.retryReason(got)
@@ -49,6 +56,9 @@
 			metrics.Count(c.runner.scope, metrics.RetriesDenied, denied)
 			return c.finish(got)
 		}
+		if c.budget.shared && got.unsent() {
+			c.unsent()
+		}
 		metrics.Count(c.runner.scope, metrics.Retries, reason)
 		c.discard(got)
 	}
@@ -56,7 +66,7 @@
 
 // attempt asks for a server and sends the request to it.
 func (c *call) attempt(ctx context.Context) reply {
-	grant, refusal := c.runner.admitter.Admit(ctx, c.request(ctx))
+	grant, refusal := c.admit(ctx, ctx)
 	if refusal != nil {
 		return reply{refusal: refusal}
 	}
@@ -65,22 +75,72 @@
 		grant.Done(balancer.Result{Kind: balancer.Cancelled})
 		return reply{refusal: refuseBody(err)}
 	}
-	return c.send(ctx, grant, body, c.next(grant.Server().Name))
+	ctx, cancel := c.sendContext(ctx)
+	got := c.send(ctx, grant, body, c.next(grant.Server().Name))
+	if got.answer == nil {
+		cancel()
+		return got
+	}
+	got.answer.Body = &cancelBody{ReadCloser: got.answer.Body, cancel: cancel}
+	return got
+}
+
+// sendContext is the context of a request that has left the queue. One that is
+// not idempotent goes on when its caller leaves: broken off, its effect would be
+// unknown.
+func (c *call) sendContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.match.Route.Idempotent {
+		return ctx, func() {}
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(context.WithoutCancel(ctx))
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
+// granted is a place with the time that the call waited for it.
+type granted struct {
+	Grant
+	waited time.Duration
+}
+
+// admit asks for a server until wait ends and traces a refusal.
+func (c *call) admit(wait, ctx context.Context) (*granted, *outcome.Refusal) {
+	asked := time.Now()
+	grant, refusal := c.runner.admitter.Admit(wait, c.request(ctx))
+	if refusal != nil {
+		c.trace.add(Step{Waited: time.Since(asked), Result: string(refusal.Reason)})
+		return nil, refusal
+	}
+	return &granted{Grant: grant, waited: time.Since(asked)}, nil
 }
 
 // send makes the attempt. It touches no field of c that changes, as a hedge runs
 // beside the first attempt.
-func (c *call) send(ctx context.Context, grant Grant, body io.Reader, out *http.Request) reply {
+func (c *call) send(ctx context.Context, grant *granted, body io.Reader, out *http.Request) reply {
 	began := time.Now()
+	step := Step{Server: grant.Server().Name, Basis: grant.Basis(), Waited: grant.waited}
 	answer, failure := c.runner.sender.Send(ctx, grant.Server(), c.match, out, body)
+	step.Took = time.Since(began)
 	if failure != nil {
+		step.Result = string(failure.Stage) + "_" + string(failure.Reason)
+		c.trace.add(step)
 		grant.Done(failureResult(failure, time.Since(began)))
 		return reply{failure: failure}
 	}
+	step.Result = strconv.Itoa(answer.Status)
+	c.trace.add(step)
 	answer.Body = &slotBody{body: answer.Body, grant: grant, began: began, answer: answer}
 	return reply{answer: answer}
 }
 
+// unsent takes an attempt out of the count of which no byte reached a server.
+func (c *call) unsent() {
+	c.attempts--
+	c.dials++
+}
+
 // next counts an attempt at the server and returns the request for it. Later
 // attempts are numbered, so that layers below do not retry a retry.
 func (c *call) next(server string) *http.Request {
@@ -137,7 +197,7 @@
 	switch {
 	case got.answer != nil:
 		if got.answer.Status < http.StatusInternalServerError {
-			c.budget.retries.earn()
+			c.budget.succeed()
 		}
 		return got.answer, nil
 	case got.failure != nil:
--- a/internal/attempt/hedge.go
+++ b/internal/attempt/hedge.go
@@ -28,7 +28,7 @@
 
 // hedgeAfter reports whether this call may be hedged, and when.
 func (c *call) hedgeAfter() (time.Duration, bool) {
-	if !c.match.Route.Idempotent || c.match.Route.Upload || c.nested > 0 || c.attempts > 0 {
+	if !c.match.Route.Idempotent || c.match.Route.Upload || c.nested > 0 || c.attempts > 0 || c.mostAttempts() < 2 {
 		return 0, false
 	}
 	if c.req.GetBody == nil && c.req.Body != nil && c.req.Body != http.NoBody {
@@ -45,7 +45,7 @@
 
 // start runs an attempt in its own goroutine. Its context lives until the
 // answer's body is closed.
-func (c *call) start(ctx context.Context, grant Grant) (*racer, *reply) {
+func (c *call) start(ctx context.Context, grant *granted) (*racer, *reply) {
 	body, err := c.body()
 	if err != nil {
 		grant.Done(balancer.Result{Kind: balancer.Cancelled})
@@ -60,7 +60,7 @@
 
 // race makes the first attempt and, after the wait, the second one.
 func (c *call) race(ctx context.Context, after time.Duration) reply {
-	grant, refusal := c.runner.admitter.Admit(ctx, c.request(ctx))
+	grant, refusal := c.admit(ctx, ctx)
 	if refusal != nil {
 		return reply{refusal: refusal}
 	}
@@ -85,12 +85,12 @@
 // hedge starts the second attempt, or returns nil where the budget or the
 // servers have no room for it.
 func (c *call) hedge(ctx context.Context) *racer {
-	if !c.budget.hedges.spend() {
+	if !c.budget.spendHedge() {
 		metrics.Count(c.runner.scope, metrics.HedgesDenied, deniedBudget)
 		return nil
 	}
 	wait, cancel := context.WithTimeout(ctx, hedgeAdmitTimeout)
-	grant, refusal := c.runner.admitter.Admit(wait, c.request(ctx))
+	grant, refusal := c.admit(wait, ctx)
 	cancel()
 	if refusal != nil {
 		metrics.Count(c.runner.scope, metrics.HedgesDenied, string(refusal.Reason))
--- a/internal/attempt/hedge_test.go
+++ b/internal/attempt/hedge_test.go
@@ -26,8 +26,9 @@
 	cancelled, open atomic.Int32
 }
 
-func (s *slowServers) Server() fleet.VM     { return fleet.VM{Name: "server"} }
-func (s *slowServers) Done(balancer.Result) { s.open.Add(-1) }
+func (s *slowServers) Server() fleet.VM      { return fleet.VM{Name: "server"} }
+func (s *slowServers) Basis() balancer.Basis { return balancer.Basis{} }
+func (s *slowServers) Done(balancer.Result)  { s.open.Add(-1) }
 func (s *slowServers) Admit(context.Context, Request) (Grant, *outcome.Refusal) {
 	s.open.Add(1)
 	return s, nil
--- a/internal/attempt/queue.go
+++ b/internal/attempt/queue.go
@@ -49,5 +49,8 @@
 // Server returns the granted backend server.
 func (g queueGrant) Server() fleet.VM { return g.grant.Server.VM }
 
+// Basis returns what the choice of the server was based on.
+func (g queueGrant) Basis() balancer.Basis { return g.grant.Server.Basis() }
+
 // Done gives the place back.
 func (g queueGrant) Done(r balancer.Result) { g.grant.Done(r) }
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -44,6 +44,8 @@
 		return ""
 	}
 	switch a.Status {
+	case http.StatusInternalServerError:
+		return "status_500"
 	case http.StatusBadGateway:
 		return "status_502"
 	case http.StatusServiceUnavailable:
@@ -55,10 +57,23 @@
 	}
 }
 
-// denied says why a wanted retry can't be made, or "".
+// mostAttempts is the most servers that the call may be sent to.
+func (c *call) mostAttempts() int {
+	if c.match.Route.Attempts > 0 {
+		return c.match.Route.Attempts
+	}
+	return maxAttempts
+}
+
+// denied says why a wanted retry can't be made, or "". Under a budget over all
+// entries an attempt that reached no server costs nothing, as no server sees it.
 func (c *call) denied(ctx context.Context, got reply) string {
+	unsent := 0
+	if c.budget.shared && got.unsent() {
+		unsent = 1
+	}
 	switch {
-	case c.attempts >= maxAttempts:
+	case c.attempts-unsent >= c.mostAttempts() || c.dials >= maxDials:
 		return deniedAttempts
 	case c.nested > 0:
 		return deniedNested
@@ -66,7 +81,7 @@
 		return deniedDeadline
 	case !c.replayable(got):
 		return deniedBody
-	case !c.budget.retries.spend():
+	case unsent == 0 && !c.budget.retries.spend():
 		return deniedBudget
 	default:
 		return ""
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -27,6 +27,9 @@
 // maxAttempts bounds the attempts of one call at one layer, hedges included.
 const maxAttempts = 3
 
+// maxDials bounds the attempts of one call that reached no server.
+const maxDials = 4
+
 // Request asks for a backend server of a service.
 type Request struct {
 	admission.Request
@@ -38,6 +41,8 @@
 type Grant interface {
 	// Server is the backend server.
 	Server() fleet.VM
+	// Basis is what the choice of the server was based on.
+	Basis() balancer.Basis
 	// Done gives the server's slot back; it is called once.
 	Done(balancer.Result)
 }
@@ -78,6 +83,7 @@
 		req:    req,
 		nested: nestedAttempt(req),
 		budget: r.budgets.of(m.Service),
+		trace:  traceOf(ctx),
 	}
 	return c.run(ctx)
 }
--- a/internal/attempt/runner_test.go
+++ b/internal/attempt/runner_test.go
@@ -36,8 +36,9 @@
 	server fleet.VM
 }
 
-func (g fakeGrant) Server() fleet.VM     { return g.server }
-func (g fakeGrant) Done(balancer.Result) { g.f.open-- }
+func (g fakeGrant) Server() fleet.VM      { return g.server }
+func (g fakeGrant) Basis() balancer.Basis { return balancer.Basis{} }
+func (g fakeGrant) Done(balancer.Result)  { g.f.open-- }
 
 func (f *fakes) Admit(_ context.Context, r Request) (Grant, *outcome.Refusal) {
 	if refusal, ok := f.replies[0].(*outcome.Refusal); ok {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -107,6 +107,7 @@
 			return nil, false
 		}
 		if place, ok := h.reserve(mask, v.now); ok {
+			place.basis = h.basis(mask, &v)
 			return place, true
 		}
 	}
@@ -128,6 +129,7 @@
 		slots:          float64(s.slots),
 		usual:          usual + min(uncertainty, usual),
 		trust:          b.trust.value(),
+		hold:           holdOf(b.latency.value()),
 	}
 }
 
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -20,6 +20,7 @@
 
 	host    *host
 	index   int
+	basis   Basis
 	started atomic.Int64 // nanoseconds since the Unix epoch
 }
 
@@ -32,6 +33,7 @@
 	way     float64 // what the way to it counts, in requests
 	latency mean    // nanoseconds of an answer
 	health  health
+	pace    pace
 	joined  int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
 	probed  atomic.Int64 // nanoseconds since the Unix epoch
 	vm      fleet.VM
@@ -89,6 +91,9 @@
 	estimate := float64(bits.OnesCount32(mask)) + h.report.othersAt(v)
 	estimate += h.overdue(mask, v)
 	estimate += h.handicap(v)
+	if h.pace.known() {
+		return h.expected(estimate, v)
+	}
 	slowness := h.latency.value() * v.inverseLatency
 	if slowness < slowFrom {
 		return estimate
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -54,7 +54,7 @@
 // hear takes in the report of an answer. Only whole answers count in the means,
 // as a server that fails answers at times of its own.
 func (b *Balancer) hear(h *host, own int, now time.Time, r Result) {
-	others := h.report.update(r.Report, own, now.UnixNano())
+	others := h.take(r.Report, own, now)
 	b.tellDraining(h, r.Report)
 	if r.Kind != OK {
 		return
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -42,7 +42,7 @@
 	}
 	b.tellDraining(h, r)
 	if b.reporting.Load() {
-		h.report.update(r, h.inFlight(), now.UnixNano())
+		h.take(r, h.inFlight(), now)
 		return
 	}
 	h.report.draining.Store(r.Draining)
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -22,6 +22,9 @@
 	Queue int
 	// Draining means that the server wants no new work.
 	Draining bool
+	// Slowdown is how long work takes on the server's host now, in percent of the
+	// usual time; zero where the server does not tell.
+	Slowdown int
 }
 
 // ReportError says why a load report was not understood.
@@ -68,6 +71,8 @@
 		r.Queue = n
 	case "draining":
 		r.Draining = n > 0
+	case "slowdown":
+		r.Slowdown = n
 	}
 }
 
@@ -85,5 +90,9 @@
 	if r.Draining {
 		draining = 1
 	}
-	return fmt.Sprintf("inflight=%d,slots=%d,queue=%d,draining=%d", r.InFlight, r.Slots, r.Queue, draining)
+	text := fmt.Sprintf("inflight=%d,slots=%d,queue=%d,draining=%d", r.InFlight, r.Slots, r.Queue, draining)
+	if r.Slowdown > 0 {
+		text += fmt.Sprintf(",slowdown=%d", r.Slowdown)
+	}
+	return text
 }
--- /dev/null
+++ b/internal/balancer/shared.go
@@ -0,0 +1,87 @@
+package balancer
+
+import (
+	"math"
+	"time"
+)
+
+// Basis is what a choice of a server was based on, for the log.
+type Basis struct {
+	// Load is the estimate that won, in requests or usual works.
+	Load float64
+	// Others is the requests of other entries at the server.
+	Others float64
+	// Rate is the reported pace of the server, zero where it tells none.
+	Rate float64
+	// ReportAge is the age of the newest report, negative where there is none.
+	ReportAge time.Duration
+}
+
+func (h *host) basis(mask uint32, v *view) Basis {
+	b := Basis{Load: h.load(mask, v), Others: h.report.othersAt(v), Rate: h.pace.now.value(), ReportAge: -1}
+	if at := h.report.received.Load(); at > 0 {
+		b.ReportAge = time.Duration(v.now - at)
+	}
+	return b
+}
+
+// Basis returns what the choice of the server was based on.
+func (s *Server) Basis() Basis { return s.basis }
+
+// take puts a report in force and returns the load of the other entries.
+func (h *host) take(r Report, own int, now time.Time) float64 {
+	age := now.UnixNano() - h.report.received.Load()
+	h.pace.update(r.Slowdown, time.Duration(max(age, 0)))
+	return h.report.update(r, own, now.UnixNano())
+}
+
+// Heard takes in a report that another entry got at that time. One that is older
+// than what is known here is passed over.
+func (b *Balancer) Heard(server string, at time.Time, r Report) {
+	h := b.snapshot.Load().host(server)
+	if h == nil || at.UnixNano() <= h.report.received.Load() {
+		return
+	}
+	b.reporting.Store(true)
+	h.take(r, h.inFlight(), at)
+}
+
+// Outcomes are the requests that another entry sent to a server in a short time.
+type Outcomes struct {
+	// Sent is the requests sent.
+	Sent int
+	// Whole and Failed are the requests that ended.
+	Whole, Failed int
+}
+
+// mostFailures bounds the failures that count at once.
+const mostFailures = 4
+
+// HeardOutcomes takes in what another entry saw of a server until that time.
+func (b *Balancer) HeardOutcomes(server string, at time.Time, o Outcomes) {
+	h := b.snapshot.Load().host(server)
+	if h == nil {
+		return
+	}
+	if o.Sent > 0 && at.UnixNano() > h.report.received.Load() {
+		h.report.add(float64(o.Sent))
+	}
+	now := time.Now()
+	for range min(o.Failed, mostFailures) {
+		b.fail(h, now, Error)
+	}
+	if o.Whole > 0 {
+		h.health.succeed()
+	}
+}
+
+// add counts further requests of other entries until the next report.
+func (s *reportState) add(requests float64) {
+	for {
+		old := s.others.Load()
+		next := math.Float64bits(math.Float64frombits(old) + requests)
+		if s.others.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -17,6 +17,7 @@
 	inverseLatency float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
 	slots          float64 // requests that a server runs at a time
 	trust          float64 // how far reports are believed, from 0 to 1
+	hold           float64 // for how long a reported pace goes on, in usual works
 }
 
 // snapshot is an immutable set of servers with the service's limits.
@@ -55,7 +56,7 @@
 		}
 		h := known[vm.Name]
 		way := wayCost(zone, vm.Zone, svc.Regions, n.slots)
-		if h == nil || h.vm.Address != vm.Address || h.way != way {
+		if h == nil || !sameServer(h.vm, vm) || h.way != way {
 			h = newHost(vm, joined, way)
 		}
 		n.hosts = append(n.hosts, h)
@@ -147,3 +148,8 @@
 	}
 	return n
 }
+
+// sameServer reports whether what is known of the server still holds.
+func sameServer(a, b fleet.VM) bool {
+	return a.Address == b.Address && a.Incarnation == b.Incarnation
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/membership"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
@@ -56,15 +58,17 @@
 	Entry string
 	// Trees has the tree in force.
 	Trees Trees
-	// Operations binds operations that are not idempotent.
+	// Operations binds operations that are not idempotent. Without it each request
+	// of a caller is an operation of its own, which no repeat can name: it runs at
+	// most once by the rules of its attempts alone.
 	Operations *operation.Table
 	// Owners reaches the other entries' operations.
 	Owners Owners
-	// Limits are the voted limits.
+	// Limits are the voted limits; nil sets none.
 	Limits Limits
 	// Runner sends calls to backend servers.
 	Runner Runner
-	// Addresses knows the live entries.
+	// Addresses knows the live entries; nil serves no addresses.
 	Addresses *membership.Membership
 	// AddressTTL is how long callers keep the address answer.
 	AddressTTL time.Duration
@@ -74,6 +78,13 @@
 	Drain *Drain
 	// Scope receives the counters.
 	Scope tally.Scope
+	// BufferUploads reads uploads whole before they are sent, as other bodies, so
+	// that one that a server refused can be sent to another.
+	BufferUploads bool
+	// FineRetryAfter gives Retry-After in fractions of a second.
+	FineRetryAfter bool
+	// Ended is told of each call that has ended; nil is told nothing.
+	Ended func(*Record)
 }
 
 // Handler serves callers' requests. It is safe for concurrent use.
@@ -81,12 +92,15 @@
 	Options
 	addresses http.Handler
 	stats     stats
+	turn      atomic.Uint64 // spreads calls over a route's destinations
 }
 
 // NewHandler returns a ready Handler.
 func NewHandler(options Options) *Handler {
 	h := &Handler{Options: options, stats: stats{scope: options.Scope}}
-	h.addresses = h.newAddressEngine()
+	if options.Addresses != nil {
+		h.addresses = h.newAddressEngine()
+	}
 	return h
 }
 
@@ -98,7 +112,7 @@
 	if h.Drain.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if strings.HasPrefix(r.URL.Path, wire.PathPrefix) {
+	if h.addresses != nil && strings.HasPrefix(r.URL.Path, wire.PathPrefix) {
 		h.addresses.ServeHTTP(w, r)
 		return
 	}
@@ -107,6 +121,10 @@
 }
 
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
+	rec := newRecord(r)
+	defer h.ended(rec)
+	r = r.WithContext(attempt.WithTrace(r.Context(), &rec.Trace))
+	w = &recorder{ResponseWriter: w, record: rec}
 	t := h.Trees.Tree()
 	if t == nil {
 		h.refuse(w, h.disclaim(r, noConfiguration()))
@@ -117,9 +135,11 @@
 		h.refuse(w, h.disclaim(r, refusal))
 		return
 	}
+	c.match = c.match.Split(h.turn.Add(1))
 	h.applyRank(&c.match, r)
+	rec.describe(t, c)
 	boundCall(w, c.deadline)
-	if !c.match.Route.Upload {
+	if !c.match.Route.Upload || h.BufferUploads {
 		if refusal := c.bufferBody(w, r); refusal != nil {
 			h.refuse(w, h.disclaim(r, refusal))
 			return
@@ -132,14 +152,15 @@
 
 // serveMatched serves a checked call and returns its outcome.
 func (h *Handler) serveMatched(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
-	if c.match.Route.Idempotent {
-		return h.serveIdempotent(w, r, c)
+	if c.match.Route.Idempotent || h.Operations == nil {
+		return h.serveAttempted(w, r, c)
 	}
 	return h.serveOnce(w, r, c)
 }
 
-// serveIdempotent runs the call for as long as its caller waits.
-func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
+// serveAttempted runs the call by the rules of its attempts alone, for as long as
+// its caller waits.
+func (h *Handler) serveAttempted(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	answer, release, refusal := h.attempt(ctx, r, c)
@@ -153,6 +174,10 @@
 // attempt spends the voted limits and sends the call. The release is called once
 // the answer has been written.
 func (h *Handler) attempt(ctx context.Context, r *http.Request, c call) (*forward.Answer, func(), *outcome.Refusal) {
+	if h.Limits == nil {
+		answer, refusal := h.Runner.Do(ctx, c.match, r)
+		return answer, func() {}, refusal
+	}
 	s := c.match.Service
 	release, refusal := h.Limits.Await(ctx, s.Member, s.Name, c.match.Rank.Name)
 	if refusal != nil {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -68,6 +68,9 @@
 // disclaim makes a refusal from before the operation was looked up true for the
 // operation as a whole: an earlier or a later request may carry the same id.
 func (h *Handler) disclaim(r *http.Request, refusal *outcome.Refusal) *outcome.Refusal {
+	if h.Operations == nil {
+		return refusal
+	}
 	id, err := operation.ParseID(r.Header.Get(wire.HeaderOperation))
 	if err != nil {
 		return refusal
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -27,11 +28,20 @@
 	header.Set(wire.HeaderOutcome, string(r.Outcome))
 	header.Set(wire.HeaderReason, string(r.Reason))
 	if r.RetryAfter > 0 {
-		seconds := int(math.Ceil(r.RetryAfter.Seconds()))
-		header.Set("Retry-After", strconv.Itoa(seconds))
+		header.Set("Retry-After", h.retryAfter(r.RetryAfter))
 	}
+	noteRefusal(w, r)
 	w.WriteHeader(r.Status)
 	// A caller that has gone away loses only the words; the outcome is counted.
 	_ = json.NewEncoder(w).Encode(refusalBody{r.Outcome, r.Reason, r.Detail})
 	return r.Outcome
 }
+
+// retryAfter is the header's value: whole seconds, rounded up, unless callers
+// are known to read fractions.
+func (h *Handler) retryAfter(wait time.Duration) string {
+	if h.FineRetryAfter {
+		return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
+}
--- a/internal/escrow/contact.go
+++ b/internal/escrow/contact.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
 )
 
 // longestRead bounds the wait of one read of the log, so that a quiet log is
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,4 +31,13 @@
 	Service string `json:"service"`
 	// State is Live or Leaving.
 	State State `json:"state"`
+	// Incarnation sets the starts of a VM under one name apart; zero where the
+	// platform does not tell it.
+	Incarnation int64 `json:"incarnation,omitempty"`
+	// Slots is how many requests the VM runs at a time; zero where only the
+	// service tells it.
+	Slots int `json:"slots,omitempty"`
+	// WarmUntil is when a VM that has just started is as quick as the others, in
+	// Unix milliseconds; zero where it is already.
+	WarmUntil int64 `json:"warm_until,omitempty"`
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,8 +17,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
 )
 
 // Options are the parts that a Follower works with.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -9,8 +9,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
 )
 
 // inWorld runs a test with entries that have caught up with some records.
--- a/internal/follow/offer.go
+++ b/internal/follow/offer.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fold"
-	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
 )
 
 const (
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -111,10 +111,10 @@
 	if err != nil && err != io.EOF {
 		return n, b.fail(err)
 	}
-	if b.length >= 0 && b.read >= b.length && b.send.surplus(b.length) {
+	if b.length >= 0 && b.read >= b.length && !b.send.opts.SelfIdentifying && b.send.surplus(b.length) {
 		return 0, b.fail(errSurplus)
 	}
-	if err == io.EOF && b.length < 0 && !b.chunked {
+	if err == io.EOF && b.length < 0 && !b.chunked && !b.send.opts.SelfIdentifying {
 		return n, b.fail(errNoEnd)
 	}
 	if err == io.EOF {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -41,11 +41,29 @@
 	Entries func() int
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Dialect speaks to the servers; nil means the product's own headers.
+	Dialect Dialect
+	// NoContinue sends large bodies without asking for 100 Continue first.
+	NoContinue bool
+	// WholeAnswerBytes is the largest answer that is read to its end before Send
+	// returns; zero streams every answer.
+	WholeAnswerBytes int64
+	// SelfIdentifying says that the Dialect tells an answer to another request
+	// apart. Then a complete answer counts although bytes follow it, and one
+	// without a length ends with its connection.
+	SelfIdentifying bool
+	// Idle is how long an unused connection is kept; zero stands for 90 s.
+	Idle time.Duration
+	// OnceIdle is the same for calls that are not idempotent: a server may close
+	// a connection just when a request is sent, and that request can't be sent
+	// again. Zero stands for Idle.
+	OnceIdle time.Duration
 }
 
 // Forwarder keeps the connections to all backend servers. It is safe for
 // concurrent use.
 type Forwarder struct {
+	opts  Options
 	pools pools
 }
 
@@ -57,7 +75,16 @@
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Forwarder{pools: pools{entries: opts.Entries, dial: opts.Dial}}
+	if opts.Dialect == nil {
+		opts.Dialect = plain{}
+	}
+	if opts.Idle == 0 {
+		opts.Idle = idleTimeout
+	}
+	if opts.OnceIdle == 0 {
+		opts.OnceIdle = opts.Idle
+	}
+	return &Forwarder{opts: opts, pools: pools{opts: opts}}
 }
 
 // Close closes the idle connections. Requests in progress are not touched.
@@ -68,15 +95,19 @@
 // ctx closes the server's connection until the answer's body is closed.
 func (f *Forwarder) Send(ctx context.Context, server fleet.VM, m tree.Match, r *http.Request, body io.Reader) (*Answer, *Failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &send{server: server, match: m, cancel: cancel}
+	s := &send{opts: &f.opts, server: server, match: m, cancel: cancel}
 	out := s.request(ctx, r, body)
-	resp, err := f.pools.transport(m.Service).RoundTrip(out)
+	resp, err := f.pools.transport(m).RoundTrip(out)
 	if err != nil {
 		failure := s.fail(ctx, err)
 		cancel(nil)
 		return nil, failure
 	}
-	return s.answer(resp)
+	answer, failure := s.answer(resp)
+	if failure != nil || f.opts.WholeAnswerBytes == 0 {
+		return answer, failure
+	}
+	return whole(answer, f.opts.WholeAnswerBytes)
 }
 
 // request builds the request for the server from the caller's.
@@ -96,7 +127,7 @@
 		s.body = &requestBody{reader: body}
 		out.Body = s.body
 		out.Trailer = r.Trailer
-		if wantsContinue(s.match.Route, r.ContentLength) {
+		if !s.opts.NoContinue && wantsContinue(s.match.Route, r.ContentLength) {
 			out.Header.Set("Expect", "100-continue")
 			// Without this the transport sends the body also after a refusal, to
 			// keep the connection, and its break then hides the refusal.
@@ -105,6 +136,8 @@
 	} else {
 		out.ContentLength = 0
 	}
+	s.opts.Dialect.Request(out.Header, s.server, s.match)
+	s.header = out.Header
 	return out.WithContext(s.trace(ctx))
 }
 
@@ -119,6 +152,11 @@
 // answer turns the server's header into an Answer, or into a Failure where the
 // server refused.
 func (s *send) answer(resp *http.Response) (*Answer, *Failure) {
+	if err := s.opts.Dialect.Answer(resp, s.header); err != nil {
+		_ = resp.Body.Close()
+		s.cancel(nil)
+		return nil, s.failure(StageAnswer, outcome.Unknown, outcome.ReasonWrongAnswer, "", err)
+	}
 	svc := s.match.Service
 	report := headerName(svc.LoadReportHeader, wire.HeaderLoadReport)
 	shed := headerName(svc.LoadShedHeader, wire.HeaderLoadShed)
--- a/internal/forward/message_test.go
+++ b/internal/forward/message_test.go
@@ -276,7 +276,7 @@
 	entries := 16
 	f := New(Options{Entries: func() int { return entries }})
 	svc := orders(false).Service
-	at := func(n int) *http.Transport { entries = n; return f.pools.transport(svc) }
+	at := func(n int) *http.Transport { entries = n; return f.pools.transport(tree.Match{Service: svc}) }
 	sixteen := at(16)
 	seventeen := at(17)
 	if sixteen == seventeen {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -26,20 +27,32 @@
 	return limit >= p.limit && limit*2 < p.limit*3
 }
 
-// pools holds one transport a service; services never share connections.
+// pools holds the transports of each service; services never share connections.
 type pools struct {
-	entries func() int
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	opts Options
 
-	mu        sync.RWMutex
-	byService map[string]*pool
+	mu    sync.RWMutex
+	byKey map[poolKey]*pool
 }
 
-// transport returns the service's transport for the present number of entries.
-func (p *pools) transport(svc *tree.Service) *http.Transport {
-	key, limit := svc.Key(), connectionLimit(svc.ConnectionsPerServer, p.entries())
+// poolKey tells the pools apart. Calls that are not idempotent have one of their
+// own, whose connections are kept for less long.
+type poolKey struct {
+	service string
+	once    bool
+}
+
+// transport returns the call's transport for the present number of entries.
+func (p *pools) transport(m tree.Match) *http.Transport {
+	key := poolKey{service: m.Service.Key()}
+	parts := 1
+	if p.opts.OnceIdle != p.opts.Idle {
+		key.once = m.Route == nil || !m.Route.Idempotent
+		parts = 2
+	}
+	limit := connectionLimit(m.Service.ConnectionsPerServer/parts, p.opts.Entries())
 	p.mu.RLock()
-	have := p.byService[key]
+	have := p.byKey[key]
 	p.mu.RUnlock()
 	if have != nil && have.fits(limit) {
 		return have.transport
@@ -49,38 +62,42 @@
 
 // replace makes the transport for a new limit. Requests in progress finish on
 // the old one, whose idle connections are closed.
-func (p *pools) replace(key string, limit int) *http.Transport {
+func (p *pools) replace(key poolKey, limit int) *http.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	have := p.byService[key]
+	have := p.byKey[key]
 	if have != nil && have.fits(limit) {
 		return have.transport
 	}
 	if have != nil {
 		have.transport.CloseIdleConnections()
 	}
-	if p.byService == nil {
-		p.byService = map[string]*pool{}
+	if p.byKey == nil {
+		p.byKey = map[poolKey]*pool{}
+	}
+	idle := p.opts.Idle
+	if key.once {
+		idle = p.opts.OnceIdle
 	}
-	made := &pool{limit: limit, transport: p.newTransport(limit)}
-	p.byService[key] = made
+	made := &pool{limit: limit, transport: p.newTransport(limit, idle)}
+	p.byKey[key] = made
 	return made.transport
 }
 
-func (p *pools) newTransport(limit int) *http.Transport {
+func (p *pools) newTransport(limit int, idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:            p.dialCounted,
 		DisableCompression:     true,
 		MaxConnsPerHost:        limit,
 		MaxIdleConnsPerHost:    limit,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  expectTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
 func (p *pools) dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := p.dial(ctx, network, address)
+	c, err := p.opts.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +107,7 @@
 func (p *pools) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, have := range p.byService {
+	for _, have := range p.byKey {
 		have.transport.CloseIdleConnections()
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -19,6 +19,8 @@
 
 // send is the state of one attempt.
 type send struct {
+	opts   *Options
+	header http.Header // of the request, in the server's names
 	server fleet.VM
 	match  tree.Match
 	cancel context.CancelCauseFunc
--- /dev/null
+++ b/internal/forward/whole.go
@@ -0,0 +1,42 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+)
+
+// whole reads an answer of at most limit bytes before it counts, so that one
+// that breaks off can still be repeated or refused. A longer answer is streamed.
+func whole(a *Answer, limit int64) (*Answer, *Failure) {
+	start, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if err != nil {
+		_ = a.Body.Close()
+		return nil, &Failure{
+			Stage:      StageAnswer,
+			Outcome:    outcome.Unknown,
+			Reason:     outcome.ReasonServerHungUp,
+			Server:     a.Server,
+			BodyRead:   true,
+			LoadReport: a.LoadReport,
+			Err:        err,
+		}
+	}
+	if int64(len(start)) > limit {
+		a.Body = &prefixed{Reader: io.MultiReader(bytes.NewReader(start), a.Body), rest: a.Body}
+		return a, nil
+	}
+	a.Body = &prefixed{Reader: bytes.NewReader(start), rest: a.Body}
+	a.ContentLength = int64(len(start))
+	return a, nil
+}
+
+// prefixed is a body whose start has been read before.
+type prefixed struct {
+	io.Reader
+	rest io.Closer
+}
+
+// Close closes the underlying body.
+func (p *prefixed) Close() error { return p.rest.Close() }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -18,8 +18,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/peer"
 )
 
 // Config is the part of the follower that heartbeats need.
--- a/internal/operation/seals.go
+++ b/internal/operation/seals.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
-	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
 const (
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -50,6 +50,7 @@
 	ReasonShed               Reason = "shed"
 	ReasonDialFailed         Reason = "dial_failed"
 	ReasonServerHungUp       Reason = "server_hung_up"
+	ReasonWrongAnswer        Reason = "wrong_answer"
 	ReasonDeadline           Reason = "deadline"
 	ReasonCallerGone         Reason = "caller_gone"
 	ReasonAnswerNotKept      Reason = "answer_not_kept"
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -125,7 +125,7 @@
 		Quorum:  b.root.Quorum,
 		Seats:   b.root.Seats,
 		Regions: newRegions(b.root.Regions),
-		Budgets: Budgets(b.root.Budgets),
+		Budgets: b.root.Budgets.budgets(),
 		Limits:  b.limits(),
 	}
 	for _, branch := range b.branches {
@@ -215,7 +215,7 @@
 // budgets returns the budgets of a branch after inheritance.
 func (b *builder) budgets(branch Branch) Budgets {
 	if branch == Root {
-		return Budgets(b.root.Budgets)
+		return b.root.Budgets.budgets()
 	}
 	inherited := b.budgets(branch.Parent())
 	own := b.docs[branch].budgets()
@@ -226,6 +226,14 @@
 	}
 }
 
+func (b RootBudgets) budgets() Budgets {
+	return Budgets{
+		ProbesPerSecond: b.ProbesPerSecond,
+		RetryShare:      b.RetryShare,
+		HedgeShare:      b.HedgeShare,
+	}
+}
+
 // limits returns the voted limits of all scopes, the widest first.
 func (b *builder) limits() []Limit {
 	var limits []Limit
--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -11,12 +11,17 @@
 	Service *Service
 	Route   *Route
 	Rank    Rank
+
+	split *HostRoute // set where the route names its services by weight
 }
 
 // Match finds the route of a request, and false where no service has one.
 // The port of the host is ignored.
 func (t *Tree) Match(host, method, path string) (Match, bool) {
 	name := hostName(host)
+	if routes, ok := t.HostRoutes[name]; ok {
+		return matchHostRoute(routes, path)
+	}
 	for _, s := range t.Services {
 		if !slices.Contains(s.Hosts, name) {
 			continue
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -25,6 +25,11 @@
 	Limits []Limit
 	// Budgets are the root's budgets, which bound each entry as a whole.
 	Budgets Budgets
+	// Revision orders the trees of one platform; it only grows.
+	Revision int64
+	// HostRoutes are, by lower-case host, routes that name their services
+	// themselves. They come before the routes of the services; see HostRoute.
+	HostRoutes map[string][]*HostRoute
 }
 
 // Service is one service of a member after inheritance.
@@ -49,6 +54,8 @@
 	Regions Regions
 	// LoadReportHeader and LoadShedHeader name the service's own headers.
 	LoadReportHeader, LoadShedHeader string
+	// HealthPath is where a backend server answers liveness checks.
+	HealthPath string
 }
 
 // Key returns "member/service", the service's name in the VM list.
@@ -80,6 +87,9 @@
 	MaxBodyBytes int64
 	// Timeout is the deadline where the caller names none, and the longest it may name.
 	Timeout time.Duration
+	// Attempts is the most backend servers that one call may be sent to; zero
+	// leaves it to package attempt.
+	Attempts int
 }
 
 // Rank is the effective policy of one rank of work in a service.
@@ -136,4 +146,7 @@
 	RetryShare float64
 	// HedgeShare is the most hedges as a share of calls.
 	HedgeShare float64
+	// RetryBurst is how many retries and hedges together may follow each other at
+	// once at one entry; zero leaves it to package attempt.
+	RetryBurst float64
 }
--- a/test/once/entry_test.go
+++ b/test/once/entry_test.go
@@ -206,8 +206,9 @@
 
 type grant string
 
-func (g grant) Server() fleet.VM     { return fleet.VM{Name: string(g), Address: string(g) + ":80"} }
-func (g grant) Done(balancer.Result) {}
+func (g grant) Server() fleet.VM      { return fleet.VM{Name: string(g), Address: string(g) + ":80"} }
+func (g grant) Basis() balancer.Basis { return balancer.Basis{} }
+func (g grant) Done(balancer.Result)  {}
 
 // Call implements peer.Client towards the other processes.
 func (p *process) Call(ctx context.Context, address, method string, args, reply any) error {
--- a/test/once/machine_test.go
+++ b/test/once/machine_test.go
@@ -14,8 +14,8 @@
 
 	"pgregory.net/rapid"
 
-	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
 )
 
 // Size of a run where the command line names none: at least 10,000 steps.
