--- a/cmd/chestnutrouter/main.go
+++ b/cmd/chestnutrouter/main.go
@@ -23,19 +23,30 @@
 	flaggy.SetDescription("the entry daemon of a load balancer for backend servers whose load shifts in milliseconds")
 	flaggy.String(&file, "s", "settings", "settings file, JSON with comments")
 	flaggy.Bool(&checkOnly, "", "check", "check the settings file and exit")
+	gateway := flaggy.NewSubcommand("gateway")
+	gateway.Description = "run on the users' platform, with the platform's settings file"
+	flaggy.AttachSubcommand(gateway, 1)
 	flaggy.Parse()
+	if gateway.Used {
+		os.Exit(runGateway(file, checkOnly))
+	}
+	os.Exit(runDaemon(file, checkOnly))
+}
+
+// runDaemon runs with the product's own settings and platform.
+func runDaemon(file string, checkOnly bool) int {
 	if file == "" {
 		fmt.Fprintln(os.Stderr, "name the settings file: chestnutrouter --settings FILE")
-		os.Exit(exitUsage)
+		return exitUsage
 	}
 	s, err := settings.Load(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitRefused)
+		return exitRefused
 	}
 	if checkOnly {
 		fmt.Println(file + ": ok")
-		return
+		return 0
 	}
-	os.Exit(daemon.Run(s))
+	return daemon.Run(s)
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -34,8 +34,26 @@
 	// Entries is the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
+	// Watcher is told of each request; nil stands for none. It is called on the
+	// request path.
+	Watcher Watcher
 }
 
+// Watcher learns what this entry sends to backend servers and what comes of it.
+type Watcher interface {
+	// Sent is told of a request that gets a place at the server.
+	Sent(server string)
+	// Ended is told what came of it.
+	Ended(server string, r Result, now time.Time)
+}
+
+// nobody is the Watcher that looks at nothing.
+type nobody struct{}
+
+func (nobody) Sent(string) {}
+
+func (nobody) Ended(string, Result, time.Time) {}
+
 // Balancer chooses among the backend servers of one service.
 type Balancer struct {
 	options   Options
@@ -58,6 +76,9 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
+	if options.Watcher == nil {
+		options.Watcher = nobody{}
+	}
 	b := &Balancer{options: options, trust: newTrust(), quantile: newQuantile()}
 	b.snapshot.Store(&snapshot{})
 	b.turn.Store(xxhash.Sum64String(options.Entry))
@@ -108,6 +129,7 @@
 		}
 		if place, ok := h.reserve(mask, v.now); ok {
 			place.basis = h.basis(mask, &v)
+			b.options.Watcher.Sent(h.vm.Name)
 			return place, true
 		}
 	}
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -10,6 +10,7 @@
 // exactly once for each pick.
 func (b *Balancer) Done(s *Server, now time.Time, r Result) {
 	own := s.host.release(s)
+	b.options.Watcher.Ended(s.VM.Name, r, now)
 	if r.HasReport {
 		b.hear(s.host, own, now, r)
 	}
--- /dev/null
+++ b/internal/feed/read.go
@@ -0,0 +1,240 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
+)
+
+const (
+	// lookInterval is how often a member looks whether a read is due.
+	lookInterval = 50 * time.Millisecond
+	// readInterval is how often a reader reads the servers: a fifth of the 2 s in
+	// which a leaving server must get no more work.
+	readInterval = 400 * time.Millisecond
+	// readers is how many members read all the time.
+	readers = 2
+	// standInAfter is the age of the newest contact of any member from which the
+	// next ones in order read too: two reads of a reader failed.
+	standInAfter = 1000 * time.Millisecond
+	// standInStep is how much later each further one in order stands in.
+	standInStep = 150 * time.Millisecond
+	// mostStandIn bounds that delay in large fleets.
+	mostStandIn = 3 * time.Second
+	// longestBackoff bounds the doubling of the interval after failed reads.
+	longestBackoff = 3 * time.Second
+	// configWait is the wait of a read of the configuration.
+	configWait = 4 * time.Second
+	// configPause is the pause after a failed read of the configuration.
+	configPause = 300 * time.Millisecond
+)
+
+// followServers reads the servers whenever it is this member's turn.
+func (f *Feed) followServers(ctx context.Context) {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	failures := 0
+	var last time.Time
+	for {
+		now := time.Now()
+		f.putLapsed(now)
+		if f.readDue(now, last, failures) {
+			last = now
+			failures = f.readAll(ctx, failures)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// putLapsed removes the servers whose removal was held back for long enough.
+func (f *Feed) putLapsed(now time.Time) {
+	var records []logservice.KeyedRecord
+	for _, held := range f.lapses.due(now) {
+		if r, ok := f.servers.current(held); ok {
+			records = append(records, r)
+		}
+	}
+	if len(records) > 0 {
+		f.putServers(records, "lapse")
+	}
+}
+
+// readDue reports whether this member is to read the store now.
+func (f *Feed) readDue(now, last time.Time, failures int) bool {
+	interval := min(readInterval<<min(failures, maxDoublings), longestBackoff)
+	if now.Sub(last) < interval {
+		return false
+	}
+	rank := f.rank()
+	if rank < readers || f.contact.Load() == 0 && f.ServersVersion() == 0 {
+		return true
+	}
+	patience := standInAfter + min(time.Duration(rank)*standInStep, mostStandIn)
+	return f.newestContact(now) > patience
+}
+
+// maxDoublings keeps the backoff's shift in range.
+const maxDoublings = 4
+
+// rank is this member's place in the order of readers.
+func (f *Feed) rank() int {
+	ranked := f.options.View().Readers()
+	for i, m := range ranked {
+		if m.VM == f.options.Self {
+			return i
+		}
+	}
+	return len(ranked)
+}
+
+// newestContact is the least age of a contact that any live member had.
+func (f *Feed) newestContact(now time.Time) time.Duration {
+	newest := f.ContactAge(now)
+	for _, m := range f.options.View().Live {
+		if m.VM != f.options.Self {
+			newest = min(newest, m.ContactAge+now.Sub(m.Heard))
+		}
+	}
+	return newest
+}
+
+// readAll reads the servers, and the configuration too where no reader does. It
+// returns the failures in a row.
+func (f *Feed) readAll(ctx context.Context, failures int) int {
+	if !f.readServers(ctx) {
+		return failures + 1
+	}
+	if f.rank() >= readers {
+		f.readConfig(ctx, 0)
+	}
+	return 0
+}
+
+// readServers reads what has changed, or all where this is the first read or the
+// changes are no longer kept. It reports whether the store answered.
+func (f *Feed) readServers(ctx context.Context) bool {
+	_, next := f.servers.versions()
+	if next > 0 {
+		f.count("reads_servers")
+		page, err := f.options.Log.ReadKeyed(ctx, f.options.ServersStream, next, 0)
+		if err == nil {
+			f.storeAnswered()
+			f.putServers(f.withoutLapses(page.Records), "store")
+			f.servers.advance(page.Next)
+			return true
+		}
+		if !expired(err) {
+			f.failed("read servers", err)
+			return false
+		}
+	}
+	return f.readAllServers(ctx)
+}
+
+func (f *Feed) readAllServers(ctx context.Context) bool {
+	f.count("reads_servers_newest")
+	page, err := f.options.Log.Newest(ctx, f.options.ServersStream)
+	if err != nil {
+		f.failed("read all servers", err)
+		return false
+	}
+	f.storeAnswered()
+	f.apply.Lock()
+	changed, missing, errs := f.servers.reset(page, f.options.DecodeServer)
+	for _, err := range errs {
+		f.count("server_unreadable")
+		f.options.Events.Warn("server record ignored", "source", "newest", "error", err)
+	}
+	if changed {
+		f.options.OnServers(f.servers.servers())
+	}
+	f.apply.Unlock()
+	f.options.Events.Info("servers read", "records", len(page.Records), "missing", len(missing), "next", page.Next)
+	f.putServers(f.withoutLapses(missing), "newest")
+	return true
+}
+
+// storeAnswered notes the contact, and the end of an outage before it.
+func (f *Feed) storeAnswered() {
+	now := time.Now()
+	if f.contact.Load() != 0 {
+		f.lapses.returned(now, f.ContactAge(now))
+	}
+	f.touched(now)
+}
+
+// withoutLapses holds back the removals that may be lapses.
+func (f *Feed) withoutLapses(records []logservice.KeyedRecord) []logservice.KeyedRecord {
+	now := time.Now()
+	kept := records[:0:0]
+	for _, r := range records {
+		if r.Dropped() && f.servers.live(r.Key) && f.lapses.hold(now, r) {
+			f.count("removals_held")
+			f.options.Events.Info("server removal held", "server", r.Key, "offset", r.Offset)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	return kept
+}
+
+// followConfig waits for changes of the configuration while this member is a reader.
+func (f *Feed) followConfig(ctx context.Context) {
+	f.readConfig(ctx, 0)
+	for ctx.Err() == nil {
+		wait := configPause
+		if f.rank() < readers && f.readConfig(ctx, configWait) {
+			continue
+		}
+		if f.Revision() == 0 {
+			f.readConfig(ctx, 0)
+		}
+		sleep(ctx, wait+rand.N(configPause))
+	}
+}
+
+// readConfig reads the configuration and reports whether the store answered.
+func (f *Feed) readConfig(ctx context.Context, wait time.Duration) bool {
+	f.apply.Lock()
+	next := f.configNext
+	f.apply.Unlock()
+	page, err := f.readConfigPage(ctx, next, wait)
+	if err != nil {
+		if ctx.Err() == nil {
+			f.failed("read configuration", err)
+		}
+		return false
+	}
+	for _, r := range page.Records {
+		f.putConfig(r, page.Next, "store")
+	}
+	f.putConfig(logservice.KeyedRecord{}, page.Next, "store")
+	return true
+}
+
+func (f *Feed) readConfigPage(ctx context.Context, next int64, wait time.Duration) (logservice.KeyedPage, error) {
+	if next > 0 {
+		f.count("reads_config")
+		page, err := f.options.Log.ReadKeyed(ctx, f.options.ConfigStream, next, wait)
+		if !expired(err) {
+			return page, err
+		}
+	}
+	f.count("reads_config_newest")
+	return f.options.Log.Newest(ctx, f.options.ConfigStream)
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/gateway/calllog.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/entry"
+	"chestnutrouter.example/chestnutrouter/internal/eventlog"
+	"chestnutrouter.example/chestnutrouter/internal/wire"
+)
+
+// callLog writes one line for each call.
+type callLog struct{ events *eventlog.Logger }
+
+func (l callLog) ended(rec *entry.Record) {
+	fields := []any{
+		"request", rec.Request.Header.Get(wire.HeaderRequest),
+		"service", rec.Service,
+		"rank", rec.Rank,
+		"revision", rec.Revision,
+		"budget_ms", rec.Budget.Milliseconds(),
+		"took_ms", time.Since(rec.Began).Milliseconds(),
+		"status", rec.Status,
+		"steps", stepsText(rec.Trace.Steps()),
+	}
+	if rec.Refusal == nil {
+		l.events.Info("call", fields...)
+		return
+	}
+	fields = append(fields, "outcome", rec.Refusal.Outcome, "reason", rec.Refusal.Reason,
+		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds())
+	l.events.Warn("call refused", fields...)
+}
+
+// stepsText tells each attempt: server, result, times in milliseconds, and the
+// estimate with the age of the report that it came from.
+func stepsText(steps []attempt.Step) string {
+	var b strings.Builder
+	for i, s := range steps {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		if s.Server == "" {
+			fmt.Fprintf(&b, "no place: %s after %d", s.Result, s.Waited.Milliseconds())
+			continue
+		}
+		fmt.Fprintf(&b, "%s: %s waited %d took %d load %.2f others %.1f rate %.2f age %d", s.Server, s.Result,
+			s.Waited.Milliseconds(), s.Took.Milliseconds(), s.Basis.Load, s.Basis.Others, s.Basis.Rate,
+			s.Basis.ReportAge.Milliseconds())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/observe/observe.go
@@ -0,0 +1,322 @@
+// Package observe shares what the members learn of backend servers.
+//
+// Each server has one observer among the members, the first by rendezvous
+// hashing in the server's availability zone. It asks the server for its load in
+// each round, and every member passes on with its beats what it learned since the
+// beat before: reports of probes and of answers, and what came of its requests.
+// Members that disagree on an observer for a while probe twice or not at all; the
+// first is bounded by each member's budget.
+package observe
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/mesh"
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
+	"chestnutrouter.example/chestnutrouter/internal/probe"
+	"chestnutrouter.example/chestnutrouter/internal/service"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+const (
+	// roundWait is how long a round waits for its probes; what comes later goes
+	// with the next beat.
+	roundWait = 6 * time.Millisecond
+	// probeTimeout bounds one probe: a server that takes longer counts as failed.
+	probeTimeout = 250 * time.Millisecond
+	// freshReport is the age of a report from which a probe is worth its cost.
+	freshReport = 15 * time.Millisecond
+	// budgetSlack is how many times its equal part of all probes a member may send,
+	// so that one that sees few others does not probe everything at full rate.
+	budgetSlack = 2.5
+)
+
+// Options are the settings of an Observer.
+type Options struct {
+	// Self is the name of this VM.
+	Self string
+	// View returns the members.
+	View func() *mesh.View
+	// Sender asks a server for its load.
+	Sender probe.Sender
+	// Scope receives the counters; nil counts nowhere.
+	Scope tally.Scope
+}
+
+// target is a backend server of a service in force.
+type target struct {
+	id       mesh.ServerID
+	vm       fleet.VM
+	service  *tree.Service
+	balancer *balancer.Balancer
+	probing  bool
+}
+
+// staged is what was learned of a server since the last beat.
+type staged struct {
+	report   mesh.Report
+	at       time.Time // of the report, zero where there is none
+	outcome  mesh.Outcome
+	reported time.Time // when a report was last passed on or probed
+}
+
+// Observer probes this member's servers and stages what its beats carry. It is
+// safe for concurrent use.
+type Observer struct {
+	options Options
+
+	mu      sync.Mutex // guards the fields below
+	targets map[mesh.ServerID]*target
+	byName  map[string]*target
+	staged  map[mesh.ServerID]*staged
+	budget  float64
+}
+
+// New returns an observer without servers.
+func New(options Options) *Observer {
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	return &Observer{
+		options: options,
+		targets: map[mesh.ServerID]*target{},
+		byName:  map[string]*target{},
+		staged:  map[mesh.ServerID]*staged{},
+	}
+}
+
+// serverID returns what stands for the start of a server in beats.
+func serverID(vm fleet.VM) mesh.ServerID {
+	return mesh.ServerID(xxhash.Sum64String(vm.Name + "\x00" + strconv.FormatInt(vm.Incarnation, 10)))
+}
+
+// Update replaces the servers that are observed by those of the running services.
+func (o *Observer) Update(t *tree.Tree, running *service.Set, servers []fleet.VM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	services := make(map[string]*tree.Service, len(t.Services))
+	for _, s := range t.Services {
+		services[s.Key()] = s
+	}
+	targets := make(map[mesh.ServerID]*target, len(servers))
+	byName := make(map[string]*target, len(servers))
+	for _, vm := range servers {
+		svc := services[vm.Service]
+		if svc == nil {
+			continue
+		}
+		r, ok := running.Get(svc.Key())
+		if !ok {
+			continue
+		}
+		next := &target{id: serverID(vm), vm: vm, service: svc, balancer: r.Balancer}
+		if old := o.targets[next.id]; old != nil {
+			next.probing = old.probing
+		}
+		targets[next.id], byName[vm.Name] = next, next
+	}
+	for id := range o.staged {
+		if targets[id] == nil {
+			delete(o.staged, id)
+		}
+	}
+	o.targets, o.byName = targets, byName
+}
+
+// Round probes the servers that this member observes and waits a little for them.
+func (o *Observer) Round(ctx context.Context, now time.Time) {
+	due := o.due(now)
+	if len(due) == 0 {
+		return
+	}
+	ended := make(chan struct{}, len(due))
+	for _, t := range due {
+		go func() {
+			o.probe(ctx, t)
+			ended <- struct{}{}
+		}()
+	}
+	timer := time.NewTimer(roundWait)
+	defer timer.Stop()
+	for range due {
+		select {
+		case <-ended:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// due takes the servers to probe in this round out of the budget.
+func (o *Observer) due(now time.Time) []*target {
+	view := o.options.View()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	part := float64(len(o.targets)) / float64(max(view.Known, 1)) * budgetSlack
+	o.budget = min(o.budget+part, max(2*part, 1))
+	var due []*target
+	for _, t := range o.targets {
+		if o.budget < 1 {
+			break
+		}
+		if t.probing || now.Sub(o.stage(t.id).reported) < freshReport {
+			continue
+		}
+		owner, ok := view.Owner(t.vm.Name, t.vm.Zone)
+		if !ok || owner.VM != o.options.Self {
+			continue
+		}
+		o.budget--
+		t.probing = true
+		due = append(due, t)
+	}
+	return due
+}
+
+// stage returns what is staged for a server. The lock is held.
+func (o *Observer) stage(id mesh.ServerID) *staged {
+	s := o.staged[id]
+	if s == nil {
+		s = &staged{outcome: mesh.Outcome{Server: id}}
+		o.staged[id] = s
+	}
+	return s
+}
+
+func (o *Observer) probe(ctx context.Context, t *target) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	report, err := o.options.Sender.Send(ctx, t.vm, t.service)
+	now := time.Now()
+	o.mu.Lock()
+	if current := o.targets[t.id]; current != nil {
+		current.probing = false
+	}
+	o.mu.Unlock()
+	if errors.Is(err, probe.ErrNoLoad) {
+		metrics.Count(o.options.Scope, metrics.Probes, "no_load")
+		return
+	}
+	if err != nil {
+		metrics.Count(o.options.Scope, metrics.Probes, "failed")
+		t.balancer.ProbeFailed(t.vm.Name, now)
+		o.noteFailure(t.id)
+		return
+	}
+	metrics.Count(o.options.Scope, metrics.Probes, "answered")
+	t.balancer.Heard(t.vm.Name, now, report)
+	o.noteReport(t.id, report, now)
+}
+
+func (o *Observer) noteReport(id mesh.ServerID, r balancer.Report, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.stage(id)
+	s.at, s.reported = at, at
+	s.report = mesh.Report{
+		Server: id, InFlight: r.InFlight, Queue: r.Queue, Slowdown: r.Slowdown, Draining: r.Draining,
+	}
+}
+
+func (o *Observer) noteFailure(id mesh.ServerID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stage(id).outcome.Failed++
+}
+
+// Sent notes that this member sends a request to the server.
+func (o *Observer) Sent(server string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if t := o.byName[server]; t != nil {
+		o.stage(t.id).outcome.Sent++
+	}
+}
+
+// Ended notes what came of a request of this member.
+func (o *Observer) Ended(server string, r balancer.Result, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.byName[server]
+	if t == nil {
+		return
+	}
+	s := o.stage(t.id)
+	switch r.Kind {
+	case balancer.OK:
+		s.outcome.Whole++
+	case balancer.Error, balancer.DialFailed:
+		s.outcome.Failed++
+	}
+	if r.HasReport {
+		s.at, s.reported = now, now
+		s.report = mesh.Report{
+			Server: t.id, InFlight: r.Report.InFlight, Queue: r.Report.Queue,
+			Slowdown: r.Report.Slowdown, Draining: r.Report.Draining,
+		}
+	}
+}
+
+// Collect moves what is staged into a beat.
+func (o *Observer) Collect(b *mesh.Beat, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, s := range o.staged {
+		if !s.at.IsZero() {
+			s.report.Age = now.Sub(s.at)
+			b.Reports = append(b.Reports, s.report)
+			s.at = time.Time{}
+		}
+		if s.outcome != (mesh.Outcome{Server: id}) {
+			b.Outcomes = append(b.Outcomes, s.outcome)
+			s.outcome = mesh.Outcome{Server: id}
+		}
+	}
+}
+
+// Hear takes in what another member's beat carries.
+func (o *Observer) Hear(b *mesh.Beat, now time.Time) {
+	for _, r := range b.Reports {
+		t := o.target(r.Server)
+		if t == nil {
+			continue
+		}
+		at := now.Add(-r.Age)
+		t.balancer.Heard(t.vm.Name, at, balancer.Report{
+			InFlight: r.InFlight, Queue: r.Queue, Slowdown: r.Slowdown, Draining: r.Draining,
+		})
+		o.heardReport(t.id, at)
+	}
+	for _, out := range b.Outcomes {
+		if t := o.target(out.Server); t != nil {
+			t.balancer.HeardOutcomes(t.vm.Name, now, balancer.Outcomes{
+				Sent: out.Sent, Whole: out.Whole, Failed: out.Failed,
+			})
+		}
+	}
+}
+
+// heardReport spares a probe where another member has just had an answer.
+func (o *Observer) heardReport(id mesh.ServerID, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.stage(id)
+	if at.After(s.reported) {
+		s.reported = at
+	}
+}
+
+func (o *Observer) target(id mesh.ServerID) *target {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.targets[id]
+}
--- a/internal/probe/http.go
+++ b/internal/probe/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,10 @@
 	maxBodyBytes = 1 << 10
 )
 
+// ErrNoLoad is what a Sender returns where the server answered well and tells no
+// load.
+var ErrNoLoad = errors.New("probe: the answer tells no load")
+
 // StatusError is an answer that carries no load.
 type StatusError struct{ Status int }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -47,6 +47,8 @@
 	// Entries is the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
+	// Watcher is told of each request at a backend server; nil stands for none.
+	Watcher balancer.Watcher
 }
 
 // Set is the table of running services. It is safe for concurrent use.
@@ -113,6 +115,7 @@
 			Scope:    s.options.Scope,
 			Draining: s.options.Draining,
 			Entries:  s.options.Entries,
+			Watcher:  s.options.Watcher,
 		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Running{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
