Let members that see different sets tell each other of theirs

Ruled out: lost datagrams, the owner's hash. Change: beats carry a sum over the live members; on a lasting difference one member at a time is asked for its set.

--- a/internal/mesh/datagram.go
+++ b/internal/mesh/datagram.go
@@ -58,6 +58,8 @@
 	Incarnation uint64
 	// Sequence grows with each beat of an incarnation.
 	Sequence uint64
+	// Set stands for the set of members that the sender sees live.
+	Set uint32
 	Status
 	Reports  []Report
 	Outcomes []Outcome
@@ -70,6 +72,7 @@
 	out = append(out, kindBeat)
 	out = binary.LittleEndian.AppendUint64(out, b.Incarnation)
 	out = binary.AppendUvarint(out, b.Sequence)
+	out = binary.LittleEndian.AppendUint32(out, b.Set)
 	out = append(out, b.flags())
 	out = binary.AppendUvarint(out, uint64(b.Revision))
 	out = binary.AppendUvarint(out, uint64(b.Servers))
@@ -166,6 +169,7 @@
 func decodeBeat(data []byte) (Beat, error) {
 	d := &decoder{data: data}
 	b := Beat{Incarnation: binary.LittleEndian.Uint64(d.fixed(8)), Sequence: d.uvarint()}
+	b.Set = binary.LittleEndian.Uint32(d.fixed(4))
 	flags := d.fixed(1)[0]
 	b.Ready, b.Leaving = flags&flagReady != 0, flags&flagLeaving != 0
 	b.Revision, b.Servers = int64(d.uvarint()), int64(d.uvarint())
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,6 +58,17 @@
 	Known int
 	// Silent are members that were ready when they were heard last, a while ago.
 	Silent []Live
+	// set stands for the live members.
+	set uint32
+}
+
+// setOf adds up the members, so that the order does not count.
+func setOf(live []Live) uint32 {
+	sum := uint32(0)
+	for _, m := range live {
+		sum += uint32(score(m.VM, strconv.FormatUint(m.Incarnation, 16)))
+	}
+	return sum
 }
 
 // isolated reports whether most members fell silent at about the same time: then
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -27,6 +28,12 @@
 	// helloInterval is how often a member introduces itself to those that it
 	// knows and does not hear.
 	helloInterval = 250 * time.Millisecond
+	// settleTime is how long the set of members must stay before a difference to
+	// that of another member is more than a beat on its way.
+	settleTime = 100 * time.Millisecond
+	// mostOthers bounds the members that one introduction tells of, so that it
+	// fits into a datagram.
+	mostOthers = 40
 	// mostHellos bounds the introductions of one interval.
 	mostHellos = 32
 	// socketBuffer is the receive buffer of the datagram socket in bytes: the
@@ -65,6 +72,9 @@
 	rows  map[netip.AddrPort]*row
 	seeds map[netip.AddrPort]time.Time // addresses to greet, with the last greeting
 	own   Status
+	// changed is when the set of live members changed last, asked when another
+	// member was asked for its set.
+	changed, asked time.Time
 }
 
 // NewNode returns a node that knows itself only.
@@ -146,18 +156,32 @@
 		n.mu.Unlock()
 		return
 	}
+	ask := n.differs(b, now)
 	news := now.Sub(r.Heard) > aliveFor || r.Ready != b.Ready || r.Leaving != b.Leaving
 	r.sequence = b.Sequence
 	r.Status = b.Status
 	r.Heard = now
 	live := r.Live
 	n.mu.Unlock()
+	if ask {
+		n.sendHello(from, true)
+	}
 	n.options.Handle(live, b)
 	if news {
 		n.Refresh(now)
 	}
 }
 
+// differs reports whether the sender sees other members than this one and is to
+// be asked for them now. The lock is held.
+func (n *Node) differs(b *Beat, now time.Time) bool {
+	if b.Set == n.View().set || now.Sub(n.changed) < settleTime || now.Sub(n.asked) < helloInterval {
+		return false
+	}
+	n.asked = now
+	return true
+}
+
 // greetNow asks an unknown sender at once, but seldom for one address.
 func (n *Node) greetNow(to netip.AddrPort, now time.Time) {
 	n.mu.Lock()
@@ -215,6 +239,10 @@
 			h.Others = append(h.Others, m.Member)
 		}
 	}
+	if len(h.Others) > mostOthers {
+		rand.Shuffle(len(h.Others), func(i, j int) { h.Others[i], h.Others[j] = h.Others[j], h.Others[i] })
+		h.Others = h.Others[:mostOthers]
+	}
 	data, err := h.encode()
 	if err != nil {
 		n.count("encode_errors")
@@ -260,6 +288,7 @@
 		part := rest
 		part.Incarnation = n.options.Self.Incarnation
 		part.Sequence = n.sequence.Add(1)
+		part.Set = n.View().set
 		part.Reports = rest.Reports[:min(perPart, len(rest.Reports))]
 		room := perPart - len(part.Reports)
 		part.Outcomes = rest.Outcomes[:min(room, len(rest.Outcomes))]
@@ -312,7 +341,11 @@
 		}
 	}
 	slices.SortFunc(v.Live, func(a, b Live) int { return cmp.Compare(a.VM, b.VM) })
+	v.set = setOf(v.Live)
 	old := n.view.Swap(v)
+	if old.set != v.set {
+		n.changed = now
+	}
 	n.mu.Unlock()
 	if n.options.Changed != nil && !sameMembers(old.Live, v.Live) {
 		n.options.Changed(v)
