--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"time"
 )
 
@@ -20,6 +21,10 @@
 	// spreadWeight is what a request in progress counts where slots are free, in
 	// requests: of servers that are equally quick the emptier one is safer.
 	spreadWeight = 0.1
+	// evenness is how much estimates may differ that are taken for equal, in usual
+	// works. Entries that all know the same would otherwise all send to the one
+	// server that is best by a trifle.
+	evenness = 0.3
 )
 
 // pace is how quickly a server works: now, and usually. Rates are works done in
@@ -78,7 +83,7 @@
 	if before > slots-1 {
 		wait = (before - slots + 1) / slots * work / usual
 	}
-	return wait + duration(work, now, usual, v.hold) - 1 + spreadWeight*before
+	return wait + duration(work, now, usual, v.hold) - 1 + spreadWeight*before + evenness*rand.Float64()
 }
 
 // duration is the time that work takes at the rate now for the time of hold and
