Offer a place of a full server to the entries in an order

Change: a server takes no more than its knee by the estimate; entries have an order for each server and wait for their turn after it was full; sends that take the last place and answers that free one are told at once.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -41,18 +41,19 @@
 
 // Watcher learns what this entry sends to backend servers and what comes of it.
 type Watcher interface {
-	// Sent is told of a request that gets a place at the server.
-	Sent(server string)
-	// Ended is told what came of it.
-	Ended(server string, r Result, now time.Time)
+	// Sent is told of a request that gets a place at the server, and whether that
+	// is the last one.
+	Sent(server string, last bool)
+	// Ended is told what came of it, and whether it frees a place of a full server.
+	Ended(server string, r Result, freed bool, now time.Time)
 }
 
 // nobody is the Watcher that looks at nothing.
 type nobody struct{}
 
-func (nobody) Sent(string) {}
+func (nobody) Sent(string, bool) {}
 
-func (nobody) Ended(string, Result, time.Time) {}
+func (nobody) Ended(string, Result, bool, time.Time) {}
 
 // Balancer chooses among the backend servers of one service.
 type Balancer struct {
@@ -129,7 +130,7 @@
 		}
 		if place, ok := h.reserve(mask, v.now); ok {
 			place.basis = h.basis(mask, &v)
-			b.options.Watcher.Sent(h.vm.Name)
+			b.options.Watcher.Sent(h.vm.Name, h.atKnee(mask|mask+1, &v))
 			return place, true
 		}
 	}
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -34,6 +34,7 @@
 	latency mean    // nanoseconds of an answer
 	health  health
 	pace    pace
+	order   turn
 	joined  int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
 	probed  atomic.Int64 // nanoseconds since the Unix epoch
 	vm      fleet.VM
@@ -88,7 +89,7 @@
 // load estimates the requests at the server: own ones, those of other entries,
 // and handicaps for what speaks against it. Those of a slow server count more.
 func (h *host) load(mask uint32, v *view) float64 {
-	estimate := float64(bits.OnesCount32(mask)) + h.report.othersAt(v)
+	estimate := h.inProgress(mask, v)
 	estimate += h.overdue(mask, v)
 	estimate += h.handicap(v)
 	if h.pace.known() {
@@ -101,6 +102,11 @@
 	return (estimate+ownWeight)*min(slowness, slowMost) - ownWeight
 }
 
+// inProgress estimates the requests at the server, those of other entries included.
+func (h *host) inProgress(mask uint32, v *view) float64 {
+	return float64(bits.OnesCount32(mask)) + h.report.othersAt(v)
+}
+
 const (
 	// slowFrom is how much longer than usual the answers of a server take from
 	// which it counts as slow, as a factor.
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -9,8 +9,10 @@
 // Done ends the reservation with what the attempt showed. It must be called
 // exactly once for each pick.
 func (b *Balancer) Done(s *Server, now time.Time, r Result) {
+	v := b.view(b.snapshot.Load(), now, 0)
+	full := s.host.atKnee(s.host.busy.Load(), &v)
 	own := s.host.release(s)
-	b.options.Watcher.Ended(s.VM.Name, r, now)
+	b.options.Watcher.Ended(s.VM.Name, r, full, now)
 	if r.HasReport {
 		b.hear(s.host, own, now, r)
 	}
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -24,7 +24,7 @@
 	// evenness is how much estimates may differ that are taken for equal, in usual
 	// works. Entries that all know the same would otherwise all send to the one
 	// server that is best by a trifle.
-	evenness = 0.3
+	evenness = 0.1
 )
 
 // pace is how quickly a server works: now, and usually. Rates are works done in
@@ -66,15 +66,40 @@
 	return p.now.value(), usual
 }
 
+// atKnee reports whether one more request would bring the server past its knee,
+// beyond which it gets less done in the same time. Only a server that tells its
+// pace says enough of itself for that; the first request always fits.
+func (h *host) atKnee(mask uint32, v *view) bool {
+	if !h.pace.known() {
+		return false
+	}
+	before := h.inProgress(mask, v)
+	return before >= 0.5 && before+0.5 > kneeShare*h.slots(v)
+}
+
+// full reports whether the server takes no request of this entry now: it is at
+// its knee, or was so a moment ago and the place is another entry's.
+func (h *host) full(mask uint32, v *view) bool {
+	if h.atKnee(mask, v) {
+		h.order.lastFull.Store(v.now)
+		return true
+	}
+	return h.order.waits(v.now)
+}
+
+func (h *host) slots(v *view) float64 {
+	if h.vm.Slots > 0 {
+		return float64(h.vm.Slots)
+	}
+	return v.slots
+}
+
 // expected estimates how long a request takes that joins others at the server,
 // in usual works beyond the one that it takes anyway. The pace reported last
 // holds for paceHold; what is left of the work then goes on at the usual pace.
 func (h *host) expected(before float64, v *view) float64 {
 	now, usual := h.pace.rates(v.now - h.report.received.Load())
-	slots := v.slots
-	if h.vm.Slots > 0 {
-		slots = float64(h.vm.Slots)
-	}
+	slots := h.slots(v)
 	work := h.warmUp(v.now)
 	if before+1 > kneeShare*slots {
 		work *= kneeFactor
@@ -83,7 +108,7 @@
 	if before > slots-1 {
 		wait = (before - slots + 1) / slots * work / usual
 	}
-	return wait + duration(work, now, usual, v.hold) - 1 + spreadWeight*before + evenness*rand.Float64()
+	return wait + duration(work, now, usual, v.hold) - 1 + spreadWeight*before + h.order.cost() + evenness*rand.Float64()
 }
 
 // duration is the time that work takes at the rate now for the time of hold and
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -128,7 +128,7 @@
 				continue
 			}
 		}
-		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) {
+		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) || h.full(mask, v) {
 			continue
 		}
 		if load := h.load(mask, v); load < least {
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -97,8 +97,10 @@
 // wiring breaks the circle between the mesh, which passes beats on, and the parts
 // that take them in and know the members from it.
 type wiring struct {
+	self     string
 	feed     *feed.Feed
 	observer *observe.Observer
+	services *service.Set
 	events   *eventlog.Logger
 }
 
@@ -107,6 +109,14 @@
 	w.feed.Heard(from)
 }
 
+// flush tells the others at once what was learned since the last beat.
+func (w *wiring) flush(node *mesh.Node) {
+	now := time.Now()
+	b := &mesh.Beat{}
+	w.observer.Collect(b, now)
+	node.SendNews(b, now)
+}
+
 func (w *wiring) changed(v *mesh.View) {
 	ready := 0
 	for _, m := range v.Live {
@@ -114,6 +124,10 @@
 			ready++
 		}
 	}
+	w.services.SetOrder(service.Order{
+		Place:   func(server string) int { return v.Place(w.self, server) },
+		Entries: max(ready, 1),
+	})
 	w.events.Info("members changed", "live", len(v.Live), "ready", ready, "silent", len(v.Silent), "known", v.Known)
 }
 
@@ -122,7 +136,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	w := &wiring{events: events}
+	w := &wiring{self: s.VM, events: events}
 	node := mesh.NewNode(mesh.Options{
 		Self: mesh.Member{
 			VM:          s.VM,
@@ -149,13 +163,18 @@
 }
 
 func newObserver(s *Settings, adapter *Adapter, node *mesh.Node, w *wiring, scope tally.Scope) *observe.Observer {
-	o := observe.New(observe.Options{Self: s.VM, View: node.View, Sender: adapter.Prober, Scope: scope})
-	w.observer = o
-	return o
+	w.observer = observe.New(observe.Options{
+		Self:   s.VM,
+		View:   node.View,
+		Sender: adapter.Prober,
+		Flush:  func() { w.flush(node) },
+		Scope:  scope,
+	})
+	return w.observer
 }
 
-func newServices(s *Settings, scope tally.Scope, workers *admission.Workers, node *mesh.Node, o *observe.Observer) *service.Set {
-	return service.NewSet(service.Options{
+func newServices(s *Settings, scope tally.Scope, workers *admission.Workers, node *mesh.Node, w *wiring, o *observe.Observer) *service.Set {
+	set := service.NewSet(service.Options{
 		Entry:   s.VM,
 		Zone:    s.Zone,
 		Scope:   scope,
@@ -163,6 +182,8 @@
 		Entries: func() int { return len(node.View().Live) },
 		Watcher: o,
 	})
+	w.services = set
+	return set
 }
 
 func newFeed(s *Settings, adapter *Adapter, node *mesh.Node, w *wiring, pool *peer.Pool, events *eventlog.Logger,
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -129,6 +129,18 @@
 	return ranked
 }
 
+// Place is a member's place in the order of the key.
+func (v *View) Place(vm, key string) int {
+	own := score(vm, key)
+	place := 0
+	for _, m := range v.Live {
+		if m.VM != vm && m.Ready && !m.Leaving && score(m.VM, key) > own {
+			place++
+		}
+	}
+	return place
+}
+
 // Owner is the member that does a duty for something in the zone: the first
 // choice of that zone, or of all where the zone has no member. False where there
 // is none.
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -257,6 +257,14 @@
 	}
 }
 
+// SendNews sends a beat with the status of the one before.
+func (n *Node) SendNews(b *Beat, now time.Time) {
+	n.mu.Lock()
+	b.Status = n.own
+	n.mu.Unlock()
+	n.sendAll(b)
+}
+
 // Send sends a beat to all live members, and introduces this one where it is
 // due. Incarnation and sequence of the beat are filled in.
 func (n *Node) Send(b *Beat, now time.Time) {
@@ -264,6 +272,13 @@
 	n.own = b.Status
 	n.mu.Unlock()
 	n.Refresh(now)
+	n.sendAll(b)
+	for _, to := range n.dueHellos(now) {
+		n.sendHello(to, true)
+	}
+}
+
+func (n *Node) sendAll(b *Beat) {
 	parts := n.encode(b)
 	for _, m := range n.View().Live {
 		if m.Datagrams == n.options.Self.Datagrams {
@@ -273,9 +288,6 @@
 			n.send(m.Datagrams, part)
 		}
 	}
-	for _, to := range n.dueHellos(now) {
-		n.sendHello(to, true)
-	}
 }
 
 // encode returns the beat in parts of one packet each.
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -48,6 +48,8 @@
 	View func() *mesh.View
 	// Sender asks a server for its load.
 	Sender probe.Sender
+	// Flush sends what is staged at once; nil leaves it to the next beat.
+	Flush func()
 	// Scope receives the counters; nil counts nowhere.
 	Scope tally.Scope
 }
@@ -83,6 +85,9 @@
 
 // New returns an observer without servers.
 func New(options Options) *Observer {
+	if options.Flush == nil {
+		options.Flush = func() {}
+	}
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
@@ -233,17 +238,29 @@
 	o.stage(id).outcome.Failed++
 }
 
-// Sent notes that this member sends a request to the server.
-func (o *Observer) Sent(server string) {
+// Sent notes that this member sends a request to the server. The others are told
+// at once where it takes the last place.
+func (o *Observer) Sent(server string, last bool) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	if t := o.byName[server]; t != nil {
 		o.stage(t.id).outcome.Sent++
 	}
+	o.mu.Unlock()
+	if last {
+		o.options.Flush()
+	}
 }
 
 // Ended notes what came of a request of this member.
-func (o *Observer) Ended(server string, r balancer.Result, now time.Time) {
+// The others are told at once where it frees a place of a full server.
+func (o *Observer) Ended(server string, r balancer.Result, freed bool, now time.Time) {
+	o.noteEnd(server, r, now)
+	if freed {
+		o.options.Flush()
+	}
+}
+
+func (o *Observer) noteEnd(server string, r balancer.Result, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.byName[server]
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -59,6 +59,31 @@
 	mu      sync.Mutex
 	tree    *tree.Tree
 	servers Servers
+	order   Order
+}
+
+// Order is this entry's place among the entries for each backend server.
+type Order struct {
+	// Place is the place, 0 the first; nil leaves all at the first.
+	Place func(server string) int
+	// Entries is the number of entries.
+	Entries int
+}
+
+// SetOrder puts a new order in force.
+func (s *Set) SetOrder(order Order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.order = order
+	for _, r := range *s.running.Load() {
+		s.applyOrder(r)
+	}
+}
+
+func (s *Set) applyOrder(r *Running) {
+	if s.order.Place != nil {
+		r.Balancer.SetOrder(s.order.Place, s.order.Entries)
+	}
 }
 
 // NewSet returns a Set without services.
@@ -101,6 +126,7 @@
 		r, ok := s.Get(svc.Key())
 		if ok {
 			r.Balancer.Update(servers.Servers(svc.Key()), svc)
+			s.applyOrder(r)
 			r.Queue.Update(svc)
 		}
 	}
@@ -122,6 +148,7 @@
 	}
 	if s.servers != nil {
 		r.Balancer.Update(s.servers.Servers(svc.Key()), svc)
+		s.applyOrder(r)
 	}
 	r.Queue.Update(svc)
 	return r
