Send a request only where it is expected to meet its target

Change: the estimate is work / pace at the start, times 1.7 past the knee; the queue of a service whose servers tell their pace dispatches only where the target is met, and what is late comes after.

--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -17,6 +17,7 @@
 		}
 	}
 	i.queue.finished(i)
+	i.queue.learnWork(r)
 }
 
 // inProgress counts the granted requests of the queue and the less urgent ones.
@@ -40,6 +41,9 @@
 
 // Next decides one waiting item; it is false when none can be decided now.
 func (s *Scheduler) Next(now time.Time) (Decision, bool) {
+	if paced := s.paced(); paced != nil {
+		return s.nextPaced(paced, now)
+	}
 	if d, ok := s.expire(now); ok {
 		return d, true
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -65,6 +65,7 @@
 func (g *Grant) Done(r balancer.Result) {
 	q := g.queue
 	r.Upload = r.Upload || g.item.Upload
+	r.Basis = g.Server.Basis()
 	q.balancer.Done(g.Server, time.Now(), r)
 	q.mu.Lock()
 	q.scheduler.Finish(g.item, r)
--- a/internal/admission/rankqueue.go
+++ b/internal/admission/rankqueue.go
@@ -14,6 +14,8 @@
 type rankQueue struct {
 	rank    tree.Rank
 	items   list.List
+	late    list.List     // those that can no longer meet the target, see paced.go
+	work    time.Duration // usual time of one request at a quick server, zero while unknown
 	bytes   int64
 	streams int // uploads in progress
 	granted int // requests in progress
@@ -34,10 +36,14 @@
 }
 
 func (l *rankQueue) remove(i *Item) {
-	l.items.Remove(i.element)
+	if i.late {
+		l.late.Remove(i.element)
+	} else {
+		l.items.Remove(i.element)
+	}
 	i.element = nil
 	l.bytes -= i.Bytes
-	if l.items.Len() == 0 {
+	if l.items.Len()+l.late.Len() == 0 {
 		l.lastDispatch = time.Time{}
 	}
 }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -28,6 +28,7 @@
 	enqueued time.Time
 	queue    *rankQueue
 	element  *list.Element // nil when not waiting
+	late     bool          // in the queue's list of late items
 	ready    chan Decision
 }
 
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -45,6 +45,7 @@
 		if s.queue(l.rank.Name) != nil {
 			continue
 		}
+		l.recall()
 		for l.items.Len() > 0 {
 			refused = append(refused, drop(l, refuseUnknownRank()))
 		}
@@ -82,7 +83,7 @@
 func (s *Scheduler) Waiting() int {
 	n := 0
 	for _, l := range s.queues {
-		n += l.items.Len()
+		n += l.items.Len() + l.late.Len()
 	}
 	return n
 }
@@ -106,7 +107,7 @@
 	if s.servers.Len() <= len(i.Exclude) {
 		return refuseBusy(outcome.ReasonNoServer, "no backend server is left to try", 0)
 	}
-	if l.items.Len() >= l.rank.QueueLength {
+	if l.items.Len()+l.late.Len() >= l.rank.QueueLength {
 		if l.streamsUsedUp(i) {
 			return refuseBusy(outcome.ReasonStreams, "all upload streams of the rank are in use", wait)
 		}
@@ -118,6 +119,9 @@
 	if !i.Deadline.IsZero() && !now.Before(i.Deadline) {
 		return refuseDeadline()
 	}
+	if paced := s.paced(); paced != nil {
+		return s.judgePaced(l, i, now)
+	}
 	if longest := s.longestWait(l, i, now); wait > longest {
 		return refuseBusy(outcome.ReasonQueueWait, "the wait would exceed the target or the deadline", wait-longest)
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -123,14 +123,18 @@
 func (b *Balancer) PickBelow(now time.Time, exclude []string, limit float64) (*Server, bool) {
 	s := b.snapshot.Load()
 	v := b.view(s, now, limit)
+	return b.pick(s, &v, exclude)
+}
+
+func (b *Balancer) pick(s *snapshot, v *view, exclude []string) (*Server, bool) {
 	for range maxReserveTries {
-		h, mask := s.best(s.first(b.turn.Add(1)), &v, exclude)
+		h, mask := s.best(s.first(b.turn.Add(1)), v, exclude)
 		if h == nil {
 			return nil, false
 		}
 		if place, ok := h.reserve(mask, v.now); ok {
-			place.basis = h.basis(mask, &v)
-			b.options.Watcher.Sent(h.vm.Name, h.atKnee(mask|mask+1, &v))
+			place.basis = h.basis(mask, v)
+			b.options.Watcher.Sent(h.vm.Name, h.slotsTaken(mask|mask+1, v))
 			return place, true
 		}
 	}
@@ -152,7 +156,7 @@
 		slots:          float64(s.slots),
 		usual:          usual + min(uncertainty, usual),
 		trust:          b.trust.value(),
-		hold:           holdOf(b.latency.value()),
+		longest:        math.Inf(1),
 	}
 }
 
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -93,7 +93,7 @@
 	estimate += h.overdue(mask, v)
 	estimate += h.handicap(v)
 	if h.pace.known() {
-		return h.expected(estimate, v)
+		return h.rating(estimate, v)
 	}
 	slowness := h.latency.value() * v.inverseLatency
 	if slowness < slowFrom {
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -10,7 +10,7 @@
 // exactly once for each pick.
 func (b *Balancer) Done(s *Server, now time.Time, r Result) {
 	v := b.view(b.snapshot.Load(), now, 0)
-	full := s.host.atKnee(s.host.busy.Load(), &v)
+	full := s.host.slotsTaken(s.host.busy.Load(), &v)
 	own := s.host.release(s)
 	b.options.Watcher.Ended(s.VM.Name, r, full, now)
 	if r.HasReport {
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -9,21 +10,20 @@
 	// paceWindow is the time over which the usual pace of a server is measured. It
 	// spans several changes of a noisy neighbour and is short beside a lasting one.
 	paceWindow = 1500 * time.Millisecond
-	// paceHold is how long a pace goes on in the mean once it has been reported:
-	// half of the 150 ms for which noisy neighbours stay.
-	paceHold = 75 * time.Millisecond
+	// paceFresh is the age up to which a reported pace counts: noisy neighbours
+	// stay for about that long.
+	paceFresh = 150 * time.Millisecond
 	// mostSlowdown bounds what one report counts, as a factor.
 	mostSlowdown = 20
 	// kneeShare is the busy share of its slots above which a server works slower.
 	kneeShare = 0.8
-	// kneeFactor is how much longer work takes there.
+	// kneeFactor is how much longer work takes that begins there.
 	kneeFactor = 1.7
 	// spreadWeight is what a request in progress counts where slots are free, in
-	// requests: of servers that are equally quick the emptier one is safer.
+	// usual works: of servers that are equally quick the emptier one is safer.
 	spreadWeight = 0.1
 	// evenness is how much estimates may differ that are taken for equal, in usual
-	// works. Entries that all know the same would otherwise all send to the one
-	// server that is best by a trifle.
+	// works, so that entries do not all choose the one that is best by a trifle.
 	evenness = 0.1
 )
 
@@ -56,37 +56,56 @@
 	p.now.learn(rate, 1)
 }
 
-// rates returns the rate now and the usual one. A report that has aged past
-// paceHold says nothing about now.
-func (p *pace) rates(age int64) (now, usual float64) {
-	usual = p.usual.value()
-	if age > int64(2*paceHold) {
-		return usual, usual
+// rate is the pace that a request meets which begins now.
+func (p *pace) rate(age int64) float64 {
+	if age > int64(paceFresh) {
+		return p.usual.value()
 	}
-	return p.now.value(), usual
+	return p.now.value()
 }
 
-// atKnee reports whether one more request would bring the server past its knee,
-// beyond which it gets less done in the same time. Only a server that tells its
-// pace says enough of itself for that; the first request always fits.
-func (h *host) atKnee(mask uint32, v *view) bool {
-	if !h.pace.known() {
-		return false
+// Paced reports whether the servers tell their pace, so that the time of a
+// request can be foretold from where it begins.
+func (b *Balancer) Paced() bool {
+	for _, h := range b.snapshot.Load().hosts {
+		if h.pace.known() {
+			return true
+		}
 	}
-	before := h.inProgress(mask, v)
-	return before >= 0.5 && before+0.5 > kneeShare*h.slots(v)
+	return false
+}
+
+// PickWithin is Pick among the servers at which a request of that usual work is
+// expected to be answered within the time.
+func (b *Balancer) PickWithin(now time.Time, exclude []string, work, within time.Duration) (*Server, bool) {
+	s := b.snapshot.Load()
+	v := b.view(s, now, math.Inf(1))
+	v.longest = float64(within) / float64(max(work, 1))
+	return b.pick(s, &v, exclude)
 }
 
-// full reports whether the server takes no request of this entry now: it is at
-// its knee, or was so a moment ago and the place is another entry's.
+// full reports whether the server takes no request of this entry now: all slots
+// are taken, or were so a moment ago and the free one is another entry's. Only a
+// server that tells its pace says enough of itself for that.
 func (h *host) full(mask uint32, v *view) bool {
-	if h.atKnee(mask, v) {
+	if !h.pace.known() {
+		return false
+	}
+	if h.slotsTaken(mask, v) {
 		h.order.lastFull.Store(v.now)
 		return true
 	}
 	return h.order.waits(v.now)
 }
 
+// half rounds an estimated number of requests.
+const half = 0.5
+
+// slotsTaken reports whether a further request would have to wait at the server.
+func (h *host) slotsTaken(mask uint32, v *view) bool {
+	return h.pace.known() && h.inProgress(mask, v)+half > h.slots(v)
+}
+
 func (h *host) slots(v *view) float64 {
 	if h.vm.Slots > 0 {
 		return float64(h.vm.Slots)
@@ -94,33 +113,28 @@
 	return v.slots
 }
 
-// expected estimates how long a request takes that joins others at the server,
-// in usual works beyond the one that it takes anyway. The pace reported last
-// holds for paceHold; what is left of the work then goes on at the usual pace.
-func (h *host) expected(before float64, v *view) float64 {
-	now, usual := h.pace.rates(v.now - h.report.received.Load())
+// stretch is how long a request takes that joins the others at the server, in
+// usual works. The pace and the load where it begins count for all of it.
+func (h *host) stretch(before float64, v *view) float64 {
+	rate := h.pace.rate(v.now - h.report.received.Load())
+	if rate <= 0 {
+		rate = 1
+	}
 	slots := h.slots(v)
-	work := h.warmUp(v.now)
-	if before+1 > kneeShare*slots {
+	work := h.warmUp(v.now) / rate
+	if before+1-half > kneeShare*slots {
 		work *= kneeFactor
 	}
-	wait := 0.0
-	if before > slots-1 {
-		wait = (before - slots + 1) / slots * work / usual
+	if before <= slots-1 {
+		return work
 	}
-	return wait + duration(work, now, usual, v.hold) - 1 + spreadWeight*before + h.order.cost() + evenness*rand.Float64()
+	return work + (before-slots+1)/slots*work
 }
 
-// duration is the time that work takes at the rate now for the time of hold and
-// at the usual rate after it.
-func duration(work, now, usual, hold float64) float64 {
-	if now <= 0 || usual <= 0 {
-		return work
-	}
-	if done := hold * now; work > done {
-		return hold + (work-done)/usual
-	}
-	return work / now
+// rating is what the choice of a server that tells its pace goes by, in usual
+// works beyond one.
+func (h *host) rating(before float64, v *view) float64 {
+	return h.stretch(before, v) - 1 + spreadWeight*before + h.order.cost() + evenness*rand.Float64()
 }
 
 // warmFactor is how much longer work takes at a server that has just started.
@@ -133,10 +147,7 @@
 	return 1
 }
 
-// holdOf is paceHold in usual works.
-func holdOf(latency float64) float64 {
-	if latency <= 0 {
-		return 1
-	}
-	return float64(paceHold) / latency
+// tooLong reports whether a request would take longer than the view allows.
+func (h *host) tooLong(mask uint32, v *view) bool {
+	return !math.IsInf(v.longest, 1) && h.pace.known() && h.stretch(h.inProgress(mask, v)+h.penalty(v), v) > v.longest
 }
--- a/internal/balancer/shared.go
+++ b/internal/balancer/shared.go
@@ -11,6 +11,9 @@
 	Load float64
 	// Others is the requests of other entries at the server.
 	Others float64
+	// Stretch is the expected time in usual works; zero where the server does not
+	// tell its pace.
+	Stretch float64
 	// Rate is the reported pace of the server, zero where it tells none.
 	Rate float64
 	// ReportAge is the age of the newest report, negative where there is none.
@@ -19,6 +22,9 @@
 
 func (h *host) basis(mask uint32, v *view) Basis {
 	b := Basis{Load: h.load(mask, v), Others: h.report.othersAt(v), Rate: h.pace.now.value(), ReportAge: -1}
+	if h.pace.known() {
+		b.Stretch = h.stretch(h.inProgress(mask, v), v)
+	}
 	if at := h.report.received.Load(); at > 0 {
 		b.ReportAge = time.Duration(v.now - at)
 	}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -17,7 +17,7 @@
 	inverseLatency float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
 	slots          float64 // requests that a server runs at a time
 	trust          float64 // how far reports are believed, from 0 to 1
-	hold           float64 // for how long a reported pace goes on, in usual works
+	longest        float64 // longest stretch of a request, in usual works
 }
 
 // snapshot is an immutable set of servers with the service's limits.
@@ -128,7 +128,7 @@
 				continue
 			}
 		}
-		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) || h.full(mask, v) {
+		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) || h.full(mask, v) || h.tooLong(mask, v) {
 			continue
 		}
 		if load := h.load(mask, v); load < least {
