Tell the others of each request at once

Change: each send is told at once; a server that was too slow or full is offered in the entries' order.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -41,9 +41,8 @@
 
 // Watcher learns what this entry sends to backend servers and what comes of it.
 type Watcher interface {
-	// Sent is told of a request that gets a place at the server, and whether that
-	// is the last one.
-	Sent(server string, last bool)
+	// Sent is told of a request that gets a place at the server.
+	Sent(server string)
 	// Ended is told what came of it, and whether it frees a place of a full server.
 	Ended(server string, r Result, freed bool, now time.Time)
 }
@@ -51,7 +50,7 @@
 // nobody is the Watcher that looks at nothing.
 type nobody struct{}
 
-func (nobody) Sent(string, bool) {}
+func (nobody) Sent(string) {}
 
 func (nobody) Ended(string, Result, bool, time.Time) {}
 
@@ -134,7 +133,7 @@
 		}
 		if place, ok := h.reserve(mask, v.now); ok {
 			place.basis = h.basis(mask, v)
-			b.options.Watcher.Sent(h.vm.Name, h.slotsTaken(mask|mask+1, v))
+			b.options.Watcher.Sent(h.vm.Name)
 			return place, true
 		}
 	}
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -149,5 +149,9 @@
 
 // tooLong reports whether a request would take longer than the view allows.
 func (h *host) tooLong(mask uint32, v *view) bool {
-	return !math.IsInf(v.longest, 1) && h.pace.known() && h.stretch(h.inProgress(mask, v)+h.penalty(v), v) > v.longest
+	if math.IsInf(v.longest, 1) || !h.pace.known() || h.stretch(h.inProgress(mask, v)+h.penalty(v), v) <= v.longest {
+		return false
+	}
+	h.order.lastFull.Store(v.now)
+	return true
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -239,16 +239,15 @@
 }
 
 // Sent notes that this member sends a request to the server. The others are told
-// at once where it takes the last place.
-func (o *Observer) Sent(server string, last bool) {
+// at once: between two beats the whole fleet sends more requests than there are
+// servers that look best.
+func (o *Observer) Sent(server string) {
 	o.mu.Lock()
 	if t := o.byName[server]; t != nil {
 		o.stage(t.id).outcome.Sent++
 	}
 	o.mu.Unlock()
-	if last {
-		o.options.Flush()
-	}
+	o.options.Flush()
 }
 
 // Ended notes what came of a request of this member.
