Read the configuration once at a start, and keep bodies in their zone

Cause 2: 0.044 GB between zones, of which uploads to other zones are about half. Change: wait for the first configuration as for a change; the second reader reads once a second; another zone counts by the size of the body.

--- a/internal/admission/paced.go
+++ b/internal/admission/paced.go
@@ -21,7 +21,7 @@
 // pacedServers is a Servers that tells how long requests take.
 type pacedServers interface {
 	Paced() bool
-	PickWithin(now time.Time, exclude []string, work, within time.Duration) (*balancer.Server, bool)
+	PickWithin(now time.Time, exclude []string, work, within time.Duration, body int64) (*balancer.Server, bool)
 }
 
 const (
@@ -180,7 +180,7 @@
 		if !i.late {
 			within = min(within, l.targetLeft(i, now))
 		}
-		if server, ok := servers.PickWithin(now, i.Exclude, l.usualWork(), within); ok {
+		if server, ok := servers.PickWithin(now, i.Exclude, l.usualWork(), within, i.Bytes); ok {
 			l.dispatched(i, now)
 			s.account(l)
 			return Decision{Item: i, Server: server}, true
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -155,6 +155,7 @@
 		slots:          float64(s.slots),
 		usual:          usual + min(uncertainty, usual),
 		trust:          b.trust.value(),
+		far:            farBase,
 		longest:        math.Inf(1),
 	}
 }
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -91,10 +91,10 @@
 func (h *host) load(mask uint32, v *view) float64 {
 	estimate := h.inProgress(mask, v)
 	estimate += h.overdue(mask, v)
-	estimate += h.handicap(v)
 	if h.pace.known() {
-		return h.rating(estimate, v)
+		return h.rating(estimate+h.penalty(v), v)
 	}
+	estimate += h.handicap(v)
 	slowness := h.latency.value() * v.inverseLatency
 	if slowness < slowFrom {
 		return estimate
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -25,6 +25,11 @@
 	// evenness is how much estimates may differ that are taken for equal, in usual
 	// works, so that entries do not all choose the one that is best by a trifle.
 	evenness = 0.1
+	// farBase is what another availability zone counts, in usual works, and
+	// farBodyBytes how many bytes of a body count one more: traffic between
+	// availability zones has a price.
+	farBase      = 0.05
+	farBodyBytes = 80 << 10
 )
 
 // pace is how quickly a server works: now, and usually. Rates are works done in
@@ -76,10 +81,11 @@
 }
 
 // PickWithin is Pick among the servers at which a request of that usual work is
-// expected to be answered within the time.
-func (b *Balancer) PickWithin(now time.Time, exclude []string, work, within time.Duration) (*Server, bool) {
+// expected to be answered within the time. body is its size in bytes.
+func (b *Balancer) PickWithin(now time.Time, exclude []string, work, within time.Duration, body int64) (*Server, bool) {
 	s := b.snapshot.Load()
 	v := b.view(s, now, math.Inf(1))
+	v.far = farBase + float64(body)/farBodyBytes
 	v.longest = float64(within) / float64(max(work, 1))
 	return b.pick(s, &v, exclude)
 }
@@ -134,7 +140,14 @@
 // rating is what the choice of a server that tells its pace goes by, in usual
 // works beyond one.
 func (h *host) rating(before float64, v *view) float64 {
-	return h.stretch(before, v) - 1 + spreadWeight*before + h.order.cost() + evenness*rand.Float64()
+	rating := h.stretch(before, v) - 1 + spreadWeight*before + h.order.cost() + evenness*rand.Float64()
+	if h.way > 0 {
+		rating += v.far
+	}
+	if h.way > farCost {
+		rating += h.way // another region
+	}
+	return rating
 }
 
 // warmFactor is how much longer work takes at a server that has just started.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -64,6 +64,7 @@
 	// config is the newest record of the configuration.
 	config     logservice.KeyedRecord
 	configNext int64
+	configRead bool // configNext is what the store said
 }
 
 // New returns a feed that has nothing yet.
@@ -109,6 +110,7 @@
 	f.apply.Lock()
 	defer f.apply.Unlock()
 	f.configNext = max(f.configNext, next)
+	f.configRead = f.configRead || next > 0
 	if r.Dropped() || r.Key != f.options.ConfigKey {
 		return
 	}
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -11,9 +11,12 @@
 const (
 	// lookInterval is how often a member looks whether a read is due.
 	lookInterval = 50 * time.Millisecond
-	// readInterval is how often a reader reads the servers: a fifth of the 2 s in
-	// which a leaving server must get no more work.
-	readInterval = 400 * time.Millisecond
+	// readInterval is how often the first reader reads the servers: a quarter of
+	// the 2 s in which a leaving server must get no more work.
+	readInterval = 450 * time.Millisecond
+	// secondInterval is the same for the second reader, which is there in case
+	// that the first one does not reach the store.
+	secondInterval = time.Second
 	// readers is how many members read all the time.
 	readers = 2
 	// standInAfter is the age of the newest contact of any member from which the
@@ -67,11 +70,14 @@
 
 // readDue reports whether this member is to read the store now.
 func (f *Feed) readDue(now, last time.Time, failures int) bool {
-	interval := min(readInterval<<min(failures, maxDoublings), longestBackoff)
-	if now.Sub(last) < interval {
+	rank := f.rank()
+	interval := readInterval
+	if rank == 1 {
+		interval = secondInterval
+	}
+	if now.Sub(last) < min(interval<<min(failures, maxDoublings), longestBackoff) {
 		return false
 	}
-	rank := f.rank()
 	if rank < readers || f.contact.Load() == 0 && f.ServersVersion() == 0 {
 		return true
 	}
@@ -188,23 +194,19 @@
 func (f *Feed) followConfig(ctx context.Context) {
 	f.readConfig(ctx, 0)
 	for ctx.Err() == nil {
-		wait := configPause
 		if f.rank() < readers && f.readConfig(ctx, configWait) {
 			continue
 		}
-		if f.Revision() == 0 {
-			f.readConfig(ctx, 0)
-		}
-		sleep(ctx, wait+rand.N(configPause))
+		sleep(ctx, configPause+rand.N(configPause))
 	}
 }
 
 // readConfig reads the configuration and reports whether the store answered.
 func (f *Feed) readConfig(ctx context.Context, wait time.Duration) bool {
 	f.apply.Lock()
-	next := f.configNext
+	next, known := f.configNext, f.configRead
 	f.apply.Unlock()
-	page, err := f.readConfigPage(ctx, next, wait)
+	page, err := f.readConfigPage(ctx, next, known, wait)
 	if err != nil {
 		if ctx.Err() == nil {
 			f.failed("read configuration", err)
@@ -214,12 +216,16 @@
 	for _, r := range page.Records {
 		f.putConfig(r, page.Next, "store")
 	}
-	f.putConfig(logservice.KeyedRecord{}, page.Next, "store")
+	f.apply.Lock()
+	f.configNext, f.configRead = max(f.configNext, page.Next), true
+	f.apply.Unlock()
 	return true
 }
 
-func (f *Feed) readConfigPage(ctx context.Context, next int64, wait time.Duration) (logservice.KeyedPage, error) {
-	if next > 0 {
+// readConfigPage reads what comes after next, or the newest where next is not
+// known or no longer kept.
+func (f *Feed) readConfigPage(ctx context.Context, next int64, known bool, wait time.Duration) (logservice.KeyedPage, error) {
+	if known {
 		f.count("reads_config")
 		page, err := f.options.Log.ReadKeyed(ctx, f.options.ConfigStream, next, wait)
 		if !expired(err) {
