Wait for a configuration for 1.2 s, not 4 s, in one read

Ruled out: pulls between members (30 ms), a member that was cut off. Change: a shorter wait bounds what one such read can miss.

--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -28,8 +28,10 @@
 	mostStandIn = 3 * time.Second
 	// longestBackoff bounds the doubling of the interval after failed reads.
 	longestBackoff = 3 * time.Second
-	// configWait is the wait of a read of the configuration.
-	configWait = 4 * time.Second
+	// configWait is the wait of a read of the configuration. A record that is
+	// appended just as a read begins has been seen to come only when the wait is
+	// over, so the wait is well below the 2 s in which it must be in force.
+	configWait = 1200 * time.Millisecond
 	// configPause is the pause after a failed read of the configuration.
 	configPause = 300 * time.Millisecond
 )
