--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -33,6 +33,9 @@
 	Client peer.Client
 	// Self is the name of this VM.
 	Self string
+	// FirstStart says that the whole system starts for the first time: then there
+	// is time to find the other members before the store is read.
+	FirstStart bool
 	// View returns the members.
 	View func() *mesh.View
 	// OnTree puts a newer tree in force. Calls come one at a time.
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -36,6 +36,15 @@
 	configPause = 300 * time.Millisecond
 )
 
+const (
+	// meetTime is how long members of a first start look for each other before
+	// the store is read: without it all would read it.
+	meetTime = 500 * time.Millisecond
+	// alonePatience is how long one that is no reader then waits for a peer that
+	// has configuration and servers.
+	alonePatience = 3 * time.Second
+)
+
 // followServers reads the servers whenever it is this member's turn.
 func (f *Feed) followServers(ctx context.Context) {
 	ticker := time.NewTicker(lookInterval)
@@ -72,6 +81,13 @@
 
 // readDue reports whether this member is to read the store now.
 func (f *Feed) readDue(now, last time.Time, failures int) bool {
+	patience := time.Duration(0)
+	if f.options.FirstStart {
+		patience = alonePatience
+		if now.Sub(f.started) < meetTime {
+			return false
+		}
+	}
 	rank := f.rank()
 	interval := readInterval
 	if rank == 1 {
@@ -80,10 +96,13 @@
 	if now.Sub(last) < min(interval<<min(failures, maxDoublings), longestBackoff) {
 		return false
 	}
-	if rank < readers || f.contact.Load() == 0 && f.ServersVersion() == 0 {
+	if rank < readers {
+		return true
+	}
+	if f.contact.Load() == 0 && f.ServersVersion() == 0 && now.Sub(f.started) >= patience {
 		return true
 	}
-	patience := standInAfter + min(time.Duration(rank)*standInStep, mostStandIn)
+	patience = standInAfter + min(time.Duration(rank)*standInStep, mostStandIn)
 	return f.newestContact(now) > patience
 }
 
@@ -194,7 +213,11 @@
 
 // followConfig waits for changes of the configuration while this member is a reader.
 func (f *Feed) followConfig(ctx context.Context) {
-	f.readConfig(ctx, 0)
+	if f.options.FirstStart {
+		sleep(ctx, meetTime)
+	} else {
+		f.readConfig(ctx, 0)
+	}
 	for ctx.Err() == nil {
 		if f.rank() < readers && f.readConfig(ctx, configWait) {
 			continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -237,17 +237,14 @@
 		}
 	})
 	e.background.Go(func() { mesh.Run(ctx, beatInterval, e.round) })
-	store := registry{log: e.parts.Adapter.Log, stream: e.parts.Adapter.EntriesStream, events: e.parts.Events}
-	e.background.Go(func() { store.run(ctx, e.self(), e.parts.Node) })
-}
-
-func (e *Entry) self() mesh.Member {
-	for _, m := range e.parts.Node.View().Live {
-		if m.VM == e.parts.Settings.VM {
-			return m.Member
-		}
+	list := &registry{
+		log:    e.parts.Adapter.Log,
+		stream: e.parts.Adapter.EntriesStream,
+		node:   e.parts.Node,
+		self:   s.VM,
+		events: e.parts.Events,
 	}
-	return mesh.Member{}
+	e.background.Go(func() { list.run(ctx) })
 }
 
 // round probes this member's servers and tells the others what it learned.
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -205,6 +205,7 @@
 		DecodeServer: adapter.DecodeServer,
 		Client:       pool,
 		Self:         s.VM,
+		FirstStart:   s.FirstStart,
 		View:         node.View,
 		OnTree:       a.setTree,
 		OnServers:    func(vms []fleet.VM) { a.setServers(vms) },
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
@@ -12,65 +12,105 @@
 )
 
 const (
-	// registryTimeout bounds one call of the registration.
+	// registryKey is the record with the addresses of all members.
+	registryKey = "members"
+	// registryInterval is how often a member looks whether the record is to be
+	// read or written.
+	registryInterval = 500 * time.Millisecond
+	// registryTimeout bounds one call.
 	registryTimeout = time.Second
-	// firstRegistryPause doubles after each failed registration.
-	firstRegistryPause = 500 * time.Millisecond
-	// longestRegistryPause bounds the doubling.
-	longestRegistryPause = 8 * time.Second
+	// writePause is the least time between two writes, so that a rolling restart
+	// costs few of them.
+	writePause = 5 * time.Second
+	// longestReadPause bounds the doubling of the pause between two reads.
+	longestReadPause = 8 * time.Second
 )
 
-// registry is the store's list of entries: they find each other there after
-// every VM was lost at once, when no seed may be left.
+// registry is the store's list of members. They find each other there when no
+// seed of the settings is left, such as after every VM was lost at once. The
+// first reader of the mesh keeps it; a member that hears no other reads it.
 type registry struct {
 	log    logservice.KeyedLog
 	stream string
+	node   *mesh.Node
+	self   string
 	events *eventlog.Logger
+
+	written   map[netip.AddrPort]bool
+	lastWrite time.Time
+	lastRead  time.Time
+	readPause time.Duration
 }
 
-// run registers the member and greets the others that are registered.
-func (r registry) run(ctx context.Context, self mesh.Member, node *mesh.Node) {
-	pause := firstRegistryPause
-	for ctx.Err() == nil {
-		err := r.register(ctx, self, node)
-		if err == nil {
-			return
-		}
-		r.events.Warn("registration failed", "error", err, "retry_ms", pause.Milliseconds())
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
+// run keeps the list until ctx ends.
+func (r *registry) run(ctx context.Context) {
+	r.readPause = registryInterval
+	mesh.Run(ctx, registryInterval, r.step)
+}
+
+func (r *registry) step(ctx context.Context, now time.Time) {
+	v := r.node.View()
+	switch {
+	case len(v.Live) < 2:
+		r.read(ctx, now)
+	case v.Readers()[0].VM == r.self && now.Sub(r.lastWrite) > writePause && r.incomplete(v):
+		r.lastWrite = now
+		r.write(ctx, v)
+	}
+}
+
+// incomplete reports whether the list lacks a live member. Those that are gone
+// may stay in it; they are greeted in vain.
+func (r *registry) incomplete(v *mesh.View) bool {
+	for _, m := range v.Live {
+		if !r.written[m.Datagrams] {
+			return true
 		}
-		pause = min(2*pause, longestRegistryPause)
 	}
+	return false
 }
 
-// register reads the list first: a member whose place is in it already, as after
-// a restart, saves a call.
-func (r registry) register(ctx context.Context, self mesh.Member, node *mesh.Node) error {
+func (r *registry) write(ctx context.Context, v *mesh.View) {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	addresses := make([]netip.AddrPort, 0, len(v.Live))
+	written := make(map[netip.AddrPort]bool, len(v.Live))
+	for _, m := range v.Live {
+		addresses = append(addresses, m.Datagrams)
+		written[m.Datagrams] = true
+	}
+	value, err := json.Marshal(addresses)
+	if err == nil {
+		err = r.log.Put(ctx, r.stream, registryKey, value)
+	}
+	if err != nil {
+		r.events.Warn("member list not written", "members", len(addresses), "error", err)
+		return
+	}
+	r.written = written
+	r.events.Info("member list written", "members", len(addresses))
+}
+
+func (r *registry) read(ctx context.Context, now time.Time) {
+	if now.Sub(r.lastRead) < r.readPause {
+		return
+	}
+	r.lastRead = now
+	r.readPause = min(2*r.readPause, longestReadPause)
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	page, err := r.log.Newest(ctx, r.stream)
 	if err != nil {
-		return err
+		r.events.Warn("member list not read", "error", err)
+		return
 	}
-	listed := false
 	for _, record := range page.Records {
-		var m mesh.Member
-		if err := json.Unmarshal(record.Value, &m); err != nil {
-			r.events.Warn("entry record ignored", "key", record.Key, "offset", record.Offset, "error", err)
+		var addresses []netip.AddrPort
+		if err := json.Unmarshal(record.Value, &addresses); err != nil {
+			r.events.Warn("member list ignored", "key", record.Key, "offset", record.Offset, "error", err)
 			continue
 		}
-		listed = listed || m.VM == self.VM && m.Datagrams == self.Datagrams
-		node.Greet(m.Datagrams)
-	}
-	r.events.Info("entries read", "records", len(page.Records), "listed", listed)
-	if listed {
-		return nil
-	}
-	value, err := json.Marshal(self)
-	if err != nil {
-		return err
+		r.node.Greet(addresses...)
+		r.events.Info("member list read", "members", len(addresses), "offset", record.Offset)
 	}
-	return r.log.Put(ctx, r.stream, self.VM, value)
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,6 +22,8 @@
 	Datagrams   netip.AddrPort
 	// MetricsAddress is the address of the metrics page; empty serves none.
 	MetricsAddress string
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Seeds are datagram addresses of other entries, some of which may be gone.
 	Seeds []netip.AddrPort
 	// MemoryBytes is the most memory that the process may take.
--- a/internal/mesh/datagram.go
+++ b/internal/mesh/datagram.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"net/netip"
 	"time"
 )
 
@@ -11,6 +12,10 @@
 const (
 	kindBeat  = 0xB1
 	kindHello = 0xB2
+	// kindRelay is a beat to pass on to the receiver's availability zone, and
+	// kindRelayed one that was passed on, with the sender's address before it.
+	kindRelay   = 0xB3
+	kindRelayed = 0xB4
 )
 
 const (
@@ -206,8 +211,10 @@
 	From Member `json:"from"`
 	// Answer asks for a hello in return.
 	Answer bool `json:"answer"`
-	// Others are members that the sender heard of late.
-	Others []Member `json:"others,omitempty"`
+	// Others are the datagram addresses of members that the sender heard of late.
+	Others []netip.AddrPort `json:"others,omitempty"`
+	// Tell asks for the others that the receiver hears.
+	Tell bool `json:"tell,omitempty"`
 }
 
 func (h *hello) encode() ([]byte, error) {
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -48,6 +48,8 @@
 	Status
 	// Heard is when its last beat came.
 	Heard time.Time
+
+	mark uint32 // see markOf
 }
 
 // View is the members as one of them sees them. It is immutable.
@@ -58,17 +60,26 @@
 	Known int
 	// Silent are members that were ready when they were heard last, a while ago.
 	Silent []Live
-	// set stands for the live members.
-	set uint32
+	// set stands for the live members, duties for those that do not leave.
+	set, duties uint32
 }
 
-// setOf adds up the members, so that the order does not count.
-func setOf(live []Live) uint32 {
-	sum := uint32(0)
-	for _, m := range live {
-		sum += uint32(score(m.VM, strconv.FormatUint(m.Incarnation, 16)))
+// SameDuties reports whether the same members do duties in both views.
+func (v *View) SameDuties(other *View) bool { return v.duties == other.duties }
+
+// sum adds up the members, so that the order does not count.
+func (v *View) sum() {
+	for _, m := range v.Live {
+		v.set += m.mark
+		if !m.Leaving {
+			v.duties += m.mark
+		}
 	}
-	return sum
+}
+
+// markOf stands for one start of a member.
+func markOf(m Member) uint32 {
+	return uint32(score(m.VM, strconv.FormatUint(m.Incarnation, 16)))
 }
 
 // isolated reports whether most members fell silent at about the same time: then
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -20,6 +20,14 @@
 	// beats, so that lost datagrams don't matter, and little beside the second
 	// that a caller allows a connection.
 	aliveFor = 500 * time.Millisecond
+	// farAliveFor is the same for members that are heard of through relays.
+	farAliveFor = 1500 * time.Millisecond
+	// fullMeshMost is the number of members up to which each beat goes to all. In
+	// larger fleets beats go to the own availability zone, and every farEvery-th
+	// one to the others by way of one of their members.
+	fullMeshMost = 40
+	// farEvery makes far beats 200 ms apart.
+	farEvery = 6
 	// rememberFor is how long a silent member is still known.
 	rememberFor = 2 * time.Minute
 	// silentFor is how long a silent member may still be named to callers by one
@@ -31,9 +39,11 @@
 	// settleTime is how long the set of members must stay before a difference to
 	// that of another member is more than a beat on its way.
 	settleTime = 100 * time.Millisecond
+	// longestAskPause bounds the pause between two such questions.
+	longestAskPause = 2 * time.Second
 	// mostOthers bounds the members that one introduction tells of, so that it
 	// fits into a datagram.
-	mostOthers = 40
+	mostOthers = 200
 	// mostHellos bounds the introductions of one interval.
 	mostHellos = 32
 	// socketBuffer is the receive buffer of the datagram socket in bytes: the
@@ -75,6 +85,8 @@
 	// changed is when the set of live members changed last, asked when another
 	// member was asked for its set.
 	changed, asked time.Time
+	askPause       time.Duration // doubles while the sets stay different
+	beats          int
 }
 
 // NewNode returns a node that knows itself only.
@@ -83,7 +95,7 @@
 		options.Scope = tally.NoopScope
 	}
 	n := &Node{options: options, rows: map[netip.AddrPort]*row{}, seeds: map[netip.AddrPort]time.Time{}}
-	n.view.Store(&View{Live: []Live{{Member: options.Self}}, Known: 1})
+	n.view.Store(&View{Live: []Live{{Member: options.Self, mark: markOf(options.Self)}}, Known: 1})
 	return n
 }
 
@@ -138,6 +150,10 @@
 			return
 		}
 		n.meet(from, h, time.Now())
+	case kindRelay:
+		n.relay(from, data[1:])
+	case kindRelayed:
+		n.relayed(data[1:])
 	default:
 		n.count("malformed")
 	}
@@ -157,14 +173,14 @@
 		return
 	}
 	ask := n.differs(b, now)
-	news := now.Sub(r.Heard) > aliveFor || r.Ready != b.Ready || r.Leaving != b.Leaving
+	news := now.Sub(r.Heard) > n.aliveFor(&r.Live) || r.Ready != b.Ready || r.Leaving != b.Leaving
 	r.sequence = b.Sequence
 	r.Status = b.Status
 	r.Heard = now
 	live := r.Live
 	n.mu.Unlock()
 	if ask {
-		n.sendHello(from, true)
+		n.sendHello(from, true, true)
 	}
 	n.options.Handle(live, b)
 	if news {
@@ -175,10 +191,15 @@
 // differs reports whether the sender sees other members than this one and is to
 // be asked for them now. The lock is held.
 func (n *Node) differs(b *Beat, now time.Time) bool {
-	if b.Set == n.View().set || now.Sub(n.changed) < settleTime || now.Sub(n.asked) < helloInterval {
+	if b.Set == n.View().set {
+		n.askPause = helloInterval
+		return false
+	}
+	if now.Sub(n.changed) < settleTime || now.Sub(n.asked) < n.askPause {
 		return false
 	}
 	n.asked = now
+	n.askPause = min(2*max(n.askPause, helloInterval), longestAskPause)
 	return true
 }
 
@@ -192,7 +213,7 @@
 	}
 	n.mu.Unlock()
 	if due {
-		n.sendHello(to, true)
+		n.sendHello(to, true, false)
 	}
 }
 
@@ -206,15 +227,18 @@
 	r := n.rows[from]
 	isNew := r == nil || r.Incarnation < h.From.Incarnation
 	if isNew {
-		n.rows[from] = &row{Live: Live{Member: h.From, Heard: now}}
+		n.rows[from] = &row{Live: Live{Member: h.From, Heard: now, mark: markOf(h.From)}}
 	}
 	delete(n.seeds, from)
 	for _, other := range h.Others {
 		n.learn(other)
 	}
 	n.mu.Unlock()
-	if h.Answer {
-		n.sendHello(from, false)
+	if h.Answer || h.Tell {
+		n.sendHello(from, false, false)
+	}
+	if h.Tell || isNew && h.Answer {
+		n.tell(from)
 	}
 	if isNew {
 		n.count("met")
@@ -223,26 +247,38 @@
 }
 
 // learn notes where another member may be found. The lock is held.
-func (n *Node) learn(m Member) {
-	if m.Datagrams == n.options.Self.Datagrams || n.rows[m.Datagrams] != nil {
+func (n *Node) learn(address netip.AddrPort) {
+	if address == n.options.Self.Datagrams || n.rows[address] != nil {
 		return
 	}
-	if _, known := n.seeds[m.Datagrams]; !known {
-		n.seeds[m.Datagrams] = time.Time{}
+	if _, known := n.seeds[address]; !known {
+		n.seeds[address] = time.Time{}
 	}
 }
 
-func (n *Node) sendHello(to netip.AddrPort, answer bool) {
-	h := hello{From: n.options.Self, Answer: answer}
+// sendHello introduces this member, and asks for an introduction in return and
+// for the members that the other one hears.
+func (n *Node) sendHello(to netip.AddrPort, answer, tell bool) {
+	n.sendEncoded(to, &hello{From: n.options.Self, Answer: answer, Tell: tell})
+}
+
+// tell names the members that this one hears, a random part of them where they
+// are many.
+func (n *Node) tell(to netip.AddrPort) {
+	h := &hello{From: n.options.Self}
 	for _, m := range n.View().Live {
-		if m.VM != n.options.Self.VM {
-			h.Others = append(h.Others, m.Member)
+		if m.VM != n.options.Self.VM && m.Datagrams != to {
+			h.Others = append(h.Others, m.Datagrams)
 		}
 	}
 	if len(h.Others) > mostOthers {
 		rand.Shuffle(len(h.Others), func(i, j int) { h.Others[i], h.Others[j] = h.Others[j], h.Others[i] })
 		h.Others = h.Others[:mostOthers]
 	}
+	n.sendEncoded(to, h)
+}
+
+func (n *Node) sendEncoded(to netip.AddrPort, h *hello) {
 	data, err := h.encode()
 	if err != nil {
 		n.count("encode_errors")
@@ -262,7 +298,7 @@
 	n.mu.Lock()
 	b.Status = n.own
 	n.mu.Unlock()
-	n.sendAll(b)
+	n.sendNear(n.encode(b))
 }
 
 // Send sends a beat to all live members, and introduces this one where it is
@@ -272,21 +308,14 @@
 	n.own = b.Status
 	n.mu.Unlock()
 	n.Refresh(now)
-	n.sendAll(b)
-	for _, to := range n.dueHellos(now) {
-		n.sendHello(to, true)
-	}
-}
-
-func (n *Node) sendAll(b *Beat) {
 	parts := n.encode(b)
-	for _, m := range n.View().Live {
-		if m.Datagrams == n.options.Self.Datagrams {
-			continue
-		}
-		for _, part := range parts {
-			n.send(m.Datagrams, part)
-		}
+	n.sendNear(parts)
+	n.beats++
+	if n.beats%farEvery == 0 {
+		n.sendFar(parts)
+	}
+	for _, to := range n.dueHellos(now) {
+		n.sendHello(to, true, false)
 	}
 }
 
@@ -331,7 +360,7 @@
 			continue
 		}
 		// The longer a member is silent, the less often it is greeted.
-		if silent > aliveFor && len(due) < mostHellos && now.Sub(r.greeted) > max(helloInterval, silent/4) {
+		if silent > n.aliveFor(&r.Live) && len(due) < mostHellos && now.Sub(r.greeted) > max(helloInterval, silent/4) {
 			r.greeted = now
 			due = append(due, address)
 		}
@@ -342,18 +371,19 @@
 // Refresh makes the view anew.
 func (n *Node) Refresh(now time.Time) {
 	n.mu.Lock()
-	v := &View{Live: []Live{{Member: n.options.Self, Status: n.own, Heard: now}}, Known: 1 + len(n.rows)}
+	self := Live{Member: n.options.Self, Status: n.own, Heard: now, mark: markOf(n.options.Self)}
+	v := &View{Live: []Live{self}, Known: 1 + len(n.rows)}
 	for _, r := range n.rows {
 		silent := now.Sub(r.Heard)
 		switch {
-		case silent <= aliveFor:
+		case silent <= n.aliveFor(&r.Live):
 			v.Live = append(v.Live, r.Live)
 		case silent <= silentFor && r.Ready && !r.Leaving:
 			v.Silent = append(v.Silent, r.Live)
 		}
 	}
 	slices.SortFunc(v.Live, func(a, b Live) int { return cmp.Compare(a.VM, b.VM) })
-	v.set = setOf(v.Live)
+	v.sum()
 	old := n.view.Swap(v)
 	if old.set != v.set {
 		n.changed = now
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -61,6 +61,7 @@
 	service  *tree.Service
 	balancer *balancer.Balancer
 	probing  bool
+	owned    bool // this member is the server's observer
 }
 
 // staged is what was learned of a server since the last beat.
@@ -81,6 +82,7 @@
 	byName  map[string]*target
 	staged  map[mesh.ServerID]*staged
 	budget  float64
+	view    *mesh.View // by which owned was decided
 }
 
 // New returns an observer without servers.
@@ -135,6 +137,20 @@
 		}
 	}
 	o.targets, o.byName = targets, byName
+	o.view = nil
+}
+
+// deal decides which servers this member observes, anew when the members or the
+// servers have changed. The lock is held.
+func (o *Observer) deal(view *mesh.View) {
+	if o.view != nil && o.view.SameDuties(view) {
+		return
+	}
+	o.view = view
+	for _, t := range o.targets {
+		owner, ok := view.Owner(t.vm.Name, t.vm.Zone)
+		t.owned = ok && owner.VM == o.options.Self
+	}
 }
 
 // Round probes the servers that this member observes and waits a little for them.
@@ -166,6 +182,7 @@
 	view := o.options.View()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.deal(view)
 	part := float64(len(o.targets)) / float64(max(view.Known, 1)) * budgetSlack
 	o.budget = min(o.budget+part, max(2*part, 1))
 	var due []*target
@@ -173,11 +190,7 @@
 		if o.budget < 1 {
 			break
 		}
-		if t.probing || now.Sub(o.stage(t.id).reported) < freshReport {
-			continue
-		}
-		owner, ok := view.Owner(t.vm.Name, t.vm.Zone)
-		if !ok || owner.VM != o.options.Self {
+		if !t.owned || t.probing || now.Sub(o.stage(t.id).reported) < freshReport {
 			continue
 		}
 		o.budget--
