Test the whole path against stand-ins of the users' platform

Found by these tests and mended: an entry crashed when all members it saw were leaving (no reader left: index out of range in the member list's keeper); a metric that could not be registered ended the process; a refused request of a fresh entry was never tried elsewhere, as its budget of second attempts began empty. The tests are platform/path_test.go, mesh/member_test.go (no reader where all leave) and attempt/budget_test.go.

--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -9,6 +9,9 @@
 // burstTokens is how many retries, or hedges, may follow each other at once.
 const burstTokens = 10
 
+// firstTokens is what a budget over all entries starts with at each of them.
+const firstTokens = 1
+
 // tokens are earned by a share at a time and spent one by one.
 type tokens struct {
 	mu    sync.Mutex
@@ -48,9 +51,9 @@
 // call a share of a hedge.
 //
 // A service with a RetryBurst has a budget over all entries instead. Each entry
-// spends only from what its own calls earned, and starts with nothing, so that
-// the sum over all entries needs no message: hedges are retries there, and each
-// call earns whether or not it succeeds.
+// spends only from what its own calls earned, and starts with one, so that the
+// sum over all entries needs no message: hedges are retries there, and each call
+// earns whether or not it succeeds.
 type budget struct {
 	retries, hedges tokens
 	shared          bool
@@ -104,7 +107,7 @@
 
 func newBudget(settings tree.Budgets) *budget {
 	if settings.RetryBurst > 0 {
-		return &budget{shared: true}
+		return &budget{shared: true, retries: tokens{count: min(firstTokens, settings.RetryBurst)}}
 	}
 	return &budget{retries: tokens{count: burstTokens}}
 }
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -110,15 +110,7 @@
 const maxDoublings = 4
 
 // rank is this member's place in the order of readers.
-func (f *Feed) rank() int {
-	ranked := f.options.View().Readers()
-	for i, m := range ranked {
-		if m.VM == f.options.Self {
-			return i
-		}
-	}
-	return len(ranked)
-}
+func (f *Feed) rank() int { return f.options.View().ReaderRank(f.options.Self) }
 
 // newestContact is the least age of a contact that any live member had.
 func (f *Feed) newestContact(now time.Time) time.Duration {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,9 @@
 // Start binds the sockets and starts the servers and the background work.
 func (e *Entry) Start(context.Context) error {
 	s := e.parts.Settings
-	runtime.GOMAXPROCS(max(s.Cores, 1))
+	if s.Cores > 0 {
+		runtime.GOMAXPROCS(s.Cores)
+	}
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
@@ -261,3 +263,6 @@
 	e.parts.Observer.Collect(b, now)
 	e.parts.Node.Send(b, now)
 }
+
+// View returns the members as this entry sees them.
+func (e *Entry) View() *mesh.View { return e.parts.Node.View() }
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -71,7 +71,11 @@
 }
 
 func newEvents(s *Settings) *eventlog.Logger {
-	return eventlog.New(os.Stdout, log.InfoLevel, "vm", s.VM)
+	out := s.Log
+	if out == nil {
+		out = os.Stdout
+	}
+	return eventlog.New(out, log.InfoLevel, "vm", s.VM)
 }
 
 // errorLog brings the lines of net/http's servers into the log.
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -53,7 +53,7 @@
 	switch {
 	case len(v.Live) < 2:
 		r.read(ctx, now)
-	case v.Readers()[0].VM == r.self && now.Sub(r.lastWrite) > writePause && r.incomplete(v):
+	case v.ReaderRank(r.self) == 0 && now.Sub(r.lastWrite) > writePause && r.incomplete(v):
 		r.lastWrite = now
 		r.write(ctx, v)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"io"
 	"net/netip"
 	"time"
 )
@@ -36,6 +37,8 @@
 	Grace time.Duration
 	// AddressTTL is how long callers keep the address answer.
 	AddressTTL time.Duration
+	// Log receives the log lines; nil stands for standard output.
+	Log io.Writer
 	// Retry is the budget of second attempts over all entries.
 	Retry RetryBudget
 }
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -140,6 +140,18 @@
 	return ranked
 }
 
+// ReaderRank is a member's place in the order of readers, 0 the first; one that
+// is not in it, as it leaves, comes after all.
+func (v *View) ReaderRank(vm string) int {
+	ranked := v.Readers()
+	for i, m := range ranked {
+		if m.VM == vm {
+			return i
+		}
+	}
+	return len(v.Live)
+}
+
 // Place is a member's place in the order of the key.
 func (v *View) Place(vm, key string) int {
 	own := score(vm, key)
--- /dev/null
+++ b/internal/mesh/member_test.go
@@ -0,0 +1,88 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+)
+
+func viewOf(members ...Live) *View {
+	v := &View{Live: members, Known: len(members)}
+	for i := range v.Live {
+		v.Live[i].mark = markOf(v.Live[i].Member)
+	}
+	v.sum()
+	return v
+}
+
+func member(n, zones int) Live {
+	return Live{
+		Member: Member{VM: fmt.Sprintf("vm-%d", n), Zone: fmt.Sprintf("zone-%d", n%zones), Caller: fmt.Sprintf("c-%d", n)},
+		Status: Status{Ready: true},
+	}
+}
+
+// A fleet in which every member leaves has no reader; nobody may rely on one.
+func TestNoReaderWhereAllLeave(t *testing.T) {
+	m := member(1, 2)
+	m.Leaving = true
+	v := viewOf(m)
+	if len(v.Readers()) != 0 || v.ReaderRank("vm-1") == 0 {
+		t.Errorf("readers %v, rank %d", v.Readers(), v.ReaderRank("vm-1"))
+	}
+	if len(v.CallerAddresses()) != 0 {
+		t.Error("a leaving member is named to callers")
+	}
+}
+
+func TestReadersAreOfTwoZones(t *testing.T) {
+	for n := 2; n < 30; n++ {
+		var members []Live
+		for i := range n {
+			members = append(members, member(i, 3))
+		}
+		ranked := viewOf(members...).Readers()
+		if len(ranked) != n || ranked[0].Zone == ranked[1].Zone {
+			t.Fatalf("%d members: readers %v and %v of %d", n, ranked[0], ranked[1], len(ranked))
+		}
+	}
+}
+
+// Duties are dealt about evenly, in the zone, and by one member each.
+func TestOwners(t *testing.T) {
+	var members []Live
+	for i := range 12 {
+		members = append(members, member(i, 3))
+	}
+	v := viewOf(members...)
+	counts := map[string]int{}
+	for s := range 120 {
+		zone := fmt.Sprintf("zone-%d", s%3)
+		owner, ok := v.Owner(fmt.Sprintf("server-%d", s), zone)
+		if !ok || owner.Zone != zone {
+			t.Fatalf("server-%d in %s has owner %+v", s, zone, owner)
+		}
+		counts[owner.VM]++
+	}
+	for vm, n := range counts {
+		if n > 24 {
+			t.Errorf("%s owns %d of 120", vm, n)
+		}
+	}
+	if owner, ok := v.Owner("server", "elsewhere"); !ok || owner.VM == "" {
+		t.Error("a server of a zone without members has no owner")
+	}
+}
+
+// A member that hears hardly anybody names those too that it heard a while ago.
+func TestCutOffMemberNamesTheOthers(t *testing.T) {
+	v := viewOf(member(0, 2))
+	v.Silent = []Live{member(1, 2), member(2, 2)}
+	if got := v.CallerAddresses(); len(got) != 3 {
+		t.Errorf("cut off: %v", got)
+	}
+	v = viewOf(member(0, 2), member(1, 2), member(2, 2))
+	v.Silent = []Live{member(3, 2)}
+	if got := v.CallerAddresses(); len(got) != 3 {
+		t.Errorf("one of four is silent: %v", got)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,9 +4,11 @@
 
 import (
 	"io"
+	stdlog "log"
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -58,7 +60,13 @@
 
 // NewRegistry returns a running registry; Close flushes and ends it.
 func NewRegistry() *Registry {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	own := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: own,
+		Gatherer:   own,
+		// A counter that can't be shown must not end the process.
+		OnRegisterError: func(err error) { stdlog.Printf("metric not registered: %v", err) },
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "chestnutrouter",
 		CachedReporter:  reporter,
