--- /dev/null
+++ b/internal/balancer/pace_test.go
@@ -0,0 +1,225 @@
+package balancer
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+var pacedService = &tree.Service{Member: "m", Name: "s", ConnectionsPerServer: 1000}
+
+// pacedBalancer has servers s0, s1 and so on in zone a, all reported quick and idle.
+func pacedBalancer(now time.Time, servers int) *Balancer {
+	b := New(Options{Entry: "entry", Zone: "a"})
+	var vms []fleet.VM
+	for i := range servers {
+		vms = append(vms, fleet.VM{Name: fmt.Sprintf("s%d", i), Address: "a", Zone: "a", Slots: 3})
+	}
+	b.UpdateAt(now, vms, pacedService)
+	for _, vm := range vms {
+		b.Heard(vm.Name, now, Report{Slots: 3, Slowdown: 100})
+	}
+	return b
+}
+
+const (
+	usualWork = 100 * time.Millisecond
+	target    = 250 * time.Millisecond
+)
+
+// Pattern: neighbours slow a fifth of the servers fivefold. A request that has a
+// target goes where it can meet it, or nowhere yet.
+func TestSlowedServersGetNoWorkWithATarget(t *testing.T) {
+	now := time.Now()
+	b := pacedBalancer(now, 5)
+	b.Heard("s0", now.Add(time.Millisecond), Report{Slots: 3, Slowdown: 500})
+	now = now.Add(2 * time.Millisecond)
+	for range 12 {
+		s, ok := b.PickWithin(now, nil, usualWork, target, 0)
+		if !ok {
+			t.Fatal("quick servers have 12 slots")
+		}
+		if s.VM.Name == "s0" {
+			t.Fatal("a slowed server got a request that it can't answer in time")
+		}
+	}
+	if s, ok := b.PickWithin(now, nil, usualWork, target, 0); ok {
+		t.Errorf("%s got a 13th request", s.VM.Name)
+	}
+	if s, ok := b.PickWithin(now, nil, usualWork, time.Second, 0); !ok || s.VM.Name != "s0" {
+		t.Error("a request with time did not go to the slowed server, which is free")
+	}
+}
+
+func TestStretch(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name   string
+		report Report
+		age    time.Duration
+		want   float64
+	}{
+		{"quick and idle", Report{Slots: 3, Slowdown: 100}, 0, 1},
+		{"two run", Report{InFlight: 2, Slots: 3, Slowdown: 100}, 0, kneeFactor},
+		{"slowed fivefold", Report{Slots: 3, Slowdown: 500}, 0, 5},
+		{"slowed, an old report", Report{Slots: 3, Slowdown: 500}, 2 * paceFresh, 1 / 0.6},
+	} {
+		b := New(Options{Entry: "entry", Zone: "a"})
+		b.UpdateAt(now, []fleet.VM{{Name: "s", Address: "a", Zone: "a", Slots: 3}}, pacedService)
+		b.Heard("s", now, c.report)
+		at := now.Add(c.age)
+		v := b.view(b.snapshot.Load(), at, math.Inf(1))
+		h := b.snapshot.Load().host("s")
+		before := float64(c.report.InFlight)
+		if got := h.stretch(before, &v); math.Abs(got-c.want) > 0.01 {
+			t.Errorf("%s: stretch %.2f, want %.2f", c.name, got, c.want)
+		}
+	}
+}
+
+// A report that is older than what is known changes nothing.
+func TestOlderReportsArePassedOver(t *testing.T) {
+	now := time.Now()
+	b := pacedBalancer(now, 1)
+	b.Heard("s0", now.Add(20*time.Millisecond), Report{InFlight: 3, Slots: 3, Slowdown: 100})
+	b.Heard("s0", now.Add(10*time.Millisecond), Report{Slots: 3, Slowdown: 100})
+	if s, ok := b.PickWithin(now.Add(21*time.Millisecond), nil, usualWork, target, 0); ok {
+		t.Errorf("%s is full by the newer report and got a request", s.VM.Name)
+	}
+}
+
+// What others send counts until the next report.
+func TestSendsOfOthersFillAServer(t *testing.T) {
+	now := time.Now()
+	b := pacedBalancer(now, 1)
+	b.HeardOutcomes("s0", now.Add(time.Millisecond), Outcomes{Sent: 3})
+	if _, ok := b.PickWithin(now.Add(2*time.Millisecond), nil, usualWork, target, 0); ok {
+		t.Error("a server that others have filled got a request")
+	}
+	b.Heard("s0", now.Add(3*time.Millisecond), Report{InFlight: 1, Slots: 3, Slowdown: 100})
+	if _, ok := b.PickWithin(now.Add(4*time.Millisecond), nil, usualWork, target, 0); !ok {
+		t.Error("the next report did not free the places")
+	}
+}
+
+// Failures that others see take a server out before each entry has failed there.
+func TestFailuresOfOthersEject(t *testing.T) {
+	now := time.Now()
+	b := pacedBalancer(now, 6)
+	for range 3 {
+		b.HeardOutcomes("s0", now, Outcomes{Failed: 4})
+	}
+	for range 40 {
+		s, ok := b.PickWithin(now.Add(time.Millisecond), nil, usualWork, time.Second, 0)
+		if !ok {
+			break
+		}
+		if s.VM.Name == "s0" {
+			t.Fatal("a server that fails all requests of others got one")
+		}
+	}
+}
+
+// Bodies stay in their availability zone while it has room.
+func TestLargeBodiesStayNear(t *testing.T) {
+	now := time.Now()
+	b := New(Options{Entry: "entry", Zone: "a"})
+	vms := []fleet.VM{{Name: "near", Address: "n", Zone: "a", Slots: 3}, {Name: "far", Address: "f", Zone: "b", Slots: 3}}
+	b.UpdateAt(now, vms, pacedService)
+	for _, vm := range vms {
+		b.Heard(vm.Name, now, Report{Slots: 3, Slowdown: 100})
+	}
+	for range 2 {
+		s, _ := b.PickWithin(now.Add(time.Millisecond), nil, usualWork, time.Second, 100<<10)
+		if s.VM.Name != "near" {
+			t.Fatalf("a body of 100 KB went to %s", s.VM.Name)
+		}
+	}
+}
+
+// pacedFleet is entries that share reports and sends at once, as the mesh does within
+// a datagram's time.
+type pacedFleet []*Balancer
+
+func newPacedFleet(now time.Time, entries, servers int) pacedFleet {
+	var f pacedFleet
+	for e := range entries {
+		b := pacedBalancer(now, servers)
+		b.SetOrder(func(server string) int {
+			// Each server begins its order at another entry.
+			var n int
+			_, _ = fmt.Sscanf(server, "s%d", &n)
+			return (e + n) % entries
+		}, entries)
+		f = append(f, b)
+	}
+	return f
+}
+
+func (f pacedFleet) hear(now time.Time, server string, r Report) {
+	for _, b := range f {
+		b.Heard(server, now, r)
+	}
+}
+
+// Pattern: herd on news. All entries have work waiting and learn at the same
+// moment that one full server has a free place: one of them takes it.
+func TestFreedPlaceIsTakenOnce(t *testing.T) {
+	now := time.Now()
+	const entries = 19
+	f := newPacedFleet(now, entries, 1)
+	f.hear(now.Add(time.Millisecond), "s0", Report{InFlight: 3, Slots: 3, Slowdown: 100})
+	now = now.Add(2 * time.Millisecond)
+	for _, b := range f {
+		if _, ok := b.PickWithin(now, nil, usualWork, target, 0); ok {
+			t.Fatal("a full server took a request")
+		}
+	}
+	f.hear(now.Add(time.Millisecond), "s0", Report{InFlight: 2, Slots: 3, Slowdown: 100})
+	taken := 0
+	// Every entry looks each 2 ms; a send is known to the others 1 ms later.
+	for at := now.Add(time.Millisecond); at.Before(now.Add(60 * time.Millisecond)); at = at.Add(2 * time.Millisecond) {
+		var senders []int
+		for e, b := range f {
+			if _, ok := b.PickWithin(at, nil, usualWork, target, 0); ok {
+				senders = append(senders, e)
+			}
+		}
+		taken += len(senders)
+		for _, sender := range senders {
+			for e, b := range f {
+				if e != sender {
+					b.HeardOutcomes("s0", at.Add(time.Millisecond), Outcomes{Sent: 1})
+				}
+			}
+		}
+	}
+	// Two entries may have their turn within one look.
+	if taken < 1 || taken > 2 {
+		t.Errorf("%d requests took one free place", taken)
+	}
+}
+
+// Pattern: equal servers. Entries that all know the same spread their requests.
+func TestEntriesPreferDifferentServers(t *testing.T) {
+	now := time.Now()
+	const entries, servers = 19, 33
+	f := newPacedFleet(now, entries, servers)
+	counts := map[string]int{}
+	for _, b := range f {
+		s, ok := b.PickWithin(now.Add(time.Millisecond), nil, usualWork, target, 0)
+		if !ok {
+			t.Fatal("no server")
+		}
+		counts[s.VM.Name]++
+	}
+	for server, n := range counts {
+		if n > 4 {
+			t.Errorf("%d of %d entries chose %s of %d equal servers", n, entries, server, servers)
+		}
+	}
+}
