--- /dev/null
+++ b/internal/mesh/node_test.go
@@ -0,0 +1,178 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+)
+
+// testNode is a node on a loopback socket that beats by itself.
+type testNode struct {
+	*Node
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu    sync.Mutex
+	heard map[string]int // beats by VM
+}
+
+const testInterval = 20 * time.Millisecond
+
+func startNode(t *testing.T, vm, zone string, incarnation uint64, at netip.AddrPort, seeds ...netip.AddrPort) *testNode {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	n := &testNode{heard: map[string]int{}}
+	n.Node = NewNode(Options{
+		Self:   Member{VM: vm, Zone: zone, Datagrams: netip.AddrPortFrom(own.Addr().Unmap(), own.Port()), Incarnation: incarnation},
+		Conn:   conn,
+		Handle: n.handle,
+	})
+	n.Greet(seeds...)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.done.Go(func() { _ = n.Receive() })
+	n.done.Go(func() {
+		Run(ctx, testInterval, func(_ context.Context, now time.Time) {
+			n.Send(&Beat{Status: Status{Ready: true}}, now)
+		})
+	})
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *testNode) handle(from Live, _ *Beat) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard[from.VM]++
+}
+
+func (n *testNode) stop() {
+	n.cancel()
+	_ = n.Close()
+	n.done.Wait()
+}
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+func awaitLive(t *testing.T, want int, nodes ...*testNode) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		good := 0
+		for _, n := range nodes {
+			if len(n.View().Live) == want {
+				good++
+			}
+		}
+		if good == len(nodes) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d nodes see %d members", good, len(nodes), want)
+		}
+	}
+}
+
+// One address that is known is enough for all to find each other, also for those
+// that came before the others.
+func TestAllFindEachOtherBySeed(t *testing.T) {
+	first := startNode(t, "vm-0", "a", 1, anyPort)
+	nodes := []*testNode{first}
+	for i := 1; i < 12; i++ {
+		nodes = append(nodes, startNode(t, fmt.Sprintf("vm-%d", i), "a", 1, anyPort, first.options.Self.Datagrams))
+	}
+	awaitLive(t, len(nodes), nodes...)
+	for _, n := range nodes[1:] {
+		if n.View().set != first.View().set {
+			t.Error("two members stand for different sets")
+		}
+	}
+}
+
+// A member that restarts at its address is known anew, one that ends is missed.
+func TestRestartAndEnd(t *testing.T) {
+	a := startNode(t, "vm-a", "a", 1, anyPort)
+	b := startNode(t, "vm-b", "a", 1, anyPort, a.options.Self.Datagrams)
+	c := startNode(t, "vm-c", "b", 1, anyPort, a.options.Self.Datagrams)
+	awaitLive(t, 3, a, b, c)
+	address := b.options.Self.Datagrams
+	b.stop()
+	awaitLive(t, 2, a, c)
+	if a.View().Known != 3 || len(a.View().Silent) != 1 {
+		t.Errorf("known %d, silent %d", a.View().Known, len(a.View().Silent))
+	}
+	again := startNode(t, "vm-b", "a", 2, address, c.options.Self.Datagrams)
+	awaitLive(t, 3, a, c, again)
+	for _, m := range a.View().Live {
+		if m.VM == "vm-b" && m.Incarnation != 2 {
+			t.Error("the process before is still known")
+		}
+	}
+}
+
+// A beat of an earlier process, or one that came twice, changes nothing.
+func TestOldBeatsArePassedOver(t *testing.T) {
+	a := startNode(t, "vm-a", "a", 1, anyPort)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	now := time.Now()
+	a.meet(from, &hello{From: Member{VM: "vm-x", Zone: "a", Datagrams: from, Incarnation: 5}}, now)
+	beat := func(incarnation, sequence uint64, revision int64) {
+		a.hear(from, &Beat{Incarnation: incarnation, Sequence: sequence, Status: Status{Revision: revision}}, now)
+	}
+	beat(5, 10, 7)
+	beat(5, 9, 3)
+	beat(5, 10, 3)
+	beat(4, 11, 3)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r := a.rows[from]; r.Revision != 7 || r.sequence != 10 {
+		t.Errorf("revision %d, sequence %d", r.Revision, r.sequence)
+	}
+}
+
+func TestMalformedDatagramsAreCounted(t *testing.T) {
+	a := startNode(t, "vm-a", "a", 1, anyPort)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	for _, data := range [][]byte{{}, {0}, {kindBeat}, {kindHello, '{'}, {kindRelay}, {kindRelayed, 1}, {kindRelay, kindRelay}} {
+		a.receive(from, data)
+	}
+	if len(a.View().Live) != 1 {
+		t.Error("a malformed datagram made a member")
+	}
+}
+
+// Past fullMeshMost members beats reach other zones through a relay.
+func TestFarBeatsAreRelayed(t *testing.T) {
+	a := startNode(t, "vm-a", "a", 1, anyPort)
+	b := startNode(t, "vm-b", "b", 1, anyPort, a.options.Self.Datagrams)
+	c := startNode(t, "vm-c", "b", 1, anyPort, a.options.Self.Datagrams)
+	awaitLive(t, 3, a, b, c)
+	c.mu.Lock()
+	before := c.heard["vm-a"]
+	c.mu.Unlock()
+	// A beat for b to pass on, newer than all before.
+	beat := &Beat{Incarnation: 1, Sequence: 1 << 30, Status: Status{Revision: 77}}
+	a.send(b.options.Self.Datagrams, append([]byte{kindRelay}, beat.append(nil)...))
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+		c.mu.Lock()
+		after := c.heard["vm-a"]
+		c.mu.Unlock()
+		c.Node.mu.Lock()
+		r := c.rows[a.options.Self.Datagrams]
+		got := r != nil && r.Revision == 77
+		c.Node.mu.Unlock()
+		if got && after > before {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the relayed beat did not arrive")
+		}
+	}
+}
--- /dev/null
+++ b/internal/observe/observe_test.go
@@ -0,0 +1,142 @@
+package observe
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/mesh"
+	"chestnutrouter.example/chestnutrouter/internal/service"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// sender answers probes with one report and counts them by server.
+type sender struct {
+	mu     sync.Mutex
+	counts map[string]int
+	err    error
+}
+
+func (s *sender) Send(_ context.Context, vm fleet.VM, _ *tree.Service) (balancer.Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[vm.Name]++
+	return balancer.Report{InFlight: 2, Slots: 3, Slowdown: 100}, s.err
+}
+
+var observed = &tree.Tree{Services: []*tree.Service{{Member: "m", Name: "s"}}}
+
+func servers(n int) []fleet.VM {
+	var vms []fleet.VM
+	for i := range n {
+		vms = append(vms, fleet.VM{Name: fmt.Sprintf("s%d", i), Address: "a", Zone: "z", Service: "m/s", State: fleet.Live, Slots: 3})
+	}
+	return vms
+}
+
+type list []fleet.VM
+
+func (l list) Servers(string) []fleet.VM { return l }
+
+func newObserver(self string, view *mesh.View, vms []fleet.VM, s *sender) (*Observer, *service.Set) {
+	set := service.NewSet(service.Options{Entry: self, Zone: "z", Scope: tally.NoopScope, Workers: admission.NewWorkers()})
+	set.SetTree(observed)
+	set.SetServers(list(vms))
+	o := New(Options{Self: self, View: func() *mesh.View { return view }, Sender: s})
+	o.Update(observed, set, vms)
+	return o, set
+}
+
+func viewOf(n, known int) *mesh.View {
+	v := &mesh.View{Known: known}
+	for i := range n {
+		v.Live = append(v.Live, mesh.Live{Member: mesh.Member{VM: fmt.Sprintf("vm-%d", i), Zone: "z"}})
+	}
+	return v
+}
+
+// Each server has one observer, so one round of all members probes it once.
+func TestEachServerIsProbedOnce(t *testing.T) {
+	s, view, vms := &sender{counts: map[string]int{}}, viewOf(5, 5), servers(12)
+	for _, m := range view.Live {
+		o, _ := newObserver(m.VM, view, vms, s)
+		// The budget lets one member with many servers take some rounds.
+		for range 4 {
+			o.Round(t.Context(), time.Now())
+		}
+	}
+	for _, vm := range vms {
+		if s.counts[vm.Name] != 1 {
+			t.Errorf("%s was probed %d times", vm.Name, s.counts[vm.Name])
+		}
+	}
+}
+
+// A member that is cut off from the others does not probe all servers at full rate.
+func TestCutOffMemberProbesLittle(t *testing.T) {
+	s, vms := &sender{counts: map[string]int{}}, servers(40)
+	o, _ := newObserver("vm-0", viewOf(1, 20), vms, s)
+	const rounds = 50
+	for i := range rounds {
+		o.due(time.Now().Add(time.Duration(i) * time.Second))
+		for _, target := range o.targets {
+			if target.probing {
+				s.counts[target.vm.Name]++
+				target.probing = false
+			}
+		}
+	}
+	total := 0
+	for _, n := range s.counts {
+		total += n
+	}
+	part := float64(len(vms)) / 20 * budgetSlack * rounds
+	if float64(total) > 1.2*part || total == 0 {
+		t.Errorf("%d probes in %d rounds, its part is %.0f", total, rounds, part)
+	}
+}
+
+// What one member learns reaches the choice of another by one beat.
+func TestReportsTravelByBeat(t *testing.T) {
+	s, vms := &sender{counts: map[string]int{}}, servers(1)
+	a, _ := newObserver("vm-0", viewOf(1, 1), vms, s)
+	b, set := newObserver("vm-1", viewOf(1, 1), vms, s)
+	a.Round(t.Context(), time.Now())
+	a.Sent("s0")
+	a.Ended("s0", balancer.Result{Kind: balancer.Error}, false, time.Now())
+	beat := &mesh.Beat{}
+	a.Collect(beat, time.Now())
+	if len(beat.Reports) != 1 || len(beat.Outcomes) != 1 || beat.Outcomes[0].Sent != 1 || beat.Outcomes[0].Failed != 1 {
+		t.Fatalf("the beat carries %+v", beat)
+	}
+	b.Hear(beat, time.Now())
+	r, _ := set.Get("m/s")
+	if !r.Balancer.Paced() {
+		t.Error("the other member knows nothing of the server's pace")
+	}
+	again := &mesh.Beat{}
+	a.Collect(again, time.Now())
+	if len(again.Reports)+len(again.Outcomes) != 0 {
+		t.Errorf("told twice: %+v", again)
+	}
+}
+
+// A beat about servers that this member does not know is passed over.
+func TestUnknownServers(t *testing.T) {
+	o, _ := newObserver("vm-0", viewOf(1, 1), servers(1), &sender{counts: map[string]int{}})
+	o.Hear(&mesh.Beat{Reports: []mesh.Report{{Server: 1}}, Outcomes: []mesh.Outcome{{Server: 2, Sent: 1}}}, time.Now())
+	o.Sent("gone")
+	o.Ended("gone", balancer.Result{}, false, time.Now())
+	beat := &mesh.Beat{}
+	o.Collect(beat, time.Now())
+	if len(beat.Reports)+len(beat.Outcomes) != 0 {
+		t.Errorf("%+v", beat)
+	}
+}
