Let one member of a zone pass on the beats of a large fleet

Change: past 40 members beats go to one collector of the zone, which passes them on in digests 10 ms apart, and every sixth beat to one of each other zone.

--- a/internal/mesh/datagram.go
+++ b/internal/mesh/datagram.go
@@ -12,10 +12,11 @@
 const (
 	kindBeat  = 0xB1
 	kindHello = 0xB2
-	// kindRelay is a beat to pass on to the receiver's availability zone, and
-	// kindRelayed one that was passed on, with the sender's address before it.
-	kindRelay   = 0xB3
-	kindRelayed = 0xB4
+	// kindCollect is a beat for the receiver to pass on to its availability zone,
+	// kindDigest are beats that were passed on: for each the sender's address, the
+	// length (2 bytes) and the beat.
+	kindCollect = 0xB3
+	kindDigest  = 0xB4
 )
 
 const (
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -20,14 +20,6 @@
 	// beats, so that lost datagrams don't matter, and little beside the second
 	// that a caller allows a connection.
 	aliveFor = 500 * time.Millisecond
-	// farAliveFor is the same for members that are heard of through relays.
-	farAliveFor = 1500 * time.Millisecond
-	// fullMeshMost is the number of members up to which each beat goes to all. In
-	// larger fleets beats go to the own availability zone, and every farEvery-th
-	// one to the others by way of one of their members.
-	fullMeshMost = 40
-	// farEvery makes far beats 200 ms apart.
-	farEvery = 6
 	// rememberFor is how long a silent member is still known.
 	rememberFor = 2 * time.Minute
 	// silentFor is how long a silent member may still be named to callers by one
@@ -87,6 +79,7 @@
 	changed, asked time.Time
 	askPause       time.Duration // doubles while the sets stay different
 	beats          int
+	collection     collection
 }
 
 // NewNode returns a node that knows itself only.
@@ -95,6 +88,7 @@
 		options.Scope = tally.NoopScope
 	}
 	n := &Node{options: options, rows: map[netip.AddrPort]*row{}, seeds: map[netip.AddrPort]time.Time{}}
+	n.collection.used, n.collection.heard = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]time.Time{}
 	n.view.Store(&View{Live: []Live{{Member: options.Self, mark: markOf(options.Self)}}, Known: 1})
 	return n
 }
@@ -150,10 +144,10 @@
 			return
 		}
 		n.meet(from, h, time.Now())
-	case kindRelay:
-		n.relay(from, data[1:])
-	case kindRelayed:
-		n.relayed(data[1:])
+	case kindCollect:
+		n.collect(from, data[1:])
+	case kindDigest:
+		n.digested(from, data[1:])
 	default:
 		n.count("malformed")
 	}
@@ -298,7 +292,7 @@
 	n.mu.Lock()
 	b.Status = n.own
 	n.mu.Unlock()
-	n.sendNear(n.encode(b))
+	n.sendNear(n.encode(b), now)
 }
 
 // Send sends a beat to all live members, and introduces this one where it is
@@ -309,11 +303,8 @@
 	n.mu.Unlock()
 	n.Refresh(now)
 	parts := n.encode(b)
-	n.sendNear(parts)
-	n.beats++
-	if n.beats%farEvery == 0 {
-		n.sendFar(parts)
-	}
+	n.sendNear(parts, now)
+	n.sendFar(parts)
 	for _, to := range n.dueHellos(now) {
 		n.sendHello(to, true, false)
 	}
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -1,14 +1,70 @@
 package mesh
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"time"
 )
 
-// near reports whether each beat goes to the member directly.
+// In a large fleet each member sends its beats to one collector, a member of its
+// availability zone, which passes them on to the whole zone in digests a few
+// milliseconds apart. So a member sends and receives about as much whatever the
+// number of members. Every few beats it sends one to the collectors of the other
+// zones. Nobody elects a collector: each member takes the strongest one that it
+// hears, and a member that gets beats to collect passes them on, so two members
+// that choose differently lose nothing.
+
+const (
+	// fullMeshMost is the number of members up to which each beat goes to all.
+	fullMeshMost = 40
+	// farEvery is how many beats lie between two to the other zones: 200 ms.
+	farEvery = 6
+	// farAliveFor is how long after its last beat a member of another zone counts
+	// as live in a large fleet: a dozen such beats.
+	farAliveFor = 2500 * time.Millisecond
+	// digestInterval is how long a collector gathers beats.
+	digestInterval = 10 * time.Millisecond
+	// digestBytes bounds a digest: more of them are sent within the interval.
+	digestBytes = 4 << 10
+	// collectorSilence is how long a collector may pass nothing on until another
+	// one is taken: four beats.
+	collectorSilence = 150 * time.Millisecond
+	// farCollectors is how many collectors of another zone take turns, so that a
+	// dead one loses only a part of the beats.
+	farCollectors = 2
+)
+
+// collecting reports whether the fleet is too large for a full mesh.
+func (v *View) collecting() bool { return len(v.Live) > fullMeshMost }
+
+// collectors are the members of a zone that may collect, the strongest first.
+func (v *View) collectors(zone string) []*Live {
+	var found []*Live
+	for i := range v.Live {
+		if m := &v.Live[i]; m.Zone == zone && !m.Leaving {
+			found = append(found, m)
+		}
+	}
+	slices.SortFunc(found, func(a, b *Live) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(score(b.VM, zone), score(a.VM, zone)))
+	})
+	return found
+}
+
+// collection is this member's part in collecting. It is guarded by Node.mu.
+type collection struct {
+	digest []byte
+	// used and heard are, by collector, since when it is used and when a digest
+	// of it came last.
+	used, heard map[netip.AddrPort]time.Time
+}
+
+// near reports whether the member's beats come without a way through its zone's
+// collector to that of this zone.
 func (n *Node) near(v *View, m *Live) bool {
-	return len(v.Live) <= fullMeshMost || m.Zone == n.options.Self.Zone
+	return !v.collecting() || m.Zone == n.options.Self.Zone
 }
 
 // aliveFor is how long after its last beat the member counts as live.
@@ -19,66 +75,155 @@
 	return farAliveFor
 }
 
-// sendNear sends the parts of a beat to all members that are near.
-func (n *Node) sendNear(parts [][]byte) {
+// sendNear sends the parts of a beat to all members, or to the zone's collector
+// in a large fleet.
+func (n *Node) sendNear(parts [][]byte, now time.Time) {
 	v := n.View()
+	if v.collecting() {
+		n.sendToCollector(v, parts, now)
+		return
+	}
 	for i := range v.Live {
-		m := &v.Live[i]
-		if m.Datagrams == n.options.Self.Datagrams || !n.near(v, m) {
+		if v.Live[i].Datagrams == n.options.Self.Datagrams {
 			continue
 		}
 		for _, part := range parts {
-			n.send(m.Datagrams, part)
+			n.send(v.Live[i].Datagrams, part)
+		}
+	}
+}
+
+func (n *Node) sendToCollector(v *View, parts [][]byte, now time.Time) {
+	to := n.collector(v, now)
+	for _, part := range parts {
+		if to == n.options.Self.Datagrams {
+			n.collect(to, part)
+		} else {
+			n.send(to, append([]byte{kindCollect}, part...))
+		}
+	}
+}
+
+// collector is the first collector of this zone that passes beats on.
+func (n *Node) collector(v *View, now time.Time) netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := &n.collection
+	for _, m := range v.collectors(n.options.Self.Zone) {
+		if m.Datagrams == n.options.Self.Datagrams {
+			return m.Datagrams
+		}
+		// One that fell silent is taken again when it passes something on: its own
+		// beats, as it takes itself for the collector.
+		if c.used[m.Datagrams].IsZero() {
+			c.used[m.Datagrams] = now
+		}
+		last := c.heard[m.Datagrams]
+		if last.Before(c.used[m.Datagrams]) {
+			last = c.used[m.Datagrams]
+		}
+		if now.Sub(last) < collectorSilence {
+			return m.Datagrams
 		}
 	}
+	return n.options.Self.Datagrams
 }
 
-// sendFar sends the parts to one member of each other availability zone, which
-// passes them on there. The members of a zone take turns, so one that has just
-// died loses few beats.
+// sendFar sends every farEvery-th beat to a collector of each other zone.
 func (n *Node) sendFar(parts [][]byte) {
 	v := n.View()
-	if len(v.Live) <= fullMeshMost {
+	n.beats++
+	if !v.collecting() || n.beats%farEvery != 0 {
 		return
 	}
-	zones := map[string][]netip.AddrPort{}
-	for _, m := range v.Live {
-		if m.Zone != n.options.Self.Zone {
-			zones[m.Zone] = append(zones[m.Zone], m.Datagrams)
+	zones := map[string]bool{n.options.Self.Zone: true}
+	for i := range v.Live {
+		zone := v.Live[i].Zone
+		if zones[zone] {
+			continue
 		}
-	}
-	for _, members := range zones {
-		to := members[n.beats/farEvery%len(members)]
+		zones[zone] = true
+		found := v.collectors(zone)
+		if len(found) == 0 {
+			continue
+		}
+		to := found[n.beats/farEvery%min(farCollectors, len(found))]
 		for _, part := range parts {
-			n.send(to, append([]byte{kindRelay}, part...))
+			n.send(to.Datagrams, append([]byte{kindCollect}, part...))
 		}
 	}
 }
 
-// relay takes in a beat from another zone and passes it on in this one.
-func (n *Node) relay(from netip.AddrPort, part []byte) {
+// collect takes in a beat and puts it into the next digest.
+func (n *Node) collect(from netip.AddrPort, part []byte) {
 	if len(part) == 0 || part[0] != kindBeat {
 		n.count("malformed")
 		return
 	}
-	n.receive(from, part)
-	data := appendAddress([]byte{kindRelayed}, from)
-	data = append(data, part...)
-	for _, m := range n.View().Live {
+	if from != n.options.Self.Datagrams {
+		n.receive(from, part)
+	}
+	n.mu.Lock()
+	c := &n.collection
+	var full []byte
+	if len(c.digest) == 0 {
+		c.digest = append(c.digest, kindDigest)
+		time.AfterFunc(digestInterval, n.passOn)
+	} else if len(c.digest)+len(part) > digestBytes {
+		full = c.digest
+		c.digest = []byte{kindDigest}
+	}
+	c.digest = appendAddress(c.digest, from)
+	c.digest = binary.BigEndian.AppendUint16(c.digest, uint16(len(part)))
+	c.digest = append(c.digest, part...)
+	n.mu.Unlock()
+	n.sendDigest(full)
+}
+
+// passOn sends what was collected to the zone.
+func (n *Node) passOn() {
+	n.mu.Lock()
+	digest := n.collection.digest
+	n.collection.digest = nil
+	n.mu.Unlock()
+	n.sendDigest(digest)
+}
+
+func (n *Node) sendDigest(digest []byte) {
+	if len(digest) == 0 {
+		return
+	}
+	v := n.View()
+	for i := range v.Live {
+		m := &v.Live[i]
 		if m.Zone == n.options.Self.Zone && m.Datagrams != n.options.Self.Datagrams {
-			n.send(m.Datagrams, data)
+			n.send(m.Datagrams, digest)
 		}
 	}
 }
 
-// relayed takes in a beat that another member of this zone passed on.
-func (n *Node) relayed(data []byte) {
-	from, part, ok := cutAddress(data)
-	if !ok || len(part) == 0 || part[0] != kindBeat {
-		n.count("malformed")
-		return
+// digested takes in the beats of a digest.
+func (n *Node) digested(from netip.AddrPort, data []byte) {
+	n.mu.Lock()
+	n.collection.heard[from] = time.Now()
+	n.mu.Unlock()
+	for len(data) > 0 {
+		sender, rest, ok := cutAddress(data)
+		if !ok || len(rest) < 2 {
+			n.count("malformed")
+			return
+		}
+		size := int(binary.BigEndian.Uint16(rest))
+		rest = rest[2:]
+		if size == 0 || size > len(rest) || rest[0] != kindBeat {
+			n.count("malformed")
+			return
+		}
+		if sender != n.options.Self.Datagrams {
+			n.receive(sender, rest[:size])
+		}
+		data = rest[size:]
 	}
-	n.receive(from, part)
 }
 
 // addressBytes is an IPv4 address with its port.
