Soak real entry processes under random faults

Five entries as processes on loopback addresses of their own, stand-ins of the store and of backend servers behind proxies, callers that keep connections; faults by a seed: signals, the store, connections, server behaviour, configuration. Checks: at most once, not run means not run, one's own whole answer, no answer lost at a calm entry, no denial, recovery.

--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -1,6 +1,7 @@
 package usersplatform
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -55,8 +56,9 @@
 
 // Server is a backend server. It is safe for concurrent use.
 type Server struct {
-	// Name, Address, Service and Zone are its own.
-	Name, Address, Service, Zone string
+	// Name, Address, Service and Zone are its own. Address is what it registers;
+	// Listen is where it listens.
+	Name, Address, Service, Zone, Listen string
 
 	listener net.Listener
 	server   *http.Server
@@ -86,12 +88,18 @@
 
 // StartServer starts a server that registers in the store.
 func StartServer(store *Store, name, service, zone string) (*Server, error) {
+	return StartServerBehind(store, "", name, service, zone)
+}
+
+// StartServerBehind starts a server that registers another address than its own,
+// such as that of a proxy; an empty one stands for its own.
+func StartServerBehind(store *Store, address, name, service, zone string) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{
-		Name: name, Address: l.Addr().String(), Service: service, Zone: zone,
+		Name: name, Address: cmp.Or(address, l.Addr().String()), Listen: l.Addr().String(), Service: service, Zone: zone,
 		listener: l, store: store, born: time.Now().UnixMilli(), stop: make(chan struct{}),
 		behave: func(*http.Request) Behaviour { return Serve }, work: 2 * time.Millisecond, slowdown: 100, state: "ready",
 	}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "the first seed")
+	seedCount = flag.Int("soak.seeds", 1, "how many seeds")
+	seconds   = flag.Int("soak.seconds", 6, "the length of the faults of one seed, in seconds")
+	keepLogs  = flag.String("soak.logs", "", "a folder that keeps the logs; else they go with the run")
+)
+
+// regressions are seeds that failed once, with their length in seconds and the cause.
+var regressions = []struct {
+	seed    uint64
+	seconds int
+	cause   string
+}{}
+
+// callerCount is the callers of one run.
+const callerCount = 12
+
+func TestSoak(t *testing.T) {
+	binary := build(t)
+	for i := range *seedCount {
+		runSeed(t, binary, *firstSeed+uint64(i), time.Duration(*seconds)*time.Second)
+	}
+}
+
+func TestRegressions(t *testing.T) {
+	binary := build(t)
+	for _, r := range regressions {
+		t.Log(r.cause)
+		runSeed(t, binary, r.seed, time.Duration(r.seconds)*time.Second)
+	}
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "chestnutrouter")
+	out, err := exec.Command("go", "build", "-o", binary, "chestnutrouter.example/chestnutrouter/cmd/chestnutrouter").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return binary
+}
+
+// runSeed plays one seed: faults, then calm, in which all must be served again.
+func runSeed(t *testing.T, binary string, seed uint64, length time.Duration) {
+	t.Helper()
+	dir := t.TempDir()
+	if *keepLogs != "" {
+		dir = filepath.Join(*keepLogs, "seed-"+time.Now().Format("150405.000"))
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			t.Fatal(err)
+		}
+	}
+	plan := newSchedule(seed, length)
+	w := newWorld(t, binary, dir)
+	defer w.close()
+	w.awaitReady()
+	stop := make(chan struct{})
+	callers := w.runCallers(callerCount, seed, stop)
+	w.play(plan)
+	w.awaitCalm()
+	close(stop)
+	callers.Wait()
+	time.Sleep(time.Second) // what still runs at a server would be counted late
+	w.checks.atEnd(w.servers)
+	t.Logf("seed %d: %d faults, %d requests, %d served, %d broken promises", seed, len(plan), len(w.checks.sent), w.checks.served, len(w.checks.broken))
+	if len(w.checks.broken) > 0 {
+		var steps []string
+		for _, s := range plan {
+			steps = append(steps, s.String())
+		}
+		t.Errorf("seed %d, logs %s\nschedule: %s\n%s", seed, dir, strings.Join(steps, "; "), strings.Join(w.checks.broken, "\n"))
+	}
+}
+
+// play carries the schedule out and waits until each fault has ended.
+func (w *world) play(plan []schedule) {
+	began := time.Now()
+	var group sync.WaitGroup
+	for _, s := range plan {
+		time.Sleep(time.Until(began.Add(s.at)))
+		group.Go(func() { s.fault.do(w, rand.New(rand.NewPCG(s.seed, 2))) })
+	}
+	group.Wait()
+}
+
+func (w *world) awaitReady() {
+	w.t.Helper()
+	c := &caller{world: w, number: -1, rand: rand.New(rand.NewPCG(0, 0)), conns: map[string]*callerConn{}}
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		c.resolve()
+		if len(c.known) == entryCount {
+			return
+		}
+	}
+	w.t.Fatalf("the entries are not ready: %v", c.known)
+}
+
+// recoverTime is how long after the last fault everything must be served again.
+const recoverTime = 8 * time.Second
+
+// awaitCalm waits until every entry serves both kinds in a row.
+func (w *world) awaitCalm() {
+	c := &caller{world: w, number: -2, rand: rand.New(rand.NewPCG(0, 0)), conns: map[string]*callerConn{}}
+	good := 0
+	for deadline := time.Now().Add(recoverTime); time.Now().Before(deadline); {
+		all := true
+		for _, e := range w.entries {
+			c.known, c.expires = []string{e.callers}, time.Now().Add(time.Hour)
+			before := w.checks.servedCount()
+			c.step()
+			all = all && w.checks.servedCount() > before
+		}
+		if good++; !all {
+			good = 0
+		}
+		if good == 5 {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.checks.breaks("recovery: not all is served %v after the last fault", recoverTime)
+}
+
+func (c *checks) servedCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served
+}
--- /dev/null
+++ b/test/soak/world_test.go
@@ -0,0 +1,297 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/standin/usersplatform"
+)
+
+const (
+	entryCount  = 5
+	serverCount = 3 // of each service
+	host        = "soak.example"
+	// grace is the time from SIGTERM to SIGKILL.
+	grace = 3 * time.Second
+)
+
+// world is everything of one run.
+type world struct {
+	t       *testing.T
+	dir     string
+	binary  string
+	store   *usersplatform.Store
+	entries []*entry
+	checks  *checks
+
+	mu      sync.Mutex // guards the fields below
+	servers []*server
+	nextID  int
+	version int
+	calm    time.Time // end of the last fault that may cost answers
+}
+
+// entry is one entry process with its ports and its door to the store.
+type entry struct {
+	name, ip, zone                string
+	callers, ready, directory     string
+	control                       string
+	internalPort                  int
+	settings                      string
+	door                          *usersplatform.Door
+	storeProxy                    *proxy
+	world                         *world
+	mu                            sync.Mutex // guards the fields below
+	cmd                           *exec.Cmd
+	ended                         chan struct{}
+	starts                        int
+	disturbedFrom, disturbedUntil time.Time
+}
+
+// server is a backend server behind a proxy, whose address it registers.
+type server struct {
+	*usersplatform.Server
+	proxy *proxy
+}
+
+// Places of the ports of an entry behind the first one. As on the platform the
+// ports of all entries are the same; each has a loopback address of its own.
+const (
+	portCallers = iota
+	portReady
+	portControl
+	portDirectory
+	portInternal
+	portCount
+)
+
+func entryIP(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
+
+// freePorts returns the first of portCount ports that are free at all entries.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for try := range 200 {
+		// Below the ports of outgoing connections.
+		first := 12_000 + (os.Getpid()*37+try*portCount)%18_000
+		if allFree(first) {
+			return first
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func allFree(first int) bool {
+	for i := range entryCount {
+		for p := range portCount {
+			address := fmt.Sprintf("%s:%d", entryIP(i), first+p)
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				return false
+			}
+			l.Close()
+			c, err := net.ListenPacket("udp4", address)
+			if err != nil {
+				return false
+			}
+			c.Close()
+		}
+	}
+	return true
+}
+
+func newWorld(t *testing.T, binary, dir string) *world {
+	t.Helper()
+	w := &world{t: t, dir: dir, binary: binary, store: usersplatform.NewStore(), checks: newChecks()}
+	for _, service := range []string{"look", "once"} {
+		for range serverCount {
+			w.addServer(service)
+		}
+	}
+	w.configure()
+	first := freePorts(t)
+	for i := range entryCount {
+		w.entries = append(w.entries, w.newEntry(i, first))
+	}
+	for _, e := range w.entries {
+		e.writeSettings(w.entries[0], true)
+		e.start()
+	}
+	return w
+}
+
+func (w *world) close() {
+	for _, e := range w.entries {
+		e.kill()
+		e.storeProxy.close()
+		e.door.Close()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		s.Close()
+		s.proxy.close()
+	}
+}
+
+// addServer starts a backend server that registers the address of its proxy.
+func (w *world) addServer(service string) *server {
+	w.mu.Lock()
+	w.nextID++
+	name := fmt.Sprintf("%s-%d", service, w.nextID)
+	zone := fmt.Sprintf("z%d", w.nextID%2)
+	w.mu.Unlock()
+	p, err := newProxy("")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s, err := usersplatform.StartServerBehind(w.store, p.address, name, service, zone)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	p.setTarget(s.Listen)
+	s.SetWork(15*time.Millisecond, 100)
+	made := &server{s, p}
+	w.mu.Lock()
+	w.servers = append(w.servers, made)
+	w.mu.Unlock()
+	return made
+}
+
+// configure publishes the next version, with a route that only it has.
+func (w *world) configure() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 1 + w.version%3
+	w.store.PutJSON("keyed.op", "config", usersplatform.Config(w.version, host, "look", "once"))
+	return w.version
+}
+
+func (w *world) newEntry(i, firstPort int) *entry {
+	name := fmt.Sprintf("entry-%d", i)
+	door, err := w.store.Open()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	storeProxy, err := newProxy(door.Address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	address := func(place int) string { return fmt.Sprintf("%s:%d", entryIP(i), firstPort+place) }
+	return &entry{
+		name: name, ip: entryIP(i), zone: fmt.Sprintf("z%d", i%2),
+		callers: address(portCallers), ready: address(portReady), directory: address(portDirectory),
+		control: address(portControl), internalPort: firstPort + portInternal, settings: filepath.Join(w.dir, name+".toml"), door: door, storeProxy: storeProxy, world: w,
+	}
+}
+
+// writeSettings writes the platform's settings file.
+func (e *entry) writeSettings(seed *entry, first bool) {
+	text := fmt.Sprintf(`
+[self]
+nodeId = %q
+zone = %q
+ip = %q
+bootstrap = %v
+[self.limits]
+cpuShare = 1.0
+cores = 1
+memoryMb = 256
+[network]
+internalPorts = [%d, %d]
+seeds = [%q]
+[network.listen]
+front = %q
+ready = %q
+control = %q
+directory = %q
+[platform.platform]
+address = %q
+[terms.bounds]
+grace = "%v"
+retryBudgetRatio = 0.2
+retryBudgetSlack = 64
+ttl_max = "1s"
+`, e.name, e.zone, e.ip, first, e.internalPort, e.internalPort, seed.control,
+		e.callers, e.ready, e.control, e.directory, e.storeProxy.address, grace)
+	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		e.world.t.Fatal(err)
+	}
+}
+
+// start starts the process; its output goes to a file of its own.
+func (e *entry) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts++
+	out, err := os.Create(filepath.Join(e.world.dir, fmt.Sprintf("%s-%d.log", e.name, e.starts)))
+	if err != nil {
+		e.world.t.Fatal(err)
+	}
+	cmd := exec.Command(e.world.binary, "gateway", "--settings", e.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		e.world.t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	e.cmd, e.ended = cmd, ended
+	go func() {
+		_ = cmd.Wait()
+		out.Close()
+		close(ended)
+	}()
+}
+
+func (e *entry) signal(s syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// The process may have ended already.
+	_ = e.cmd.Process.Signal(s)
+}
+
+// kill ends the process at once and waits for its end.
+func (e *entry) kill() {
+	e.signal(syscall.SIGCONT)
+	e.signal(syscall.SIGKILL)
+	<-e.done()
+}
+
+// terminate stops the process as the platform does.
+func (e *entry) terminate() {
+	e.signal(syscall.SIGTERM)
+	select {
+	case <-e.done():
+	case <-time.After(grace):
+		e.kill()
+	}
+}
+
+func (e *entry) done() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
+
+// disturb notes that from now on answers of this entry may be lost.
+func (e *entry) disturb(until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.disturbedFrom.IsZero() || time.Now().After(e.disturbedUntil) {
+		e.disturbedFrom = time.Now()
+	}
+	e.disturbedUntil = until
+}
+
+// disturbed reports whether a fault of the entry overlaps the time.
+func (e *entry) disturbed(from, to time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.disturbedFrom.IsZero() && e.disturbedFrom.Before(to) && e.disturbedUntil.After(from)
+}
