Send a second attempt where the first server turned slow after the send

Ruled out: old reports (age under 33 ms), queues (no request waited). Change: an idempotent request gets a rival after 45 ms if the server was reported slow since, or after 1.9 usual works, if the target leaves room; out of the budget over all entries.

--- a/internal/admission/paced.go
+++ b/internal/admission/paced.go
@@ -191,3 +191,30 @@
 	}
 	return Decision{}, false
 }
+
+const (
+	// hedgeWorks is after how many usual works a request counts as begun at a slow
+	// server: one past the knee takes 1.7.
+	hedgeWorks = 1.9
+	// hedgeRoom is the part of a usual work beyond one that the target must leave
+	// for the second attempt.
+	hedgeRoom = 0.15
+)
+
+// HedgeAfter is how long a request of the rank may stay unanswered before a second
+// one is sent, where servers tell their pace and the target leaves room for it.
+func (q *Queue) HedgeAfter(rank string) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.scheduler.queue(rank)
+	if l == nil || q.scheduler.paced() == nil {
+		return 0, false
+	}
+	work := float64(l.usualWork())
+	after := hedgeWorks * work
+	latest := float64(l.rank.Target) - (1+hedgeRoom)*work
+	if latest < work {
+		return 0, false
+	}
+	return time.Duration(min(after, latest)), true
+}
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -24,6 +24,7 @@
 	nested int // earlier attempts of the layers above
 	budget *budget
 	trace  *Trace
+	began  time.Time
 
 	attempts int // requests that may have reached a server, hedges included
 	dials    int // attempts of which no byte was written
@@ -66,7 +67,7 @@
 
 // attempt asks for a server and sends the request to it.
 func (c *call) attempt(ctx context.Context) reply {
-	grant, refusal := c.admit(ctx, ctx)
+	grant, refusal := c.admit(ctx, c.request(ctx))
 	if refusal != nil {
 		return reply{refusal: refusal}
 	}
@@ -105,10 +106,10 @@
 	waited time.Duration
 }
 
-// admit asks for a server until wait ends and traces a refusal.
-func (c *call) admit(wait, ctx context.Context) (*granted, *outcome.Refusal) {
+// admit asks for a server until ctx ends and traces a refusal.
+func (c *call) admit(ctx context.Context, r Request) (*granted, *outcome.Refusal) {
 	asked := time.Now()
-	grant, refusal := c.runner.admitter.Admit(wait, c.request(ctx))
+	grant, refusal := c.runner.admitter.Admit(ctx, r)
 	if refusal != nil {
 		c.trace.add(Step{Waited: time.Since(asked), Result: string(refusal.Reason)})
 		return nil, refusal
--- a/internal/attempt/hedge.go
+++ b/internal/attempt/hedge.go
@@ -34,7 +34,7 @@
 	if c.req.GetBody == nil && c.req.Body != nil && c.req.Body != http.NoBody {
 		return 0, false
 	}
-	return c.runner.admitter.HedgeAfter(c.match.Service.Key())
+	return c.runner.admitter.HedgeAfter(c.match.Service.Key(), c.match.Rank.Name)
 }
 
 // racer is one attempt of a race.
@@ -60,7 +60,7 @@
 
 // race makes the first attempt and, after the wait, the second one.
 func (c *call) race(ctx context.Context, after time.Duration) reply {
-	grant, refusal := c.admit(ctx, ctx)
+	grant, refusal := c.admit(ctx, c.request(ctx))
 	if refusal != nil {
 		return reply{refusal: refusal}
 	}
@@ -68,12 +68,8 @@
 	if failed != nil {
 		return *failed
 	}
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	select {
-	case got := <-first.done:
+	if got, ended := first.await(after, grant); ended {
 		return first.keep(got)
-	case <-timer.C:
 	}
 	second := c.hedge(ctx)
 	if second == nil {
@@ -82,6 +78,32 @@
 	return c.firstGood(first, second)
 }
 
+// slowedLook is when the first attempt's server is looked at: by then a report has
+// come that was made after the request had begun there.
+const slowedLook = 45 * time.Millisecond
+
+// await returns the reply if it comes before a second attempt is due: after the
+// wait, or sooner where the server was reported slow since the request was sent.
+func (r *racer) await(after time.Duration, grant Grant) (reply, bool) {
+	timer := time.NewTimer(min(slowedLook, after))
+	defer timer.Stop()
+	select {
+	case got := <-r.done:
+		return got, true
+	case <-timer.C:
+	}
+	if after <= slowedLook || grant.Slowed() {
+		return reply{}, false
+	}
+	timer.Reset(after - slowedLook)
+	select {
+	case got := <-r.done:
+		return got, true
+	case <-timer.C:
+		return reply{}, false
+	}
+}
+
 // hedge starts the second attempt, or returns nil where the budget or the
 // servers have no room for it.
 func (c *call) hedge(ctx context.Context) *racer {
@@ -90,7 +112,7 @@
 		return nil
 	}
 	wait, cancel := context.WithTimeout(ctx, hedgeAdmitTimeout)
-	grant, refusal := c.admit(wait, ctx)
+	grant, refusal := c.admit(wait, c.hedgeRequest(ctx))
 	cancel()
 	if refusal != nil {
 		metrics.Count(c.runner.scope, metrics.HedgesDenied, string(refusal.Reason))
@@ -104,6 +126,20 @@
 	return second
 }
 
+// hedgeRequest asks for a server that answers within the rank's target: later than
+// that the second attempt is not worth its cost.
+func (c *call) hedgeRequest(ctx context.Context) Request {
+	r := c.request(ctx)
+	target := c.match.Rank.Target
+	if !c.budget.shared || target <= 0 {
+		return r
+	}
+	if latest := c.began.Add(target); r.Deadline.IsZero() || latest.Before(r.Deadline) {
+		r.Deadline = latest
+	}
+	return r
+}
+
 // firstGood waits for an answer without a server error, else for both ends.
 func (c *call) firstGood(first, second *racer) reply {
 	winner, loser := first, second
--- a/internal/attempt/hedge_test.go
+++ b/internal/attempt/hedge_test.go
@@ -22,19 +22,22 @@
 
 // slowServers answer at once, but for the first attempt after slow was set.
 type slowServers struct {
-	slow            atomic.Bool
+	slow, slowed    atomic.Bool
 	cancelled, open atomic.Int32
 }
 
 func (s *slowServers) Server() fleet.VM      { return fleet.VM{Name: "server"} }
 func (s *slowServers) Basis() balancer.Basis { return balancer.Basis{} }
+func (s *slowServers) Slowed() bool          { return s.slowed.Load() }
 func (s *slowServers) Done(balancer.Result)  { s.open.Add(-1) }
 func (s *slowServers) Admit(context.Context, Request) (Grant, *outcome.Refusal) {
 	s.open.Add(1)
 	return s, nil
 }
 
-func (s *slowServers) HedgeAfter(string) (time.Duration, bool) { return 50 * time.Millisecond, true }
+func (s *slowServers) HedgeAfter(string, string) (time.Duration, bool) {
+	return 50 * time.Millisecond, true
+}
 
 func (s *slowServers) Send(ctx context.Context, _ fleet.VM, _ tree.Match, _ *http.Request, _ io.Reader) (*forward.Answer, *forward.Failure) {
 	if s.slow.CompareAndSwap(true, false) {
@@ -84,3 +87,31 @@
 		})
 	}
 }
+
+// A server that is reported slow after the request was sent gets a rival early.
+func TestHedgeWhenTheServerTurnsSlow(t *testing.T) {
+	for _, slowed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &slowServers{}
+			r := New(s, s, tally.NoopScope)
+			svc := &tree.Service{Budgets: tree.Budgets{RetryShare: 1, HedgeShare: 1, RetryBurst: 2}}
+			m := tree.Match{Service: svc, Route: &tree.Route{Idempotent: true, Attempts: 2}}
+			s.slow.Store(true)
+			s.slowed.Store(slowed)
+			began := time.Now()
+			a, refusal := r.Do(t.Context(), m, httptest.NewRequest("GET", "/", nil))
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			a.Body.Close()
+			want := 50 * time.Millisecond
+			if slowed {
+				want = slowedLook
+			}
+			if took := time.Since(began); took != want {
+				t.Errorf("slowed %v: answered after %v, want %v", slowed, took, want)
+			}
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/attempt/queue.go
+++ b/internal/attempt/queue.go
@@ -31,20 +31,27 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return queueGrant{grant}, nil
+	return queueGrant{grant: grant, watch: grant.Server.Watch()}, nil
 }
 
-// HedgeAfter asks the service's balancer.
-func (q Queues) HedgeAfter(key string) (time.Duration, bool) {
+// HedgeAfter asks the service's queue where servers tell their pace, else its
+// balancer.
+func (q Queues) HedgeAfter(key, rank string) (time.Duration, bool) {
 	running, ok := q.Services.Get(key)
 	if !ok {
 		return 0, false
 	}
+	if after, ok := running.Queue.HedgeAfter(rank); ok {
+		return after, true
+	}
 	return running.Balancer.HedgeAfter(time.Now())
 }
 
 // queueGrant adapts admission's grant.
-type queueGrant struct{ grant *admission.Grant }
+type queueGrant struct {
+	grant *admission.Grant
+	watch balancer.Watch
+}
 
 // Server returns the granted backend server.
 func (g queueGrant) Server() fleet.VM { return g.grant.Server.VM }
@@ -52,5 +59,8 @@
 // Basis returns what the choice of the server was based on.
 func (g queueGrant) Basis() balancer.Basis { return g.grant.Server.Basis() }
 
+// Slowed asks the balancer for reports since the place was granted.
+func (g queueGrant) Slowed() bool { return g.watch.Slowed() }
+
 // Done gives the place back.
 func (g queueGrant) Done(r balancer.Result) { g.grant.Done(r) }
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -43,6 +43,8 @@
 	Server() fleet.VM
 	// Basis is what the choice of the server was based on.
 	Basis() balancer.Basis
+	// Slowed reports whether the server was reported slow since the place was granted.
+	Slowed() bool
 	// Done gives the server's slot back; it is called once.
 	Done(balancer.Result)
 }
@@ -50,9 +52,9 @@
 // Admitter queues a call by rank and grants a backend server.
 type Admitter interface {
 	Admit(ctx context.Context, r Request) (Grant, *outcome.Refusal)
-	// HedgeAfter is how long an idempotent attempt may stay unanswered before a
-	// second one is worth its cost; false where none is.
-	HedgeAfter(service string) (time.Duration, bool)
+	// HedgeAfter is how long an idempotent attempt of the rank may stay unanswered
+	// before a second one is worth its cost; false where none is.
+	HedgeAfter(service, rank string) (time.Duration, bool)
 }
 
 // Sender makes one attempt at one server.
@@ -84,6 +86,7 @@
 		nested: nestedAttempt(req),
 		budget: r.budgets.of(m.Service),
 		trace:  traceOf(ctx),
+		began:  time.Now(),
 	}
 	return c.run(ctx)
 }
--- a/internal/attempt/runner_test.go
+++ b/internal/attempt/runner_test.go
@@ -38,6 +38,7 @@
 
 func (g fakeGrant) Server() fleet.VM      { return g.server }
 func (g fakeGrant) Basis() balancer.Basis { return balancer.Basis{} }
+func (g fakeGrant) Slowed() bool          { return false }
 func (g fakeGrant) Done(balancer.Result)  { g.f.open-- }
 
 func (f *fakes) Admit(_ context.Context, r Request) (Grant, *outcome.Refusal) {
@@ -49,7 +50,7 @@
 	return fakeGrant{f, fleet.VM{Name: "server-" + string(rune('a'+len(f.sent)))}}, nil
 }
 
-func (f *fakes) HedgeAfter(string) (time.Duration, bool) { return 0, false }
+func (f *fakes) HedgeAfter(string, string) (time.Duration, bool) { return 0, false }
 
 func (f *fakes) Send(_ context.Context, server fleet.VM, _ tree.Match, r *http.Request, body io.Reader) (*forward.Answer, *forward.Failure) {
 	f.sent = append(f.sent, server.Name)
--- a/internal/balancer/shared.go
+++ b/internal/balancer/shared.go
@@ -91,3 +91,26 @@
 		}
 	}
 }
+
+// slowedRate is the rate below which a server counts as slow.
+const slowedRate = 0.5
+
+// Watch looks at the server of a place for as long as anybody wants, also after
+// the place was given back.
+type Watch struct {
+	host  *host
+	since int64 // nanoseconds since the Unix epoch
+	rate  float64
+}
+
+// Watch returns a look at the server from the moment of the pick on. It is called
+// before Done.
+func (s *Server) Watch() Watch {
+	return Watch{host: s.host, since: s.started.Load(), rate: s.basis.Rate}
+}
+
+// Slowed reports whether the server was reported slow since the pick, though it
+// was quick before.
+func (w Watch) Slowed() bool {
+	return w.rate >= slowedRate && w.host.pace.now.value() < slowedRate && w.host.report.received.Load() > w.since
+}
--- a/test/once/entry_test.go
+++ b/test/once/entry_test.go
@@ -202,12 +202,13 @@
 	return nil, outcome.NewNotRun(503, outcome.ReasonNoServer, "all were tried")
 }
 
-func (p *process) HedgeAfter(string) (time.Duration, bool) { return hedgeAfter, true }
+func (p *process) HedgeAfter(string, string) (time.Duration, bool) { return hedgeAfter, true }
 
 type grant string
 
 func (g grant) Server() fleet.VM      { return fleet.VM{Name: string(g), Address: string(g) + ":80"} }
 func (g grant) Basis() balancer.Basis { return balancer.Basis{} }
+func (g grant) Slowed() bool          { return false }
 func (g grant) Done(balancer.Result)  {}
 
 // Call implements peer.Client towards the other processes.
