Send beats to other zones by one of their members

Change: beats go to the own zone directly and to one collector of each other zone, which passes them on in digests 4 ms apart.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -69,6 +69,7 @@
 	options  Options
 	view     atomic.Pointer[View]
 	sequence atomic.Uint64
+	turn     atomic.Uint64 // of the collectors of other zones
 
 	mu    sync.Mutex // guards the fields below
 	rows  map[netip.AddrPort]*row
@@ -163,7 +164,11 @@
 		return
 	}
 	if b.Sequence <= r.sequence {
+		// It came another way than a later one: only what it carries is news.
+		live := r.Live
+		live.Status = b.Status
 		n.mu.Unlock()
+		n.options.Handle(live, b)
 		return
 	}
 	ask := n.differs(b, now)
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// In a large fleet each member sends its beats to one collector, a member of its
-// availability zone, which passes them on to the whole zone in digests a few
-// milliseconds apart. So a member sends and receives about as much whatever the
-// number of members. Every few beats it sends one to the collectors of the other
-// zones. Nobody elects a collector: each member takes the strongest one that it
+// A beat goes to the members of the own availability zone directly, and to one
+// collector of each other zone, which passes beats on to its zone in digests a few
+// milliseconds apart: traffic between zones has a price. In a large fleet beats go
+// to a collector of the own zone too, so a member sends and receives about as much
+// whatever the number of members, and only some of them go to other zones. Nobody elects a collector: each member takes the strongest one that it
 // hears, and a member that gets beats to collect passes them on, so two members
 // that choose differently lose nothing.
 
@@ -24,8 +24,10 @@
 	// farAliveFor is how long after its last beat a member of another zone counts
 	// as live in a large fleet: a dozen such beats.
 	farAliveFor = 2500 * time.Millisecond
-	// digestInterval is how long a collector gathers beats.
-	digestInterval = 10 * time.Millisecond
+	// digestInterval is how long a collector gathers beats of a large fleet, and
+	// smallDigestInterval those of a small one, which has fewer of them.
+	digestInterval      = 10 * time.Millisecond
+	smallDigestInterval = 4 * time.Millisecond
 	// digestBytes bounds a digest: more of them are sent within the interval.
 	digestBytes = 4 << 10
 	// collectorSilence is how long a collector may pass nothing on until another
@@ -84,13 +86,18 @@
 		return
 	}
 	for i := range v.Live {
-		if v.Live[i].Datagrams == n.options.Self.Datagrams {
-			continue
-		}
-		for _, part := range parts {
-			n.send(v.Live[i].Datagrams, part)
+		m := &v.Live[i]
+		if m.Zone == n.options.Self.Zone && m.Datagrams != n.options.Self.Datagrams {
+			n.sendParts(m.Datagrams, parts)
 		}
 	}
+	n.sendToZones(v, parts)
+}
+
+func (n *Node) sendParts(to netip.AddrPort, parts [][]byte) {
+	for _, part := range parts {
+		n.send(to, part)
+	}
 }
 
 func (n *Node) sendToCollector(v *View, parts [][]byte, now time.Time) {
@@ -133,9 +140,14 @@
 func (n *Node) sendFar(parts [][]byte) {
 	v := n.View()
 	n.beats++
-	if !v.collecting() || n.beats%farEvery != 0 {
-		return
+	if v.collecting() && n.beats%farEvery == 0 {
+		n.sendToZones(v, parts)
 	}
+}
+
+// sendToZones sends the parts to a collector of each other zone, in turns.
+func (n *Node) sendToZones(v *View, parts [][]byte) {
+	turn := int(n.turn.Add(1))
 	zones := map[string]bool{n.options.Self.Zone: true}
 	for i := range v.Live {
 		zone := v.Live[i].Zone
@@ -147,7 +159,7 @@
 		if len(found) == 0 {
 			continue
 		}
-		to := found[n.beats/farEvery%min(farCollectors, len(found))]
+		to := found[turn%min(farCollectors, len(found))]
 		for _, part := range parts {
 			n.send(to.Datagrams, append([]byte{kindCollect}, part...))
 		}
@@ -163,12 +175,16 @@
 	if from != n.options.Self.Datagrams {
 		n.receive(from, part)
 	}
+	interval := smallDigestInterval
+	if n.View().collecting() {
+		interval = digestInterval
+	}
 	n.mu.Lock()
 	c := &n.collection
 	var full []byte
 	if len(c.digest) == 0 {
 		c.digest = append(c.digest, kindDigest)
-		time.AfterFunc(digestInterval, n.passOn)
+		time.AfterFunc(interval, n.passOn)
 	} else if len(c.digest)+len(part) > digestBytes {
 		full = c.digest
 		c.digest = []byte{kindDigest}
