--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -61,6 +61,7 @@
 	latency   mean        // nanoseconds of an answer
 	others    mean        // requests of other entries at a server
 	busy      mean        // busy share of a server's slots
+	shed      mean        // share of refused requests
 	reporting atomic.Bool // answers carry reports
 	trust     *trust
 	quantile  *quantile
@@ -155,6 +156,7 @@
 		slots:          float64(s.slots),
 		usual:          usual + min(uncertainty, usual),
 		trust:          b.trust.value(),
+		shed:           b.shed.value(),
 		far:            farBase,
 		longest:        math.Inf(1),
 	}
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -34,6 +34,7 @@
 	latency mean    // nanoseconds of an answer
 	health  health
 	pace    pace
+	shed    mean // share of refused requests
 	order   turn
 	joined  int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
 	probed  atomic.Int64 // nanoseconds since the Unix epoch
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -18,6 +18,7 @@
 	}
 	switch r.Kind {
 	case OK:
+		b.learnShed(s.host, 0)
 		s.host.health.succeed()
 		if !r.Upload {
 			b.latency.learn(float64(r.Latency), meanWeight)
@@ -25,7 +26,10 @@
 			s.host.learnLatency(r.Latency, b.latency.value())
 		}
 	case Shed:
-		s.host.health.penalize(now, b.penaltyTime())
+		b.learnShed(s.host, 1)
+		if !s.host.pace.known() {
+			s.host.health.penalize(now, b.penaltyTime())
+		}
 	case Error, DialFailed:
 		b.fail(s.host, now, r.Kind)
 	}
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -141,6 +141,7 @@
 // works beyond one.
 func (h *host) rating(before float64, v *view) float64 {
 	rating := h.stretch(before, v) - 1 + spreadWeight*before + h.order.cost() + evenness*rand.Float64()
+	rating += h.shedRating(v)
 	if h.way > 0 {
 		rating += v.far
 	}
--- a/internal/balancer/pace_test.go
+++ b/internal/balancer/pace_test.go
@@ -223,3 +223,43 @@
 		}
 	}
 }
+
+// Pattern: servers refuse work although they have room. One that does so alone is
+// avoided; where all do it, none is kept waiting.
+func TestRefusalsWithRoom(t *testing.T) {
+	now := time.Now()
+	idle := Report{Slots: 3, Slowdown: 100}
+	refuse := func(b *Balancer, server string, at time.Time) {
+		var others []string
+		for _, h := range b.snapshot.Load().hosts {
+			if h.vm.Name != server {
+				others = append(others, h.vm.Name)
+			}
+		}
+		s, ok := b.PickWithin(at, others, usualWork, target, 0)
+		if !ok {
+			t.Fatalf("%s took no request", server)
+		}
+		b.Done(s, at.Add(time.Millisecond), Result{Kind: Shed, Report: idle, HasReport: true})
+	}
+	one := pacedBalancer(now, 4)
+	all := pacedBalancer(now, 4)
+	at := now
+	for range 20 {
+		at = at.Add(5 * time.Millisecond)
+		refuse(one, "s0", at)
+		for i := range 4 {
+			refuse(all, fmt.Sprintf("s%d", i), at)
+		}
+	}
+	for range 6 {
+		if s, ok := one.PickWithin(at, nil, usualWork, target, 0); !ok || s.VM.Name == "s0" {
+			t.Error("the one server that refuses was chosen beside three that do not")
+		}
+	}
+	for n := range 12 {
+		if _, ok := all.PickWithin(at.Add(2*time.Millisecond), nil, usualWork, target, 0); !ok {
+			t.Fatalf("%d of 12 free places were given out where all servers refuse at times", n)
+		}
+	}
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -17,6 +17,7 @@
 	inverseLatency float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
 	slots          float64 // requests that a server runs at a time
 	trust          float64 // how far reports are believed, from 0 to 1
+	shed           float64 // share of refused requests of all servers
 	far            float64 // what another availability zone counts, in usual works
 	longest        float64 // longest stretch of a request, in usual works
 }
