--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -9,8 +9,11 @@
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 )
 
-// refusedWait is the wait that a caller is asked for after a certain not-run.
-const refusedWait = time.Second
+// refusedWait is the wait that a caller is asked for after a server refused its
+// request or could not be reached: another one may be free at once, and the
+// caller can still be answered within its target. The entry rounds it up where
+// its callers know whole seconds only.
+const refusedWait = 25 * time.Millisecond
 
 // Reasons for which a wanted retry is not made.
 const (
