--- a/cmd/chestnutrouter/gateway.go
+++ b/cmd/chestnutrouter/gateway.go
@@ -19,13 +19,7 @@
 		return exitUsage
 	}
 	s, err := platform.Load(file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitRefused
-	}
-	if checkOnly {
-		fmt.Println(file + ": ok")
-		return 0
-	}
-	return gateway.Run(&s.Settings, platform.NewAdapter(s))
+	return checked(file, err, checkOnly, func() int {
+		return gateway.Run(&s.Settings, platform.NewAdapter(s))
+	})
 }
--- a/cmd/chestnutrouter/main.go
+++ b/cmd/chestnutrouter/main.go
@@ -40,6 +40,12 @@
 		return exitUsage
 	}
 	s, err := settings.Load(file)
+	return checked(file, err, checkOnly, func() int { return daemon.Run(s) })
+}
+
+// checked tells what is wrong with the settings file, or runs unless they were
+// only to be checked.
+func checked(file string, err error, checkOnly bool, run func() int) int {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitRefused
@@ -48,5 +54,5 @@
 		fmt.Println(file + ": ok")
 		return 0
 	}
-	return daemon.Run(s)
+	return run()
 }
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"container/list"
 	"math"
 	"time"
 
@@ -96,7 +97,14 @@
 
 // dispatch grants the first item of the queue that a server below the load takes.
 func (s *Scheduler) dispatch(l *rankQueue, now time.Time, load float64) (Decision, bool) {
-	element := l.items.Front()
+	return s.dispatchFrom(l, &l.items, now, func(i *Item) (*balancer.Server, bool) {
+		return s.servers.PickBelow(now, i.Exclude, load)
+	})
+}
+
+// dispatchFrom grants the first item of the list for which a server is picked.
+func (s *Scheduler) dispatchFrom(l *rankQueue, items *list.List, now time.Time, pick func(*Item) (*balancer.Server, bool)) (Decision, bool) {
+	element := items.Front()
 	for range maxLookahead {
 		if element == nil {
 			break
@@ -106,7 +114,7 @@
 		if l.streamsUsedUp(i) {
 			continue
 		}
-		if server, ok := s.servers.PickBelow(now, i.Exclude, load); ok {
+		if server, ok := pick(i); ok {
 			l.dispatched(i, now)
 			s.account(l)
 			return Decision{Item: i, Server: server}, true
--- a/internal/admission/paced.go
+++ b/internal/admission/paced.go
@@ -166,30 +166,13 @@
 
 // dispatchPaced grants the first item of the list that a server can take in time.
 func (s *Scheduler) dispatchPaced(servers pacedServers, l *rankQueue, items *list.List, now time.Time) (Decision, bool) {
-	element := items.Front()
-	for range maxLookahead {
-		if element == nil {
-			break
-		}
-		i := element.Value.(*Item)
-		element = element.Next()
-		if l.streamsUsedUp(i) {
-			continue
-		}
+	return s.dispatchFrom(l, items, now, func(i *Item) (*balancer.Server, bool) {
 		within := deadlineLeft(i, now)
 		if !i.late {
 			within = min(within, l.targetLeft(i, now))
 		}
-		if server, ok := servers.PickWithin(now, i.Exclude, l.usualWork(), within, i.Bytes); ok {
-			l.dispatched(i, now)
-			s.account(l)
-			return Decision{Item: i, Server: server}, true
-		}
-		if len(i.Exclude) == 0 {
-			break
-		}
-	}
-	return Decision{}, false
+		return servers.PickWithin(now, i.Exclude, l.usualWork(), within, i.Bytes)
+	})
 }
 
 const (
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"io"
 	"maps"
 	"net/http"
@@ -61,15 +60,6 @@
 		kept.Body = start
 		kept.BodyKept = true
 	}
-	a.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(start), a.Body), body: a.Body}
+	a.Body = forward.WithPrefix(start, a.Body)
 	return kept, nil
 }
-
-// prefixedBody reads a body whose start was read before.
-type prefixedBody struct {
-	io.Reader
-	body io.Closer
-}
-
-// Close closes the underlying body.
-func (b *prefixedBody) Close() error { return b.body.Close() }
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -24,19 +24,21 @@
 		}
 	}
 	if int64(len(start)) > limit {
-		a.Body = &prefixed{Reader: io.MultiReader(bytes.NewReader(start), a.Body), rest: a.Body}
+		a.Body = WithPrefix(start, a.Body)
 		return a, nil
 	}
-	a.Body = &prefixed{Reader: bytes.NewReader(start), rest: a.Body}
+	a.Body = &prefixed{Reader: bytes.NewReader(start), Closer: a.Body}
 	a.ContentLength = int64(len(start))
 	return a, nil
 }
 
-// prefixed is a body whose start has been read before.
+// WithPrefix returns the body with its start, which was read before, in front.
+// Closing it closes the body.
+func WithPrefix(start []byte, body io.ReadCloser) io.ReadCloser {
+	return &prefixed{Reader: io.MultiReader(bytes.NewReader(start), body), Closer: body}
+}
+
 type prefixed struct {
 	io.Reader
-	rest io.Closer
+	io.Closer
 }
-
-// Close closes the underlying body.
-func (p *prefixed) Close() error { return p.rest.Close() }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -35,7 +35,6 @@
 	servers []*server
 	nextID  int
 	version int
-	calm    time.Time // end of the last fault that may cost answers
 }
 
 // entry is one entry process with its ports and its door to the store.
