--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -128,7 +128,9 @@
 
 func (b *Balancer) pick(s *snapshot, v *view, exclude []string) (*Server, bool) {
 	for range maxReserveTries {
-		h, mask := s.best(s.first(b.turn.Add(1)), v, exclude)
+		turn := b.turn.Add(1)
+		v.salt = turn * scatter
+		h, mask := s.best(s.first(turn), v, exclude)
 		if h == nil {
 			return nil, false
 		}
--- a/internal/balancer/host.go
+++ b/internal/balancer/host.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -36,6 +38,7 @@
 	pace    pace
 	shed    mean // share of refused requests
 	order   turn
+	mark    uint64       // stands for the name
 	joined  int64        // nanoseconds since the Unix epoch; zero where it was there before this entry
 	probed  atomic.Int64 // nanoseconds since the Unix epoch
 	vm      fleet.VM
@@ -43,7 +46,7 @@
 }
 
 func newHost(vm fleet.VM, joined int64, way float64) *host {
-	h := &host{vm: vm, joined: joined, way: way}
+	h := &host{vm: vm, joined: joined, way: way, mark: xxhash.Sum64String(vm.Name)}
 	h.health.penalizedUntil.Store(joined + int64(slowStart))
 	for i := range h.places {
 		h.places[i].VM = vm
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 )
 
@@ -140,7 +139,7 @@
 // rating is what the choice of a server that tells its pace goes by, in usual
 // works beyond one.
 func (h *host) rating(before float64, v *view) float64 {
-	rating := h.stretch(before, v) - 1 + spreadWeight*before + h.order.cost() + evenness*rand.Float64()
+	rating := h.stretch(before, v) - 1 + spreadWeight*before + h.order.cost() + evenness*h.chance(v)
 	rating += h.shedRating(v)
 	if h.way > 0 {
 		rating += v.far
@@ -151,6 +150,15 @@
 	return rating
 }
 
+// chance is from 0 to 1, another one for each pick and server.
+func (h *host) chance(v *view) float64 {
+	const mix = 0xbf58476d1ce4e5b9 // an odd number whose bits are spread
+	bits := (h.mark ^ v.salt) * mix
+	bits ^= bits >> 31
+	bits *= mix
+	return float64(bits>>11) / (1 << 53)
+}
+
 // warmFactor is how much longer work takes at a server that has just started.
 const warmFactor = 2
 
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -17,6 +17,7 @@
 	inverseLatency float64 // answers in a nanosecond, the usual latency turned over; zero when unknown
 	slots          float64 // requests that a server runs at a time
 	trust          float64 // how far reports are believed, from 0 to 1
+	salt           uint64  // another one for each pick
 	shed           float64 // share of refused requests of all servers
 	far            float64 // what another availability zone counts, in usual works
 	longest        float64 // longest stretch of a request, in usual works
@@ -76,12 +77,15 @@
 	return nil
 }
 
+// scatter is 2^64 divided by the golden ratio: multiples of it fill the range of a
+// uint64 evenly.
+const scatter = 0x9e3779b97f4a7c15
+
 // first is the index at which a pick starts to judge, scattered by the turn.
 func (s *snapshot) first(turn uint64) int {
 	if len(s.hosts) == 0 {
 		return 0
 	}
-	const scatter = 0x9e3779b97f4a7c15 // 2^64 divided by the golden ratio
 	return int(turn * scatter >> 33 % uint64(len(s.hosts)))
 }
 
