--- a/bench/engine/entry.go
+++ b/bench/engine/entry.go
@@ -56,7 +56,7 @@
 	if e.run.scenario.Work == Steady {
 		factor = 0.5 + e.rng.Float64()
 	}
-	return time.Duration(factor * float64(workOf(rank)))
+	return time.Duration(factor * float64(e.run.scenario.workOf(rank)))
 }
 
 // answered handles the end of an attempt at the entry.
--- a/bench/engine/noise.go
+++ b/bench/engine/noise.go
@@ -13,6 +13,38 @@
 	slowLongest  = 80 * time.Millisecond
 )
 
+// A neighbour that is drawn anew, see Faults.Neighbours.
+const (
+	paceShare       = 0.25
+	paceEvery       = 150 * time.Millisecond
+	kneeShare       = 0.8
+	kneeFactor      = 1.7
+	lastingSlowdown = 12
+)
+
+// pace is how much longer work takes that begins at a time.
+type pace struct {
+	rng    *rand.Rand
+	on     bool
+	factor float64
+	until  time.Duration
+}
+
+// at is the factor at a time; times never go back.
+func (p *pace) at(now time.Duration) float64 {
+	if !p.on {
+		return 1
+	}
+	for p.until <= now {
+		p.factor = 1
+		if p.rng.Float64() < paceShare {
+			p.factor = slowFactor
+		}
+		p.until += paceEvery
+	}
+	return p.factor
+}
+
 // noise is the slow episodes of one server, made as they are needed.
 type noise struct {
 	rng      *rand.Rand
--- a/bench/engine/queued.go
+++ b/bench/engine/queued.go
@@ -25,6 +25,7 @@
 	polling   bool
 	hedges    float64 // tokens
 	prober    *probe.Prober
+	shared    bool // what the entry learns is told to the others
 }
 
 func newQueued(e *entry) *queued {
@@ -43,6 +44,9 @@
 		vms = append(vms, s.vm)
 	}
 	q.balancer.UpdateAt(q.entry.run.clock.time(), vms, q.entry.run.service)
+	if q.entry.run.scenario.Policy == Shared {
+		q.balancer.SetOrder(q.place, q.entry.run.scenario.Entries)
+	}
 }
 
 func (q *queued) start(c *call) {
@@ -67,9 +71,13 @@
 		Report:    a.report,
 		HasReport: kind != balancer.Cancelled && !run.scenario.Faults.NoReports,
 		Upload:    a.call.rank == Uploads,
+		Basis:     a.place.Basis(),
 	}
 	q.balancer.Done(a.place, run.clock.time(), result)
 	q.scheduler.Finish(a.item, result)
+	if q.shared && result.HasReport {
+		run.tell(q, func(other *queued) { other.balancer.Heard(a.server.vm.Name, run.clock.time(), a.report) })
+	}
 	q.dispatch()
 }
 
@@ -101,6 +109,12 @@
 		return
 	}
 	a.send()
+	if q.shared {
+		at := q.entry.run.clock.time()
+		q.entry.run.tell(q, func(other *queued) {
+			other.balancer.HeardOutcomes(a.server.vm.Name, at.Add(tellDelay), balancer.Outcomes{Sent: 1})
+		})
+	}
 	if c.rank == Lookups && len(c.attempts) == 1 {
 		q.planHedge(c)
 	}
--- a/bench/engine/result.go
+++ b/bench/engine/result.go
@@ -29,6 +29,8 @@
 // RankFigures are the figures of one rank in one phase, by time of arrival.
 type RankFigures struct {
 	Offered, Served, Failed, Refused int64
+	// InTarget counts the served calls that met their rank's target.
+	InTarget int64
 	// Ended counts the calls served in the phase, whenever they arrived.
 	Ended int64
 	// Reasons counts the refused calls by reason.
@@ -110,6 +112,9 @@
 	}
 	f.Served++
 	latency := c.entry.run.clock.now - c.arrived
+	if rank, ok := c.entry.run.service.Rank(c.rank); ok && latency <= rank.Target {
+		f.InTarget++
+	}
 	_ = f.latency.RecordValue(max(latency.Microseconds(), shortestLatency))
 	r.recovery.add(r, c, latency)
 	if ended := r.clockPhase(c); ended != nil {
@@ -143,6 +148,7 @@
 		f := r.Ranks[p][rank]
 		sum.Offered += f.Offered
 		sum.Served += f.Served
+		sum.InTarget += f.InTarget
 		sum.Failed += f.Failed
 		sum.Refused += f.Refused
 		sum.latency.Merge(f.latency)
--- a/bench/engine/run.go
+++ b/bench/engine/run.go
@@ -52,12 +52,20 @@
 		r.entries = append(r.entries, e)
 	}
 	r.announce()
+	if s.Policy == Shared {
+		r.observe()
+	}
 	return r
 }
 
 func newChooser(e *entry) chooser {
-	if e.run.scenario.Policy == Real {
+	switch e.run.scenario.Policy {
+	case Real:
 		return newQueued(e)
+	case Shared:
+		q := newQueued(e)
+		q.shared = true
+		return q
 	}
 	return &direct{entry: e, policy: e.run.scenario.Policy, own: make(map[*server]int)}
 }
@@ -119,7 +127,7 @@
 
 // reportBytes is the measuring cost of one answer.
 func (r *run) reportBytes() int64 {
-	if r.scenario.Policy != Real || r.scenario.Faults.NoReports || !r.measuring() {
+	if r.scenario.Policy != Real && r.scenario.Policy != Shared || r.scenario.Faults.NoReports || !r.measuring() {
 		return 0
 	}
 	return reportBytes
--- a/bench/engine/run_test.go
+++ b/bench/engine/run_test.go
@@ -22,8 +22,39 @@
 	}
 }
 
+// Also with servers that tell their pace a run can be repeated.
+func TestSameSeedGivesSameFiguresShared(t *testing.T) {
+	s := small(Shared)
+	s.Faults = Faults{Quiet: true, Neighbours: true}
+	first, second := Run(s), Run(s)
+	if !reflect.DeepEqual(first, second) {
+		t.Fatal("two runs of one seed differ")
+	}
+}
+
+// Pattern: neighbours slow servers fivefold, anew every 150 ms. Shared measuring
+// keeps more calls within their target than any choice by one entry's own view.
+func TestSharedMeasuringBeatsOwnViews(t *testing.T) {
+	met := func(p Policy) float64 {
+		s := Scenario{
+			Policy: p, Seed: 3, Entries: 19, Servers: 33, Zones: 4, Load: 0.5, Scale: 9, Work: Steady,
+			Mix:    map[string]float64{Payments: 0.3, Lookups: 0.7},
+			Faults: Faults{Quiet: true, Neighbours: true},
+			WarmUp: time.Second, Length: 4 * time.Second,
+		}
+		f := Run(s).Total(Lookups)
+		return float64(f.InTarget) / float64(f.Offered)
+	}
+	shared := met(Shared)
+	for _, p := range []Policy{Random, TwoChoices, LeastOwn, Real} {
+		if own := met(p); own >= shared {
+			t.Errorf("%s: %.3f within target, shared measuring %.3f", p, own, shared)
+		}
+	}
+}
+
 func TestEveryCallEndsOnce(t *testing.T) {
-	for _, p := range []Policy{Random, RoundRobin, LeastOwn, TwoChoices, Real} {
+	for _, p := range []Policy{Random, RoundRobin, LeastOwn, TwoChoices, Real, Shared} {
 		r := Run(small(p))
 		for _, rank := range []string{Payments, Lookups} {
 			f := r.Total(rank)
--- a/bench/engine/scenario.go
+++ b/bench/engine/scenario.go
@@ -23,6 +23,8 @@
 	LeastOwn   Policy = "least own in-flight"
 	TwoChoices Policy = "two choices"
 	Real       Policy = "chestnutrouter"
+	// Shared is the product with shared measuring and servers that tell their pace.
+	Shared Policy = "chestnutrouter, shared"
 	// TrueLoad knows the load of every server without delay: a bound, not a way.
 	TrueLoad Policy = "least true load (bound)"
 )
@@ -46,6 +48,8 @@
 	Faults Faults
 	// Work is how long the calls hold a slot.
 	Work Work
+	// Scale multiplies the slot time of all calls; zero stands for one.
+	Scale float64
 	// NoHedges turns second attempts off.
 	NoHedges bool
 	// Service holds the ranks and budgets; the zero value takes DefaultService.
@@ -92,6 +96,12 @@
 	ReportIdle bool
 	// NoReports leaves the reports off the answers.
 	NoReports bool
+	// Neighbours slows each server fivefold for a quarter of the time, drawn anew
+	// every 150 ms. A call keeps the pace at which it begins, and one that begins
+	// at the last slot takes 1.7 times as long.
+	Neighbours bool
+	// SlowShare is the share of the servers whose work takes 12 times as long.
+	SlowShare float64
 	// Restarts makes a server drain and a cold one join every so often; zero means never.
 	Restarts time.Duration
 }
@@ -126,11 +136,15 @@
 }
 
 // workOf is the mean time that a call of the rank holds a slot.
-func workOf(rank string) time.Duration {
+func (s *Scenario) workOf(rank string) time.Duration {
+	work := meanWork
 	if rank == Uploads {
-		return uploadWork
+		work = uploadWork
 	}
-	return meanWork
+	if s.Scale == 0 {
+		return work
+	}
+	return time.Duration(s.Scale * float64(work))
 }
 
 // capacity is the slot time that all servers give in a second, in seconds.
@@ -140,14 +154,14 @@
 func (s *Scenario) rate(rank string) float64 {
 	perCall := 0.0
 	for name, share := range s.Mix {
-		perCall += share * workOf(name).Seconds()
+		perCall += share * s.workOf(name).Seconds()
 	}
 	return s.Load * s.capacity() / perCall * s.Mix[rank]
 }
 
 // floodRate is the extra calls a second in the flood.
 func (s *Scenario) floodRate() float64 {
-	return s.Flood.Load * s.capacity() / workOf(s.Flood.Rank).Seconds()
+	return s.Flood.Load * s.capacity() / s.workOf(s.Flood.Rank).Seconds()
 }
 
 // weight is the share of all calls that the entry receives.
--- a/bench/engine/server.go
+++ b/bench/engine/server.go
@@ -22,8 +22,10 @@
 	vm       fleet.VM
 	zone     int
 	noise    noise
+	pace     pace
 	faults   *Faults
 	failFast bool
+	tells    bool    // reports carry the pace
 	slow     float64 // multiplies the work
 	warmAt   time.Duration
 	draining bool
@@ -41,11 +43,15 @@
 }
 
 func newServer(s *Scenario, c *clock, vm fleet.VM, zone, index int, seed uint64) *server {
-	sv := &server{clock: c, vm: vm, zone: zone, faults: &s.Faults, slow: 1}
+	sv := &server{clock: c, vm: vm, zone: zone, faults: &s.Faults, slow: 1, tells: s.Policy == Shared}
 	sv.noise = noise{rng: rand.New(rand.NewPCG(seed, uint64(index))), off: s.Faults.Quiet}
 	if s.Faults.SlowZone > 0 && zone == 0 {
 		sv.slow = s.Faults.SlowZone
 	}
+	sv.pace = pace{rng: rand.New(rand.NewPCG(seed, uint64(2_000_000+index))), on: s.Faults.Neighbours}
+	if float64(index) < s.Faults.SlowShare*float64(s.Servers) {
+		sv.slow *= lastingSlowdown
+	}
 	sv.failFast = s.Faults.FailFast && index == 0
 	return sv
 }
@@ -72,6 +78,10 @@
 	if s.clock.now < s.warmAt {
 		work *= coldFactor
 	}
+	work = time.Duration(float64(work) * s.pace.at(s.clock.now))
+	if s.pace.on && float64(len(s.running)) > kneeShare*slotsPerServer {
+		work = time.Duration(kneeFactor * float64(work))
+	}
 	end := s.noise.finish(s.clock.now, work)
 	s.clock.after(end-s.clock.now, func() {
 		if s.end(a) {
@@ -121,6 +131,9 @@
 // report is the load as the server states it.
 func (s *server) report() balancer.Report {
 	r := balancer.Report{Slots: slotsPerServer, Draining: s.draining}
+	if s.tells {
+		r.Slowdown = int(100 * s.slow * s.pace.at(s.clock.now))
+	}
 	switch {
 	case s.faults.ReportIdle:
 	case s.faults.ReportAge == 0:
--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -24,7 +24,7 @@
 	flaggy.SetDescription("tables of the policy under load, in virtual time")
 	flaggy.UInt64(&seed, "", "seed", "seed of all random choices")
 	flaggy.Bool(&asJSON, "", "json", "print JSON in place of text")
-	flaggy.String(&table, "", "table", "quick, load, faults, work, flood or all")
+	flaggy.String(&table, "", "table", "quick, load, faults, work, shared, flood or all")
 	flaggy.Int(&seconds, "", "seconds", "measured virtual seconds of each run")
 	flaggy.Parse()
 
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -25,7 +25,7 @@
 
 // Error names the table.
 func (e *UnknownTableError) Error() string {
-	return fmt.Sprintf("no table %q: use quick, load, faults, work, flood or all", e.Name)
+	return fmt.Sprintf("no table %q: use quick, load, faults, work, shared, flood or all", e.Name)
 }
 
 // maxParallelRuns leaves most of the machine to others.
@@ -43,10 +43,12 @@
 		return []Table{faultTable(seed, length)}, nil
 	case "work":
 		return []Table{workTable(seed, length)}, nil
+	case "shared":
+		return []Table{sharedTable(seed, length)}, nil
 	case "flood":
 		return floodTables(seed), nil
 	case "all":
-		tables := []Table{loadTable(seed, length), faultTable(seed, length), workTable(seed, length)}
+		tables := []Table{loadTable(seed, length), faultTable(seed, length), workTable(seed, length), sharedTable(seed, length)}
 		return append(tables, floodTables(seed)...), nil
 	}
 	return nil, &UnknownTableError{Name: name}
