Measure what a server's last slot costs, and keep places for who can be in time

Change: late requests take only places that no other wants; the factor past the knee is measured, and the slots beyond it stay free where it is above 1.45; items behind the first are looked at too, as they have more time.

--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -97,13 +97,15 @@
 
 // dispatch grants the first item of the queue that a server below the load takes.
 func (s *Scheduler) dispatch(l *rankQueue, now time.Time, load float64) (Decision, bool) {
-	return s.dispatchFrom(l, &l.items, now, func(i *Item) (*balancer.Server, bool) {
+	alike := func(i *Item) bool { return len(i.Exclude) == 0 }
+	return s.dispatchFrom(l, &l.items, now, alike, func(i *Item) (*balancer.Server, bool) {
 		return s.servers.PickBelow(now, i.Exclude, load)
 	})
 }
 
-// dispatchFrom grants the first item of the list for which a server is picked.
-func (s *Scheduler) dispatchFrom(l *rankQueue, items *list.List, now time.Time, pick func(*Item) (*balancer.Server, bool)) (Decision, bool) {
+// dispatchFrom grants the first item of the list for which a server is picked. It
+// does not look past an item that is like all behind it.
+func (s *Scheduler) dispatchFrom(l *rankQueue, items *list.List, now time.Time, alike func(*Item) bool, pick func(*Item) (*balancer.Server, bool)) (Decision, bool) {
 	element := items.Front()
 	for range maxLookahead {
 		if element == nil {
@@ -119,7 +121,7 @@
 			s.account(l)
 			return Decision{Item: i, Server: server}, true
 		}
-		if len(i.Exclude) == 0 {
+		if alike(i) {
 			break
 		}
 	}
--- a/internal/admission/paced.go
+++ b/internal/admission/paced.go
@@ -22,6 +22,7 @@
 type pacedServers interface {
 	Paced() bool
 	PickWithin(now time.Time, exclude []string, work, within time.Duration, body int64) (*balancer.Server, bool)
+	PickSpare(now time.Time, exclude []string, work, within, target time.Duration, body int64) (*balancer.Server, bool)
 }
 
 const (
@@ -165,13 +166,16 @@
 }
 
 // dispatchPaced grants the first item of the list that a server can take in time.
+// Those behind the first have more time left, so a place that is too slow for it
+// may do for them.
 func (s *Scheduler) dispatchPaced(servers pacedServers, l *rankQueue, items *list.List, now time.Time) (Decision, bool) {
-	return s.dispatchFrom(l, items, now, func(i *Item) (*balancer.Server, bool) {
-		within := deadlineLeft(i, now)
-		if !i.late {
-			within = min(within, l.targetLeft(i, now))
+	alike := func(i *Item) bool { return i.late && len(i.Exclude) == 0 }
+	return s.dispatchFrom(l, items, now, alike, func(i *Item) (*balancer.Server, bool) {
+		work, within := l.usualWork(), deadlineLeft(i, now)
+		if i.late {
+			return servers.PickSpare(now, i.Exclude, work, within, l.rank.Target, i.Bytes)
 		}
-		return servers.PickWithin(now, i.Exclude, l.usualWork(), within, i.Bytes)
+		return servers.PickWithin(now, i.Exclude, work, min(within, l.targetLeft(i, now)), i.Bytes)
 	})
 }
 
--- a/internal/admission/paced_test.go
+++ b/internal/admission/paced_test.go
@@ -33,6 +33,11 @@
 	}
 }
 
+// PickSpare leaves the quick places to others while any is wanted.
+func (p *pacedPlaces) PickSpare(now time.Time, exclude []string, work, within, _ time.Duration, body int64) (*balancer.Server, bool) {
+	return p.PickWithin(now, exclude, work, within, body)
+}
+
 var pacedRanks = []tree.Rank{
 	{Name: "look", Order: 0, Target: 250 * time.Millisecond, QueueLength: 100, QueueBytes: 1 << 20, KeptShare: 0.1},
 	{Name: "order", Order: 1, Target: 300 * time.Millisecond, QueueLength: 100, QueueBytes: 1 << 20, KeptShare: 0.1},
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -62,6 +62,8 @@
 	others    mean        // requests of other entries at a server
 	busy      mean        // busy share of a server's slots
 	shed      mean        // share of refused requests
+	quick     mean        // nanoseconds of a request that began at a quick server
+	past      mean        // the same, past the server's knee
 	reporting atomic.Bool // answers carry reports
 	trust     *trust
 	quantile  *quantile
@@ -159,6 +161,7 @@
 		usual:          usual + min(uncertainty, usual),
 		trust:          b.trust.value(),
 		shed:           b.shed.value(),
+		knee:           b.kneeFactor(),
 		far:            farBase,
 		longest:        math.Inf(1),
 	}
--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -22,6 +22,7 @@
 		s.host.health.succeed()
 		if !r.Upload {
 			b.latency.learn(float64(r.Latency), meanWeight)
+			b.learnKnee(s.basis, r.Latency)
 			b.quantile.learn(now, r.Latency)
 			s.host.learnLatency(r.Latency, b.latency.value())
 		}
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -14,10 +14,17 @@
 	paceFresh = 150 * time.Millisecond
 	// mostSlowdown bounds what one report counts, as a factor.
 	mostSlowdown = 20
-	// kneeShare is the busy share of its slots above which a server works slower.
+	// kneeShare is the busy share of its slots above which some servers work slower.
 	kneeShare = 0.8
-	// kneeFactor is how much longer work takes that begins there.
-	kneeFactor = 1.7
+	// firstKnee is how much longer work takes that begins there, before it has been
+	// measured, and mostKnee bounds what is measured.
+	firstKnee = 1.3
+	mostKnee  = 2.5
+	// kneeWeight is the weight of the newest answer in what is measured.
+	kneeWeight = 0.03
+	// worthKnee is the factor up to which the slots beyond the knee are used: a
+	// server of three gets more done with all of them up to half as much time.
+	worthKnee = 1.45
 	// spreadWeight is what a request in progress counts where slots are free, in
 	// usual works: of servers that are equally quick the emptier one is safer.
 	spreadWeight = 0.1
@@ -89,6 +96,28 @@
 	return b.pick(s, &v, exclude)
 }
 
+// PickSpare is PickWithin among the places that a request which can still meet the
+// target does not want: those of servers that are too slow for it, and idle
+// servers. A late request at another place would make one more late.
+func (b *Balancer) PickSpare(now time.Time, exclude []string, work, within, target time.Duration, body int64) (*Server, bool) {
+	s := b.snapshot.Load()
+	v := b.view(s, now, math.Inf(1))
+	v.far = farBase + float64(body)/farBodyBytes
+	v.longest = float64(within) / float64(max(work, 1))
+	v.spare = float64(target) / float64(max(work, 1))
+	return b.pick(s, &v, exclude)
+}
+
+// wanted reports whether the view leaves the place to requests that can still
+// meet their target.
+func (h *host) wanted(mask uint32, v *view) bool {
+	if v.spare == 0 || !h.pace.known() {
+		return false
+	}
+	before := h.inProgress(mask, v)
+	return before >= half && h.stretch(0, v) <= v.spare
+}
+
 // full reports whether the server takes no request of this entry now: all slots
 // are taken, or were so a moment ago and the free one is another entry's. Only a
 // server that tells its pace says enough of itself for that.
@@ -108,7 +137,35 @@
 
 // slotsTaken reports whether a further request would have to wait at the server.
 func (h *host) slotsTaken(mask uint32, v *view) bool {
-	return h.pace.known() && h.inProgress(mask, v)+half > h.slots(v)
+	slots := h.slots(v)
+	if v.knee > worthKnee {
+		slots = max(1, math.Floor(kneeShare*slots))
+	}
+	return h.pace.known() && h.inProgress(mask, v)+half > slots
+}
+
+// pastKnee reports whether a request that joins as many begins past the knee.
+func pastKnee(before, slots float64) bool { return before+1-half > kneeShare*slots }
+
+// kneeFactor is how much longer work takes that begins past the knee.
+func (b *Balancer) kneeFactor() float64 {
+	quick, past := b.quick.value(), b.past.value()
+	if quick == 0 || past == 0 {
+		return firstKnee
+	}
+	return min(max(past/quick, 1), mostKnee)
+}
+
+// learnKnee takes in the time of a request that began at a quick server.
+func (b *Balancer) learnKnee(basis Basis, latency time.Duration) {
+	const quickRate = 0.95
+	switch {
+	case basis.Rate < quickRate:
+	case basis.PastKnee:
+		b.past.learn(float64(latency), kneeWeight)
+	default:
+		b.quick.learn(float64(latency), kneeWeight)
+	}
 }
 
 func (h *host) slots(v *view) float64 {
@@ -127,8 +184,8 @@
 	}
 	slots := h.slots(v)
 	work := h.warmUp(v.now) / rate
-	if before+1-half > kneeShare*slots {
-		work *= kneeFactor
+	if pastKnee(before, slots) {
+		work *= v.knee
 	}
 	if before <= slots-1 {
 		return work
--- a/internal/balancer/pace_test.go
+++ b/internal/balancer/pace_test.go
@@ -64,7 +64,7 @@
 		want   float64
 	}{
 		{"quick and idle", Report{Slots: 3, Slowdown: 100}, 0, 1},
-		{"two run", Report{InFlight: 2, Slots: 3, Slowdown: 100}, 0, kneeFactor},
+		{"two run", Report{InFlight: 2, Slots: 3, Slowdown: 100}, 0, firstKnee},
 		{"slowed fivefold", Report{Slots: 3, Slowdown: 500}, 0, 5},
 		{"slowed, an old report", Report{Slots: 3, Slowdown: 500}, 2 * paceFresh, 1 / 0.6},
 	} {
@@ -263,3 +263,34 @@
 		}
 	}
 }
+
+// Pattern: some servers work slower when they are nearly full. Where that costs more
+// than the further slot gains, it stays free; elsewhere it is used.
+func TestKneeIsMeasured(t *testing.T) {
+	for _, c := range []struct {
+		factor float64
+		places int
+	}{{1.1, 3}, {1.8, 2}} {
+		now := time.Now()
+		b := pacedBalancer(now, 1)
+		for range 200 {
+			first, _ := b.PickWithin(now, nil, usualWork, time.Hour, 0)
+			second, _ := b.PickWithin(now, nil, usualWork, time.Hour, 0)
+			third, ok := b.PickWithin(now, nil, usualWork, time.Hour, 0)
+			if ok {
+				b.Done(third, now, Result{Latency: time.Duration(c.factor * float64(usualWork))})
+			}
+			b.Done(first, now, Result{Latency: usualWork})
+			b.Done(second, now, Result{Latency: usualWork})
+		}
+		got := 0
+		for range 4 {
+			if _, ok := b.PickWithin(now, nil, usualWork, time.Hour, 0); ok {
+				got++
+			}
+		}
+		if got != c.places {
+			t.Errorf("work that begins past the knee takes %.1f: %d places used, want %d", c.factor, got, c.places)
+		}
+	}
+}
--- a/internal/balancer/shared.go
+++ b/internal/balancer/shared.go
@@ -14,6 +14,8 @@
 	// Stretch is the expected time in usual works; zero where the server does not
 	// tell its pace.
 	Stretch float64
+	// PastKnee says that the request began past the knee of the server.
+	PastKnee bool
 	// Rate is the reported pace of the server, zero where it tells none.
 	Rate float64
 	// ReportAge is the age of the newest report, negative where there is none.
@@ -23,7 +25,9 @@
 func (h *host) basis(mask uint32, v *view) Basis {
 	b := Basis{Load: h.load(mask, v), Others: h.report.othersAt(v), Rate: h.pace.now.value(), ReportAge: -1}
 	if h.pace.known() {
-		b.Stretch = h.stretch(h.inProgress(mask, v), v)
+		before := h.inProgress(mask, v)
+		b.Stretch = h.stretch(before, v)
+		b.PastKnee = pastKnee(before, h.slots(v))
 	}
 	if at := h.report.received.Load(); at > 0 {
 		b.ReportAge = time.Duration(v.now - at)
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -19,7 +19,9 @@
 	trust          float64 // how far reports are believed, from 0 to 1
 	salt           uint64  // another one for each pick
 	shed           float64 // share of refused requests of all servers
+	knee           float64 // how much longer work takes that begins past a knee
 	far            float64 // what another availability zone counts, in usual works
+	spare          float64 // longest stretch of a request that meets its target, zero where that does not matter
 	longest        float64 // longest stretch of a request, in usual works
 }
 
@@ -134,7 +136,7 @@
 				continue
 			}
 		}
-		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) || h.full(mask, v) || h.tooLong(mask, v) {
+		if !h.takes(mask, s.places) || excluded(exclude, h.vm.Name) || h.full(mask, v) || h.tooLong(mask, v) || h.wanted(mask, v) {
 			continue
 		}
 		if load := h.load(mask, v); load < least {
