--- a/internal/balancer/learn.go
+++ b/internal/balancer/learn.go
@@ -9,6 +9,7 @@
 // Done ends the reservation with what the attempt showed. It must be called
 // exactly once for each pick.
 func (b *Balancer) Done(s *Server, now time.Time, r Result) {
+	basis := s.basis // once released, the place is another pick's
 	v := b.view(b.snapshot.Load(), now, 0)
 	full := s.host.slotsTaken(s.host.busy.Load(), &v)
 	own := s.host.release(s)
@@ -22,7 +23,7 @@
 		s.host.health.succeed()
 		if !r.Upload {
 			b.latency.learn(float64(r.Latency), meanWeight)
-			b.learnKnee(s.basis, r.Latency)
+			b.learnKnee(basis, r.Latency)
 			b.quantile.learn(now, r.Latency)
 			s.host.learnLatency(r.Latency, b.latency.value())
 		}
