--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -81,12 +81,8 @@
 
 // readDue reports whether this member is to read the store now.
 func (f *Feed) readDue(now, last time.Time, failures int) bool {
-	patience := time.Duration(0)
-	if f.options.FirstStart {
-		patience = alonePatience
-		if now.Sub(f.started) < meetTime {
-			return false
-		}
+	if f.options.FirstStart && now.Sub(f.started) < meetTime {
+		return false
 	}
 	rank := f.rank()
 	interval := readInterval
@@ -99,13 +95,16 @@
 	if rank < readers {
 		return true
 	}
-	if f.contact.Load() == 0 && f.ServersVersion() == 0 && now.Sub(f.started) >= patience {
-		return true
+	if f.knowsNothing() {
+		return !f.options.FirstStart || now.Sub(f.started) >= alonePatience
 	}
-	patience = standInAfter + min(time.Duration(rank)*standInStep, mostStandIn)
+	patience := standInAfter + min(time.Duration(rank)*standInStep, mostStandIn)
 	return f.newestContact(now) > patience
 }
 
+// knowsNothing reports whether neither the store nor a peer has told any server.
+func (f *Feed) knowsNothing() bool { return f.contact.Load() == 0 && f.ServersVersion() == 0 }
+
 // maxDoublings keeps the backoff's shift in range.
 const maxDoublings = 4
 
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -12,9 +12,11 @@
 // collector of each other zone, which passes beats on to its zone in digests a few
 // milliseconds apart: traffic between zones has a price. In a large fleet beats go
 // to a collector of the own zone too, so a member sends and receives about as much
-// whatever the number of members, and only some of them go to other zones. Nobody elects a collector: each member takes the strongest one that it
-// hears, and a member that gets beats to collect passes them on, so two members
-// that choose differently lose nothing.
+// whatever the number of members, and only some of them go to other zones.
+//
+// Nobody elects a collector: each member takes the strongest one that it hears, and
+// a member that gets beats to collect passes them on, so two members that choose
+// differently lose nothing.
 
 const (
 	// fullMeshMost is the number of members up to which each beat goes to all.
--- /dev/null
+++ b/internal/observe/share.go
@@ -0,0 +1,107 @@
+package observe
+
+import (
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/mesh"
+)
+
+// Sent notes that this member sends a request to the server. The others are told
+// at once: between two beats the whole fleet sends more requests than there are
+// servers that look best.
+func (o *Observer) Sent(server string) {
+	o.mu.Lock()
+	if t := o.byName[server]; t != nil {
+		o.stage(t.id).outcome.Sent++
+	}
+	o.mu.Unlock()
+	o.options.Flush()
+}
+
+// Ended notes what came of a request of this member.
+// The others are told at once where it frees a place of a full server.
+func (o *Observer) Ended(server string, r balancer.Result, freed bool, now time.Time) {
+	o.noteEnd(server, r, now)
+	if freed {
+		o.options.Flush()
+	}
+}
+
+func (o *Observer) noteEnd(server string, r balancer.Result, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.byName[server]
+	if t == nil {
+		return
+	}
+	s := o.stage(t.id)
+	switch r.Kind {
+	case balancer.OK:
+		s.outcome.Whole++
+	case balancer.Error, balancer.DialFailed:
+		s.outcome.Failed++
+	}
+	if r.HasReport {
+		s.at, s.reported = now, now
+		s.report = mesh.Report{
+			Server: t.id, InFlight: r.Report.InFlight, Queue: r.Report.Queue,
+			Slowdown: r.Report.Slowdown, Draining: r.Report.Draining,
+		}
+	}
+}
+
+// Collect moves what is staged into a beat.
+func (o *Observer) Collect(b *mesh.Beat, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, s := range o.staged {
+		if !s.at.IsZero() {
+			s.report.Age = now.Sub(s.at)
+			b.Reports = append(b.Reports, s.report)
+			s.at = time.Time{}
+		}
+		if s.outcome != (mesh.Outcome{Server: id}) {
+			b.Outcomes = append(b.Outcomes, s.outcome)
+			s.outcome = mesh.Outcome{Server: id}
+		}
+	}
+}
+
+// Hear takes in what another member's beat carries.
+func (o *Observer) Hear(b *mesh.Beat, now time.Time) {
+	for _, r := range b.Reports {
+		t := o.target(r.Server)
+		if t == nil {
+			continue
+		}
+		at := now.Add(-r.Age)
+		t.balancer.Heard(t.vm.Name, at, balancer.Report{
+			InFlight: r.InFlight, Queue: r.Queue, Slowdown: r.Slowdown, Draining: r.Draining,
+		})
+		o.heardReport(t.id, at)
+	}
+	for _, out := range b.Outcomes {
+		if t := o.target(out.Server); t != nil {
+			t.balancer.HeardOutcomes(t.vm.Name, now, balancer.Outcomes{
+				Sent: out.Sent, Whole: out.Whole, Failed: out.Failed,
+			})
+		}
+	}
+}
+
+// heardReport spares a probe where another member has just had an answer.
+func (o *Observer) heardReport(id mesh.ServerID, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.stage(id)
+	if at.After(s.reported) {
+		s.reported = at
+	}
+}
+
+func (o *Observer) target(id mesh.ServerID) *target {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.targets[id]
+}
