Ask a server for its load right after its pace may have changed

Change: internal/rhythm learns that place from the reports of a server and foretells the next one; the observer asks right after it and once in between, and a change is told at once. A server that changes otherwise does not fit and is asked in each round as before; a change elsewhere ends the lock.

Tests without network: rhythm (any place, no rhythm, a moved server), observe (asks after each change), bench/engine (half the probes, no call more late).

--- a/bench/engine/noise.go
+++ b/bench/engine/noise.go
@@ -30,6 +30,11 @@
 	until  time.Duration
 }
 
+// newPace returns a pace that is drawn anew at a place of its own in each period.
+func newPace(rng *rand.Rand, on bool) pace {
+	return pace{rng: rng, on: on, factor: 1, until: time.Duration(rng.Int64N(int64(paceEvery)))}
+}
+
 // at is the factor at a time; times never go back.
 func (p *pace) at(now time.Duration) float64 {
 	if !p.on {
--- a/bench/engine/run_test.go
+++ b/bench/engine/run_test.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// Pattern: neighbours that slow servers in fixed periods, at light load. Servers that
+// are asked right after their pace may have changed cost half the probes, and no call
+// more misses its target.
+func TestProbesFollowTheRhythm(t *testing.T) {
+	play := func(even bool) *Result {
+		return Run(Scenario{
+			Policy: Shared, EvenProbes: even, Seed: 3, Entries: 19, Servers: 33, Zones: 4, Load: 0.3, Scale: 9, Work: Steady,
+			Mix:    map[string]float64{Payments: 0.3, Lookups: 0.7},
+			Faults: Faults{Quiet: true, Neighbours: true},
+			WarmUp: 4 * time.Second, Length: 4 * time.Second,
+		})
+	}
+	even, timed := play(true), play(false)
+	if 2*timed.Probes > even.Probes {
+		t.Errorf("%d probes by rhythm, %d in even rounds", timed.Probes, even.Probes)
+	}
+	if a, b := timed.Total(Lookups).InTarget, even.Total(Lookups).InTarget; a < b {
+		t.Errorf("%d lookups in target by rhythm, %d in even rounds", a, b)
+	}
+}
+
 func TestEveryCallEndsOnce(t *testing.T) {
 	for _, p := range []Policy{Random, RoundRobin, LeastOwn, TwoChoices, Real, Shared} {
 		r := Run(small(p))
--- a/bench/engine/scenario.go
+++ b/bench/engine/scenario.go
@@ -44,6 +44,8 @@
 	Flood Flood
 	// Uneven gives the entries calls in proportion to 1, 1/2, 1/3 and so on.
 	Uneven bool
+	// EvenProbes asks servers in even rounds with the policy Shared, whatever their rhythm.
+	EvenProbes bool
 	// Faults of backend servers.
 	Faults Faults
 	// Work is how long the calls hold a slot.
--- a/bench/engine/server.go
+++ b/bench/engine/server.go
@@ -48,7 +48,7 @@
 	if s.Faults.SlowZone > 0 && zone == 0 {
 		sv.slow = s.Faults.SlowZone
 	}
-	sv.pace = pace{rng: rand.New(rand.NewPCG(seed, uint64(2_000_000+index))), on: s.Faults.Neighbours}
+	sv.pace = newPace(rand.New(rand.NewPCG(seed, uint64(2_000_000+index))), s.Faults.Neighbours)
 	if float64(index) < s.Faults.SlowShare*float64(s.Servers) {
 		sv.slow *= lastingSlowdown
 	}
--- a/bench/engine/shared.go
+++ b/bench/engine/shared.go
@@ -4,27 +4,40 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutrouter.example/chestnutrouter/internal/rhythm"
 )
 
 const (
-	// observeInterval is how often one entry asks each server for its load.
+	// observeInterval is how often one entry asks a server for its load while the
+	// rhythm of the server is not known.
 	observeInterval = 33 * time.Millisecond
 	// tellDelay is the way of a datagram between entries, with its handling.
 	tellDelay = time.Millisecond
 )
 
-// observe asks every server for its load and tells all entries.
+// observe has one entry ask each server for its load and tell all entries.
 func (r *run) observe() {
 	for _, s := range r.servers {
-		report := s.report()
-		if r.measuring() {
-			r.result.Probes++
-			r.result.Bytes += probeBytes
-		}
-		at := r.clock.time()
-		r.tell(nil, func(q *queued) { q.balancer.Heard(s.vm.Name, at, report) })
+		r.observeServer(s, &rhythm.Rhythm{})
+	}
+}
+
+// observeServer asks one server, and again when that is worth it.
+func (r *run) observeServer(s *server, known *rhythm.Rhythm) {
+	report, at := s.report(), r.clock.time()
+	if r.measuring() {
+		r.result.Probes++
+		r.result.Bytes += probeBytes
+	}
+	r.tell(nil, func(q *queued) { q.balancer.Heard(s.vm.Name, at, report) })
+	known.Note(at, report.Slowdown)
+	next := observeInterval
+	if known.Locked() && !r.scenario.EvenProbes {
+		due, _ := known.Next(at)
+		next = due.Sub(at)
 	}
-	r.clock.after(observeInterval, r.observe)
+	r.clock.after(next, func() { r.observeServer(s, known) })
 }
 
 // tell does something at all entries but one after a datagram's time.
--- a/bench/policy/shared.go
+++ b/bench/policy/shared.go
@@ -16,6 +16,7 @@
 // Patterns of heavy days of the users: neighbours that are drawn anew every 150 ms,
 // with what comes on top.
 var patterns = []pattern{
+	{"light load", func(s *engine.Scenario) { s.Load = 0.25 }},
 	{"half load", func(s *engine.Scenario) { s.Load = 0.4 }},
 	{"heavy load", func(s *engine.Scenario) { s.Load = 0.55 }},
 	{"past capacity", func(s *engine.Scenario) { s.Load = 0.8 }},
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -4,6 +4,8 @@
 // hashing in the server's availability zone. It asks the server for its load in
 // each round, and every member passes on with its beats what it learned since the
 // beat before: reports of probes and of answers, and what came of its requests.
+// A server whose rhythm is known is asked right after its pace may have changed,
+// and a change is told at once.
 // Members that disagree on an observer for a while probe twice or not at all; the
 // first is bounded by each member's budget.
 package observe
@@ -23,6 +25,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/mesh"
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/probe"
+	"chestnutrouter.example/chestnutrouter/internal/rhythm"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -35,6 +38,9 @@
 	probeTimeout = 250 * time.Millisecond
 	// freshReport is the age of a report from which a probe is worth its cost.
 	freshReport = 15 * time.Millisecond
+	// freshBetween is the age of a report from which a probe between two possible
+	// changes of the pace is worth its cost: it tells only of the requests there.
+	freshBetween = 40 * time.Millisecond
 	// budgetSlack is how many times its equal part of all probes a member may send,
 	// so that one that sees few others does not probe everything at full rate.
 	budgetSlack = 2.5
@@ -62,6 +68,11 @@
 	balancer *balancer.Balancer
 	probing  bool
 	owned    bool // this member is the server's observer
+	rhythm   rhythm.Rhythm
+	// due is when a timer probes the server, change whether its pace may have
+	// changed right before; rounds leave it alone until then.
+	due    time.Time
+	change bool
 }
 
 // staged is what was learned of a server since the last beat.
@@ -127,7 +138,7 @@
 		}
 		next := &target{id: serverID(vm), vm: vm, service: svc, balancer: r.Balancer}
 		if old := o.targets[next.id]; old != nil {
-			next.probing = old.probing
+			next.probing, next.rhythm, next.due, next.change = old.probing, old.rhythm, old.due, old.change
 		}
 		targets[next.id], byName[vm.Name] = next, next
 	}
@@ -190,7 +201,7 @@
 		if o.budget < 1 {
 			break
 		}
-		if !t.owned || t.probing || now.Sub(o.stage(t.id).reported) < freshReport {
+		if !t.owned || t.probing || t.due.After(now) || now.Sub(o.stage(t.id).reported) < freshReport {
 			continue
 		}
 		o.budget--
@@ -200,6 +211,42 @@
 	return due
 }
 
+// arm sets a timer for the next probe of a server whose rhythm is known. The lock
+// is held.
+func (o *Observer) arm(ctx context.Context, t *target, now time.Time) {
+	if !t.owned || !t.rhythm.Locked() || t.due.After(now) {
+		return
+	}
+	t.due, t.change = t.rhythm.Next(now)
+	id := t.id
+	time.AfterFunc(t.due.Sub(now), func() { o.probeInTime(ctx, id) })
+}
+
+// probeInTime probes a server whose timer has run out. A server that it leaves out
+// is due in the next round.
+func (o *Observer) probeInTime(ctx context.Context, id mesh.ServerID) {
+	now := time.Now()
+	o.mu.Lock()
+	t := o.targets[id]
+	if t == nil || !t.owned || t.probing || t.due.After(now) || ctx.Err() != nil {
+		o.mu.Unlock()
+		return
+	}
+	if !t.change && now.Sub(o.stage(id).reported) < freshBetween {
+		o.arm(ctx, t, now)
+		o.mu.Unlock()
+		return
+	}
+	if o.budget < 1 {
+		o.mu.Unlock()
+		return
+	}
+	o.budget--
+	t.probing = true
+	o.mu.Unlock()
+	o.probe(ctx, t)
+}
+
 // stage returns what is staged for a server. The lock is held.
 func (o *Observer) stage(id mesh.ServerID) *staged {
 	s := o.staged[id]
@@ -210,8 +257,8 @@
 	return s
 }
 
-func (o *Observer) probe(ctx context.Context, t *target) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (o *Observer) probe(parent context.Context, t *target) {
+	ctx, cancel := context.WithTimeout(parent, probeTimeout)
 	defer cancel()
 	report, err := o.options.Sender.Send(ctx, t.vm, t.service)
 	now := time.Now()
@@ -232,17 +279,33 @@
 	}
 	metrics.Count(o.options.Scope, metrics.Probes, "answered")
 	t.balancer.Heard(t.vm.Name, now, report)
-	o.noteReport(t.id, report, now)
+	if o.noteProbe(parent, t.id, report, now) {
+		o.options.Flush()
+	}
 }
 
-func (o *Observer) noteReport(id mesh.ServerID, r balancer.Report, at time.Time) {
+// noteProbe stages the report of a probe and sets the timer for the next one. It
+// returns whether the others are to be told at once: the pace has changed.
+func (o *Observer) noteProbe(ctx context.Context, id mesh.ServerID, r balancer.Report, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	changed := o.noteReport(id, r, now)
+	if t := o.targets[id]; t != nil {
+		o.arm(ctx, t, now)
+	}
+	return changed
+}
+
+// noteReport stages what a server said of itself and returns whether its pace has
+// changed. The lock is held.
+func (o *Observer) noteReport(id mesh.ServerID, r balancer.Report, at time.Time) bool {
 	s := o.stage(id)
 	s.at, s.reported = at, at
 	s.report = mesh.Report{
 		Server: id, InFlight: r.InFlight, Queue: r.Queue, Slowdown: r.Slowdown, Draining: r.Draining,
 	}
+	t := o.targets[id]
+	return t != nil && t.rhythm.Note(at, r.Slowdown)
 }
 
 func (o *Observer) noteFailure(id mesh.ServerID) {
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -13,6 +15,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/mesh"
+	"chestnutrouter.example/chestnutrouter/internal/rhythm"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -141,3 +144,73 @@
 		t.Errorf("%+v", beat)
 	}
 }
+
+// host is a server whose pace is drawn anew every 150 ms, from a place of its own on.
+type host struct {
+	mu    sync.Mutex
+	place time.Duration
+	rng   *rand.Rand
+	pace  map[int64]int
+	asked []time.Duration // since the last possible change
+}
+
+func (h *host) Send(_ context.Context, _ fleet.VM, _ *tree.Service) (balancer.Report, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	since := time.Duration(time.Now().UnixNano()) - h.place
+	period := int64(since / rhythm.Period)
+	if h.pace[period] == 0 {
+		h.pace[period] = 100
+		if h.rng.Float64() < 0.3 {
+			h.pace[period] = 500
+		}
+	}
+	h.asked = append(h.asked, since%rhythm.Period)
+	return balancer.Report{Slots: 3, Slowdown: h.pace[period]}, nil
+}
+
+// Pattern: neighbours that slow a server in fixed periods. Once the rhythm is known the
+// observer asks right after each possible change and tells a change at once.
+func TestProbesFollowTheRhythm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &host{place: 40 * time.Millisecond, rng: rand.New(rand.NewPCG(1, 1)), pace: map[int64]int{}}
+		view, vms, flushes := viewOf(1, 1), servers(1), 0
+		set := service.NewSet(service.Options{Entry: "vm-0", Zone: "z", Scope: tally.NoopScope, Workers: admission.NewWorkers()})
+		set.SetTree(observed)
+		set.SetServers(list(vms))
+		o := New(Options{
+			Self: "vm-0", View: func() *mesh.View { return view }, Sender: h,
+			Flush: func() { flushes++ },
+		})
+		o.Update(observed, set, vms)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		rounds := func(n int) {
+			for range n {
+				o.Round(ctx, time.Now())
+				time.Sleep(33 * time.Millisecond)
+			}
+		}
+		rounds(200)
+		h.asked, flushes = nil, 0
+		rounds(100)
+		soon := 0
+		for _, since := range h.asked {
+			if since < 20*time.Millisecond {
+				soon++
+			}
+		}
+		const periods = 22 // of 100 rounds
+		if soon < periods-1 {
+			t.Errorf("asked soon after %d of %d possible changes", soon, periods)
+		}
+		if most := 2*periods + 2; len(h.asked) > most {
+			t.Errorf("asked %d times in %d periods", len(h.asked), periods)
+		}
+		if flushes == 0 {
+			t.Error("no change was told at once")
+		}
+		cancel()
+		time.Sleep(rhythm.Period)
+	})
+}
--- a/internal/observe/share.go
+++ b/internal/observe/share.go
@@ -43,11 +43,7 @@
 		s.outcome.Failed++
 	}
 	if r.HasReport {
-		s.at, s.reported = now, now
-		s.report = mesh.Report{
-			Server: t.id, InFlight: r.Report.InFlight, Queue: r.Report.Queue,
-			Slowdown: r.Report.Slowdown, Draining: r.Report.Draining,
-		}
+		o.noteReport(t.id, r.Report, now)
 	}
 }
 
