Tell a send at once only where it takes the last place

Cause: each send went to all entries in a datagram of its own.

Change: a send is told at once only where it takes the last place of a server; other news waits for the next beat, now each second round (66 ms). News that is later must not be counted twice: an outcome carries the age of its last send, a receiver passes over those that a newer report counts, and a report that is passed on takes the place of the sends before it.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -41,8 +41,9 @@
 
 // Watcher learns what this entry sends to backend servers and what comes of it.
 type Watcher interface {
-	// Sent is told of a request that gets a place at the server.
-	Sent(server string)
+	// Sent is told of a request that gets a place at the server, and whether the
+	// server has no free one then.
+	Sent(server string, full bool)
 	// Ended is told what came of it, and whether it frees a place of a full server.
 	Ended(server string, r Result, freed bool, now time.Time)
 }
@@ -50,7 +51,7 @@
 // nobody is the Watcher that looks at nothing.
 type nobody struct{}
 
-func (nobody) Sent(string) {}
+func (nobody) Sent(string, bool) {}
 
 func (nobody) Ended(string, Result, bool, time.Time) {}
 
@@ -138,7 +139,7 @@
 		}
 		if place, ok := h.reserve(mask, v.now); ok {
 			place.basis = h.basis(mask, v)
-			b.options.Watcher.Sent(h.vm.Name)
+			b.options.Watcher.Sent(h.vm.Name, h.slotsTaken(h.busy.Load(), v))
 			return place, true
 		}
 	}
--- a/internal/balancer/pace_test.go
+++ b/internal/balancer/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -295,6 +296,20 @@
 	}
 }
 
+// A request that another entry sent before the newest report was made is counted in
+// it, however late the news of it comes.
+func TestReportCountsEarlierSends(t *testing.T) {
+	now := time.Now()
+	b := pacedBalancer(now, 1)
+	b.Heard("s0", now.Add(20*time.Millisecond), Report{InFlight: 1, Slots: 3, Slowdown: 100})
+	b.HeardOutcomes("s0", now.Add(10*time.Millisecond), Outcomes{Sent: 1})
+	b.HeardOutcomes("s0", now.Add(30*time.Millisecond), Outcomes{Sent: 1})
+	v := b.view(b.snapshot.Load(), now.Add(31*time.Millisecond), math.Inf(1))
+	if got := b.snapshot.Load().host("s0").report.othersAt(&v); math.Abs(got-2) > 0.1 {
+		t.Errorf("%.2f requests of others, want 2", got)
+	}
+}
+
 // Pattern: light load. Bytes to another availability zone have a price, so an equal
 // server of the own zone is used as long as it has a free place before its knee, and
 // the others once it has none.
@@ -320,3 +335,26 @@
 		t.Errorf("chose %s, want %s", got, want)
 	}
 }
+
+// The others are told at once of a request that takes the last place of a server.
+func TestLastPlaceIsFull(t *testing.T) {
+	now := time.Now()
+	var full []bool
+	b := pacedBalancer(now, 1)
+	b.options.Watcher = watcher(func(last bool) { full = append(full, last) })
+	for range 3 {
+		if _, ok := b.PickWithin(now, nil, usualWork, target, 0); !ok {
+			t.Fatal("no place")
+		}
+	}
+	if !slices.Equal(full, []bool{false, false, true}) {
+		t.Errorf("told %v", full)
+	}
+}
+
+// watcher looks at requests that are sent.
+type watcher func(full bool)
+
+func (w watcher) Sent(_ string, full bool) { w(full) }
+
+func (watcher) Ended(string, Result, bool, time.Time) {}
--- a/internal/balancer/shared.go
+++ b/internal/balancer/shared.go
@@ -67,7 +67,8 @@
 // mostFailures bounds the failures that count at once.
 const mostFailures = 4
 
-// HeardOutcomes takes in what another entry saw of a server until that time.
+// HeardOutcomes takes in what another entry saw of a server; it sent the last of its
+// requests at that time. Those that a newer report counts already are passed over.
 func (b *Balancer) HeardOutcomes(server string, at time.Time, o Outcomes) {
 	h := b.snapshot.Load().host(server)
 	if h == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,9 +28,13 @@
 )
 
 const (
-	// beatInterval is the time between two beats. Noisy neighbours change every
-	// 150 ms; a report is then old for a small part of that.
-	beatInterval = 33 * time.Millisecond
+	// roundInterval is the time between two probes of a server whose rhythm is not
+	// known. Noisy neighbours change every 150 ms; a report is then old for a small
+	// part of that.
+	roundInterval = 33 * time.Millisecond
+	// beatRounds is how many rounds lie between two beats. What others have to know
+	// sooner is sent at once.
+	beatRounds = 2
 	// idleTimeout is how long an idle connection of a caller is kept: longer than
 	// any idle limit that operators set, as callers reuse connections up to that.
 	idleTimeout = 2 * time.Minute
@@ -75,6 +79,7 @@
 	others  []*http.Server
 	peers   *peer.Server
 
+	rounds     int // of goBackground
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 }
@@ -238,7 +243,7 @@
 			e.parts.Events.Warn("datagrams failed", "error", err)
 		}
 	})
-	e.background.Go(func() { mesh.Run(ctx, beatInterval, e.round) })
+	e.background.Go(func() { mesh.Run(ctx, roundInterval, e.round) })
 	list := &registry{
 		log:    e.parts.Adapter.Log,
 		stream: e.parts.Adapter.EntriesStream,
@@ -252,7 +257,14 @@
 // round probes this member's servers and tells the others what it learned.
 func (e *Entry) round(ctx context.Context, now time.Time) {
 	e.parts.Observer.Round(ctx, now)
-	now = time.Now()
+	e.rounds++
+	if e.rounds%beatRounds == 0 {
+		e.beat(time.Now())
+	}
+}
+
+// beat tells the other entries what is new.
+func (e *Entry) beat(now time.Time) {
 	b := &mesh.Beat{Status: mesh.Status{
 		Ready:      e.Ready(),
 		Leaving:    e.parts.Drain.Leaving(),
--- a/internal/mesh/datagram.go
+++ b/internal/mesh/datagram.go
@@ -56,6 +56,8 @@
 	Server ServerID
 	// Sent, Whole and Failed count requests that were sent, answered whole, failed.
 	Sent, Whole, Failed int
+	// SentAge is how long ago the last one was sent when the beat was.
+	SentAge time.Duration
 }
 
 // Beat is the message that members send all the time.
@@ -121,7 +123,8 @@
 	out = binary.LittleEndian.AppendUint32(out, uint32(o.Server))
 	out = binary.AppendUvarint(out, uint64(o.Sent))
 	out = binary.AppendUvarint(out, uint64(o.Whole))
-	return binary.AppendUvarint(out, uint64(o.Failed))
+	out = binary.AppendUvarint(out, uint64(o.Failed))
+	return binary.AppendUvarint(out, uint64(max(o.SentAge, 0)/ageUnit))
 }
 
 // decoder reads fields one after another; after the first error all are zero.
@@ -203,7 +206,7 @@
 func (d *decoder) outcome() Outcome {
 	return Outcome{
 		Server: ServerID(binary.LittleEndian.Uint32(d.fixed(4))),
-		Sent:   d.small(), Whole: d.small(), Failed: d.small(),
+		Sent:   d.small(), Whole: d.small(), Failed: d.small(), SentAge: d.age(),
 	}
 }
 
--- a/internal/mesh/datagram_test.go
+++ b/internal/mesh/datagram_test.go
@@ -16,7 +16,7 @@
 		{Server: 1, InFlight: 3, Queue: 2, Slowdown: 500, Age: 4 * time.Millisecond},
 		{Server: 1 << 31, Draining: true},
 	},
-	Outcomes: []Outcome{{Server: 9, Sent: 1, Whole: 2, Failed: 3}},
+	Outcomes: []Outcome{{Server: 9, Sent: 1, Whole: 2, Failed: 3, SentAge: 30 * time.Millisecond}},
 }
 
 func TestBeatSurvivesTheWire(t *testing.T) {
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// aliveFor is how long after its last beat a member counts as live: a dozen
+	// aliveFor is how long after its last beat a member counts as live: seven
 	// beats, so that lost datagrams don't matter, and little beside the second
 	// that a caller allows a connection.
 	aliveFor = 500 * time.Millisecond
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -22,7 +22,7 @@
 	// fullMeshMost is the number of members up to which each beat goes to all.
 	fullMeshMost = 40
 	// farEvery is how many beats lie between two to the other zones: 200 ms.
-	farEvery = 6
+	farEvery = 3
 	// farAliveFor is how long after its last beat a member of another zone counts
 	// as live in a large fleet: a dozen such beats.
 	farAliveFor = 2500 * time.Millisecond
@@ -34,7 +34,7 @@
 	digestBytes = 4 << 10
 	// collectorSilence is how long a collector may pass nothing on until another
 	// one is taken: four beats.
-	collectorSilence = 150 * time.Millisecond
+	collectorSilence = 270 * time.Millisecond
 	// farCollectors is how many collectors of another zone take turns, so that a
 	// dead one loses only a part of the beats.
 	farCollectors = 2
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -80,6 +80,7 @@
 	report   mesh.Report
 	at       time.Time // of the report, zero where there is none
 	outcome  mesh.Outcome
+	sent     time.Time // when the last request of the outcome was sent
 	reported time.Time // when a report was last passed on or probed
 }
 
@@ -301,6 +302,7 @@
 func (o *Observer) noteReport(id mesh.ServerID, r balancer.Report, at time.Time) bool {
 	s := o.stage(id)
 	s.at, s.reported = at, at
+	s.outcome.Sent = 0 // the report counts them
 	s.report = mesh.Report{
 		Server: id, InFlight: r.InFlight, Queue: r.Queue, Slowdown: r.Slowdown, Draining: r.Draining,
 	}
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -113,7 +113,7 @@
 	a, _ := newObserver("vm-0", viewOf(1, 1), vms, s)
 	b, set := newObserver("vm-1", viewOf(1, 1), vms, s)
 	a.Round(t.Context(), time.Now())
-	a.Sent("s0")
+	a.Sent("s0", false)
 	a.Ended("s0", balancer.Result{Kind: balancer.Error}, false, time.Now())
 	beat := &mesh.Beat{}
 	a.Collect(beat, time.Now())
@@ -136,7 +136,7 @@
 func TestUnknownServers(t *testing.T) {
 	o, _ := newObserver("vm-0", viewOf(1, 1), servers(1), &sender{counts: map[string]int{}})
 	o.Hear(&mesh.Beat{Reports: []mesh.Report{{Server: 1}}, Outcomes: []mesh.Outcome{{Server: 2, Sent: 1}}}, time.Now())
-	o.Sent("gone")
+	o.Sent("gone", true)
 	o.Ended("gone", balancer.Result{}, false, time.Now())
 	beat := &mesh.Beat{}
 	o.Collect(beat, time.Now())
@@ -214,3 +214,23 @@
 		time.Sleep(rhythm.Period)
 	})
 }
+
+// A send is told at once only where it takes the last place.
+func TestOnlyLastPlaceIsTold(t *testing.T) {
+	o, _ := newObserver("vm-0", viewOf(1, 1), servers(1), &sender{counts: map[string]int{}})
+	flushes := 0
+	o.options.Flush = func() { flushes++ }
+	o.Sent("s0", false)
+	if flushes != 0 {
+		t.Error("told at once though there are free places")
+	}
+	o.Sent("s0", true)
+	if flushes != 1 {
+		t.Errorf("told %d times that the last place is taken", flushes)
+	}
+	beat := &mesh.Beat{}
+	o.Collect(beat, time.Now())
+	if len(beat.Outcomes) != 1 || beat.Outcomes[0].Sent != 2 {
+		t.Errorf("the beat carries %+v", beat.Outcomes)
+	}
+}
--- a/internal/observe/share.go
+++ b/internal/observe/share.go
@@ -8,15 +8,19 @@
 )
 
 // Sent notes that this member sends a request to the server. The others are told
-// at once: between two beats the whole fleet sends more requests than there are
-// servers that look best.
-func (o *Observer) Sent(server string) {
+// at once where it takes the last free place there: until the next beat they would
+// send more, which would wait.
+func (o *Observer) Sent(server string, full bool) {
 	o.mu.Lock()
 	if t := o.byName[server]; t != nil {
-		o.stage(t.id).outcome.Sent++
+		s := o.stage(t.id)
+		s.outcome.Sent++
+		s.sent = time.Now()
 	}
 	o.mu.Unlock()
-	o.options.Flush()
+	if full {
+		o.options.Flush()
+	}
 }
 
 // Ended notes what came of a request of this member.
@@ -58,6 +62,9 @@
 			s.at = time.Time{}
 		}
 		if s.outcome != (mesh.Outcome{Server: id}) {
+			if s.outcome.Sent > 0 {
+				s.outcome.SentAge = now.Sub(s.sent)
+			}
 			b.Outcomes = append(b.Outcomes, s.outcome)
 			s.outcome = mesh.Outcome{Server: id}
 		}
@@ -79,7 +86,7 @@
 	}
 	for _, out := range b.Outcomes {
 		if t := o.target(out.Server); t != nil {
-			t.balancer.HeardOutcomes(t.vm.Name, now, balancer.Outcomes{
+			t.balancer.HeardOutcomes(t.vm.Name, now.Add(-out.SentAge), balancer.Outcomes{
 				Sent: out.Sent, Whole: out.Whole, Failed: out.Failed,
 			})
 		}
