Tell a send at once wherever its place is contended

Where quick servers are few, all entries choose among the same ones, and each learned of the others' sends up to 66 ms late.

Change: a send is told at once where the server has another request in progress, and wherever more than 0.35 of all slots are busy.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -41,9 +41,9 @@
 
 // Watcher learns what this entry sends to backend servers and what comes of it.
 type Watcher interface {
-	// Sent is told of a request that gets a place at the server, and whether the
-	// server has no free one then.
-	Sent(server string, full bool)
+	// Sent is told of a request that gets a place at the server, and whether other
+	// entries are likely to want that place before the next report.
+	Sent(server string, contended bool)
 	// Ended is told what came of it, and whether it frees a place of a full server.
 	Ended(server string, r Result, freed bool, now time.Time)
 }
@@ -139,13 +139,23 @@
 		}
 		if place, ok := h.reserve(mask, v.now); ok {
 			place.basis = h.basis(mask, v)
-			b.options.Watcher.Sent(h.vm.Name, h.slotsTaken(h.busy.Load(), v))
+			b.options.Watcher.Sent(h.vm.Name, b.contended(h, v))
 			return place, true
 		}
 	}
 	return nil, false
 }
 
+// contendedShare is the busy share of all slots from which any place is contended:
+// quick servers are then few, and all entries choose among the same ones.
+const contendedShare = 0.35
+
+// contended reports whether other entries are likely to want a place at the server
+// before they get its next report: it has others in progress, or slots are scarce.
+func (b *Balancer) contended(h *host, v *view) bool {
+	return b.busy.value() > contendedShare || h.inProgress(h.busy.Load(), v) > 1+half
+}
+
 // maxReserveTries bounds how often a pick starts over when others reserve at
 // the same moment.
 const maxReserveTries = 8
--- a/internal/observe/share.go
+++ b/internal/observe/share.go
@@ -8,9 +8,8 @@
 )
 
 // Sent notes that this member sends a request to the server. The others are told
-// at once where it takes the last free place there: until the next beat they would
-// send more, which would wait.
-func (o *Observer) Sent(server string, full bool) {
+// at once where they are likely to want the same place before the next beat.
+func (o *Observer) Sent(server string, contended bool) {
 	o.mu.Lock()
 	if t := o.byName[server]; t != nil {
 		s := o.stage(t.id)
@@ -18,7 +17,7 @@
 		s.sent = time.Now()
 	}
 	o.mu.Unlock()
-	if full {
+	if contended {
 		o.options.Flush()
 	}
 }
