Choose another availability zone only where the own one has no quick place

Change: another zone counts 1.6 usual works: more than the last slot of a quick server, less than a slowed one.

--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -34,8 +34,10 @@
 	// farBase is what another availability zone counts, in usual works, and
 	// farBodyBytes how many bytes of a body count one more: traffic between
 	// availability zones has a price, up to 0.03 of a request's worth for an answer
-	// of 5 KB. It is less than the wait for a place at a full server.
-	farBase      = 0.4
+	// of 5 KB. It is more than the last slot of a quick server costs and less than a
+	// slowed server does. Entries of different zones then seldom choose the same
+	// server, of whose sends they would learn late.
+	farBase      = 1.6
 	farBodyBytes = 80 << 10
 )
 
