Deal out duties by mixed hashes, a few times a second

Whenever a member came, left or turned ready, each of 107 to 133 entries worked out anew, by hashing texts, the order of all entries for each of 240 servers twice (observers, turns): about 26,000 hashes, more than 200 times during a start. The reader's rank was sorted out 20 times a second besides.

Ruled out: the start of the process (its own part is about 10 ms of processor time).

Change: the names' hashes are worked out once a member and mixed; observers and turns are dealt at most each 200 ms; the rank is counted and not sorted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	Node      *mesh.Node
 	Feed      *feed.Feed
 	Observer  *observe.Observer
+	Wiring    *wiring
 	Workers   *admission.Workers
 	Services  *service.Set
 	Forwarder *forward.Forwarder
@@ -256,6 +257,7 @@
 
 // round probes this member's servers and tells the others what it learned.
 func (e *Entry) round(ctx context.Context, now time.Time) {
+	e.parts.Wiring.putMembers(now)
 	e.parts.Observer.Round(ctx, now)
 	e.rounds++
 	if e.rounds%beatRounds == 0 {
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -106,6 +107,9 @@
 	observer *observe.Observer
 	services *service.Set
 	events   *eventlog.Logger
+
+	members   atomic.Pointer[mesh.View] // not in force yet, nil where there is none
+	inForceAt time.Time                 // of the last ones, see putMembers
 }
 
 func (w *wiring) handle(from mesh.Live, b *mesh.Beat) {
@@ -121,7 +125,23 @@
 	node.SendNews(b, now)
 }
 
-func (w *wiring) changed(v *mesh.View) {
+// changed notes that the members have changed.
+func (w *wiring) changed(v *mesh.View) { w.members.Store(v) }
+
+// membersInterval bounds how often changed members are put in force: that takes time
+// for each pair of a member and a server, and at a start members come by ones.
+const membersInterval = 200 * time.Millisecond
+
+// putMembers puts changed members in force. Calls come one at a time.
+func (w *wiring) putMembers(now time.Time) {
+	if now.Sub(w.inForceAt) < membersInterval {
+		return
+	}
+	v := w.members.Swap(nil)
+	if v == nil {
+		return
+	}
+	w.inForceAt = now
 	ready := 0
 	for _, m := range v.Live {
 		if m.Ready && !m.Leaving {
--- a/internal/mesh/hello.go
+++ b/internal/mesh/hello.go
@@ -56,7 +56,7 @@
 	r := n.rows[from]
 	isNew := r == nil || r.Incarnation < h.From.Incarnation
 	if isNew {
-		n.rows[from] = &row{Live: Live{Member: h.From, Heard: now, mark: markOf(h.From)}}
+		n.rows[from] = &row{Live: heardMember(h.From, Status{}, now)}
 	}
 	delete(n.seeds, from)
 	for _, other := range h.Others {
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -1,9 +1,8 @@
 package mesh
 
 import (
-	"cmp"
+	"math/bits"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -50,6 +49,20 @@
 	Heard time.Time
 
 	mark uint32 // see markOf
+	hash uint64 // of the VM's name, zero where it was not worked out
+}
+
+// heardMember returns what is known of a member that was heard just now.
+func heardMember(m Member, status Status, now time.Time) Live {
+	return Live{Member: m, Status: status, Heard: now, mark: markOf(m), hash: xxhash.Sum64String(m.VM)}
+}
+
+// nameHash is the hash of the VM's name.
+func (l *Live) nameHash() uint64 {
+	if l.hash != 0 {
+		return l.hash
+	}
+	return xxhash.Sum64String(l.VM)
 }
 
 // View is the members as one of them sees them. It is immutable.
@@ -79,7 +92,7 @@
 
 // markOf stands for one start of a member.
 func markOf(m Member) uint32 {
-	return uint32(score(m.VM, strconv.FormatUint(m.Incarnation, 16)))
+	return uint32(xxhash.Sum64String(m.VM + "\x00" + strconv.FormatUint(m.Incarnation, 16)))
 }
 
 // isolated reports whether most members fell silent at about the same time: then
@@ -103,61 +116,77 @@
 	return addresses
 }
 
-// score is the rendezvous score of a member for a key.
-func score(vm, key string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(vm)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(key)
-	return d.Sum64()
+// score is the rendezvous score of a member for a key, by the hashes of both. It is
+// worked out for each pair of a member and a server whenever the members change, so
+// it mixes two words and reads no text.
+func score(member, key uint64) uint64 {
+	const odd1, odd2 = 0xbf58476d1ce4e5b9, 0x94d049bb133111eb // of the splitmix64 finalizer
+	x := member ^ bits.RotateLeft64(key, 32)
+	x = (x ^ x>>30) * odd1
+	x = (x ^ x>>27) * odd2
+	return x ^ x>>31
 }
 
-// Ranked are the members that do a duty, the first choice first.
-func (v *View) Ranked(key string) []Live {
-	ranked := make([]Live, 0, len(v.Live))
-	for _, m := range v.Live {
-		if !m.Leaving {
-			ranked = append(ranked, m)
-		}
-	}
-	slices.SortFunc(ranked, func(a, b Live) int {
-		return cmp.Compare(score(b.VM, key), score(a.VM, key))
-	})
-	return ranked
-}
+// readersKey is the key of the duty to read the store.
+const readersKey = "store"
 
-// Readers are the members that read the store for all, the first choice first:
-// two in different availability zones, then the others, which stand in.
-func (v *View) Readers() []Live {
-	ranked := v.Ranked("store")
-	for i := 1; i < len(ranked); i++ {
-		if ranked[i].Zone != ranked[0].Zone {
-			second := ranked[i]
-			ranked = slices.Insert(slices.Delete(ranked, i, i+1), 1, second)
-			break
+// ReaderRank is a member's place in the order of those that read the store for all,
+// 0 the first: two in different availability zones, then the others, which stand in.
+// One that is not in it, as it leaves, comes after all.
+func (v *View) ReaderRank(vm string) int {
+	hash := xxhash.Sum64String(readersKey)
+	first := v.bestReader(hash, func(*Live) bool { return true })
+	switch {
+	case first == nil:
+		return len(v.Live)
+	case vm == first.VM:
+		return 0
+	}
+	second := v.bestReader(hash, func(m *Live) bool { return m.Zone != first.Zone })
+	rank, found := 0, false
+	own := score(xxhash.Sum64String(vm), hash)
+	for i := range v.Live {
+		m := &v.Live[i]
+		switch {
+		case m.Leaving:
+		case m.VM == vm:
+			found = true
+		case m == second || score(m.nameHash(), hash) > own:
+			rank++
 		}
 	}
-	return ranked
+	switch {
+	case !found:
+		return len(v.Live)
+	case second != nil && vm == second.VM:
+		return 1
+	}
+	return rank
 }
 
-// ReaderRank is a member's place in the order of readers, 0 the first; one that
-// is not in it, as it leaves, comes after all.
-func (v *View) ReaderRank(vm string) int {
-	ranked := v.Readers()
-	for i, m := range ranked {
-		if m.VM == vm {
-			return i
+// bestReader is the first choice among some members, nil where there is none.
+func (v *View) bestReader(hash uint64, among func(*Live) bool) *Live {
+	var best *Live
+	for i := range v.Live {
+		m := &v.Live[i]
+		if m.Leaving || !among(m) {
+			continue
+		}
+		if best == nil || score(m.nameHash(), hash) > score(best.nameHash(), hash) {
+			best = m
 		}
 	}
-	return len(v.Live)
+	return best
 }
 
 // Place is a member's place in the order of the key.
 func (v *View) Place(vm, key string) int {
-	own := score(vm, key)
+	hash := xxhash.Sum64String(key)
+	own := score(xxhash.Sum64String(vm), hash)
 	place := 0
-	for _, m := range v.Live {
-		if m.VM != vm && m.Ready && !m.Leaving && score(m.VM, key) > own {
+	for i := range v.Live {
+		m := &v.Live[i]
+		if m.Ready && !m.Leaving && score(m.nameHash(), hash) > own {
 			place++
 		}
 	}
@@ -168,21 +197,26 @@
 // choice of that zone, or of all where the zone has no member. False where there
 // is none.
 func (v *View) Owner(key, zone string) (Live, bool) {
-	var best Live
+	hash := xxhash.Sum64String(key)
+	var best *Live
 	var bestScore uint64
-	near, found := false, false
-	for _, m := range v.Live {
+	near := false
+	for i := range v.Live {
+		m := &v.Live[i]
 		if m.Leaving {
 			continue
 		}
 		same := m.Zone == zone
-		if found && near && !same {
+		if near && !same {
 			continue
 		}
-		s := score(m.VM, key)
-		if !found || same && !near || s > bestScore {
-			best, bestScore, near, found = m, s, same, true
+		s := score(m.nameHash(), hash)
+		if best == nil || same && !near || s > bestScore {
+			best, bestScore, near = m, s, same
 		}
 	}
-	return best, found
+	if best == nil {
+		return Live{}, false
+	}
+	return *best, true
 }
--- a/internal/mesh/member_test.go
+++ b/internal/mesh/member_test.go
@@ -1,8 +1,12 @@
 package mesh
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 func viewOf(members ...Live) *View {
@@ -21,13 +25,35 @@
 	}
 }
 
+// readers is the order of readers as it is defined: by score, with the first of
+// another zone as the second.
+func readers(v *View) []Live {
+	var ranked []Live
+	for _, m := range v.Live {
+		if !m.Leaving {
+			ranked = append(ranked, m)
+		}
+	}
+	hash := xxhash.Sum64String(readersKey)
+	slices.SortFunc(ranked, func(a, b Live) int {
+		return cmp.Compare(score(b.nameHash(), hash), score(a.nameHash(), hash))
+	})
+	for i := 1; i < len(ranked); i++ {
+		if ranked[i].Zone != ranked[0].Zone {
+			second := ranked[i]
+			return slices.Insert(slices.Delete(ranked, i, i+1), 1, second)
+		}
+	}
+	return ranked
+}
+
 // A fleet in which every member leaves has no reader; nobody may rely on one.
 func TestNoReaderWhereAllLeave(t *testing.T) {
 	m := member(1, 2)
 	m.Leaving = true
 	v := viewOf(m)
-	if len(v.Readers()) != 0 || v.ReaderRank("vm-1") == 0 {
-		t.Errorf("readers %v, rank %d", v.Readers(), v.ReaderRank("vm-1"))
+	if v.ReaderRank("vm-1") == 0 {
+		t.Error("a member that leaves is the first reader")
 	}
 	if len(v.CallerAddresses()) != 0 {
 		t.Error("a leaving member is named to callers")
@@ -35,14 +61,24 @@
 }
 
 func TestReadersAreOfTwoZones(t *testing.T) {
-	for n := 2; n < 30; n++ {
-		var members []Live
-		for i := range n {
-			members = append(members, member(i, 3))
-		}
-		ranked := viewOf(members...).Readers()
-		if len(ranked) != n || ranked[0].Zone == ranked[1].Zone {
-			t.Fatalf("%d members: readers %v and %v of %d", n, ranked[0], ranked[1], len(ranked))
+	for zones := 1; zones <= 3; zones++ {
+		for n := 1; n < 30; n++ {
+			var members []Live
+			for i := range n {
+				m := member(i, zones)
+				m.Leaving = i%7 == 3
+				members = append(members, m)
+			}
+			v := viewOf(members...)
+			want := readers(v)
+			if zones > 1 && len(want) > zones && want[0].Zone == want[1].Zone {
+				t.Fatalf("%d members of %d zones: both readers are in %s", n, zones, want[0].Zone)
+			}
+			for rank, m := range want {
+				if got := v.ReaderRank(m.VM); got != rank {
+					t.Errorf("%d members of %d zones: %s has rank %d, want %d", n, zones, m.VM, got, rank)
+				}
+			}
 		}
 	}
 }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -88,7 +88,7 @@
 	}
 	n := &Node{options: options, rows: map[netip.AddrPort]*row{}, seeds: map[netip.AddrPort]time.Time{}}
 	n.collection.used, n.collection.heard = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]time.Time{}
-	n.view.Store(&View{Live: []Live{{Member: options.Self, mark: markOf(options.Self)}}, Known: 1})
+	n.view.Store(&View{Live: []Live{heardMember(options.Self, Status{}, time.Time{})}, Known: 1})
 	return n
 }
 
@@ -150,7 +150,7 @@
 // Refresh makes the view anew.
 func (n *Node) Refresh(now time.Time) {
 	n.mu.Lock()
-	self := Live{Member: n.options.Self, Status: n.own, Heard: now, mark: markOf(n.options.Self)}
+	self := heardMember(n.options.Self, n.own, now)
 	v := &View{Live: []Live{self}, Known: 1 + len(n.rows)}
 	for _, r := range n.rows {
 		silent := now.Sub(r.Heard)
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A beat goes to the members of the own availability zone directly, and to one
@@ -51,8 +53,9 @@
 			found = append(found, m)
 		}
 	}
+	hash := xxhash.Sum64String(zone)
 	slices.SortFunc(found, func(a, b *Live) int {
-		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(score(b.VM, zone), score(a.VM, zone)))
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(score(b.nameHash(), hash), score(a.nameHash(), hash)))
 	})
 	return found
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -41,6 +41,9 @@
 	// freshBetween is the age of a report from which a probe between two possible
 	// changes of the pace is worth its cost: it tells only of the requests there.
 	freshBetween = 40 * time.Millisecond
+	// dealInterval bounds how often the servers are dealt out: it takes time for
+	// each pair of a member and a server, and at a start members come by ones.
+	dealInterval = 200 * time.Millisecond
 	// budgetSlack is how many times its equal part of all probes a member may send,
 	// so that one that sees few others does not probe everything at full rate.
 	budgetSlack = 2.5
@@ -95,6 +98,7 @@
 	staged  map[mesh.ServerID]*staged
 	budget  float64
 	view    *mesh.View // by which owned was decided
+	dealt   time.Time  // when that was
 }
 
 // New returns an observer without servers.
@@ -154,11 +158,11 @@
 
 // deal decides which servers this member observes, anew when the members or the
 // servers have changed. The lock is held.
-func (o *Observer) deal(view *mesh.View) {
-	if o.view != nil && o.view.SameDuties(view) {
+func (o *Observer) deal(view *mesh.View, now time.Time) {
+	if o.view != nil && (o.view.SameDuties(view) || now.Sub(o.dealt) < dealInterval) {
 		return
 	}
-	o.view = view
+	o.view, o.dealt = view, now
 	for _, t := range o.targets {
 		owner, ok := view.Owner(t.vm.Name, t.vm.Zone)
 		t.owned = ok && owner.VM == o.options.Self
@@ -194,7 +198,7 @@
 	view := o.options.View()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.deal(view)
+	o.deal(view, now)
 	part := float64(len(o.targets)) / float64(max(view.Known, 1)) * budgetSlack
 	o.budget = min(o.budget+part, max(2*part, 1))
 	var due []*target
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -234,3 +234,24 @@
 		t.Errorf("the beat carries %+v", beat.Outcomes)
 	}
 }
+
+// Servers are dealt out anew a few times a second, however often the members change.
+func TestDealsAreBounded(t *testing.T) {
+	view := viewOf(1, 1)
+	s := &sender{counts: map[string]int{}}
+	o, _ := newObserver("vm-0", view, servers(12), s)
+	now, deals := time.Now(), 0
+	var last time.Time
+	for i := range 40 {
+		o.options.View = func() *mesh.View { return viewOf(i%20+1, 20) }
+		o.due(now)
+		if o.dealt != last {
+			last = o.dealt
+			deals++
+		}
+		now = now.Add(33 * time.Millisecond)
+	}
+	if most := int(40*33*time.Millisecond/dealInterval) + 1; deals > most {
+		t.Errorf("dealt %d times, at most %d", deals, most)
+	}
+}
