--- a/standin/usersplatform/store.go
+++ b/standin/usersplatform/store.go
@@ -116,6 +116,8 @@
 	Silent Fault = "silent"
 	// Lost carries out a call and breaks the connection.
 	Lost Fault = "lost"
+	// Deaf lets a waiting read wait to its end, also when there is something new.
+	Deaf Fault = "deaf"
 )
 
 // Door is an address of the store with faults of its own.
@@ -168,10 +170,13 @@
 	case Silent:
 		<-r.Context().Done()
 	case Lost:
-		d.store.serve(discard{http.Header{}}, r)
+		d.store.serve(discard{http.Header{}}, r, nil)
 		abort(w)
+	case Deaf:
+		never := make(chan struct{})
+		d.store.serve(w, r, never)
 	default:
-		d.store.serve(w, r)
+		d.store.serve(w, r, nil)
 	}
 }
 
@@ -194,7 +199,9 @@
 	_ = conn.Close()
 }
 
-func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+// serve carries out a call. A waiting read is woken by changed, or by the next append
+// where that is nil.
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, changed <-chan struct{}) {
 	name := r.URL.Query().Get("topic")
 	s.mu.Lock()
 	s.calls[r.URL.Path+" "+name]++
@@ -203,7 +210,7 @@
 	case "/chestnutrouter/log-append":
 		s.serveAppend(w, r, name)
 	case "/chestnutrouter/log-read":
-		s.serveRead(w, r, name)
+		s.serveRead(w, r, name, changed)
 	case "/chestnutrouter/log-newest":
 		s.serveNewest(w, r, name)
 	default:
@@ -227,7 +234,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]int64{"offset": offset, "end": offset + 1})
 }
 
-func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, name string) {
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, name string, wake <-chan struct{}) {
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
@@ -235,7 +242,10 @@
 	for {
 		s.mu.Lock()
 		data, found, kept := s.read(name, from)
-		changed := s.changed
+		changed := wake
+		if changed == nil {
+			changed = s.changed
+		}
 		s.mu.Unlock()
 		if !kept {
 			w.WriteHeader(http.StatusGone)
