--- a/internal/mesh/node_test.go
+++ b/internal/mesh/node_test.go
@@ -22,7 +22,7 @@
 
 const testInterval = 20 * time.Millisecond
 
-func startNode(t *testing.T, vm, zone string, incarnation uint64, at netip.AddrPort, seeds ...netip.AddrPort) *testNode {
+func startNode(t testing.TB, vm, zone string, incarnation uint64, at netip.AddrPort, seeds ...netip.AddrPort) *testNode {
 	t.Helper()
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
 	if err != nil {
@@ -62,7 +62,7 @@
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
-func awaitLive(t *testing.T, want int, nodes ...*testNode) {
+func awaitLive(t testing.TB, want int, nodes ...*testNode) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		good := 0
