--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -39,7 +39,8 @@
 	// freshReport is the age of a report from which a probe is worth its cost.
 	freshReport = 15 * time.Millisecond
 	// freshBetween is the age of a report from which a probe between two possible
-	// changes of the pace is worth its cost: it tells only of the requests there.
+	// changes of the pace is worth its cost: it tells only of the requests there. It
+	// is half of the time between two probes of a known rhythm.
 	freshBetween = 40 * time.Millisecond
 	// dealInterval bounds how often the servers are dealt out: it takes time for
 	// each pair of a member and a server, and at a start members come by ones.
