--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,18 +170,28 @@
 	return balancer.Report{Slots: 3, Slowdown: h.pace[period]}, nil
 }
 
+// taken returns when the host was asked since the last call.
+func (h *host) taken() []time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	asked := h.asked
+	h.asked = nil
+	return asked
+}
+
 // Pattern: neighbours that slow a server in fixed periods. Once the rhythm is known the
 // observer asks right after each possible change and tells a change at once.
 func TestProbesFollowTheRhythm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &host{place: 40 * time.Millisecond, rng: rand.New(rand.NewPCG(1, 1)), pace: map[int64]int{}}
-		view, vms, flushes := viewOf(1, 1), servers(1), 0
+		view, vms := viewOf(1, 1), servers(1)
+		var flushes atomic.Int32
 		set := service.NewSet(service.Options{Entry: "vm-0", Zone: "z", Scope: tally.NoopScope, Workers: admission.NewWorkers()})
 		set.SetTree(observed)
 		set.SetServers(list(vms))
 		o := New(Options{
 			Self: "vm-0", View: func() *mesh.View { return view }, Sender: h,
-			Flush: func() { flushes++ },
+			Flush: func() { flushes.Add(1) },
 		})
 		o.Update(observed, set, vms)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -192,10 +203,11 @@
 			}
 		}
 		rounds(200)
-		h.asked, flushes = nil, 0
+		h.taken()
+		flushes.Store(0)
 		rounds(100)
-		soon := 0
-		for _, since := range h.asked {
+		asked, soon := h.taken(), 0
+		for _, since := range asked {
 			if since < 20*time.Millisecond {
 				soon++
 			}
@@ -204,10 +216,10 @@
 		if soon < periods-1 {
 			t.Errorf("asked soon after %d of %d possible changes", soon, periods)
 		}
-		if most := 2*periods + 2; len(h.asked) > most {
-			t.Errorf("asked %d times in %d periods", len(h.asked), periods)
+		if most := 2*periods + 2; len(asked) > most {
+			t.Errorf("asked %d times in %d periods", len(asked), periods)
 		}
-		if flushes == 0 {
+		if flushes.Load() == 0 {
 			t.Error("no change was told at once")
 		}
 		cancel()
