--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -148,7 +148,7 @@
 
 // contendedShare is the busy share of all slots from which any place is contended:
 // quick servers are then few, and all entries choose among the same ones. Calm days
-// of the users keep about a quarter of the slots busy.
+// of the users keep a quarter busy, by their calls and work (an estimate).
 const contendedShare = 0.35
 
 // contended reports whether other entries are likely to want a place at the server
