Record a probe and allow the next one in one step

Cause: Syncer.probe cleared the probing flag before recordProbe noted the time of the report. A round that began in between found the server due and probed it again. Ruled out: the assignment (one entry owns the server in the failing test's view). Change: recordProbe clears the flag, counts a failure and records the report under one lock. TestServerIsNotDueWhileItsProbeIsRecorded starts a round at that point: it failed each time before (due 1 time, want 0) and passes now. TestEachServerIsProbedOnce had a second, timed assumption (four rounds within the minimum age of a report); it runs in virtual time now, with the same check.

--- a/internal/loadsync/syncer.go
+++ b/internal/loadsync/syncer.go
@@ -274,35 +274,40 @@
 	defer cancel()
 	report, err := s.options.Sender.Send(ctx, t.vm, t.service)
 	now := time.Now()
-	s.mu.Lock()
-	if current := s.targets[t.id]; current != nil {
-		current.probing = false
-	}
-	s.mu.Unlock()
-	if errors.Is(err, probe.ErrNoLoad) {
+	changed := s.recordProbe(parent, t.id, report, err, now)
+	switch {
+	case errors.Is(err, probe.ErrNoLoad):
 		metrics.Count(s.options.Scope, metrics.Probes, "no_load")
-		return
-	}
-	if err != nil {
+	case err != nil:
 		metrics.Count(s.options.Scope, metrics.Probes, "failed")
 		t.balancer.ProbeFailed(t.vm.Name, now)
-		s.recordFailure(t.id)
-		return
+	default:
+		metrics.Count(s.options.Scope, metrics.Probes, "answered")
+		t.balancer.AddReport(t.vm.Name, now, report)
 	}
-	metrics.Count(s.options.Scope, metrics.Probes, "answered")
-	t.balancer.AddReport(t.vm.Name, now, report)
-	if s.recordProbe(parent, t.id, report, now) {
+	if changed {
 		s.options.Flush()
 	}
 }
 
-// recordProbe records the report of a probe and schedules the next one. It returns whether
-// the speed has changed, so that the report must be sent immediately.
-func (s *Syncer) recordProbe(ctx context.Context, id cluster.ServerID, r balancer.Report, now time.Time) bool {
+// recordProbe ends a probe: in one step it records the report and allows the next probe,
+// so that no round finds the server due in between. It returns whether the speed has
+// changed, so that the report must be sent immediately.
+func (s *Syncer) recordProbe(ctx context.Context, id cluster.ServerID, r balancer.Report, err error, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	t := s.targets[id]
+	if t != nil {
+		t.probing = false
+	}
+	if err != nil {
+		if !errors.Is(err, probe.ErrNoLoad) {
+			s.pendingFor(id).counts.Failed++
+		}
+		return false
+	}
 	changed := s.recordReport(id, r, now)
-	if t := s.targets[id]; t != nil {
+	if t != nil {
 		s.scheduleProbe(ctx, t, now)
 	}
 	return changed
@@ -320,10 +325,3 @@
 	t := s.targets[id]
 	return t != nil && t.tracker.Observe(at, r.Slowdown)
 }
-
-// recordFailure counts a failed probe.
-func (s *Syncer) recordFailure(id cluster.ServerID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pendingFor(id).counts.Failed++
-}
--- a/internal/loadsync/syncer_test.go
+++ b/internal/loadsync/syncer_test.go
@@ -68,19 +68,48 @@
 
 // Each server is assigned to one entry, so the rounds of all entries probe it once.
 func TestEachServerIsProbedOnce(t *testing.T) {
-	s, view, vms := &sender{counts: map[string]int{}}, viewOf(5, 5), servers(12)
-	for _, m := range view.Live {
-		syncer, _ := newSyncer(m.VM, view, vms, s)
-		// The budget may spread the probes of an entry with many servers over several rounds.
-		for range 4 {
-			syncer.Round(t.Context(), time.Now())
+	// In virtual time all rounds are within the minimum age of a report.
+	synctest.Test(t, func(t *testing.T) {
+		s, view, vms := &sender{counts: map[string]int{}}, viewOf(5, 5), servers(12)
+		for _, m := range view.Live {
+			syncer, _ := newSyncer(m.VM, view, vms, s)
+			// The budget may spread the probes of an entry with many servers over several rounds.
+			for range 4 {
+				syncer.Round(t.Context(), time.Now())
+			}
 		}
-	}
-	for _, vm := range vms {
-		if s.counts[vm.Name] != 1 {
-			t.Errorf("%s was probed %d times, want once", vm.Name, s.counts[vm.Name])
+		for _, vm := range vms {
+			if s.counts[vm.Name] != 1 {
+				t.Errorf("%s was probed %d times, want once", vm.Name, s.counts[vm.Name])
+			}
 		}
-	}
+	})
+}
+
+// countHook is a scope that calls a function at each count.
+type countHook struct {
+	tally.Scope
+	onCount func()
+}
+
+func (h countHook) Tagged(map[string]string) tally.Scope { return h }
+
+func (h countHook) Counter(string) tally.Counter { return h }
+
+func (h countHook) Inc(int64) { h.onCount() }
+
+// A round that begins while a probe is being recorded must not find its server due again:
+// the probe ends and its report counts in one step.
+func TestServerIsNotDueWhileItsProbeIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		syncer, _ := newSyncer("vm-0", viewOf(1, 1), servers(1), &sender{counts: map[string]int{}})
+		due := 0
+		syncer.options.Scope = countHook{tally.NoopScope, func() { due += len(syncer.dueTargets(time.Now())) }}
+		syncer.Round(t.Context(), time.Now())
+		if due != 0 {
+			t.Errorf("the server was due %d times during the record of its probe, want 0", due)
+		}
+	})
 }
 
 // An entry that is partitioned from the others must not probe all servers at full rate.
