Exchange member records instead of addresses

Ruled out: relays and batches (the failing nodes lacked members from the start on). Change: hellos are binary and carry whole records with their age; a member that has learned something new, or hears unknown senders, exchanges the ids it knows with one random other member and gets what it lacks. Hellos to unknown senders, seeds and silent members are bounded and back off. A large cluster refreshes its view with the heartbeat only. Also found: after the time of day was set back, a restarted member was ignored for two minutes, as its incarnation was lower.

--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -2,9 +2,8 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"errors"
-	"net/netip"
+	"math"
 	"time"
 )
 
@@ -217,24 +216,113 @@
 	}
 }
 
-// hello is the join handshake: it describes the sender and may list other members.
+// hello introduces its sender and may exchange the records of other members.
 type hello struct {
-	From Member `json:"from"`
+	From Member
 	// WantHello requests a hello in return.
-	WantHello bool `json:"answer"`
-	// Others are the datagram addresses of members that the sender sees live.
-	Others []netip.AddrPort `json:"others,omitempty"`
-	// WantMembers requests the members that the receiver sees live.
-	WantMembers bool `json:"tell,omitempty"`
+	WantHello bool
+	// WantMembers requests the records of the members that the receiver sees live and
+	// that are not in Known.
+	WantMembers bool
+	// Known are the ids of the members that the sender sees live.
+	Known []uint32
+	// Wanted are the ids of members whose records the sender requests.
+	Wanted []uint32
+	// Members are records that the receiver may lack.
+	Members []memberRecord
 }
 
-func (h *hello) encode() ([]byte, error) {
-	data, err := json.Marshal(h)
-	return append([]byte{kindHello}, data...), err
+// memberRecord describes a member to a third one.
+type memberRecord struct {
+	Member
+	// Age is the time since the member was last seen.
+	Age time.Duration
+}
+
+const (
+	flagWantHello   = 1
+	flagWantMembers = 2
+)
+
+// append appends the encoded hello to out.
+func (h *hello) append(out []byte) []byte {
+	var flags byte
+	if h.WantHello {
+		flags |= flagWantHello
+	}
+	if h.WantMembers {
+		flags |= flagWantMembers
+	}
+	out = append(out, kindHello, flags)
+	out = h.From.append(out)
+	out = appendIDs(out, h.Known)
+	out = appendIDs(out, h.Wanted)
+	out = binary.AppendUvarint(out, uint64(len(h.Members)))
+	for _, m := range h.Members {
+		out = m.append(out)
+		out = binary.AppendUvarint(out, uint64(max(m.Age, 0)/ageUnit))
+	}
+	return out
+}
+
+func appendIDs(out []byte, ids []uint32) []byte {
+	out = binary.AppendUvarint(out, uint64(len(ids)))
+	for _, id := range ids {
+		out = binary.LittleEndian.AppendUint32(out, id)
+	}
+	return out
+}
+
+func (m *Member) append(out []byte) []byte {
+	for _, text := range []string{m.VM, m.Zone, m.CallerAddress, m.PeerAddress} {
+		out = binary.AppendUvarint(out, uint64(len(text)))
+		out = append(out, text...)
+	}
+	out = appendAddress(out, m.DatagramAddress)
+	out = binary.LittleEndian.AppendUint64(out, m.Incarnation)
+	return binary.LittleEndian.AppendUint32(out, math.Float32bits(float32(m.Weight)))
 }
 
+var errMalformedHello = errors.New("malformed hello")
+
+// decodeHello decodes a hello, without its leading kind byte.
 func decodeHello(data []byte) (*hello, error) {
-	var h hello
-	err := json.Unmarshal(data, &h)
-	return &h, err
+	d := &decoder{data: data}
+	flags := d.fixed(1)[0]
+	h := &hello{WantHello: flags&flagWantHello != 0, WantMembers: flags&flagWantMembers != 0, From: d.member()}
+	h.Known, h.Wanted = d.ids(), d.ids()
+	for range d.count() {
+		h.Members = append(h.Members, memberRecord{Member: d.member(), Age: d.age()})
+		if d.failed {
+			break
+		}
+	}
+	if d.failed {
+		return nil, errMalformedHello
+	}
+	return h, nil
+}
+
+func (d *decoder) ids() []uint32 {
+	var ids []uint32
+	for range d.count() {
+		ids = append(ids, binary.LittleEndian.Uint32(d.fixed(4)))
+		if d.failed {
+			return nil
+		}
+	}
+	return ids
+}
+
+func (d *decoder) text() string { return string(d.fixed(d.count())) }
+
+func (d *decoder) member() Member {
+	m := Member{VM: d.text(), Zone: d.text(), CallerAddress: d.text(), PeerAddress: d.text()}
+	m.DatagramAddress, _, _ = decodeAddress(d.fixed(addressBytes))
+	m.Incarnation = binary.LittleEndian.Uint64(d.fixed(8))
+	m.Weight = float64(math.Float32frombits(binary.LittleEndian.Uint32(d.fixed(4))))
+	if m.VM == "" || !m.DatagramAddress.IsValid() || m.DatagramAddress.Port() == 0 || !(m.Weight >= 0) {
+		d.failed = true
+	}
+	return m
 }
--- a/internal/cluster/doc.go
+++ b/internal/cluster/doc.go
@@ -3,10 +3,10 @@
 // Each member sends a small heartbeat to all others at a short interval. The
 // heartbeat shows that the member is alive, carries the versions of its
 // configuration and of its list of backend servers, and reports what the member
-// observed about backend servers since its last heartbeat. A member that receives a
-// heartbeat from an unknown sender requests a hello from it and sends it the
-// addresses of all other members, so one known address is enough to join. A member
-// is silent when no heartbeat of it has arrived within the liveness timeout.
+// observed about backend servers since its last heartbeat. Members exchange the
+// records of other members by hellos (see hello.go), so one known address is enough to
+// join. A member is silent when no heartbeat of it has arrived within the liveness
+// timeout.
 //
 // Nothing is elected: work is assigned by rendezvous hashing over the members that
 // each member sees live. While views differ, two members may do the same work,
--- a/internal/cluster/hello.go
+++ b/internal/cluster/hello.go
@@ -3,17 +3,55 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 )
 
+// Members learn of each other by hellos. A hello describes its sender; it may also list
+// the ids of the members that the sender knows, and the receiver then replies with the
+// records of others and asks for those that it lacks itself. Members that have learned
+// something new go on with a random other member, so that the table of a joining member
+// is complete after a number of exchanges that grows with the logarithm of the members.
+
+const (
+	// syncInterval is the minimum time between two exchanges of members that a node
+	// begins.
+	syncInterval = 100 * time.Millisecond
+	// maxRecordsPerReply bounds the member records in one reply, so that the members of
+	// a large cluster do not exhaust the link of a common seed when all start.
+	maxRecordsPerReply = 96
+	// maxDirectRequests bounds the hellos requested from unknown senders within
+	// helloInterval. Others are learned of by exchanges.
+	maxDirectRequests = 4
+	// maxSeedInterval bounds the interval between two hellos to a seed, which doubles
+	// with each of them.
+	maxSeedInterval = 4 * time.Second
+)
+
+// seed is an address at which another member may be reached.
+type seed struct {
+	lastHello time.Time
+	interval  time.Duration // until the next hello
+}
+
+// due reports whether a hello must be sent to the seed now, and then doubles the interval.
+func (s *seed) due(now time.Time) bool {
+	if now.Sub(s.lastHello) <= s.interval {
+		return false
+	}
+	s.lastHello = now
+	s.interval = min(max(2*s.interval, helloInterval), maxSeedInterval)
+	return true
+}
+
 // AddSeeds adds datagram addresses at which other members may be reached. Known
-// seeds and this node's own address are ignored.
+// seeds, known members and this node's own address are ignored.
 func (n *Node) AddSeeds(addresses ...netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, a := range addresses {
-		if _, known := n.seeds[a]; !known && a != n.options.Self.DatagramAddress {
-			n.seeds[a] = time.Time{}
+		if n.seeds[a] == nil && n.members[a] == nil && a != n.options.Self.DatagramAddress {
+			n.seeds[a] = &seed{}
 		}
 	}
 }
@@ -33,91 +71,163 @@
 	return true
 }
 
-// requestHello asks an unknown sender for a hello, at most once per helloInterval
-// and address.
+// requestHello asks an unknown sender for a hello, if it was not asked recently and few
+// others were. An exchange of members with another member follows in any case.
 func (n *Node) requestHello(to netip.AddrPort, now time.Time) {
 	n.mu.Lock()
-	last := n.seeds[to]
-	due := now.Sub(last) > helloInterval
-	if due {
-		n.seeds[to] = now
+	n.syncWanted = true
+	if now.Sub(n.directSince) > helloInterval {
+		n.directSince, n.directRequests = now, 0
+	}
+	request := false
+	if n.directRequests < maxDirectRequests {
+		if n.seeds[to] == nil {
+			n.seeds[to] = &seed{}
+		}
+		request = n.seeds[to].due(now)
+	}
+	if request {
+		n.directRequests++
 	}
 	n.mu.Unlock()
-	if due {
-		n.sendHello(to, true, false)
+	if request {
+		n.sendEncoded(to, &hello{From: n.options.Self, WantHello: true})
 	}
 }
 
-// handleHello adds or updates the member that a hello describes and sends the
-// replies that it requests.
+// handleHello adds or updates the members that a hello describes and sends the replies
+// that it requests.
 func (n *Node) handleHello(from netip.AddrPort, h *hello, now time.Time) {
 	if h.From.DatagramAddress != from || from == n.options.Self.DatagramAddress {
 		n.count("malformed")
 		return
 	}
 	n.mu.Lock()
-	m := n.members[from]
-	isNew := m == nil || m.Incarnation < h.From.Incarnation
-	if isNew {
-		n.members[from] = &memberState{LiveMember: newLiveMember(h.From, Status{}, now)}
-	}
-	delete(n.seeds, from)
-	for _, other := range h.Others {
-		n.addSeed(other)
+	added := n.addMember(h.From, now, now)
+	for _, r := range h.Members {
+		added = n.addMember(r.Member, now.Add(-r.Age), now) || added
 	}
+	n.syncWanted = n.syncWanted || added
+	large := len(n.members) > maxFullMesh
 	n.mu.Unlock()
-	if h.WantHello || h.WantMembers {
-		n.sendHello(from, false, false)
-	}
-	if h.WantMembers || isNew && h.WantHello {
-		n.sendMembers(from)
-	}
-	if isNew {
-		n.count("met")
+	n.reply(from, h, now)
+	// In a large cluster the next heartbeat refreshes the view: many members join at a
+	// start, and each refresh takes time in proportion to their number.
+	if added && !large {
 		n.Refresh(now)
 	}
 }
 
-// addSeed adds the address of a possible member that is not known yet. The caller
-// holds n.mu.
-func (n *Node) addSeed(address netip.AddrPort) {
-	if address == n.options.Self.DatagramAddress || n.members[address] != nil {
-		return
+// addMember adds a member that was seen live at that time, or replaces the record of an
+// earlier start. It reports whether it did. The caller holds n.mu.
+func (n *Node) addMember(m Member, seen, now time.Time) bool {
+	if m.DatagramAddress == n.options.Self.DatagramAddress {
+		return false
 	}
-	if _, known := n.seeds[address]; !known {
-		n.seeds[address] = time.Time{}
+	if old := n.members[m.DatagramAddress]; old != nil && !n.replaces(old, m, seen, now) {
+		return false
 	}
+	n.members[m.DatagramAddress] = &memberState{LiveMember: newLiveMember(m, Status{}, seen)}
+	n.order = nil
+	delete(n.seeds, m.DatagramAddress)
+	n.count("met")
+	return true
 }
 
-// sendHello sends a hello that describes this member. The flags request a hello in
-// return and the members that the receiver sees live.
-func (n *Node) sendHello(to netip.AddrPort, wantHello, wantMembers bool) {
-	n.sendEncoded(to, &hello{From: n.options.Self, WantHello: wantHello, WantMembers: wantMembers})
+// replaces reports whether the record describes a later start than the known one. The
+// incarnation decides while the known member is live. Once it is silent, a member that
+// was seen since is a later start even with a lower incarnation: the time of day, which
+// incarnations are made from, may have been set back.
+func (n *Node) replaces(old *memberState, m Member, seen, now time.Time) bool {
+	if m.Incarnation == old.Incarnation || !seen.After(old.LastSeen) {
+		return false
+	}
+	return m.Incarnation > old.Incarnation || now.Sub(old.LastSeen) > n.timeoutOf(&old.LiveMember)
 }
 
-// sendMembers sends the addresses of the live members, a random subset if there are
-// more than maxOthers.
-func (n *Node) sendMembers(to netip.AddrPort) {
-	h := &hello{From: n.options.Self}
+// reply sends what a hello requests: a hello in return, the records that the sender
+// lacks, and a request for those that this node lacks.
+func (n *Node) reply(to netip.AddrPort, h *hello, now time.Time) {
+	if !h.WantHello && !h.WantMembers && len(h.Wanted) == 0 {
+		return
+	}
+	answer := &hello{From: n.options.Self}
+	requested := make(map[uint32]bool, len(h.Wanted))
+	for _, id := range h.Wanted {
+		requested[id] = true
+	}
+	known := make(map[uint32]bool, len(h.Known)+1)
+	for _, id := range h.Known {
+		known[id] = true
+	}
+	self := n.options.Self.DatagramAddress
 	for _, m := range n.View().Live {
-		if m.VM != n.options.Self.VM && m.DatagramAddress != to {
-			h.Others = append(h.Others, m.DatagramAddress)
+		if m.DatagramAddress == to || m.DatagramAddress == self {
+			delete(known, m.idHash)
+			continue
 		}
+		if requested[m.idHash] || h.WantMembers && !known[m.idHash] {
+			answer.Members = append(answer.Members, memberRecord{Member: m.Member, Age: max(now.Sub(m.LastSeen), 0)})
+		}
+		delete(known, m.idHash)
+	}
+	if h.WantMembers {
+		for id := range known {
+			answer.Wanted = append(answer.Wanted, id)
+		}
+		answer.Wanted = answer.Wanted[:min(len(answer.Wanted), maxRecordsPerReply)]
 	}
-	if len(h.Others) > maxOthers {
-		rand.Shuffle(len(h.Others), func(i, j int) { h.Others[i], h.Others[j] = h.Others[j], h.Others[i] })
-		h.Others = h.Others[:maxOthers]
+	if len(answer.Members) > maxRecordsPerReply {
+		rand.Shuffle(len(answer.Members), func(i, j int) {
+			answer.Members[i], answer.Members[j] = answer.Members[j], answer.Members[i]
+		})
+		answer.Members = answer.Members[:maxRecordsPerReply]
+	}
+	n.sendEncoded(to, answer)
+}
+
+// sendSync asks a member for the members that it knows and this node does not.
+func (n *Node) sendSync(to netip.AddrPort) {
+	h := &hello{From: n.options.Self, WantHello: true, WantMembers: true}
+	for _, m := range n.View().Live {
+		if m.DatagramAddress != n.options.Self.DatagramAddress {
+			h.Known = append(h.Known, m.idHash)
+		}
 	}
 	n.sendEncoded(to, h)
 }
 
+// syncPartner returns a random live member to exchange members with, and false if no
+// exchange is due.
+func (n *Node) syncPartner(now time.Time) (netip.AddrPort, bool) {
+	live := n.View().Live
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.syncWanted || len(live) < 2 || now.Sub(n.lastExchange) < syncInterval {
+		return netip.AddrPort{}, false
+	}
+	partner := live[rand.IntN(len(live))].DatagramAddress
+	if partner == n.options.Self.DatagramAddress {
+		return netip.AddrPort{}, false // still due at the next heartbeat
+	}
+	n.syncWanted, n.lastExchange = false, now
+	return partner, true
+}
+
+// sendEncoded sends a hello, with its member records split over datagrams.
 func (n *Node) sendEncoded(to netip.AddrPort, h *hello) {
-	data, err := h.encode()
-	if err != nil {
-		n.count("encode_errors")
-		return
+	const recordsPerDatagram = 24
+	records := h.Members
+	for {
+		part := *h
+		part.Members = records[:min(recordsPerDatagram, len(records))]
+		records = records[len(part.Members):]
+		n.send(to, part.append(nil))
+		if len(records) == 0 {
+			return
+		}
+		h = &hello{From: h.From}
 	}
-	n.send(to, data)
 }
 
 // dueHellos returns the addresses to send a hello to now: seeds and silent members.
@@ -126,23 +236,56 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var due []netip.AddrPort
-	for address, last := range n.seeds {
-		if len(due) < maxHellos && now.Sub(last) > helloInterval {
-			n.seeds[address] = now
+	for address, s := range n.seeds {
+		if len(due) >= maxHellos {
+			break
+		}
+		if s.due(now) {
 			due = append(due, address)
 		}
 	}
+	limit := len(due) + maxHellos
 	for address, m := range n.members {
 		silent := now.Sub(m.LastSeen)
 		if silent > forgetAfter {
 			delete(n.members, address)
+			n.order = nil
 			continue
 		}
 		// The longer a member is silent, the less often a hello is sent to it.
-		if silent > n.timeoutOf(&m.LiveMember) && len(due) < maxHellos && now.Sub(m.lastHello) > max(helloInterval, silent/4) {
+		if silent > n.timeoutOf(&m.LiveMember) && len(due) < limit && now.Sub(m.lastHello) > max(helloInterval, silent/4) {
 			m.lastHello = now
 			due = append(due, address)
 		}
 	}
 	return due
 }
+
+// sendDueHellos sends hellos to seeds and silent members, and begins an exchange of
+// members where one is due. A node without any other member asks its seeds for theirs.
+func (n *Node) sendDueHellos(now time.Time) {
+	due := n.dueHellos(now)
+	if len(due) > 0 {
+		h := &hello{From: n.options.Self, WantHello: true, WantMembers: len(n.View().Live) == 1}
+		data := h.append(nil)
+		for _, to := range due {
+			n.send(to, data)
+		}
+	}
+	if to, ok := n.syncPartner(now); ok {
+		n.sendSync(to)
+	}
+}
+
+// sortedMembers returns the members in the order of their VMs' names. The caller holds
+// n.mu.
+func (n *Node) sortedMembers() []*memberState {
+	if n.order == nil {
+		n.order = make([]*memberState, 0, len(n.members))
+		for _, m := range n.members {
+			n.order = append(n.order, m)
+		}
+		slices.SortFunc(n.order, func(a, b *memberState) int { return compareVM(a.VM, b.VM) })
+	}
+	return n.order
+}
--- /dev/null
+++ b/internal/cluster/network_test.go
@@ -0,0 +1,241 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// network carries datagrams between nodes in memory, so that a cluster runs in virtual
+// time. It counts what each kind of datagram takes.
+type network struct {
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*memoryConn
+	bytes map[byte]int // sent, by kind of datagram
+	count map[byte]int
+	// drop reports whether a datagram is lost; nil loses none.
+	drop func(from, to netip.AddrPort) bool
+}
+
+func newNetwork() *network {
+	return &network{conns: map[netip.AddrPort]*memoryConn{}, bytes: map[byte]int{}, count: map[byte]int{}}
+}
+
+// linkDelay is the time that a datagram takes.
+const linkDelay = time.Millisecond
+
+type packet struct {
+	data    []byte
+	from    netip.AddrPort
+	arrival time.Time
+}
+
+// memoryConn is one node's end of a network.
+type memoryConn struct {
+	network *network
+	address netip.AddrPort
+	packets chan packet
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (w *network) listen(address netip.AddrPort) *memoryConn {
+	c := &memoryConn{network: w, address: address, packets: make(chan packet, 1<<14), closed: make(chan struct{})}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conns[address] = c
+	return c
+}
+
+func (c *memoryConn) WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error) {
+	w := c.network
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bytes[data[0]] += len(data)
+	w.count[data[0]]++
+	target := w.conns[to]
+	if target == nil || w.drop != nil && w.drop(c.address, to) {
+		return len(data), nil
+	}
+	select {
+	case target.packets <- packet{append([]byte(nil), data...), c.address, time.Now().Add(linkDelay)}:
+	default: // a full receive buffer drops the datagram
+	}
+	return len(data), nil
+}
+
+func (c *memoryConn) ReadFromUDPAddrPort(buf []byte) (int, netip.AddrPort, error) {
+	select {
+	case <-c.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	case p := <-c.packets:
+		time.Sleep(time.Until(p.arrival))
+		return copy(buf, p.data), p.from, nil
+	}
+}
+
+func (c *memoryConn) SetReadBuffer(int) error { return nil }
+
+func (c *memoryConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		defer c.network.mu.Unlock()
+		if c.network.conns[c.address] == c {
+			delete(c.network.conns, c.address)
+		}
+	})
+	return nil
+}
+
+// memoryAddress returns the address of the i-th node.
+func memoryAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
+// heartbeatInterval is that of the gateway.
+const heartbeatInterval = 66 * time.Millisecond
+
+// startMember starts the i-th node of a cluster with that many zones.
+func (w *network) startMember(i, zones int, incarnation uint64, seeds ...netip.AddrPort) *testNode {
+	weight := 0.16
+	if i%25 == 0 {
+		weight = 0.8
+	}
+	n := &testNode{heartbeats: map[string]int{}}
+	n.Node = NewNode(Options{
+		Self: Member{
+			VM: fmt.Sprintf("front-zone-%d-%d", i%zones, i), Zone: fmt.Sprintf("zone-%d", i%zones),
+			CallerAddress: fmt.Sprintf("10.0.%d.%d:8161", i>>8, i&255), PeerAddress: fmt.Sprintf("10.0.%d.%d:7720", i>>8, i&255),
+			DatagramAddress: memoryAddress(i), Incarnation: incarnation, Weight: weight,
+		},
+		Conn:        w.listen(memoryAddress(i)),
+		OnHeartbeat: n.handle,
+	})
+	n.AddSeeds(seeds...)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.done.Go(func() { _ = n.Receive() })
+	n.done.Go(func() {
+		RunEvery(ctx, heartbeatInterval, func(_ context.Context, now time.Time) {
+			n.SendHeartbeat(&Heartbeat{Status: Status{Ready: true}}, now)
+		})
+	})
+	return n
+}
+
+// startCluster starts all members within 300 ms, with the first three as seeds.
+func (w *network) startCluster(count, zones int) []*testNode {
+	var nodes []*testNode
+	seeds := []netip.AddrPort{memoryAddress(0), memoryAddress(1), memoryAddress(2)}
+	for i := range count {
+		nodes = append(nodes, w.startMember(i, zones, uint64(i+1), seeds...))
+		time.Sleep(300 * time.Millisecond / time.Duration(count))
+	}
+	return nodes
+}
+
+func stopAll(nodes []*testNode) {
+	for _, n := range nodes {
+		n.stop()
+	}
+}
+
+// incomplete counts the nodes that do not see that many live members.
+func incomplete(nodes []*testNode, want int) int {
+	count := 0
+	for _, n := range nodes {
+		if len(n.View().Live) != want {
+			count++
+		}
+	}
+	return count
+}
+
+// Pattern: all entries start at the same time with three common seeds. Each must see all
+// others within the 3 s in which a seed may lag, and twice the members may cost a member
+// at most about twice the bytes: every record has to reach it once.
+func TestStartOfALargeCluster(t *testing.T) {
+	helloBytes := map[int]int{}
+	sizes := []int{60, 120}
+	if !raceEnabled {
+		sizes = []int{120, 240, 480}
+	}
+	for _, count := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			w := newNetwork()
+			nodes := w.startCluster(count, 6)
+			defer stopAll(nodes)
+			time.Sleep(3 * time.Second)
+			if missing := incomplete(nodes, count); missing != 0 {
+				t.Errorf("%d of %d nodes do not see all members 3 s after the start", missing, count)
+			}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			helloBytes[count] = w.bytes[kindHello] / count
+			t.Logf("%d nodes: %d hellos and %d B of hellos a node", count, w.count[kindHello]/count, helloBytes[count])
+		})
+	}
+	for i := 1; i < len(sizes); i++ {
+		if before, after := helloBytes[sizes[i-1]], helloBytes[sizes[i]]; after > 5*before/2 {
+			t.Errorf("hellos take %d B a node with %d nodes and %d B with %d, want about twice as much",
+				before, sizes[i-1], after, sizes[i])
+		}
+	}
+}
+
+// A process that starts again after the time of day was set back has a lower incarnation.
+// The others must take it as a member again as soon as its earlier start is silent.
+func TestRestartAfterTheClockWasSetBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork()
+		nodes := w.startCluster(6, 2)
+		time.Sleep(time.Second)
+		nodes[5].stop()
+		time.Sleep(300 * time.Millisecond)
+		restarted := w.startMember(5, 2, 1, memoryAddress(0))
+		nodes[5] = restarted
+		defer stopAll(nodes)
+		time.Sleep(livenessTimeout + time.Second)
+		for _, n := range nodes[:5] {
+			found := false
+			for _, m := range n.View().Live {
+				found = found || m.DatagramAddress == memoryAddress(5) && m.Incarnation == 1
+			}
+			if !found {
+				t.Errorf("%s does not see the restarted member", n.options.Self.VM)
+			}
+		}
+	})
+}
+
+// A member that is gone must not be passed on from table to table: no exchange makes a
+// silent member live again.
+func TestGoneMemberIsNotIntroducedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork()
+		nodes := w.startCluster(10, 2)
+		time.Sleep(time.Second)
+		nodes[9].stop()
+		nodes = nodes[:9]
+		// New members keep exchanges going while the others notice.
+		for i := 10; i < 30; i++ {
+			nodes = append(nodes, w.startMember(i, 2, uint64(i+1), memoryAddress(0)))
+			time.Sleep(100 * time.Millisecond)
+		}
+		defer stopAll(nodes)
+		time.Sleep(livenessTimeout)
+		for _, n := range nodes {
+			for _, m := range n.View().Live {
+				if m.DatagramAddress == memoryAddress(9) {
+					t.Errorf("%s sees the stopped member live after %v", n.options.Self.VM, 20*100*time.Millisecond+livenessTimeout)
+				}
+			}
+		}
+	})
+}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -32,22 +31,30 @@
 	stableTime = 100 * time.Millisecond
 	// maxSyncBackoff bounds the pause between two requests for the members of others.
 	maxSyncBackoff = 2 * time.Second
-	// maxOthers bounds the addresses in one hello, so that it fits into a datagram.
-	maxOthers = 200
-	// maxHellos bounds the hellos sent with one heartbeat.
-	maxHellos = 32
+	// maxHellos bounds the hellos to seeds, and those to silent members, that are sent
+	// with one heartbeat.
+	maxHellos = 8
 	// socketBuffer is the size of the datagram socket's receive buffer in bytes. It
 	// holds the heartbeats of some hundred members for as long as a busy processor may
 	// delay reading them.
 	socketBuffer = 1 << 20
 )
 
+// PacketConn is a datagram socket; *net.UDPConn implements it. After Close, a pending or
+// later read returns an error that wraps net.ErrClosed.
+type PacketConn interface {
+	WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error)
+	ReadFromUDPAddrPort(buf []byte) (int, netip.AddrPort, error)
+	SetReadBuffer(bytes int) error
+	Close() error
+}
+
 // Options are the settings of a Node.
 type Options struct {
 	// Self describes this process.
 	Self Member
 	// Conn is the datagram socket, bound to Self.DatagramAddress.
-	Conn *net.UDPConn
+	Conn PacketConn
 	// OnHeartbeat is called with each heartbeat of another member. It must not block.
 	OnHeartbeat func(from LiveMember, hb *Heartbeat)
 	// OnChange is called after the set of live members, or their Ready or Leaving
@@ -74,8 +81,16 @@
 
 	mu      sync.Mutex // guards the fields below
 	members map[netip.AddrPort]*memberState
-	seeds   map[netip.AddrPort]time.Time // addresses to send hellos to, with the time of the last one
+	order   []*memberState // members by VM name, nil after a change; see sortedMembers
+	seeds   map[netip.AddrPort]*seed
 	status  Status
+	// syncWanted is set if other members may know members that this node does not.
+	// lastExchange is when the node last began an exchange for that reason.
+	syncWanted   bool
+	lastExchange time.Time
+	// directRequests counts the hellos requested from unknown senders since directSince.
+	directSince    time.Time
+	directRequests int
 	// lastChange is when the set of live members last changed, lastSync when another
 	// member was last asked for its members.
 	lastChange, lastSync time.Time
@@ -89,7 +104,7 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
-	n := &Node{options: options, members: map[netip.AddrPort]*memberState{}, seeds: map[netip.AddrPort]time.Time{}}
+	n := &Node{options: options, members: map[netip.AddrPort]*memberState{}, seeds: map[netip.AddrPort]*seed{}}
 	n.relaying.usedSince, n.relaying.lastBatch = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]time.Time{}
 	n.view.Store(&View{Live: []LiveMember{newLiveMember(options.Self, Status{}, time.Time{})}, Known: 1})
 	return n
@@ -124,9 +139,7 @@
 	parts := n.encode(hb)
 	n.broadcast(parts, now)
 	n.sendCrossZone(parts)
-	for _, to := range n.dueHellos(now) {
-		n.sendHello(to, true, false)
-	}
+	n.sendDueHellos(now)
 }
 
 // encode returns the encoded heartbeat, split into parts that fit into one packet each.
@@ -156,8 +169,12 @@
 func (n *Node) Refresh(now time.Time) {
 	n.mu.Lock()
 	self := newLiveMember(n.options.Self, n.status, now)
-	v := &View{Live: []LiveMember{self}, Known: 1 + len(n.members)}
-	for _, m := range n.members {
+	v := &View{Live: make([]LiveMember, 0, 1+len(n.members)), Known: 1 + len(n.members)}
+	selfAdded := false
+	for _, m := range n.sortedMembers() {
+		if !selfAdded && compareVM(self.VM, m.VM) < 0 {
+			v.Live, selfAdded = append(v.Live, self), true
+		}
 		silent := now.Sub(m.LastSeen)
 		switch {
 		case silent <= n.timeoutOf(&m.LiveMember):
@@ -166,7 +183,9 @@
 			v.Silent = append(v.Silent, m.LiveMember)
 		}
 	}
-	slices.SortFunc(v.Live, func(a, b LiveMember) int { return cmp.Compare(a.VM, b.VM) })
+	if !selfAdded {
+		v.Live = append(v.Live, self)
+	}
 	v.computeHashes()
 	old := n.view.Swap(v)
 	if old.liveHash != v.liveHash {
@@ -178,6 +197,8 @@
 	}
 }
 
+func compareVM(a, b string) int { return cmp.Compare(a, b) }
+
 func sameMembers(a, b []LiveMember) bool {
 	return slices.EqualFunc(a, b, func(x, y LiveMember) bool {
 		return x.VM == y.VM && x.Incarnation == y.Incarnation && x.Ready == y.Ready && x.Leaving == y.Leaving
--- /dev/null
+++ b/internal/cluster/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package cluster
+
+const raceEnabled = true
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -78,12 +78,14 @@
 	m.Status = hb.Status
 	m.LastSeen = now
 	live := m.LiveMember
+	large := len(n.members) > maxFullMesh
 	n.mu.Unlock()
 	if syncDue {
-		n.sendHello(from, true, true)
+		n.sendSync(from)
 	}
 	n.options.OnHeartbeat(live, hb)
-	if stateChanged {
+	// See handleHello for large clusters.
+	if stateChanged && !large {
 		n.Refresh(now)
 	}
 }
