Send large updates compressed, in chunks, to a few members at a time

The configuration arrived when the entries fell back to the store, 4 to 8 s late. Ruled out: decoding (the line 'configuration in force' has its time now). Change: updates are compressed (s2) and fetched in chunks of 64 KB; a member serves three large transfers at a time and answers others that it is busy, and they ask another one that has the update. A request without a route is refused as not run with configuration_behind (503) while another member is known to have a newer configuration, in place of 404. A page of several configurations decodes only the newest. The first update after a start logs 16 servers and a count, not 720 lines.

--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -84,6 +84,10 @@
 	BufferUploads bool
 	// FractionalRetryAfter sends Retry-After with fractions of a second.
 	FractionalRetryAfter bool
+	// IsBehind reports whether a newer configuration than the current one is known to
+	// exist; nil means never. A request without a route is then refused for the moment,
+	// as its route may be new.
+	IsBehind func() bool
 	// OnCallEnd is called at the end of each call; it may be nil.
 	OnCallEnd func(*AccessRecord)
 }
@@ -133,6 +137,9 @@
 	}
 	c, refusal := newCall(t, r, time.Now())
 	if refusal != nil {
+		if refusal.Reason == outcome.ReasonNoRoute && h.IsBehind != nil && h.IsBehind() {
+			refusal = configurationBehind()
+		}
 		h.refuse(w, h.settleEarlyRefusal(r, refusal))
 		return
 	}
@@ -192,6 +199,16 @@
 	return resp, release, nil
 }
 
+// behindRetryAfter is the Retry-After of an entry that has no route yet for a request that a
+// newer configuration may have.
+const behindRetryAfter = 250 * time.Millisecond
+
+func configurationBehind() *outcome.Refusal {
+	detail := "this entry does not have the newest configuration yet; use another entry or try again"
+	refusal := outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonConfigurationBehind, detail)
+	return refusal.WithRetryAfter(behindRetryAfter)
+}
+
 func noConfiguration() *outcome.Refusal {
 	detail := "this entry has no configuration yet; use another entry or try again"
 	refusal := outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, detail)
--- a/internal/frontend/handler_test.go
+++ b/internal/frontend/handler_test.go
@@ -241,3 +241,20 @@
 		t.Error("the refusals with reason no_configuration are not 1")
 	}
 }
+
+// An entry that knows of a newer configuration must not deny that a route exists: the
+// route may be new. The request is refused as not run, and its caller may try again.
+func TestMissingRouteWhileBehind(t *testing.T) {
+	for _, behind := range []bool{false, true} {
+		h := newHarness(t)
+		h.IsBehind = func() bool { return behind }
+		w := h.send("PUT", "/", "")
+		wantStatus, wantReason := http.StatusNotFound, outcome.ReasonNoRoute
+		if behind {
+			wantStatus, wantReason = http.StatusServiceUnavailable, outcome.ReasonConfigurationBehind
+		}
+		if w.Code != wantStatus || h.refusals(wantReason) != 1 || (w.Header().Get("Retry-After") != "") != behind {
+			t.Errorf("behind %v: status %d, headers %v, want %d with reason %s", behind, w.Code, w.Header(), wantStatus, wantReason)
+		}
+	}
+}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -235,6 +235,7 @@
 		DecodeServer: adapter.DecodeServer,
 		Client:       pool,
 		Self:         s.VM,
+		Zone:         s.Zone,
 		Bootstrap:    s.Bootstrap,
 		View:         node.View,
 		OnTree:       a.setTree,
@@ -269,7 +270,7 @@
 	})
 }
 
-func newHandler(s *Settings, holder *treeHolder, services *service.Set, forwarder *forward.Forwarder, drainer *frontend.Drainer,
+func newHandler(s *Settings, holder *treeHolder, storeSync *storesync.Syncer, services *service.Set, forwarder *forward.Forwarder, drainer *frontend.Drainer,
 	events *eventlog.Logger, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
@@ -278,6 +279,7 @@
 		Runner:               attempt.New(attempt.QueueAdmitter{Services: services}, forwarder, scope),
 		Servers:              noServerHosts{},
 		Drainer:              drainer,
+		IsBehind:             storeSync.IsBehind,
 		Scope:                scope,
 		BufferUploads:        true,
 		FractionalRetryAfter: true,
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
@@ -12,56 +18,168 @@
 	// ReceiverName is the name to register the receiver under.
 	ReceiverName = "Feed"
 	methodSince  = ReceiverName + ".Since"
-	// pullTimeout bounds one call to another member.
-	pullTimeout = 400 * time.Millisecond
+	// pullTimeout bounds one call to another member. A chunk of each of the transfers that
+	// a member serves at the same time passes its link well within it.
+	pullTimeout = 800 * time.Millisecond
+	// chunkBytes is the part of an encoded update that one call returns.
+	chunkBytes = 64 << 10
+	// largeUpdateBytes is the size of an encoded update above which it counts as a large
+	// transfer.
+	largeUpdateBytes = 4 << 10
+	// maxTransfers bounds the large transfers that a member serves at the same time.
+	// Others ask another member: each that has received the update serves it as well.
+	maxTransfers = 3
+	// transferTimeout is how long a transfer is in progress after its last chunk if it is
+	// not complete.
+	transferTimeout = 400 * time.Millisecond
+	// busyPause is the pause before another member is asked after one was busy.
+	busyPause = 20 * time.Millisecond
+	// maxPullTries bounds the members that are asked after one heartbeat with a newer
+	// version.
+	maxPullTries = 3
+	// behindTime is how long after a heartbeat with a newer revision this member is
+	// known to be behind. Other heartbeats extend it.
+	behindTime = 2 * time.Second
 )
 
 // SinceArgs requests the changes since the caller's versions.
 type SinceArgs struct {
+	// Caller is the name of the caller's VM.
+	Caller string
 	// Revision is the revision of the caller's configuration.
 	Revision int64
 	// Servers is the version of the caller's list of backend servers.
 	Servers int64
+	// Offset is the number of bytes of the encoded update that the caller has already, and
+	// Update their id, zero for the first chunk.
+	Offset int
+	Update uint64
 }
 
-// SinceReply holds the changes since the caller's versions.
+// SinceReply holds a chunk of the changes since the caller's versions.
 type SinceReply struct {
-	// Config is the active configuration, empty if it is not newer.
-	Config logservice.KeyedRecord
-	// ConfigNext is the offset from which to continue reading the configuration.
-	ConfigNext int64
-	// Servers are the records that changed.
-	Servers []logservice.KeyedRecord
-	// ServersVersion is the version of the list that includes these records.
-	ServersVersion int64
-	// ServersNext is the offset from which to continue reading the servers.
-	ServersNext int64
+	// Busy is set if the update is large and the member already serves others; Chunk is
+	// then empty.
+	Busy bool
+	// Update identifies the encoded update. If it is not the requested one, the caller
+	// must start again.
+	Update uint64
+	// Size is the size of the encoded update in bytes, and Chunk the part at the offset.
+	Size  int
+	Chunk []byte
 }
 
 // Receiver serves the RPCs of other members.
-type Receiver struct{ syncer *Syncer }
+type Receiver struct {
+	syncer *Syncer
+
+	mu        sync.Mutex           // guards the fields below; taken before Syncer.applyMu
+	transfers map[string]time.Time // time of the last chunk, by caller
+	last      encodedUpdate
+}
+
+// encodedUpdate is an update in encoded form, with the versions that it leads from and to.
+type encodedUpdate struct {
+	id                uint64 // hash of data
+	fromRevision      int64
+	fromServers       int64
+	revision, servers int64
+	data              []byte
+}
 
 // Receiver returns the net/rpc receiver to register under ReceiverName.
-func (s *Syncer) Receiver() *Receiver { return &Receiver{syncer: s} }
+func (s *Syncer) Receiver() *Receiver {
+	return &Receiver{syncer: s, transfers: map[string]time.Time{}}
+}
 
 // Since replies with the configuration and the servers that changed since the caller's
-// versions.
+// versions, one chunk a call.
 func (r *Receiver) Since(args SinceArgs, reply *SinceReply) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, err := r.encoded(args)
+	if err != nil {
+		return err
+	}
+	reply.Update, reply.Size = u.id, len(u.data)
+	if args.Offset < 0 || args.Offset > len(u.data) || args.Offset > 0 && args.Update != u.id {
+		return nil // the caller starts again
+	}
+	end := min(args.Offset+chunkBytes, len(u.data))
+	if len(u.data) > largeUpdateBytes && !r.admitTransfer(args.Caller, end == len(u.data), time.Now()) {
+		r.syncer.count("pulls_refused")
+		reply.Busy = true
+		return nil
+	}
+	reply.Chunk = u.data[args.Offset:end]
+	return nil
+}
+
+// admitTransfer reports whether the caller may have a chunk of a large update, and records
+// it. r.mu must be held.
+func (r *Receiver) admitTransfer(caller string, last bool, now time.Time) bool {
+	for other, at := range r.transfers {
+		if now.Sub(at) > transferTimeout {
+			delete(r.transfers, other)
+		}
+	}
+	if _, begun := r.transfers[caller]; !begun && len(r.transfers) >= maxTransfers {
+		return false
+	}
+	r.transfers[caller] = now
+	if last {
+		// The last chunk still has to pass the link.
+		r.transfers[caller] = now.Add(lastChunkTime - transferTimeout)
+	}
+	return true
+}
+
+// lastChunkTime is how long a transfer counts as in progress after its last chunk was read.
+const lastChunkTime = 60 * time.Millisecond
+
+// encoded returns the encoded update since the caller's versions. The members of a cluster
+// mostly ask for the same one, so the last large one is kept. r.mu must be held.
+func (r *Receiver) encoded(args SinceArgs) (*encodedUpdate, error) {
 	s := r.syncer
+	last := r.last
+	if last.data != nil && last.fromRevision == args.Revision && last.fromServers == args.Servers &&
+		last.revision == s.Revision() && last.servers == s.ServersVersion() {
+		return &last, nil
+	}
+	u := s.updateSince(args)
+	data, err := u.encode()
+	if err != nil {
+		return nil, err
+	}
+	next := encodedUpdate{
+		id: xxhash.Sum64(data), data: data,
+		fromRevision: args.Revision, fromServers: args.Servers,
+		revision: s.Revision(), servers: u.ServersVersion,
+	}
+	if len(data) > largeUpdateBytes {
+		r.last = next
+	}
+	return &next, nil
+}
+
+func (s *Syncer) updateSince(args SinceArgs) *update {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	reply.ConfigNext = s.configNext
+	u := &update{ConfigNext: s.configNext}
 	if s.revision.Load() > args.Revision {
-		reply.Config = s.config
+		u.Config = s.config
 	}
-	_, reply.ServersNext = s.servers.versions()
-	reply.Servers, reply.ServersVersion = s.servers.since(args.Servers)
-	return nil
+	_, u.ServersNext = s.servers.versions()
+	u.Servers, u.ServersVersion = s.servers.since(args.Servers)
+	return u
 }
 
 // ObservePeer schedules a pull from another member if its versions are newer. It does
 // not block.
 func (s *Syncer) ObservePeer(m cluster.LiveMember) {
+	if m.Revision > s.Revision() {
+		s.newerSeenAt.Store(time.Now().UnixNano())
+	}
 	if m.Revision <= s.Revision() && m.ServersVersion <= s.ServersVersion() {
 		return
 	}
@@ -71,6 +189,13 @@
 	}
 }
 
+// IsBehind reports whether another member announced a newer configuration than the active
+// one within the last behindTime.
+func (s *Syncer) IsBehind() bool {
+	at := s.newerSeenAt.Load()
+	return at != 0 && at > s.appliedAt.Load() && time.Since(time.Unix(0, at)) < behindTime
+}
+
 // pullFromPeers runs the scheduled pulls until ctx is done.
 func (s *Syncer) pullFromPeers(ctx context.Context) {
 	for {
@@ -78,27 +203,113 @@
 		case <-ctx.Done():
 			return
 		case m := <-s.pulls:
-			s.pull(ctx, m)
+			s.pullFromAny(ctx, m)
 		}
 	}
 }
 
-func (s *Syncer) pull(ctx context.Context, m cluster.LiveMember) {
-	args := SinceArgs{Revision: s.Revision(), Servers: s.ServersVersion()}
+// pullFromAny pulls from the member, or from others with newer versions if it is busy.
+func (s *Syncer) pullFromAny(ctx context.Context, m cluster.LiveMember) {
+	for range maxPullTries {
+		if s.pull(ctx, m) {
+			return
+		}
+		sleep(ctx, busyPause)
+		other, ok := s.otherSource(m)
+		if !ok {
+			return
+		}
+		m = other
+	}
+}
+
+// otherSource returns a random live member with newer versions, other than the one that
+// was asked last. Members of this availability zone are preferred.
+func (s *Syncer) otherSource(last cluster.LiveMember) (cluster.LiveMember, bool) {
+	var local, remote []cluster.LiveMember
+	for _, m := range s.options.View().Live {
+		if m.VM == last.VM || m.VM == s.options.Self || m.Revision <= s.Revision() && m.ServersVersion <= s.ServersVersion() {
+			continue
+		}
+		if m.Zone == s.options.Zone {
+			local = append(local, m)
+		} else {
+			remote = append(remote, m)
+		}
+	}
+	if len(local) == 0 {
+		local = remote
+	}
+	if len(local) == 0 {
+		return cluster.LiveMember{}, false
+	}
+	return local[rand.IntN(len(local))], true
+}
+
+// pull fetches and applies the changes that a member announced. It returns false if the
+// member was busy.
+func (s *Syncer) pull(ctx context.Context, m cluster.LiveMember) bool {
+	args := SinceArgs{Caller: s.options.Self, Revision: s.Revision(), Servers: s.ServersVersion()}
 	if m.Revision <= args.Revision && m.ServersVersion <= args.Servers {
-		return
+		return true
+	}
+	data, err := s.fetch(ctx, m, args)
+	var busy *busyError
+	if errors.As(err, &busy) {
+		s.count("pulls_busy")
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	var reply SinceReply
-	if err := s.options.Client.Call(ctx, m.PeerAddress, methodSince, args, &reply); err != nil {
+	var u *update
+	if err == nil {
+		u, err = decodeUpdate(data)
+	}
+	if err != nil {
 		s.count("pull_errors")
 		s.options.Events.Warn("peer gave no update", "peer", m.VM, "error", err)
-		return
+		return true
 	}
 	s.count("pulls")
-	s.applyConfig(reply.Config, reply.ConfigNext, m.VM)
-	s.applyServers(reply.Servers, m.VM)
-	s.servers.adoptVersion(reply.ServersVersion)
-	s.servers.advance(reply.ServersNext)
+	s.applyUpdate(u, m.VM)
+	return true
+}
+
+// busyError reports that a member already serves as many large updates as it may.
+type busyError struct{ vm string }
+
+func (e *busyError) Error() string { return e.vm + " already serves other members" }
+
+// fetch fetches an encoded update, chunk by chunk.
+func (s *Syncer) fetch(ctx context.Context, m cluster.LiveMember, args SinceArgs) ([]byte, error) {
+	var data []byte
+	for {
+		var reply SinceReply
+		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		args.Offset = len(data)
+		err := s.options.Client.Call(callCtx, m.PeerAddress, methodSince, args, &reply)
+		cancel()
+		switch {
+		case err != nil:
+			return nil, err
+		case reply.Busy:
+			return nil, &busyError{m.VM}
+		case len(data) > 0 && reply.Update != args.Update:
+			// The member has applied something newer meanwhile.
+			data, args.Update = nil, 0
+			continue
+		case reply.Size > maxUpdateBytes || len(reply.Chunk) == 0 && len(data) < reply.Size:
+			return nil, &UpdateError{Cause: fmt.Sprintf("chunk of %d bytes at %d of %d", len(reply.Chunk), len(data), reply.Size)}
+		}
+		args.Update = reply.Update
+		data = append(data, reply.Chunk...)
+		if len(data) >= reply.Size {
+			return data, nil
+		}
+	}
+}
+
+func (s *Syncer) applyUpdate(u *update, source string) {
+	s.applyConfig([]logservice.KeyedRecord{u.Config}, u.ConfigNext, source)
+	s.applyServers(u.Servers, source)
+	s.servers.adoptVersion(u.ServersVersion)
+	s.servers.advance(u.ServersNext)
 }
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -237,9 +237,7 @@
 		}
 		return false
 	}
-	for _, r := range page.Records {
-		s.applyConfig(r, page.Next, "store")
-	}
+	s.applyConfig(page.Records, page.Next, "store")
 	s.applyMu.Lock()
 	s.configNext, s.configRead = max(s.configNext, page.Next), true
 	s.applyMu.Unlock()
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -31,8 +31,8 @@
 	DecodeServer func(key string, value []byte) (fleet.VM, error)
 	// Client calls other members.
 	Client peer.Client
-	// Self is the name of this VM.
-	Self string
+	// Self is the name of this VM, and Zone its availability zone.
+	Self, Zone string
 	// Bootstrap is set if the whole system starts for the first time. Members then
 	// wait to discover each other before they read the store.
 	Bootstrap bool
@@ -62,6 +62,9 @@
 
 	lastContact atomic.Int64 // Unix nanoseconds of the last successful read of the store, zero before it
 	revision    atomic.Int64
+	// newerSeenAt is when a member last announced a newer revision than the active one,
+	// appliedAt when a configuration was last applied, in Unix nanoseconds.
+	newerSeenAt, appliedAt atomic.Int64
 
 	applyMu sync.Mutex // serializes OnTree and OnServers, and guards the fields below
 	// config is the record of the active configuration.
@@ -110,46 +113,72 @@
 	group.Wait()
 }
 
-// applyConfig applies a configuration if it is newer than the active one.
-func (s *Syncer) applyConfig(r logservice.KeyedRecord, next int64, source string) {
+// applyConfig applies the newest of the records of the configuration if it is newer than
+// the active one. Older ones in the same page are not decoded: a large configuration takes
+// a small VM long.
+func (s *Syncer) applyConfig(records []logservice.KeyedRecord, next int64, source string) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	s.configNext = max(s.configNext, next)
 	s.configRead = s.configRead || next > 0
-	if r.IsTombstone() || r.Key != s.options.ConfigKey {
-		return
+	for i := len(records) - 1; i >= 0; i-- {
+		r := records[i]
+		if !r.IsTombstone() && r.Key == s.options.ConfigKey && s.applyConfigRecord(r, source) {
+			return
+		}
 	}
+}
+
+// applyConfigRecord reports whether the record holds a configuration; an older one than
+// the active one is not applied. s.applyMu must be held.
+func (s *Syncer) applyConfigRecord(r logservice.KeyedRecord, source string) bool {
+	began := time.Now()
 	t, err := s.options.DecodeTree(r.Value)
 	if err != nil {
 		s.count("config_unreadable")
 		s.options.Events.Warn("configuration ignored", "offset", r.Offset, "source", source, "error", err)
-		return
+		return false
 	}
 	if t.Revision <= s.revision.Load() {
-		return
+		return true
 	}
 	s.config = r
 	s.options.OnTree(t)
 	s.revision.Store(t.Revision)
+	now := time.Now()
+	s.appliedAt.Store(now.UnixNano())
 	s.count("config_applied")
-	s.options.Events.Info("configuration in force", "revision", t.Revision, "offset", r.Offset, "source", source)
+	s.options.Events.Info("configuration in force", "revision", t.Revision, "offset", r.Offset, "source", source,
+		"bytes", len(r.Value), "apply_ms", now.Sub(began).Milliseconds())
+	return true
 }
 
 // applyServers applies records of backend servers.
 func (s *Syncer) applyServers(records []logservice.KeyedRecord, source string) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	changed := false
+	changed := 0
 	for _, r := range records {
 		recordChanged, err := s.servers.apply(r, s.options.DecodeServer)
-		s.logServerChange(r, recordChanged, err, source)
-		changed = changed || recordChanged
+		if recordChanged {
+			changed++
+		}
+		if err != nil || changed <= maxLoggedChanges {
+			s.logServerChange(r, recordChanged, err, source)
+		}
 	}
-	if changed {
+	if changed > maxLoggedChanges {
+		s.options.Events.Info("further servers changed", "servers", changed-maxLoggedChanges, "source", source)
+	}
+	if changed > 0 {
 		s.options.OnServers(s.servers.servers())
 	}
 }
 
+// maxLoggedChanges bounds the log lines for the server records that one read or update
+// brings. The first update after a start holds all servers.
+const maxLoggedChanges = 16
+
 // logServerChange logs a record that changed the list of servers or could not be decoded.
 func (s *Syncer) logServerChange(r logservice.KeyedRecord, changed bool, err error, source string) {
 	switch {
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -166,8 +166,8 @@
 	newer.log.put("a", "leaving 2")
 	newer.log.put("b", "live 1")
 	newer.readServers(t.Context())
-	newer.applyConfig(logservice.KeyedRecord{Key: "config", Value: []byte("7"), Offset: 3}, 4, "store")
-	older.applyConfig(logservice.KeyedRecord{Key: "config", Value: []byte("5"), Offset: 2}, 3, "store")
+	newer.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("7"), Offset: 3}}, 4, "store")
+	older.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("5"), Offset: 2}}, 3, "store")
 
 	clients := map[string]*Syncer{"newer": newer.Syncer, "older": older.Syncer}
 	older.options.Client, newer.options.Client = directClient{clients}, directClient{clients}
@@ -177,7 +177,7 @@
 			older.Revision(), older.servers, older.ServersVersion())
 	}
 	before := len(newer.revisions)
-	older.applyConfig(logservice.KeyedRecord{Key: "config", Value: []byte("6"), Offset: 9}, 10, "store")
+	older.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("6"), Offset: 9}}, 10, "store")
 	newer.pull(t.Context(), cluster.LiveMember{Member: cluster.Member{PeerAddress: "older"}, Status: cluster.Status{Revision: 99}})
 	if older.Revision() != 7 || newer.Revision() != 7 || len(newer.revisions) != before {
 		t.Errorf("an older configuration was applied: revisions %v and %v, want both to end at 7", older.revisions, newer.revisions)
@@ -259,9 +259,9 @@
 // another key.
 func TestUnreadableConfiguration(t *testing.T) {
 	s := newTestSyncer()
-	s.applyConfig(logservice.KeyedRecord{Key: "config", Value: []byte("3")}, 1, "store")
-	s.applyConfig(logservice.KeyedRecord{Key: "config", Value: []byte("x"), Offset: 1}, 2, "store")
-	s.applyConfig(logservice.KeyedRecord{Key: "other", Value: []byte("9"), Offset: 2}, 3, "store")
+	s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("3")}}, 1, "store")
+	s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("x"), Offset: 1}}, 2, "store")
+	s.applyConfig([]logservice.KeyedRecord{{Key: "other", Value: []byte("9"), Offset: 2}}, 3, "store")
 	if s.Revision() != 3 || len(s.revisions) != 1 {
 		t.Errorf("active revision %d of %v, want only 3", s.Revision(), s.revisions)
 	}
--- /dev/null
+++ b/internal/storesync/update.go
@@ -0,0 +1,66 @@
+package storesync
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+
+	"github.com/klauspost/compress/s2"
+
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
+)
+
+// maxUpdateBytes bounds the decompressed size of an update from another member.
+const maxUpdateBytes = 64 << 20
+
+// update holds the changes since a member's versions.
+type update struct {
+	// Config is the active configuration, empty if it is not newer.
+	Config logservice.KeyedRecord
+	// ConfigNext is the offset from which to continue reading the configuration.
+	ConfigNext int64
+	// Servers are the records that changed.
+	Servers []logservice.KeyedRecord
+	// ServersVersion is the version of the list that includes these records.
+	ServersVersion int64
+	// ServersNext is the offset from which to continue reading the servers.
+	ServersNext int64
+}
+
+// UpdateError reports an update from another member that cannot be used.
+type UpdateError struct {
+	// Cause says what is wrong with it.
+	Cause string
+}
+
+// Error returns the cause.
+func (e *UpdateError) Error() string { return "malformed update: " + e.Cause }
+
+// encode returns the update in compressed form: configurations and server records repeat
+// the same words, and the links of small VMs are narrow.
+func (u *update) encode() ([]byte, error) {
+	var plain bytes.Buffer
+	if err := gob.NewEncoder(&plain).Encode(u); err != nil {
+		return nil, fmt.Errorf("encode update: %w", err)
+	}
+	return s2.EncodeBetter(nil, plain.Bytes()), nil
+}
+
+func decodeUpdate(data []byte) (*update, error) {
+	size, err := s2.DecodedLen(data)
+	if err != nil {
+		return nil, &UpdateError{Cause: err.Error()}
+	}
+	if size > maxUpdateBytes {
+		return nil, &UpdateError{Cause: fmt.Sprintf("%d bytes, more than %d", size, maxUpdateBytes)}
+	}
+	plain, err := s2.Decode(nil, data)
+	if err != nil {
+		return nil, &UpdateError{Cause: err.Error()}
+	}
+	u := &update{}
+	if err := gob.NewDecoder(bytes.NewReader(plain)).Decode(u); err != nil {
+		return nil, &UpdateError{Cause: err.Error()}
+	}
+	return u, nil
+}
