Estimate service times by route and never let an estimate refuse for good

Ruled out: cold servers and the knee (load 0.2 to 0.5). Change: requests are admitted by the target of their own route, and a rank has an estimate for each target; the first samples weigh more; a request that is late from the start is refused only if it can't end before its deadline; an estimate that turned requests away loses half of its excess every 500 ms until a sample confirms it. Tests that failed before: TestRouteWithAShorterTargetIsAdmitted, TestRequestThatIsOnlyLateIsServed, TestEstimatesDoNotLatch (any history, then an idle service).

--- a/bench/simulator/product.go
+++ b/bench/simulator/product.go
@@ -74,7 +74,7 @@
 		Estimate:  a.reservation.Estimate(),
 	}
 	d.balancer.Done(a.reservation, run.clock.time(), result)
-	d.scheduler.Finish(a.item, result)
+	d.scheduler.Finish(a.item, result, run.clock.time())
 	if d.sharesReports && result.HasReport {
 		run.broadcast(d, func(other *productDispatcher) { other.balancer.AddReport(a.server.vm.Name, run.clock.time(), a.report) })
 	}
@@ -105,7 +105,7 @@
 		a.sent = d.entry.run.clock.now
 		cancelled := balancer.Result{Kind: balancer.Cancelled}
 		d.balancer.Done(a.reservation, d.entry.run.clock.time(), cancelled)
-		d.scheduler.Finish(a.item, cancelled)
+		d.scheduler.Finish(a.item, cancelled, d.entry.run.clock.time())
 		return
 	}
 	a.send()
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -11,7 +11,7 @@
 
 // Finish records the end of a granted item and updates the concurrency windows
 // and the nominal service time by its result.
-func (s *Scheduler) Finish(item *Item, r balancer.Result) {
+func (s *Scheduler) Finish(item *Item, r balancer.Result, now time.Time) {
 	for index, rq := range s.queues {
 		rq.window.update(r, s.inProgress(index), rq.items.Len())
 		if rq == item.queue {
@@ -19,7 +19,7 @@
 		}
 	}
 	item.queue.finished(item)
-	item.queue.updateServiceTime(r)
+	item.queue.updateServiceTime(&item.Request, r, now)
 }
 
 // inProgress counts the granted requests of the queue at index from and of all
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -132,7 +132,7 @@
 
 func (m *machine) finish(t *rapid.T) {
 	n := rapid.IntRange(0, len(m.running)-1).Draw(t, "finished")
-	m.scheduler.Finish(m.running[n], balancer.Result{})
+	m.scheduler.Finish(m.running[n], balancer.Result{}, m.now)
 	m.running = append(m.running[:n:n], m.running[n+1:]...)
 	m.picker.free++
 }
--- a/internal/admission/predictive.go
+++ b/internal/admission/predictive.go
@@ -32,24 +32,12 @@
 }
 
 const (
-	// initialServiceTimeShare is the nominal service time before the first
-	// sample, as a part of the rank's target.
-	initialServiceTimeShare = 0.35
-	// serviceTimeWeight is the weight of the newest sample in the nominal
-	// service time.
-	serviceTimeWeight = 0.05
-	// maxServiceTimeFactor bounds one sample, as a factor of the nominal
-	// service time.
-	maxServiceTimeFactor = 2
 	// targetMargin is the part of the target that is held back for requests
 	// that take longer than the nominal service time.
 	targetMargin = 0.08
 	// minServiceTimesLeft is how many nominal service times must be left until
 	// the deadline.
 	minServiceTimesLeft = 1.0
-	// fullSpeedStretch is the stretch up to which a response is a sample of the
-	// nominal service time.
-	fullSpeedStretch = 1.05
 )
 
 // predictive returns the picker if it can predict response times, else nil.
@@ -61,31 +49,9 @@
 	return p
 }
 
-// updateServiceTime updates the nominal service time by the latency of a
-// request that began at a server at full speed.
-func (rq *rankQueue) updateServiceTime(r balancer.Result) {
-	if r.Kind != balancer.OK || r.Estimate.Stretch <= 0 || r.Estimate.Stretch > fullSpeedStretch {
-		return
-	}
-	if rq.serviceTime == 0 {
-		rq.serviceTime = rq.nominalServiceTime()
-	}
-	sample := min(r.Latency, maxServiceTimeFactor*rq.serviceTime)
-	rq.serviceTime += time.Duration(serviceTimeWeight * float64(sample-rq.serviceTime))
-}
-
-// nominalServiceTime returns the nominal service time of a request of the rank, or
-// its initial value before the first sample.
-func (rq *rankQueue) nominalServiceTime() time.Duration {
-	if rq.serviceTime > 0 {
-		return rq.serviceTime
-	}
-	return time.Duration(initialServiceTimeShare * float64(rq.rank.Target))
-}
-
 // targetLeft returns the time left of the item's target, less the margin.
 func (rq *rankQueue) targetLeft(item *Item, now time.Time) time.Duration {
-	return time.Duration((1-targetMargin)*float64(rq.rank.Target)) - now.Sub(item.enqueued)
+	return time.Duration((1-targetMargin)*float64(rq.targetOf(&item.Request))) - now.Sub(item.enqueued)
 }
 
 // deadlineLeft returns the time left until the item's deadline.
@@ -97,15 +63,26 @@
 }
 
 // checkAdmissionPredictive refuses an item whose wait would leave too little of
-// its target or deadline.
+// its target or deadline. An item that could be in time nowhere is late; it is
+// refused only if it would not end before its deadline either, as it takes only
+// slots that no item in time needs.
 func (s *Scheduler) checkAdmissionPredictive(rq *rankQueue, item *Item, now time.Time) *outcome.Refusal {
-	serviceTime := rq.nominalServiceTime()
-	if deadlineLeft(item, now) < time.Duration(minServiceTimesLeft*float64(serviceTime)) {
+	estimate := rq.estimateOf(&item.Request)
+	serviceTime := rq.nominalServiceTime(&item.Request, now)
+	left := deadlineLeft(item, now)
+	if left < time.Duration(minServiceTimesLeft*float64(serviceTime)) {
+		estimate.doubt(now)
 		return refuseBusy(outcome.ReasonQueueWait, "too little time is left until the deadline", 0)
 	}
-	wait := rq.expectedWait(now)
-	slack := time.Duration((1-targetMargin)*float64(rq.rank.Target)) - serviceTime
-	if wait > slack {
+	slack := time.Duration((1-targetMargin)*float64(rq.targetOf(&item.Request))) - serviceTime
+	if slack < 0 {
+		if wait := rq.expectedLateWait(now); wait > 0 && left < wait+serviceTime {
+			estimate.doubt(now)
+			return refuseBusy(outcome.ReasonQueueWait, "the wait would exceed the deadline", wait+serviceTime-left)
+		}
+		return nil
+	}
+	if wait := rq.expectedWait(now); wait > slack {
 		return refuseBusy(outcome.ReasonQueueWait, "the wait would exceed the target", wait-slack)
 	}
 	return nil
@@ -141,12 +118,14 @@
 // late items.
 func (s *Scheduler) moveLate(now time.Time) {
 	for _, rq := range s.queues {
-		for front := rq.items.Front(); front != nil; front = rq.items.Front() {
-			item := front.Value.(*Item)
-			if rq.targetLeft(item, now) >= rq.nominalServiceTime() {
-				break
+		var next *list.Element
+		for element := rq.items.Front(); element != nil; element = next {
+			next = element.Next()
+			item := element.Value.(*Item)
+			if rq.targetLeft(item, now) >= rq.nominalServiceTime(&item.Request, now) {
+				continue
 			}
-			rq.items.Remove(front)
+			rq.items.Remove(element)
 			item.late = true
 			item.element = rq.late.PushBack(item)
 		}
@@ -167,17 +146,16 @@
 // deadline.
 func (s *Scheduler) expirePredictive(now time.Time) (Decision, bool) {
 	for _, rq := range s.queues {
-		front := rq.late.Front()
-		if front == nil {
-			continue
-		}
-		item := front.Value.(*Item)
-		if deadlineLeft(item, now) >= time.Duration(minServiceTimesLeft*float64(rq.nominalServiceTime())) {
-			continue
+		for element := rq.late.Front(); element != nil; element = element.Next() {
+			item := element.Value.(*Item)
+			serviceTime := rq.nominalServiceTime(&item.Request, now)
+			if deadlineLeft(item, now) >= time.Duration(minServiceTimesLeft*float64(serviceTime)) {
+				continue
+			}
+			rq.remove(item)
+			refusal := refuseBusy(outcome.ReasonQueueWait, "no server could answer before the deadline", 0)
+			return Decision{Item: item, Refusal: refusal}, true
 		}
-		rq.remove(item)
-		refusal := refuseBusy(outcome.ReasonQueueWait, "no server could answer before the deadline", 0)
-		return Decision{Item: item, Refusal: refusal}, true
 	}
 	return Decision{}, false
 }
@@ -188,9 +166,9 @@
 func (s *Scheduler) dispatchPredictive(servers predictivePicker, rq *rankQueue, items *list.List, now time.Time) (Decision, bool) {
 	sameAsRest := func(item *Item) bool { return item.late && len(item.Exclude) == 0 }
 	return s.dispatchFrom(rq, items, now, sameAsRest, func(item *Item) (*balancer.Reservation, bool) {
-		serviceTime, within := rq.nominalServiceTime(), deadlineLeft(item, now)
+		serviceTime, within := rq.nominalServiceTime(&item.Request, now), deadlineLeft(item, now)
 		if item.late {
-			return servers.PickSpare(now, item.Exclude, serviceTime, within, rq.rank.Target, item.Bytes)
+			return servers.PickSpare(now, item.Exclude, serviceTime, within, rq.targetOf(&item.Request), item.Bytes)
 		}
 		return servers.PickWithin(now, item.Exclude, serviceTime, min(within, rq.targetLeft(item, now)), item.Bytes)
 	})
@@ -206,19 +184,21 @@
 	hedgeSlack = 0.15
 )
 
-// HedgeDelay returns how long a request of the rank may remain unanswered
-// before a second one is sent. It returns false unless servers report their
-// slowdown and the target leaves time for a second attempt.
-func (q *Queue) HedgeDelay(rank string) (time.Duration, bool) {
+// HedgeDelay returns how long a request of the rank, with the target of its
+// route, may remain unanswered before a second one is sent. A target of zero
+// means that of the rank. It returns false unless servers report their slowdown
+// and the target leaves time for a second attempt.
+func (q *Queue) HedgeDelay(rank string, target time.Duration) (time.Duration, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	rq := q.scheduler.queue(rank)
 	if rq == nil || q.scheduler.predictive() == nil {
 		return 0, false
 	}
-	serviceTime := float64(rq.nominalServiceTime())
+	request := &Request{Target: target}
+	serviceTime := float64(rq.nominalServiceTime(request, time.Now()))
 	after := hedgeServiceTimes * serviceTime
-	latest := float64(rq.rank.Target) - (1+hedgeSlack)*serviceTime
+	latest := float64(rq.targetOf(request)) - (1+hedgeSlack)*serviceTime
 	if latest < serviceTime {
 		return 0, false
 	}
--- a/internal/admission/predictive_test.go
+++ b/internal/admission/predictive_test.go
@@ -85,7 +85,7 @@
 	upload := mustEnqueue(t, s, "upload", now)
 	// The initial nominal service time of an upload is 0.35 of its target, five
 	// times that would be too long.
-	s.queue("upload").serviceTime = 110 * time.Millisecond
+	s.queue("upload").estimateOf(&upload.Request).update(now, 800*time.Millisecond, 110*time.Millisecond)
 	granted, _ := decideAll(s, now)
 	if len(granted) != 1 || granted[0] != upload {
 		t.Fatalf("granted %v at slowed servers, want the upload only", granted)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -69,9 +69,10 @@
 	q := g.queue
 	r.Upload = r.Upload || g.item.Upload
 	r.Estimate = g.Reservation.Estimate()
-	q.balancer.Done(g.Reservation, time.Now(), r)
+	now := time.Now()
+	q.balancer.Done(g.Reservation, now, r)
 	q.mu.Lock()
-	q.scheduler.Finish(g.item, r)
+	q.scheduler.Finish(g.item, r, now)
 	waiting := q.scheduler.Waiting() > 0
 	q.mu.Unlock()
 	if waiting {
--- a/internal/admission/rankqueue.go
+++ b/internal/admission/rankqueue.go
@@ -12,15 +12,16 @@
 
 // rankQueue holds the waiting requests of one rank, oldest first.
 type rankQueue struct {
-	rank        tree.Rank
-	items       list.List
-	late        list.List     // those that can no longer meet the target, see predictive.go
-	serviceTime time.Duration // nominal service time, zero while unknown
-	bytes       int64
-	streams     int // uploads in progress
-	granted     int // requests in progress
-	window      window
-	share       float64 // share of the recent dispatches of all ranks
+	rank    tree.Rank
+	items   list.List
+	late    list.List // those that can no longer meet the target, see predictive.go
+	bytes   int64
+	streams int // uploads in progress
+	granted int // requests in progress
+	window  window
+	share   float64 // share of the recent dispatches of all ranks
+
+	serviceTimes map[serviceClass]*serviceTime // see estimate
 
 	interval     time.Duration // mean time between dispatches while requests wait
 	lastDispatch time.Time     // zero unless requests have been waiting since
@@ -86,6 +87,16 @@
 	return time.Duration(waiting+1) * interval
 }
 
+// expectedLateWait estimates how long a request that is late from the start would
+// wait for a spare slot.
+func (rq *rankQueue) expectedLateWait(now time.Time) time.Duration {
+	waiting := rq.late.Len()
+	if waiting == 0 {
+		return 0
+	}
+	return time.Duration(waiting+1) * max(rq.interval, now.Sub(rq.lastDispatch))
+}
+
 // streamsUsedUp reports whether the item is an upload and the rank has no stream
 // left for it.
 func (rq *rankQueue) streamsUsedUp(item *Item) bool {
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -17,6 +17,8 @@
 	Bytes int64
 	// Deadline is when the caller gives up; the zero value means none.
 	Deadline time.Time
+	// Target is the target latency of the request's route; zero uses the rank's.
+	Target time.Duration
 	// Upload counts the request against the rank's streams.
 	Upload bool
 	// Exclude lists the servers that must not get the request, such as those
--- a/internal/attempt/admitter.go
+++ b/internal/attempt/admitter.go
@@ -37,12 +37,12 @@
 
 // HedgeDelay returns the delay of the service's queue if servers report their
 // slowdown, else that of its balancer.
-func (q QueueAdmitter) HedgeDelay(key, rank string) (time.Duration, bool) {
+func (q QueueAdmitter) HedgeDelay(key, rank string, target time.Duration) (time.Duration, bool) {
 	runtime, ok := q.Services.Get(key)
 	if !ok {
 		return 0, false
 	}
-	if delay, ok := runtime.Queue.HedgeDelay(rank); ok {
+	if delay, ok := runtime.Queue.HedgeDelay(rank, target); ok {
 		return delay, true
 	}
 	return runtime.Balancer.HedgeDelay(time.Now())
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -167,6 +167,7 @@
 			Rank:     c.match.Rank.Name,
 			Bytes:    c.bufferedBytes(),
 			Deadline: deadline,
+			Target:   c.match.Route.Target,
 			Upload:   c.match.Route.Upload,
 			Exclude:  c.tried,
 		},
--- a/internal/attempt/hedge_test.go
+++ b/internal/attempt/hedge_test.go
@@ -36,7 +36,7 @@
 	return s, nil
 }
 
-func (s *slowServers) HedgeDelay(string, string) (time.Duration, bool) {
+func (s *slowServers) HedgeDelay(string, string, time.Duration) (time.Duration, bool) {
 	return 50 * time.Millisecond, true
 }
 
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -57,7 +57,7 @@
 	Admit(ctx context.Context, r Request) (Grant, *outcome.Refusal)
 	// HedgeDelay returns how long an idempotent attempt of the rank may remain
 	// unanswered before a second one is worth its cost, and false if none is.
-	HedgeDelay(service, rank string) (time.Duration, bool)
+	HedgeDelay(service, rank string, target time.Duration) (time.Duration, bool)
 }
 
 // Sender sends one attempt to one server.
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -91,6 +91,8 @@
 	MaxBodyBytes int64
 	// Timeout is the default timeout of a call and the maximum that a caller may set.
 	Timeout time.Duration
+	// Target is the target latency of the route's calls; zero uses the rank's.
+	Target time.Duration
 	// MaxAttempts is the maximum number of backend servers that one call is sent to;
 	// zero uses the default of package attempt.
 	MaxAttempts int
