Bound answers without end

Operators reported bytes that are no answer, in a head or a body, until the caller closes. Played against raw servers (status line, no protocol, header line, headers, interim answers, chunk size, extension, chunks, trailers, body past its length or without one). Found: a body without an announced length was read for the whole time of the call (965 MB in 2 s); a probe read a header line without end until its deadline (159 MB in 2 s); net/http logged up to 4 KB of unsolicited bytes to standard error. The rest was bounded: heads by 64 KB, peers by 16 MB, store bodies by 16 MB.

--- /dev/null
+++ b/internal/forward/endless_test.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// endless writes the start and then the filler again and again until the connection is
+// closed, and reports that on closed. It counts what the kernel took.
+type endless struct {
+	start, filler string
+	written       atomic.Int64
+	closed        chan struct{}
+}
+
+func (e *endless) handle(_ int, _ *http.Request, c net.Conn) bool {
+	defer close(e.closed)
+	if _, err := io.WriteString(c, e.start); err != nil {
+		return false
+	}
+	block := strings.Repeat(e.filler, 1+4096/len(e.filler))
+	for {
+		n, err := io.WriteString(c, block)
+		e.written.Add(int64(n))
+		if err != nil {
+			return false
+		}
+	}
+}
+
+// endlessAnswers are answers of servers in trouble that do not end until the caller closes
+// the connection.
+var endlessAnswers = []struct{ name, start, filler string }{
+	{"status line", "HTTP/1.1 200 ", "a"},
+	{"no protocol", "", "\x00\xff"},
+	{"header line", "HTTP/1.1 200 OK\r\nX-Fill: ", "a"},
+	{"headers", "HTTP/1.1 200 OK\r\n", "X-Fill: a\r\n"},
+	{"interim answers", "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+	{"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	{"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=", "a"},
+	{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	{"trailer line", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Fill: ", "a"},
+	{"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Fill: a\r\n"},
+	{"body past its length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "a"},
+	{"body without a length", "HTTP/1.1 200 OK\r\n\r\n", "a"},
+}
+
+// Bytes that are no answer may come without end. The time, the memory and the bytes that
+// they take are bounded, the connection is closed and never used again, and a request to
+// another server is not held up.
+func TestEndlessAnswers(t *testing.T) {
+	const (
+		deadline = 2 * time.Second
+		// Small chunks take up to three times the bytes of their data, and the kernel's
+		// buffers on both sides some megabytes.
+		maxWritten = 3*maxUnknownLengthBytes + 16<<20
+		maxHeap    = 8 << 20
+	)
+	for _, answer := range endlessAnswers {
+		for _, buffered := range []int64{0, 256 << 10} {
+			t.Run(answer.name, func(t *testing.T) {
+				e := &endless{start: answer.start, filler: answer.filler, closed: make(chan struct{})}
+				bad, good := startRawServer(t, e.handle), startRawServer(t, respondWith(okResponse))
+				f := New(Options{MaxBufferedResponseBytes: buffered, CorrelatedResponses: buffered > 0})
+				defer f.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				resp, failure := f.Send(ctx, bad.vm(), ordersMatch(false), newRequest("GET", "/endless", 0), nil)
+				complete := false
+				if failure == nil {
+					_, err := io.Copy(io.Discard, resp.Body)
+					complete = err == nil
+					_ = resp.Body.Close()
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				if complete && answer.name != "body past its length" {
+					t.Error("an answer without end was taken as complete")
+				}
+				if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > maxHeap {
+					t.Errorf("%d B of heap stay in use, want at most %d", grown, maxHeap)
+				}
+				select {
+				case <-e.closed:
+				case <-time.After(deadline):
+					t.Error("the connection is still open after the end of the call")
+				}
+				if n := e.written.Load(); n > maxWritten {
+					t.Errorf("the server got rid of %d B, want at most %d", n, maxWritten)
+				}
+				if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+					t.Error(ctx.Err())
+				}
+				if resp, failure := f.Send(t.Context(), good.vm(), ordersMatch(false), newRequest("GET", "/", 0), nil); failure != nil {
+					t.Errorf("a request to another server failed: %v", failure)
+				} else {
+					_ = resp.Body.Close()
+				}
+			})
+		}
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -35,6 +35,9 @@
 	// maxShedDrainBytes is the largest body of a shed response that is read so
 	// that the connection can be reused.
 	maxShedDrainBytes = 4 << 10
+	// maxUnknownLengthBytes bounds a response body whose length the server did not
+	// announce. A server in trouble may send bytes without end.
+	maxUnknownLengthBytes = 16 << 20
 )
 
 // Options configure a Forwarder.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -18,6 +18,7 @@
 
 var (
 	errExcessBytes     = errors.New("server sent more bytes than the response's length")
+	errEndlessBody     = errors.New("response without an announced length exceeds the limit")
 	errUndelimitedBody = errors.New("response has neither a Content-Length nor chunked encoding, so truncation can't be detected")
 )
 
@@ -114,6 +115,9 @@
 	if err != nil && err != io.EOF {
 		return n, b.fail(err)
 	}
+	if b.length < 0 && b.bytesRead > maxUnknownLengthBytes {
+		return 0, b.fail(errEndlessBody)
+	}
 	if b.length >= 0 && b.bytesRead >= b.length && !b.attempt.opts.CorrelatedResponses && b.attempt.hasExcess(b.length) {
 		return 0, b.fail(errExcessBytes)
 	}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -82,15 +82,18 @@
 	return eventlog.New(out, log.InfoLevel, "vm", s.VM)
 }
 
-// errorLog returns a logger that writes the messages of net/http's servers to events.
+// errorLog returns a logger that writes the messages of net/http to events.
 func errorLog(events *eventlog.Logger) *stdlog.Logger {
 	return stdlog.New(warnWriter{events}, "", 0)
 }
 
 type warnWriter struct{ events *eventlog.Logger }
 
+// maxHTTPErrorBytes bounds a logged message of net/http, which may quote what a server sent.
+const maxHTTPErrorBytes = 200
+
 func (w warnWriter) Write(line []byte) (int, error) {
-	w.events.Warn("http server", "error", string(line))
+	w.events.Warn("net/http", "error", string(line[:min(len(line), maxHTTPErrorBytes)]))
 	return len(line), nil
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,6 +34,9 @@
 		fmt.Fprintln(os.Stderr, "start failed:", err)
 		return exitFailed
 	}
+	// net/http's transport writes to the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(warnWriter{e.params.Events})
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			break
