Test entry with the new signature, sparse heartbeats and preferred servers

An entry far back in the order of a server left a free slot unused for up to 0.7 s. Change: beyond 200 members only every third heartbeat is sent, and each that announces a new status; readers of the store announce new versions to all zones at once. Relays are computed when members change. In a service of more than 32 servers an entry prefers the 12 nearest in whose order it comes first, while their score is low; 40 positions are staggered at most.

--- a/internal/balancer/entryorder.go
+++ b/internal/balancer/entryorder.go
@@ -14,6 +14,10 @@
 	// staggerInterval is the time between two entries of the order: the transfer and the
 	// handling of a datagram.
 	staggerInterval = 1500 * time.Microsecond
+	// maxStaggered is the number of positions that are staggered. Entries further back
+	// send together with the last of them: in a large cluster few of them want the slot,
+	// and a slot must not stay free for the time that hundreds of positions take.
+	maxStaggered = 40
 	// lastPositionCost is the cost of the last position in a server's order, in nominal
 	// service times: of servers with equal scores, entries prefer different ones.
 	lastPositionCost = 0.3
@@ -38,13 +42,18 @@
 // mustWait reports whether entries earlier in the order still have the first claim on a
 // free slot.
 func (o *entryOrder) mustWait(now int64) bool {
-	return now-o.lastFullAt.Load() < int64(o.position.Load())*int64(staggerInterval)
+	return now-o.lastFullAt.Load() < int64(min(o.position.Load(), maxStaggered))*int64(staggerInterval)
 }
 
 // SetEntryOrder sets this entry's position in the order of each server. position returns
 // it for a server, from 0 to entries-1.
 func (b *Balancer) SetEntryOrder(position func(server string) int, entries int) {
-	for _, be := range b.snapshot.Load().backends {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := *b.snapshot.Load()
+	for _, be := range next.backends {
 		be.entryOrder.set(position(be.vm.Name), entries)
 	}
+	next.preferred = preferredBackends(next.backends)
+	b.snapshot.Store(&next)
 }
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -1,6 +1,9 @@
 package balancer
 
 import (
+	"cmp"
+	"slices"
+
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -27,7 +30,10 @@
 
 // snapshot is an immutable set of servers with the service's limits.
 type snapshot struct {
-	backends     []*backend
+	backends []*backend
+	// preferred are the servers that this entry tries first in a large service, so that
+	// its connections to them are used again; empty in a small one.
+	preferred    []*backend
 	slots        int
 	maxPerServer int // maximum requests of this entry in progress at one server
 }
@@ -67,9 +73,38 @@
 		}
 		n.backends = append(n.backends, be)
 	}
+	n.preferred = preferredBackends(n.backends)
 	return n
 }
 
+const (
+	// preferredServers is the number of servers that an entry prefers in a large service.
+	// An entry that sends some requests a second then uses each of them again before an
+	// idle connection to it is closed.
+	preferredServers = 12
+	// maxPreferredScore is the score up to which a preferred server is taken without a
+	// look at others: below that of a server that is slowed or past its knee.
+	maxPreferredScore = 0.6
+)
+
+// preferredBackends returns the nearest servers, and of equally near ones those in whose
+// order this entry comes first, so that each entry prefers others. It returns none in a
+// small service.
+func preferredBackends(backends []*backend) []*backend {
+	if len(backends) <= maxFirstScan {
+		return nil
+	}
+	sorted := slices.Clone(backends)
+	slices.SortFunc(sorted, func(a, b *backend) int {
+		return cmp.Or(
+			cmp.Compare(a.localityCost, b.localityCost),
+			cmp.Compare(a.entryOrder.position.Load(), b.entryOrder.position.Load()),
+			cmp.Compare(a.nameHash, b.nameHash),
+		)
+	})
+	return slices.Clone(sorted[:preferredServers])
+}
+
 // backend returns the backend with that name, or nil.
 func (s *snapshot) backend(name string) *backend {
 	for _, be := range s.backends {
@@ -98,10 +133,18 @@
 const maxFirstScan = 32
 
 // best returns the backend with the lowest estimated load that has a free slot, and the
-// reservation mask that it was scored with, or nil. Of backends with equal load it is the
+// reservation mask that it was scored with, or nil. A preferred backend with a low load
+// comes before all others. Of backends with equal load it is the
 // first one from the given index on. If the first maxFirstScan backends have no free slot,
 // it scans all.
 func (s *snapshot) best(from int, p *pickParams, exclude []string) (*backend, uint32) {
+	if len(s.preferred) > 0 {
+		limited := *p
+		limited.maxLoad = min(p.maxLoad, maxPreferredScore)
+		if be, reservationMask, _ := scan(s.preferred, from%len(s.preferred), len(s.preferred), s.maxPerServer, &limited, exclude, false); be != nil {
+			return be, reservationMask
+		}
+	}
 	if len(s.backends) > maxFirstScan {
 		if be, reservationMask := s.bestOf(from, maxFirstScan, p, exclude); be != nil {
 			return be, reservationMask
@@ -113,9 +156,9 @@
 // bestOf scans count backends. It leaves out suspended ones unless there are too many of
 // them.
 func (s *snapshot) bestOf(from, count int, p *pickParams, exclude []string) (*backend, uint32) {
-	be, reservationMask, suspended := s.scan(from, count, p, exclude, false)
+	be, reservationMask, suspended := scan(s.backends, from, count, s.maxPerServer, p, exclude, false)
 	if tooManySuspended(suspended, count) {
-		be, reservationMask, _ = s.scan(from, count, p, exclude, true)
+		be, reservationMask, _ = scan(s.backends, from, count, s.maxPerServer, p, exclude, true)
 	}
 	return be, reservationMask
 }
@@ -125,14 +168,14 @@
 }
 
 // scan returns the best of count backends and how many of them are suspended.
-func (s *snapshot) scan(from, count int, p *pickParams, exclude []string, includeSuspended bool) (best *backend, bestReservationMask uint32, suspended int) {
+func scan(backends []*backend, from, count, maxPerServer int, p *pickParams, exclude []string, includeSuspended bool) (best *backend, bestReservationMask uint32, suspended int) {
 	lowestLoad := p.maxLoad
 	for i := range count {
 		n := from + i
-		if n >= len(s.backends) {
-			n -= len(s.backends)
+		if n >= len(backends) {
+			n -= len(backends)
 		}
-		be := s.backends[n]
+		be := backends[n]
 		reservationMask := be.reserved.Load()
 		if be.suspended(reservationMask, p.now) {
 			suspended++
@@ -140,7 +183,7 @@
 				continue
 			}
 		}
-		if !be.accepts(reservationMask, s.maxPerServer) || excluded(exclude, be.vm.Name) || be.full(reservationMask, p) || be.exceedsMaxStretch(reservationMask, p) || be.neededForTargets(reservationMask, p) {
+		if !be.accepts(reservationMask, maxPerServer) || excluded(exclude, be.vm.Name) || be.full(reservationMask, p) || be.exceedsMaxStretch(reservationMask, p) || be.neededForTargets(reservationMask, p) {
 			continue
 		}
 		if load := be.load(reservationMask, p); load < lowestLoad {
--- a/internal/cluster/hello.go
+++ b/internal/cluster/hello.go
@@ -23,6 +23,8 @@
 	// maxDirectRequests bounds the hellos requested from unknown senders within
 	// helloInterval. Others are learned of by exchanges.
 	maxDirectRequests = 4
+	// localSyncShare is the share of exchanges with members of the own zone.
+	localSyncShare = 0.75
 	// maxSeedInterval bounds the interval between two hellos to a seed, which doubles
 	// with each of them.
 	maxSeedInterval = 4 * time.Second
@@ -198,15 +200,20 @@
 }
 
 // syncPartner returns a random live member to exchange members with, and false if no
-// exchange is due.
+// exchange is due. Most are of this availability zone, as traffic between zones has a
+// price; the others connect the zones.
 func (n *Node) syncPartner(now time.Time) (netip.AddrPort, bool) {
 	live := n.View().Live
+	neighbours := n.relayTable().neighbours
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.syncWanted || len(live) < 2 || now.Sub(n.lastExchange) < syncInterval {
 		return netip.AddrPort{}, false
 	}
 	partner := live[rand.IntN(len(live))].DatagramAddress
+	if len(neighbours) > 0 && rand.Float64() < localSyncShare {
+		partner = neighbours[rand.IntN(len(neighbours))]
+	}
 	if partner == n.options.Self.DatagramAddress {
 		return netip.AddrPort{}, false // still due at the next heartbeat
 	}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -42,6 +42,13 @@
 	StoreReadAge time.Duration
 }
 
+// sameAnnouncement reports whether both statuses say the same to other members, apart from
+// the age of the last read of the store.
+func (s Status) sameAnnouncement(other Status) bool {
+	s.StoreReadAge = other.StoreReadAge
+	return s == other
+}
+
 // LiveMember is a member whose last heartbeat is recent.
 type LiveMember struct {
 	Member
--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -123,7 +123,9 @@
 	n.done.Go(func() { _ = n.Receive() })
 	n.done.Go(func() {
 		RunEvery(ctx, heartbeatInterval, func(_ context.Context, now time.Time) {
-			n.SendHeartbeat(&Heartbeat{Status: Status{Ready: true}}, now)
+			if status := (Status{Ready: true}); n.HeartbeatDue(status) {
+				n.SendHeartbeat(&Heartbeat{Status: status}, now)
+			}
 		})
 	})
 	return n
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -78,6 +78,8 @@
 	view         atomic.Pointer[View]
 	sequence     atomic.Uint64
 	relayCounter atomic.Uint64 // rotates over the relays of other zones
+	// relayAddresses is derived from view, nil before its first use; see relayTable.
+	relayAddresses atomic.Pointer[relayTable]
 
 	mu      sync.Mutex // guards the fields below
 	members map[netip.AddrPort]*memberState
@@ -96,6 +98,7 @@
 	lastChange, lastSync time.Time
 	syncBackoff          time.Duration // doubles while the sets stay different
 	heartbeats           int           // sent by SendHeartbeat
+	intervals            int           // counted by HeartbeatDue
 	relaying             relayState
 }
 
@@ -128,17 +131,32 @@
 	n.broadcast(n.encode(hb), now)
 }
 
+// HeartbeatDue reports whether this regular interval has a heartbeat with the status, and
+// counts it. In a very large cluster only every sparseEvery-th interval has, and each at
+// which the status has changed. It must be called once an interval, and not concurrently
+// with itself.
+func (n *Node) HeartbeatDue(status Status) bool {
+	n.intervals++
+	if !n.View().isSparse() || n.intervals%sparseEvery == 0 {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !status.sameAnnouncement(n.status)
+}
+
 // SendHeartbeat sends a heartbeat to all live members, and hellos to seeds and silent
 // members where they are due. It fills in the incarnation, sequence and members hash of
 // the heartbeat.
 func (n *Node) SendHeartbeat(hb *Heartbeat, now time.Time) {
 	n.mu.Lock()
+	announces := !hb.sameAnnouncement(n.status) && hb.StoreReadAge < announceAge
 	n.status = hb.Status
 	n.mu.Unlock()
 	n.Refresh(now)
 	parts := n.encode(hb)
 	n.broadcast(parts, now)
-	n.sendCrossZone(parts)
+	n.sendCrossZone(parts, announces)
 	n.sendDueHellos(now)
 }
 
--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -23,16 +23,26 @@
 const (
 	// maxFullMesh is the number of members up to which each heartbeat goes to all.
 	maxFullMesh = 40
+	// maxFrequent is the number of members up to which each of them sends a heartbeat at
+	// each interval. Beyond it, the heartbeats that every member has to read would take
+	// the greater part of a small VM's processor time; only every sparseEvery-th is sent.
+	maxFrequent = 200
+	sparseEvery = 3
 	// crossZoneEvery sends every third heartbeat to the other zones in a large cluster,
-	// which is one per 200 ms.
+	// which is one per 200 ms, or 600 ms beyond maxFrequent members.
 	crossZoneEvery = 3
 	// crossZoneTimeout is the liveness timeout for members of other zones in a large
-	// cluster. It spans a dozen cross-zone heartbeats.
+	// cluster. It spans a dozen cross-zone heartbeats, or four beyond maxFrequent members.
 	crossZoneTimeout = 2500 * time.Millisecond
-	// batchInterval is how long a relay gathers heartbeats in a large cluster, and
-	// smallBatchInterval in a small one, where there are fewer of them.
-	batchInterval      = 10 * time.Millisecond
-	smallBatchInterval = 4 * time.Millisecond
+	// sparseTimeout is the liveness timeout within the zone beyond maxFrequent members. It
+	// spans six heartbeats.
+	sparseTimeout = 1200 * time.Millisecond
+	// batchInterval is how long a relay gathers heartbeats in a large cluster,
+	// sparseBatchInterval beyond maxFrequent members, and smallBatchInterval in a small
+	// cluster, where there are fewer of them.
+	batchInterval       = 10 * time.Millisecond
+	sparseBatchInterval = 25 * time.Millisecond
+	smallBatchInterval  = 4 * time.Millisecond
 	// maxBatchBytes bounds a batch. A full batch is sent before the interval ends.
 	maxBatchBytes = 4 << 10
 	// relayTimeout is how long a relay may send no batch before another one is used:
@@ -46,6 +56,47 @@
 // usesRelays reports whether the cluster is too large for a full mesh.
 func (v *View) usesRelays() bool { return len(v.Live) > maxFullMesh }
 
+// isSparse reports whether members send only every sparseEvery-th heartbeat.
+func (v *View) isSparse() bool { return len(v.Live) > maxFrequent }
+
+// relayTable holds addresses derived from a view. It is immutable and stays valid while
+// the live members and those that are leaving are the same.
+type relayTable struct {
+	liveHash, assignmentHash uint32
+	relays                   map[string][]netip.AddrPort // by zone, the highest weight first
+	zones                    []string                    // other zones than the node's own
+	neighbours               []netip.AddrPort            // members of the own zone, without the node
+}
+
+// relayTable returns the table for the current view.
+func (n *Node) relayTable() *relayTable {
+	v := n.View()
+	t := n.relayAddresses.Load()
+	if t != nil && t.liveHash == v.liveHash && t.assignmentHash == v.assignmentHash {
+		return t
+	}
+	t = &relayTable{liveHash: v.liveHash, assignmentHash: v.assignmentHash, relays: map[string][]netip.AddrPort{}}
+	self := &n.options.Self
+	for i := range v.Live {
+		m := &v.Live[i]
+		if _, known := t.relays[m.Zone]; !known {
+			addresses := []netip.AddrPort{}
+			for _, relay := range v.relays(m.Zone) {
+				addresses = append(addresses, relay.DatagramAddress)
+			}
+			t.relays[m.Zone] = addresses
+			if m.Zone != self.Zone {
+				t.zones = append(t.zones, m.Zone)
+			}
+		}
+		if m.Zone == self.Zone && m.DatagramAddress != self.DatagramAddress {
+			t.neighbours = append(t.neighbours, m.DatagramAddress)
+		}
+	}
+	n.relayAddresses.Store(t)
+	return t
+}
+
 // relays returns the members of a zone that may relay, the highest weight first.
 func (v *View) relays(zone string) []*LiveMember {
 	var found []*LiveMember
@@ -78,27 +129,28 @@
 
 // timeoutOf returns how long after its last heartbeat the member counts as live.
 func (n *Node) timeoutOf(m *LiveMember) time.Duration {
-	if n.isDirect(n.View(), m) {
+	v := n.View()
+	switch {
+	case !n.isDirect(v, m):
+		return crossZoneTimeout
+	case v.isSparse():
+		return sparseTimeout
+	default:
 		return livenessTimeout
 	}
-	return crossZoneTimeout
 }
 
 // broadcast sends the parts of a heartbeat to all members, or in a large cluster to the
 // relay of this zone.
 func (n *Node) broadcast(parts [][]byte, now time.Time) {
-	v := n.View()
-	if v.usesRelays() {
-		n.sendToRelay(v, parts, now)
+	if n.View().usesRelays() {
+		n.sendToRelay(parts, now)
 		return
 	}
-	for i := range v.Live {
-		m := &v.Live[i]
-		if m.Zone == n.options.Self.Zone && m.DatagramAddress != n.options.Self.DatagramAddress {
-			n.sendParts(m.DatagramAddress, parts)
-		}
+	for _, to := range n.relayTable().neighbours {
+		n.sendParts(to, parts)
 	}
-	n.sendToOtherZones(v, parts)
+	n.sendToOtherZones(parts)
 }
 
 func (n *Node) sendParts(to netip.AddrPort, parts [][]byte) {
@@ -107,8 +159,8 @@
 	}
 }
 
-func (n *Node) sendToRelay(v *View, parts [][]byte, now time.Time) {
-	to := n.zoneRelay(v, now)
+func (n *Node) sendToRelay(parts [][]byte, now time.Time) {
+	to := n.zoneRelay(now)
 	for _, part := range parts {
 		if to == n.options.Self.DatagramAddress {
 			n.relay(to, part)
@@ -120,58 +172,57 @@
 
 // zoneRelay returns the address of the first relay of this zone that sends batches,
 // this node's own if there is none before it in the order.
-func (n *Node) zoneRelay(v *View, now time.Time) netip.AddrPort {
+func (n *Node) zoneRelay(now time.Time) netip.AddrPort {
+	relays := n.relayTable().relays[n.options.Self.Zone]
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	state := &n.relaying
-	for _, m := range v.relays(n.options.Self.Zone) {
-		if m.DatagramAddress == n.options.Self.DatagramAddress {
-			return m.DatagramAddress
+	for _, address := range relays {
+		if address == n.options.Self.DatagramAddress {
+			return address
 		}
 		// A relay that timed out is used again once it sends a batch. It sends at least
 		// its own heartbeats, as it selects itself as the relay.
-		if state.usedSince[m.DatagramAddress].IsZero() {
-			state.usedSince[m.DatagramAddress] = now
+		if state.usedSince[address].IsZero() {
+			state.usedSince[address] = now
 		}
-		last := state.lastBatch[m.DatagramAddress]
-		if last.Before(state.usedSince[m.DatagramAddress]) {
-			last = state.usedSince[m.DatagramAddress]
+		last := state.lastBatch[address]
+		if last.Before(state.usedSince[address]) {
+			last = state.usedSince[address]
 		}
 		if now.Sub(last) < relayTimeout {
-			return m.DatagramAddress
+			return address
 		}
 	}
 	return n.options.Self.DatagramAddress
 }
 
-// sendCrossZone sends every crossZoneEvery-th heartbeat to a relay of each other zone
-// in a large cluster.
-func (n *Node) sendCrossZone(parts [][]byte) {
-	v := n.View()
+// announceAge is the age of a member's last read of the store up to which it announces new
+// versions to all zones at once. Members that got them from others need not.
+const announceAge = 2 * time.Second
+
+// sendCrossZone sends every crossZoneEvery-th heartbeat, and each that announces new
+// versions, to a relay of each other zone in a large cluster.
+func (n *Node) sendCrossZone(parts [][]byte, announces bool) {
 	n.heartbeats++
-	if v.usesRelays() && n.heartbeats%crossZoneEvery == 0 {
-		n.sendToOtherZones(v, parts)
+	if n.View().usesRelays() && (announces || n.heartbeats%crossZoneEvery == 0) {
+		n.sendToOtherZones(parts)
 	}
 }
 
 // sendToOtherZones sends the parts to a relay of each other zone. It rotates over
 // relaysPerZone relays of a zone.
-func (n *Node) sendToOtherZones(v *View, parts [][]byte) {
+func (n *Node) sendToOtherZones(parts [][]byte) {
 	counter := int(n.relayCounter.Add(1))
-	zones := map[string]bool{n.options.Self.Zone: true}
-	for i := range v.Live {
-		zone := v.Live[i].Zone
-		if zones[zone] {
-			continue
-		}
-		zones[zone] = true
-		relays := v.relays(zone)
+	t := n.relayTable()
+	for _, zone := range t.zones {
+		relays := t.relays[zone]
 		if len(relays) == 0 {
 			continue
 		}
 		to := relays[counter%min(relaysPerZone, len(relays))]
 		for _, part := range parts {
-			n.send(to.DatagramAddress, append([]byte{kindRelay}, part...))
+			n.send(to, append([]byte{kindRelay}, part...))
 		}
 	}
 }
@@ -186,7 +237,10 @@
 		n.receive(from, part)
 	}
 	interval := smallBatchInterval
-	if n.View().usesRelays() {
+	switch v := n.View(); {
+	case v.isSparse():
+		interval = sparseBatchInterval
+	case v.usesRelays():
 		interval = batchInterval
 	}
 	n.mu.Lock()
@@ -219,12 +273,8 @@
 	if len(batch) == 0 {
 		return
 	}
-	v := n.View()
-	for i := range v.Live {
-		m := &v.Live[i]
-		if m.Zone == n.options.Self.Zone && m.DatagramAddress != n.options.Self.DatagramAddress {
-			n.send(m.DatagramAddress, batch)
-		}
+	for _, to := range n.relayTable().neighbours {
+		n.send(to, batch)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -262,21 +262,30 @@
 	e.params.Callbacks.applyMembers(now)
 	e.params.LoadSync.Round(ctx, now)
 	e.rounds++
-	if e.rounds%heartbeatRounds == 0 {
-		e.sendHeartbeat(time.Now())
+	if e.rounds%heartbeatRounds != 0 {
+		return
+	}
+	now = time.Now()
+	if status := e.status(now); e.params.Node.HeartbeatDue(status) {
+		e.sendHeartbeat(status, now)
 	}
 }
 
-// sendHeartbeat sends the status of this entry and the new load reports to the other
-// entries.
-func (e *Entry) sendHeartbeat(now time.Time) {
-	hb := &cluster.Heartbeat{Status: cluster.Status{
+// status returns what this entry announces about itself.
+func (e *Entry) status(now time.Time) cluster.Status {
+	return cluster.Status{
 		Ready:          e.Ready(),
 		Leaving:        e.params.Drainer.Draining(),
 		Revision:       e.params.StoreSync.Revision(),
 		ServersVersion: e.params.StoreSync.ServersVersion(),
 		StoreReadAge:   e.params.StoreSync.StoreReadAge(now),
-	}}
+	}
+}
+
+// sendHeartbeat sends the status of this entry and the new load reports to the other
+// entries.
+func (e *Entry) sendHeartbeat(status cluster.Status, now time.Time) {
+	hb := &cluster.Heartbeat{Status: status}
 	e.params.LoadSync.Collect(hb, now)
 	e.params.Node.SendHeartbeat(hb, now)
 }
