Stagger the waits of the two readers of the configuration

Cause: both readers' waiting reads end at the same time once an append has woken them. Change: the waits end at different times of a common period.

--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -217,13 +217,28 @@
 		s.readConfig(ctx, 0)
 	}
 	for ctx.Err() == nil {
-		if s.readerPosition() < activeReaders && s.readConfig(ctx, configWait) {
+		position := s.readerPosition()
+		if position < activeReaders && s.readConfig(ctx, staggeredWait(position, time.Now())) {
 			continue
 		}
 		sleep(ctx, configRetryPause+rand.N(configRetryPause))
 	}
 }
 
+// staggeredWait returns the wait of a reader's next read of the configuration. The waits of
+// both readers end at different times of a common period, so that one of them begins a
+// read at least every half of configWait. The time of day only sets these times; if it
+// differs between VMs, they are less even.
+func staggeredWait(position int, now time.Time) time.Duration {
+	const minWait = configWait / 24
+	phase := time.Duration(now.UnixNano()) + time.Duration(position)*configWait/activeReaders
+	wait := configWait - phase%configWait
+	if wait < minWait {
+		wait += configWait
+	}
+	return wait
+}
+
 // readConfig reads and applies the configuration and reports whether the read
 // succeeded.
 func (s *Syncer) readConfig(ctx context.Context, wait time.Duration) bool {
