Keep ages and deadlines by the monotonic clock

Cause: the balancer and the store's syncer kept times as Unix nanoseconds, which jump when the time of day is set. After it was set back by 5 s, reports counted as older than the last one, a server that had been full got no request, and ejections lasted 5 s longer; after a step forward the store's last read seemed 5 s old, which defers removals of servers. Found by looking through every use of the time of day on the platform's path. Change: package steady converts times by the monotonic clock.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -14,10 +14,12 @@
 	"sync/atomic"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/fleet"
-	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 // Options are the settings of a Balancer.
@@ -104,7 +106,7 @@
 func (b *Balancer) UpdateAt(now time.Time, servers []fleet.VM, svc *tree.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	next := b.snapshot.Load().next(servers, svc, b.options.Zone, now.UnixNano())
+	next := b.snapshot.Load().next(servers, svc, b.options.Zone, steady.Nanos(now))
 	next.maxPerServer = reservationLimit(next.slots, svc.ConnectionsPerServer, b.options.Entries())
 	b.snapshot.Store(next)
 }
@@ -171,7 +173,7 @@
 func (b *Balancer) pickParams(s *snapshot, now time.Time, maxLoad float64) pickParams {
 	mean := b.meanPeerRequests.value()
 	return pickParams{
-		now:              now.UnixNano(),
+		now:              steady.Nanos(now),
 		overdueAfter:     b.overdueAfter(),
 		maxLoad:          maxLoad,
 		inverseLatency:   b.inverseLatency(),
--- a/internal/balancer/done.go
+++ b/internal/balancer/done.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
 // Done ends the reservation and records the result of the attempt. It must be called
@@ -45,7 +46,7 @@
 		return
 	}
 	snapshot := b.snapshot.Load()
-	if tooManySuspended(snapshot.suspended(now.UnixNano()), len(snapshot.backends)) {
+	if tooManySuspended(snapshot.suspended(steady.Nanos(now)), len(snapshot.backends)) {
 		metrics.Count(b.options.Scope, metrics.Ejections, "ignored_past_cap")
 		return
 	}
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
 const (
@@ -45,7 +47,7 @@
 
 // penalize makes a failed or shed request count as in progress for that long.
 func (h *health) penalize(now time.Time, length time.Duration) {
-	until := now.Add(length).UnixNano()
+	until := steady.Nanos(now.Add(length))
 	h.failedUntil.Store(until)
 	h.penalizedUntil.Store(max(until, h.penalizedUntil.Load()))
 }
@@ -55,13 +57,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.errorShare += errorWeight * (1 - h.errorShare)
-	ejected := h.ejectedUntil.Load() > now.UnixNano()
+	ejected := h.ejectedUntil.Load() > steady.Nanos(now)
 	if ejected || h.errorShare <= ejectionThreshold && !h.halfOpen.Load() {
 		return false
 	}
 	length := min(minEjection<<h.consecutiveEjections, maxEjection)
 	h.consecutiveEjections = min(h.consecutiveEjections+1, maxDoublings)
-	h.ejectedUntil.Store(now.Add(length).UnixNano())
+	h.ejectedUntil.Store(steady.Nanos(now.Add(length)))
 	h.halfOpen.Store(true)
 	return true
 }
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
 // Estimate is the load and response time that the choice of a server was based on, for
@@ -43,16 +45,16 @@
 
 // applyReport applies a load report and returns the requests of other entries by it.
 func (be *backend) applyReport(r Report, ownRequests int, now time.Time) float64 {
-	age := now.UnixNano() - be.report.receivedAt.Load()
+	age := steady.Nanos(now) - be.report.receivedAt.Load()
 	be.speed.update(r.Slowdown, time.Duration(max(age, 0)))
-	return be.report.update(r, ownRequests, now.UnixNano())
+	return be.report.update(r, ownRequests, steady.Nanos(now))
 }
 
 // AddReport applies a load report received at that time by another entry or by a probe
 // of this entry. A report that is not newer than the last one is ignored.
 func (b *Balancer) AddReport(server string, at time.Time, r Report) {
 	be := b.snapshot.Load().backend(server)
-	if be == nil || at.UnixNano() <= be.report.receivedAt.Load() {
+	if be == nil || steady.Nanos(at) <= be.report.receivedAt.Load() {
 		return
 	}
 	b.reporting.Store(true)
@@ -78,7 +80,7 @@
 	if be == nil {
 		return
 	}
-	if counts.Sent > 0 && at.UnixNano() > be.report.receivedAt.Load() {
+	if counts.Sent > 0 && steady.Nanos(at) > be.report.receivedAt.Load() {
 		be.report.addPeerRequests(float64(counts.Sent))
 	}
 	now := time.Now()
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
 // staleReportAge is the age of the last report from which a probe is worth its cost.
@@ -18,7 +19,7 @@
 // again before staleReportAge has passed.
 func (b *Balancer) ProbeNext(now time.Time) (fleet.VM, bool) {
 	var stalest *backend
-	updatedBefore := now.Add(-staleReportAge).UnixNano()
+	updatedBefore := steady.Nanos(now.Add(-staleReportAge))
 	for _, be := range b.snapshot.Load().backends {
 		if updated := max(be.report.receivedAt.Load(), be.probedAt.Load()); updated <= updatedBefore {
 			stalest, updatedBefore = be, updated
@@ -27,7 +28,7 @@
 	if stalest == nil {
 		return fleet.VM{}, false
 	}
-	stalest.probedAt.Store(now.UnixNano())
+	stalest.probedAt.Store(steady.Nanos(now))
 	return stalest.vm, true
 }
 
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -12,6 +12,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
 const (
@@ -178,7 +179,7 @@
 // not block.
 func (s *Syncer) ObservePeer(m cluster.LiveMember) {
 	if m.Revision > s.Revision() {
-		s.newerSeenAt.Store(time.Now().UnixNano())
+		s.newerSeenAt.Store(steady.Nanos(time.Now()))
 	}
 	if m.Revision <= s.Revision() && m.ServersVersion <= s.ServersVersion() {
 		return
@@ -193,7 +194,7 @@
 // one within the last behindTime.
 func (s *Syncer) IsBehind() bool {
 	at := s.newerSeenAt.Load()
-	return at != 0 && at > s.appliedAt.Load() && time.Since(time.Unix(0, at)) < behindTime
+	return at != 0 && at > s.appliedAt.Load() && time.Since(steady.Time(at)) < behindTime
 }
 
 // pullFromPeers runs the scheduled pulls until ctx is done.
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -14,6 +14,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
@@ -98,7 +99,7 @@
 	if at == 0 {
 		return now.Sub(s.started) + neverReadAge
 	}
-	return max(now.Sub(time.Unix(0, at)), 0)
+	return max(now.Sub(steady.Time(at)), 0)
 }
 
 // neverReadAge is added to the store read age before the first read.
@@ -146,7 +147,7 @@
 	s.options.OnTree(t)
 	s.revision.Store(t.Revision)
 	now := time.Now()
-	s.appliedAt.Store(now.UnixNano())
+	s.appliedAt.Store(steady.Nanos(now))
 	s.count("config_applied")
 	s.options.Events.Info("configuration in force", "revision", t.Revision, "offset", r.Offset, "source", source,
 		"bytes", len(r.Value), "apply_ms", now.Sub(began).Milliseconds())
@@ -197,7 +198,7 @@
 	if age := s.StoreReadAge(now); age > outageThreshold && s.lastContact.Load() != 0 {
 		s.options.Events.Info("store regained", "age_ms", age.Milliseconds())
 	}
-	s.lastContact.Store(now.UnixNano())
+	s.lastContact.Store(steady.Nanos(now))
 }
 
 func (s *Syncer) storeFailed(operation string, err error) {
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -13,6 +13,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
@@ -200,7 +201,7 @@
 	s.log.put("b", "live 1")
 	s.log.put("c", "leaving 1")
 	s.readServers(t.Context())
-	s.lastContact.Store(time.Now().Add(-5 * time.Second).UnixNano())
+	s.lastContact.Store(steady.Nanos(time.Now().Add(-5 * time.Second)))
 	for _, key := range []string{"a", "b", "c"} {
 		s.log.put(key, "")
 	}
@@ -225,7 +226,7 @@
 func TestTurnsToRead(t *testing.T) {
 	s := newTestSyncer()
 	now := time.Now()
-	s.lastContact.Store(now.Add(-10 * time.Second).UnixNano())
+	s.lastContact.Store(steady.Nanos(now.Add(-10 * time.Second)))
 	s.live[0].LastSeen = now
 	for i := range 9 {
 		s.live = append(s.live, cluster.LiveMember{
