--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -25,6 +25,9 @@
 	// ResetBeforeRun resets the connection without running the request, as a full
 	// server does.
 	ResetBeforeRun Behaviour = "full"
+	// HangUnrun neither runs the request nor responds, and ignores the connection from
+	// then on, as some full servers do.
+	HangUnrun Behaviour = "mute_when_full"
 	// ResetAfterRun runs the request and resets the connection.
 	ResetAfterRun Behaviour = "lose_answer"
 	// HangAfterRun runs the request and never responds.
@@ -83,6 +86,7 @@
 	state        string
 	sequence     int
 	runs         []Run
+	hung         int    // requests that hang unrun on an open connection
 	previousID   string // request id of the previous request, for StaleResponse
 }
 
@@ -238,11 +242,37 @@
 	case ResetBeforeRun:
 		resetConnection(w)
 		return
+	case HangUnrun:
+		s.hang(r)
+		return
 	}
 	s.run(r, id, len(body))
 	s.respond(w, r, behaviour, id)
 }
 
+// hang waits until the caller closes the connection or the server stops.
+func (s *Server) hang(r *http.Request) {
+	s.countHung(1)
+	defer s.countHung(-1)
+	select {
+	case <-r.Context().Done():
+	case <-s.stop:
+	}
+}
+
+func (s *Server) countHung(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hung += n
+}
+
+// Hung returns the number of requests that hang unrun on a connection that is still open.
+func (s *Server) Hung() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hung
+}
+
 func (s *Server) serveHealth(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
