Show where a route's requests go

Users of the large site could not tell from outside which servers get order-place. An entry serves /traffic on its metrics address: for a route (host, method, path) or for all services each backend server with what the entry sent, what is in flight, its state and the age of the last report. chestnutctl traffic sums it over entries, as text or JSON. The page is bounded by the servers of the configuration, as a counter for each server that ever was would not be.

--- a/internal/balancer/backend.go
+++ b/internal/balancer/backend.go
@@ -39,9 +39,10 @@
 	speed        speed
 	shedShare    ewma // share of requests that the server shed
 	entryOrder   entryOrder
-	nameHash     uint64       // hash of vm.Name
-	joinedAt     int64        // nanoseconds since the Unix epoch; zero if it was in the first set of servers
-	probedAt     atomic.Int64 // nanoseconds since the Unix epoch
+	nameHash     uint64        // hash of vm.Name
+	joinedAt     int64         // nanoseconds since the Unix epoch; zero if it was in the first set of servers
+	probedAt     atomic.Int64  // nanoseconds since the Unix epoch
+	sent         atomic.Uint64 // requests sent by this entry
 	vm           fleet.VM
 	reservations [maxReservations]Reservation
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -144,6 +144,7 @@
 			return nil, false
 		}
 		if reservation, ok := be.reserve(reservationMask, p.now); ok {
+			be.sent.Add(1)
 			reservation.estimate = be.estimate(reservationMask, p)
 			b.options.Observer.Sent(be.vm.Name, b.peersWantSlot(be, p))
 			return reservation, true
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -35,6 +35,7 @@
 	wait      bool
 	dryRun    bool
 	remove    bool
+	traffic   TrafficOptions
 }
 
 // parse parses the command line. On an unknown flag, flaggy prints the help and
@@ -93,7 +94,13 @@
 	status := subcommand("status", "show what entries report")
 	status.AddPositionalValue(&cmd.argument, "address", 1, false, "status address of one entry; default all live ones")
 
-	all := []*flaggy.Subcommand{check, publish, approve, show, history, status}
+	traffic := subcommand("traffic", "show which backend servers entries on the users' platform send a route's requests to")
+	traffic.AddPositionalValue(&cmd.argument, "addresses", 1, true, "metrics addresses of entries, comma separated")
+	traffic.String(&cmd.traffic.Host, "", "host", "host of the route; default all services")
+	traffic.String(&cmd.traffic.Path, "", "path", "path of the route")
+	traffic.String(&cmd.traffic.Method, "m", "method", "method of the route; default GET")
+
+	all := []*flaggy.Subcommand{check, publish, approve, show, history, status, traffic}
 	for _, sub := range all {
 		parser.AttachSubcommand(sub, 1)
 	}
@@ -110,7 +117,7 @@
 // which of them the command needs.
 func (cmd *command) validate() error {
 	if cmd.name == "" {
-		return &UsageError{Detail: "name a command: check, publish, approve, show, history or status"}
+		return &UsageError{Detail: "name a command: check, publish, approve, show, history, status or traffic"}
 	}
 	if cmd.branch != "" {
 		if _, err := tree.ParseBranch(cmd.branch); err != nil {
@@ -125,7 +132,10 @@
 			return &UsageError{Detail: "--publisher: " + err.Error()}
 		}
 	}
-	needsPlatform := cmd.name != "check" && (cmd.name != "status" || cmd.argument == "")
+	if cmd.traffic.Path != "" && cmd.traffic.Host == "" {
+		return &UsageError{Detail: "--path needs --host"}
+	}
+	needsPlatform := cmd.name != "check" && cmd.name != "traffic" && (cmd.name != "status" || cmd.argument == "")
 	if needsPlatform && len(cmd.endpoints) == 0 {
 		return &UsageError{Detail: "name the platform with --platform or $" + platformVariable}
 	}
@@ -152,6 +162,9 @@
 		return printable(c.Show(ctx, branch))
 	case "history":
 		return printable(c.History(ctx, branch))
+	case "traffic":
+		cmd.traffic.Addresses = strings.Split(cmd.argument, ",")
+		return printable(Traffic(ctx, cmd.traffic))
 	default:
 		return printable(c.Status(ctx, cmd.argument))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 	"chestnutrouter.example/chestnutrouter/internal/storesync"
+	"chestnutrouter.example/chestnutrouter/internal/traffic"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
@@ -198,7 +199,7 @@
 	}{
 		{"ready", s.ReadyAddress, adapter.NewReadyHandler(e.Ready)},
 		{"directory", s.DirectoryAddress, adapter.NewDirectoryHandler(e.addresses, s.AddressTTL)},
-		{"metrics", s.MetricsAddress, e.params.Registry.Handler},
+		{"metrics", s.MetricsAddress, e.metricsHandler()},
 	} {
 		server := &http.Server{
 			Handler:           endpoint.handler,
@@ -213,6 +214,17 @@
 	return nil
 }
 
+// metricsHandler serves the traffic report under its path and the metrics everywhere else.
+func (e *Entry) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", e.params.Registry.Handler)
+	mux.Handle(traffic.Path, traffic.Source{
+		VM: e.params.Settings.VM, Zone: e.params.Settings.Zone,
+		Tree: e.params.Tree.Tree, Services: e.params.Services,
+	}.Handler())
+	return mux
+}
+
 func (e *Entry) listenHTTP(side, address string, server *http.Server) error {
 	if address == "" {
 		return nil
--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -60,3 +60,11 @@
 	}
 	return strings.ToLower(name)
 }
+
+// Destinations returns the services that share the calls of the matched route.
+func (m Match) Destinations() []Destination {
+	if m.weighted == nil {
+		return []Destination{{Service: m.Service, Weight: 1}}
+	}
+	return m.weighted.Destinations
+}
