--- a/internal/cluster/datagram_test.go
+++ b/internal/cluster/datagram_test.go
@@ -58,3 +58,43 @@
 		}
 	})
 }
+
+var sampleHello = hello{
+	From: Member{
+		VM: "front-a-1", Zone: "a", CallerAddress: "10.0.0.1:8161", PeerAddress: "10.0.0.1:7720",
+		DatagramAddress: netip.MustParseAddrPort("10.0.0.1:7720"), Incarnation: 1 << 60, Weight: 0.5,
+	},
+	WantHello: true, WantMembers: true, Known: []uint32{1, 1 << 31}, Wanted: []uint32{7},
+	Members: []memberRecord{{Member: Member{
+		VM: "front-b-1", Zone: "b", DatagramAddress: netip.MustParseAddrPort("10.0.0.2:7720"), Incarnation: 3,
+	}, Age: 20 * time.Millisecond}},
+}
+
+func TestHelloRoundTrip(t *testing.T) {
+	got, err := decodeHello(sampleHello.append(nil)[1:])
+	if err != nil || !reflect.DeepEqual(*got, sampleHello) {
+		t.Errorf("decoded %+v, %v, want the encoded hello", got, err)
+	}
+}
+
+// Any input is decoded or rejected, with no more elements than bytes and each member with a
+// name and an address.
+func FuzzDecodeHello(f *testing.F) {
+	f.Add(sampleHello.append(nil)[1:])
+	f.Add([]byte{})
+	f.Add([]byte{255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := decodeHello(data)
+		if err != nil {
+			return
+		}
+		if len(h.Known)+len(h.Wanted)+len(h.Members) > len(data) {
+			t.Errorf("decoded %d elements from %d bytes", len(h.Known)+len(h.Wanted)+len(h.Members), len(data))
+		}
+		for _, m := range append(h.Members, memberRecord{Member: h.From}) {
+			if m.VM == "" || m.DatagramAddress.Port() == 0 || m.Age < 0 || !(m.Weight >= 0) {
+				t.Errorf("member %+v is not usable", m)
+			}
+		}
+	})
+}
