Bound the time for which a failure counts as a request in progress

Found by TestBeliefsDoNotLatch (arbitrary reports, failures and answers, then an idle and healthy service): with a mean latency of 655 ms a failed probe kept the only server away from requests with a target for 1.96 s; with 5 s it would be 15 s. Change: at most 1 s; a server that goes on failing is ejected. 8,000 histories pass.

--- a/internal/balancer/done.go
+++ b/internal/balancer/done.go
@@ -55,11 +55,16 @@
 
 // penaltyDuration returns how long a failed or shed request counts as in progress.
 func (b *Balancer) penaltyDuration() time.Duration {
-	return max(time.Duration(overdueFactor*b.meanLatency.value()), minPenaltyDuration)
+	return min(max(time.Duration(overdueFactor*b.meanLatency.value()), minPenaltyDuration), maxPenaltyDuration)
 }
 
-// minPenaltyDuration is the least time for which a failure counts as in progress.
-const minPenaltyDuration = 10 * time.Millisecond
+const (
+	// minPenaltyDuration is the least time for which a failure counts as in progress.
+	minPenaltyDuration = 10 * time.Millisecond
+	// maxPenaltyDuration bounds it in services with long latencies: a server that goes on
+	// failing is ejected, and one that does not must be tried again.
+	maxPenaltyDuration = time.Second
+)
 
 // applyReport applies the load report of a response. Only complete responses count in
 // the means, as the timing of failed responses says little about the load.
