--- a/internal/tree/hostroute.go
+++ b/internal/tree/hostroute.go
@@ -1,10 +1,6 @@
 package tree
 
-import (
-	"cmp"
-	"slices"
-	"strings"
-)
+import "strings"
 
 // Destination is a service that receives a share of a route's calls.
 type Destination struct {
@@ -24,17 +20,27 @@
 	RankName string
 }
 
-// SortHostRoutes sorts the routes by prefix, the longest first, as the first match
-// wins.
-func SortHostRoutes(routes []*HostRoute) {
-	slices.SortStableFunc(routes, func(a, b *HostRoute) int {
-		return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
-	})
+// IndexHostRoutes prepares the matching of HostRoutes and must be called once after they
+// are complete. Of routes of a host with the same prefix the first is used.
+func (t *Tree) IndexHostRoutes() {
+	t.hostIndex = make(map[string]map[string]*HostRoute, len(t.HostRoutes))
+	for host, routes := range t.HostRoutes {
+		byPrefix := make(map[string]*HostRoute, len(routes))
+		for _, r := range routes {
+			if byPrefix[r.PathPrefix] == nil {
+				byPrefix[r.PathPrefix] = r
+			}
+		}
+		t.hostIndex[host] = byPrefix
+	}
 }
 
-func matchHostRoute(routes []*HostRoute, path string) (Match, bool) {
-	for _, r := range routes {
-		if strings.HasPrefix(path, r.PathPrefix) {
+// matchHostRoute returns the match of the longest prefix that begins the path. It looks up
+// each part of the path that ends with a slash, so thousands of routes cost no more than a
+// few.
+func matchHostRoute(byPrefix map[string]*HostRoute, path string) (Match, bool) {
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := byPrefix[path[:end+1]]; r != nil {
 			return r.matchService(r.Destinations[0].Service)
 		}
 	}
--- a/internal/tree/hostroute_test.go
+++ b/internal/tree/hostroute_test.go
@@ -1,6 +1,12 @@
 package tree
 
-import "testing"
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
 
 func hostRouteTree(weights ...int) *Tree {
 	ranks := []Rank{{Name: "first"}}
@@ -10,9 +16,9 @@
 		r.Destinations = append(r.Destinations, Destination{Service: s, Weight: w})
 	}
 	longer := &HostRoute{Route: Route{PathPrefix: "/a/b/"}, RankName: "first", Destinations: r.Destinations[:1]}
-	routes := []*HostRoute{r, longer}
-	SortHostRoutes(routes)
-	return &Tree{HostRoutes: map[string][]*HostRoute{"shop.example": routes}}
+	t := &Tree{HostRoutes: map[string][]*HostRoute{"shop.example": {r, longer}}}
+	t.IndexHostRoutes()
+	return t
 }
 
 func TestHostRouteLongestPrefixWins(t *testing.T) {
@@ -54,3 +60,47 @@
 		}
 	}
 }
+
+// The index finds the same route as a comparison with each prefix.
+func TestHostRouteIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.StringMatching(`/([ab]{0,2}/){0,4}[ab]?`)
+		s := &Service{Member: "m", Name: "s", Ranks: []Rank{{Name: "first"}}}
+		tr := &Tree{HostRoutes: map[string][]*HostRoute{"h": {}}}
+		for range rapid.IntRange(0, 8).Draw(t, "routes") {
+			prefix := strings.TrimSuffix(path.Draw(t, "prefix"), "/") + "/"
+			tr.HostRoutes["h"] = append(tr.HostRoutes["h"], &HostRoute{
+				Route: Route{PathPrefix: prefix}, RankName: "first", Destinations: []Destination{{Service: s, Weight: 1}},
+			})
+		}
+		tr.IndexHostRoutes()
+		requested, want := path.Draw(t, "path"), ""
+		for _, r := range tr.HostRoutes["h"] {
+			if strings.HasPrefix(requested, r.PathPrefix) && len(r.PathPrefix) > len(want) {
+				want = r.PathPrefix
+			}
+		}
+		m, ok := tr.Match("h", "GET", requested)
+		if ok != (want != "") || ok && m.Route.PathPrefix != want {
+			t.Fatalf("%s: matched %v %+v, want prefix %q", requested, ok, m.Route, want)
+		}
+	})
+}
+
+func BenchmarkHostRouteMatch(b *testing.B) {
+	for _, routes := range []int{100, 1400, 10_000} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			s := &Service{Member: "m", Name: "s", Ranks: []Rank{{Name: "first"}}}
+			tr := &Tree{HostRoutes: map[string][]*HostRoute{}}
+			for i := range routes {
+				tr.HostRoutes["h"] = append(tr.HostRoutes["h"], &HostRoute{
+					Route: Route{PathPrefix: fmt.Sprintf("/route%x/", i)}, RankName: "first", Destinations: []Destination{{Service: s, Weight: 1}},
+				})
+			}
+			tr.IndexHostRoutes()
+			for b.Loop() {
+				tr.Match("h", "GET", "/route1/item")
+			}
+		})
+	}
+}
--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -19,8 +19,8 @@
 // the host is ignored.
 func (t *Tree) Match(host, method, path string) (Match, bool) {
 	name := hostName(host)
-	if routes, ok := t.HostRoutes[name]; ok {
-		return matchHostRoute(routes, path)
+	if byPrefix, ok := t.hostIndex[name]; ok {
+		return matchHostRoute(byPrefix, path)
 	}
 	for _, s := range t.Services {
 		if !slices.Contains(s.Hosts, name) {
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -29,8 +29,10 @@
 	// Revision orders the trees of one platform; it never decreases.
 	Revision int64
 	// HostRoutes are the weighted routes by lower-case host. A host that has any is
-	// not matched against the routes of the services.
+	// not matched against the routes of the services. See IndexHostRoutes.
 	HostRoutes map[string][]*HostRoute
+
+	hostIndex map[string]map[string]*HostRoute // HostRoutes by host and prefix
 }
 
 // Service is one service of a member after inheritance.
