--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -38,6 +38,9 @@
 	// maxPullTries bounds the members that are asked after one heartbeat with a newer
 	// version.
 	maxPullTries = 3
+	// maxFetchRestarts bounds how often a fetch starts again because the member has applied
+	// something newer meanwhile.
+	maxFetchRestarts = 4
 	// behindTime is how long after a heartbeat with a newer revision this member is
 	// known to be behind. Other heartbeats extend it.
 	behindTime = 2 * time.Second
@@ -282,7 +285,7 @@
 // fetch fetches an encoded update, chunk by chunk.
 func (s *Syncer) fetch(ctx context.Context, m cluster.LiveMember, args SinceArgs) ([]byte, error) {
 	var data []byte
-	for {
+	for restarts := 0; restarts <= maxFetchRestarts; {
 		var reply SinceReply
 		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 		args.Offset = len(data)
@@ -296,6 +299,7 @@
 		case len(data) > 0 && reply.Update != args.Update:
 			// The member has applied something newer meanwhile.
 			data, args.Update = nil, 0
+			restarts++
 			continue
 		case reply.Size > maxUpdateBytes || len(reply.Chunk) == 0 && len(data) < reply.Size:
 			return nil, &UpdateError{Cause: fmt.Sprintf("chunk of %d bytes at %d of %d", len(reply.Chunk), len(data), reply.Size)}
@@ -306,6 +310,7 @@
 			return data, nil
 		}
 	}
+	return nil, &UpdateError{Cause: "it changed too often while it was fetched"}
 }
 
 func (s *Syncer) applyUpdate(u *update, source string) {
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -267,3 +267,10 @@
 		t.Errorf("active revision %d of %v, want only 3", s.Revision(), s.revisions)
 	}
 }
+
+// callFunc is a client that calls a function.
+type callFunc func(SinceArgs, *SinceReply) error
+
+func (f callFunc) Call(_ context.Context, _, _ string, args, reply any) error {
+	return f(args.(SinceArgs), reply.(*SinceReply))
+}
--- a/test/atmostonce/entry_test.go
+++ b/test/atmostonce/entry_test.go
@@ -202,7 +202,9 @@
 	return nil, outcome.NewNotRun(503, outcome.ReasonNoServer, "all servers were tried")
 }
 
-func (p *process) HedgeDelay(string, string, time.Duration) (time.Duration, bool) { return hedgeAfter, true }
+func (p *process) HedgeDelay(string, string, time.Duration) (time.Duration, bool) {
+	return hedgeAfter, true
+}
 
 type grant string
 
