Show the request limits that backend servers name

Seen by: operators. In the incident of a server's limit the logs could not tell whether entries had read the limit, learned of it late, or had ignored it.

Change: the adapter decodes the header, and an entry logs when a server names, changes or ends its limit, by which kind of response it learned of it and how old that is; there is a counter, and the limit is on the /traffic page. No decision uses it yet.

--- a/internal/attempt/body.go
+++ b/internal/attempt/body.go
@@ -54,6 +54,7 @@
 	if b.truncated || b.response.Status >= http.StatusInternalServerError {
 		r.Kind = balancer.Error
 	}
+	r.RequestLimit = b.response.RequestLimit
 	setReport(&r, b.response.LoadReport)
 	return r
 }
@@ -68,6 +69,7 @@
 	case f.Stage == forward.StageDial && f.Reason == outcome.ReasonDialFailed:
 		r.Kind = balancer.DialFailed
 	}
+	r.RequestLimit = f.RequestLimit
 	setReport(&r, f.LoadReport)
 	return r
 }
--- a/internal/balancer/backend.go
+++ b/internal/balancer/backend.go
@@ -39,6 +39,7 @@
 	speed        speed
 	shedShare    ewma // share of requests that the server shed
 	entryOrder   entryOrder
+	requestLimit requestLimit
 	nameHash     uint64        // hash of vm.Name
 	joinedAt     int64         // nanoseconds since the Unix epoch; zero if it was in the first set of servers
 	probedAt     atomic.Int64  // nanoseconds since the Unix epoch
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -34,6 +34,9 @@
 	// OnDraining, if not nil, is called with the name of each backend server whose
 	// load report says that it is draining. It is called on the request path.
 	OnDraining func(server string)
+	// OnRequestLimit, if not nil, is called when a server's request limit is named,
+	// changed or ended. It may be called on the request path.
+	OnRequestLimit func(RequestLimitChange)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
--- a/internal/balancer/done.go
+++ b/internal/balancer/done.go
@@ -18,6 +18,7 @@
 	if r.HasReport {
 		b.applyReport(reservation.backend, ownRequests, now, r)
 	}
+	b.observeResponse(reservation.backend, r, now)
 	switch r.Kind {
 	case OK:
 		b.updateShed(reservation.backend, 0)
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -26,6 +26,9 @@
 	// Slowdown is the current service time on the server's host, in percent of the
 	// nominal one; zero if the server does not report it.
 	Slowdown int
+	// RequestLimit is the raw request limit that the response to a probe names, empty if it
+	// names none. Limits that responses to requests name are not part of the report.
+	RequestLimit string
 }
 
 // ReportError is returned for a load report that cannot be parsed.
--- a/internal/balancer/result.go
+++ b/internal/balancer/result.go
@@ -40,6 +40,9 @@
 	Report Report
 	// HasReport is true if the response carried a valid report.
 	HasReport bool
+	// RequestLimit is the raw request limit that the response names, empty if it names
+	// none.
+	RequestLimit string
 	// Estimate is the estimate that the choice of the server was based on.
 	Estimate Estimate
 	// Upload keeps the latency out of the statistics: the time for a large body says
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -50,6 +50,11 @@
 	// if there is none.
 	SlowdownPercent int   `json:"slowdown_percent,omitempty"`
 	ReportAgeMs     int64 `json:"report_age_ms"`
+	// RequestLimit is the number of requests a second that the server takes from all
+	// entries together, absent if it names no limit. LimitAgeMs is the age of the last
+	// response that named it, in milliseconds.
+	RequestLimit *float64 `json:"request_limit,omitempty"`
+	LimitAgeMs   int64    `json:"limit_age_ms,omitempty"`
 }
 
 // Status returns the status of each server.
@@ -82,6 +87,10 @@
 	if speed := be.speed.current.value(); speed > 0 {
 		status.SlowdownPercent = int(math.Round(100 / speed))
 	}
+	if limit := be.requestLimit.named.Load(); limit != nil && !limit.hasEnded() {
+		status.RequestLimit = &limit.perSecond
+		status.LimitAgeMs = max(p.now-limit.observedAt, 0) / int64(time.Millisecond)
+	}
 	return status
 }
 
--- a/internal/forward/buffer.go
+++ b/internal/forward/buffer.go
@@ -14,13 +14,14 @@
 	if err != nil {
 		_ = resp.Body.Close()
 		return nil, &SendError{
-			Stage:      StageResponse,
-			Outcome:    outcome.Unknown,
-			Reason:     outcome.ReasonServerHungUp,
-			Server:     resp.Server,
-			BodyRead:   true,
-			LoadReport: resp.LoadReport,
-			Err:        err,
+			Stage:        StageResponse,
+			Outcome:      outcome.Unknown,
+			Reason:       outcome.ReasonServerHungUp,
+			Server:       resp.Server,
+			BodyRead:     true,
+			LoadReport:   resp.LoadReport,
+			RequestLimit: resp.RequestLimit,
+			Err:          err,
 		}
 	}
 	if int64(len(prefix)) > limit {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -169,16 +169,19 @@
 	reportHeader := headerName(svc.LoadReportHeader, wire.HeaderLoadReport)
 	shedHeader := headerName(svc.LoadShedHeader, wire.HeaderLoadShed)
 	loadReport := resp.Header.Get(reportHeader)
+	requestLimit := resp.Header.Get(wire.HeaderRequestLimit)
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(shedHeader) == wire.ShedNotRun {
 		a.discard(resp)
-		return nil, a.sendError(StageResponse, outcome.NotRun, outcome.ReasonShed, loadReport, nil)
+		failure := a.sendError(StageResponse, outcome.NotRun, outcome.ReasonShed, loadReport, nil)
+		failure.RequestLimit = requestLimit
+		return nil, failure
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		a.discard(resp)
 		return nil, a.sendError(StageResponse, outcome.Unknown, outcome.ReasonServerHungUp, loadReport, errUnrequestedUpgrade)
 	}
 	stripResponseHeader(resp.Header, reportHeader)
-	return newResponse(a, resp, loadReport), nil
+	return newResponse(a, resp, loadReport, requestLimit), nil
 }
 
 // discard ends the attempt. A short body is read first, so that the connection
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -72,13 +72,15 @@
 }
 
 // stripResponseHeader removes the headers that must not pass from a server to a
-// caller: hop-by-hop headers, those that only an entry sets and the load report.
+// caller: hop-by-hop headers, those that only an entry sets, the load report and the
+// request limit.
 func stripResponseHeader(h http.Header, loadReportHeader string) {
 	stripHopByHop(h)
 	for _, name := range entryOnlyHeaders {
 		h.Del(name)
 	}
 	h.Del(loadReportHeader)
+	h.Del(wire.HeaderRequestLimit)
 }
 
 func headerName(name, defaultName string) string {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -55,19 +55,22 @@
 	Server string
 	// LoadReport is the raw load report, or empty.
 	LoadReport string
+	// RequestLimit is the raw request limit that the server names, or empty.
+	RequestLimit string
 	// AnnouncedTrailers are the names in the server's Trailer header.
 	AnnouncedTrailers []string
 	// Trailer returns the trailers after Body has been read to EOF.
 	Trailer func() http.Header
 }
 
-func newResponse(att *attempt, resp *http.Response, loadReport string) *Response {
+func newResponse(att *attempt, resp *http.Response, loadReport, requestLimit string) *Response {
 	out := &Response{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
 		Server:        att.server.Name,
 		LoadReport:    loadReport,
+		RequestLimit:  requestLimit,
 		Trailer:       func() http.Header { return resp.Trailer },
 	}
 	for name := range resp.Trailer {
--- a/internal/forward/senderror.go
+++ b/internal/forward/senderror.go
@@ -39,6 +39,8 @@
 	BodyRead bool
 	// LoadReport is the raw load report of the response, or empty.
 	LoadReport string
+	// RequestLimit is the raw request limit that the response names, or empty.
+	RequestLimit string
 	// Err is the underlying error; nil for a shed request.
 	Err error
 }
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -14,6 +14,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
@@ -135,6 +136,16 @@
 // onViewChange stores a changed view for the next call of applyMembers.
 func (c *clusterCallbacks) onViewChange(v *cluster.View) { c.pendingView.Store(v) }
 
+// logRequestLimit logs a change of a backend server's request limit.
+func (c *clusterCallbacks) logRequestLimit(change balancer.RequestLimitChange) {
+	fields := []any{"server", change.Server, "source", change.Source, "age_ms", change.Age.Milliseconds()}
+	if change.Ended {
+		c.events.Info("server limit ended", fields...)
+		return
+	}
+	c.events.Info("server limit named", append(fields, "per_second", change.PerSecond)...)
+}
+
 // minMembersInterval is the minimum time between two changes of members that are
 // applied. A change takes time for each pair of a member and a server, and at a start
 // members join one by one.
@@ -214,6 +225,8 @@
 		Workers:  workers,
 		Entries:  func() int { return len(node.View().Live) },
 		Observer: loadSync,
+
+		OnRequestLimit: callbacks.logRequestLimit,
 	})
 	callbacks.services = set
 	return set
--- a/internal/loadsync/syncer.go
+++ b/internal/loadsync/syncer.go
@@ -284,6 +284,7 @@
 	default:
 		metrics.Count(s.options.Scope, metrics.Probes, "answered")
 		t.balancer.AddReport(t.vm.Name, now, report)
+		t.balancer.ObserveProbe(t.vm.Name, now, report)
 	}
 	if changed {
 		s.options.Flush()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,6 +34,8 @@
 	// Ejections counts ejections of backend servers, which exclude a server
 	// from selection for a while.
 	Ejections = "ejections"
+	// RequestLimits counts the changes of the request limits that backend servers name.
+	RequestLimits = "request_limits"
 	// Probes counts active load probes, the used part of the probe budget.
 	Probes = "probes"
 )
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -44,6 +44,9 @@
 	// OnDraining is called with the name of each backend server that reports in
 	// a response that it is draining. It may be nil.
 	OnDraining func(server string)
+	// OnRequestLimit is called when a backend server's request limit is named, changed
+	// or ended. It may be nil.
+	OnRequestLimit func(balancer.RequestLimitChange)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -145,6 +148,8 @@
 			OnDraining: s.options.OnDraining,
 			Entries:    s.options.Entries,
 			Observer:   s.options.Observer,
+
+			OnRequestLimit: s.options.OnRequestLimit,
 		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Runtime{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -34,6 +34,9 @@
 	HeaderLoadReport = "Load-Report"
 	// HeaderLoadShed carries ShedNotRun on a 503 response to a request that was not run.
 	HeaderLoadShed = "Load-Shed"
+	// HeaderRequestLimit carries a decimal number: the requests a second that the server
+	// takes from all entries together. The limit holds until a response lacks the header.
+	HeaderRequestLimit = "Request-Limit"
 	// ShedNotRun is the value of HeaderLoadShed that guarantees that nothing ran.
 	ShedNotRun = "not-run"
 )
--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -80,6 +80,7 @@
 	behaviourFor func(*http.Request) Behaviour
 	serviceTime  time.Duration
 	slowdown     int
+	requestLimit string // of Server-Limit, empty if it names none
 	running      int
 	probes       int
 	unhealthy    bool
@@ -140,6 +141,14 @@
 	s.serviceTime, s.slowdown = serviceTime, slowdown
 }
 
+// SetRequestLimit sets the requests a second that the server names as its limit; an empty
+// value ends the limit. The server serves requests beyond the limit all the same.
+func (s *Server) SetRequestLimit(perSecond string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requestLimit = perSecond
+}
+
 // SetUnhealthy makes the health check fail, or pass again.
 func (s *Server) SetUnhealthy(unhealthy bool) {
 	s.mu.Lock()
@@ -315,7 +324,7 @@
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behaviour, id string) {
 	s.mu.Lock()
-	load, previousID := s.loadHeader(), s.previousID
+	load, limit, previousID := s.loadHeader(), s.requestLimit, s.previousID
 	s.previousID = id
 	s.mu.Unlock()
 	switch b {
@@ -335,6 +344,9 @@
 		h := w.Header()
 		h.Set("X-Request-Id", id)
 		h.Set("X-Instance-Load", load)
+		if limit != "" {
+			h.Set("Server-Limit", limit)
+		}
 		if b != NoStamp {
 			h.Set("X-Server-Stamp", "stamp-"+id)
 		}
