Divide a server's request limit among the entries

Seen by: backend servers. A server that named 2.9 requests a second got 27 in 4 s (22 allowed), one that named 1.8 got 24 (16); callers noticed nothing.

Cause: no entry read the header. The class: a bound that holds for the sum of all entries has to be divided, by what each entry knows. An entry that limits only itself, or saves up a share of a low limit, exceeds it as well.

Evidence: no code named the header; the rate at both servers did not change at second 8; their load reports stayed normal, so the load estimate could not keep requests away. Ruled out: limits kept by each entry for itself (one entry sent 4.5 a second) and entries that were not told (they had most responses).

Change: the first entries in a server's order send to it, as many as its limit has whole requests a second; each has an equal part and may save up one request. Limits travel in heartbeats, at once when they are new, and the newest response wins. Missing members keep their part. A limit that ends is lifted in steps; one that nobody renews is tried. If all servers of a service are at their limits, a request is refused at once with server_limit.

--- a/internal/admission/refusal_test.go
+++ b/internal/admission/refusal_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -124,3 +126,39 @@
 		booking.Done(balancer.Result{})
 	})
 }
+
+// Scenario: all servers of a service name a limit. A request that the limits leave no room
+// for is refused at once, with the time until there is room, instead of waiting until its
+// deadline; one that fits into its target waits.
+func TestRequestsBeyondAllServerLimitsAreRefusedAtOnce(t *testing.T) {
+	now := time.Now()
+	b := balancer.New(balancer.Options{})
+	b.UpdateAt(now, []fleet.VM{{Name: "s1", Address: "a", Slots: 3}}, &tree.Service{Member: "m", Name: "s"})
+	b.AddReport("s1", now, balancer.Report{Slots: 3, Slowdown: 100})
+	s := newTestScheduler(b)
+	b.AddPeerLimit("s1", now, balancer.NamedLimit{PerSecond: 10}) // one request in 100 ms
+	first := mustEnqueue(t, s, "look", now)                       // has 142 ms until it is late
+	if granted, _ := decideAll(s, now); len(granted) != 0 {
+		t.Fatal("a request was sent although the share is used up")
+	}
+	refusal := s.Enqueue(&Item{Request: Request{Rank: "look", Deadline: now.Add(time.Second)}}, now)
+	if refusal == nil || refusal.Reason != outcome.ReasonServerLimit || refusal.Outcome != outcome.NotRun {
+		t.Fatalf("second request: got %v, want it refused for the servers' limits, not run", refusal)
+	}
+	if refusal.RetryAfter != 100*time.Millisecond {
+		t.Errorf("Retry-After %v, want the 100 ms between two requests", refusal.RetryAfter)
+	}
+	if granted, _ := decideAll(s, now.Add(100*time.Millisecond)); len(granted) != 1 || granted[0] != first {
+		t.Errorf("granted %v after 100 ms, want the first request", granted)
+	}
+	now = now.Add(time.Second)
+	b.AddPeerLimit("s1", now, balancer.NamedLimit{PerSecond: 0.01})
+	mustEnqueue(t, s, "look", now)
+	if granted, _ := decideAll(s, now); len(granted) != 1 {
+		t.Fatal("the request that the share allows was not sent")
+	}
+	refusal = s.Enqueue(&Item{Request: Request{Rank: "upload", Deadline: now.Add(2 * time.Second)}}, now)
+	if refusal == nil || refusal.RetryAfter != maxLimitRetryAfter {
+		t.Errorf("limit of 0.01: got %v, want a Retry-After of %v", refusal, maxLimitRetryAfter)
+	}
+}
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -125,6 +125,9 @@
 	if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
 		return refuseDeadline()
 	}
+	if refusal := s.checkServerLimits(rq, item, now); refusal != nil {
+		return refusal
+	}
 	if picker := s.predictive(); picker != nil {
 		return s.checkAdmissionPredictive(rq, item, now)
 	}
--- a/internal/balancer/backend.go
+++ b/internal/balancer/backend.go
@@ -39,7 +39,7 @@
 	speed        speed
 	shedShare    ewma // share of requests that the server shed
 	entryOrder   entryOrder
-	requestLimit requestLimit
+	requestLimit *requestLimit
 	nameHash     uint64        // hash of vm.Name
 	joinedAt     int64         // nanoseconds since the Unix epoch; zero if it was in the first set of servers
 	probedAt     atomic.Int64  // nanoseconds since the Unix epoch
@@ -49,7 +49,7 @@
 }
 
 func newBackend(vm fleet.VM, joinedAt int64, cost float64) *backend {
-	be := &backend{vm: vm, joinedAt: joinedAt, localityCost: cost, nameHash: xxhash.Sum64String(vm.Name)}
+	be := &backend{vm: vm, joinedAt: joinedAt, localityCost: cost, nameHash: xxhash.Sum64String(vm.Name), requestLimit: &requestLimit{}}
 	be.health.penalizedUntil.Store(joinedAt + int64(slowStart))
 	for i := range be.reservations {
 		be.reservations[i].VM = vm
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -2,7 +2,8 @@
 //
 // A Balancer serves one service. Pick reads an immutable snapshot of the
 // servers, which Update replaces atomically, and the atomic counters of each
-// server; it takes no lock and allocates nothing. Update and Done may run
+// server; it allocates nothing and takes no lock, except that of a server that names a
+// request limit. Update and Done may run
 // concurrently with picks. Update takes the Balancer's mutex, which guards only the
 // construction of snapshots; no other lock is taken under it.
 package balancer
@@ -55,6 +56,9 @@
 	// Ended is called with the result of the request. freed reports whether it frees
 	// a slot of a full server.
 	Ended(server string, r Result, freed bool, now time.Time)
+	// LimitNamed is called with the request limit in a response to this entry that arrived
+	// at that time, also when a limit has ended. changed is set if it is news to this entry.
+	LimitNamed(server string, limit NamedLimit, at time.Time, changed bool)
 }
 
 // noopObserver is an Observer that does nothing.
@@ -64,6 +68,8 @@
 
 func (noopObserver) Ended(string, Result, bool, time.Time) {}
 
+func (noopObserver) LimitNamed(string, NamedLimit, time.Time, bool) {}
+
 // Balancer chooses among the backend servers of one service.
 type Balancer struct {
 	options          Options
@@ -78,7 +84,8 @@
 	confidence       *reportConfidence
 	latencies        *latencyQuantiles
 	pickCount        atomic.Uint64 // increases with each pick from a hash of the entry's name; moves the start of scans
-	mu               sync.Mutex    // guards the construction of a new snapshot
+	limits           atomic.Pointer[limitOrder]
+	mu               sync.Mutex // guards the construction of a new snapshot
 }
 
 // New returns a balancer without servers.
@@ -94,6 +101,7 @@
 	}
 	b := &Balancer{options: options, confidence: newReportConfidence(), latencies: newLatencyQuantiles()}
 	b.snapshot.Store(&snapshot{})
+	b.limits.Store(&limitOrder{entries: options.Entries, present: 1})
 	b.pickCount.Store(xxhash.Sum64String(options.Entry))
 	return b
 }
@@ -147,6 +155,10 @@
 			return nil, false
 		}
 		if reservation, ok := be.reserve(reservationMask, p.now); ok {
+			if !be.requestLimit.take(p) {
+				be.release(reservation)
+				continue
+			}
 			be.sent.Add(1)
 			reservation.estimate = be.estimate(reservationMask, p)
 			b.options.Observer.Sent(be.vm.Name, b.peersWantSlot(be, p))
@@ -188,6 +200,7 @@
 		kneeFactor:       b.kneeFactor(),
 		crossZoneCost:    crossZoneTimeCost,
 		maxStretch:       math.Inf(1),
+		limits:           b.limits.Load(),
 	}
 }
 
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -26,6 +26,7 @@
 	crossZoneCost    float64 // cost of another availability zone, in nominal service times
 	targetStretch    float64 // PickSpare: greatest stretch that meets the target; otherwise zero
 	maxStretch       float64 // greatest stretch allowed for the request
+	limits           *limitOrder
 }
 
 // snapshot is an immutable set of servers with the service's limits.
@@ -36,6 +37,9 @@
 	preferred    []*backend
 	slots        int
 	maxPerServer int // maximum requests of this entry in progress at one server
+	// departed are servers that named a request limit and are no longer listed. A server may
+	// be listed again while the limit still holds.
+	departed map[string]*backend
 }
 
 // reservationLimit returns how many requests this entry may have in progress at one
@@ -69,14 +73,37 @@
 		be := known[vm.Name]
 		cost := localityCost(zone, vm.Zone, svc.Regions, n.slots)
 		if be == nil || !sameServer(be.vm, vm) || be.localityCost != cost {
+			old := cmp.Or(be, s.departed[vm.Name])
 			be = newBackend(vm, joinedAt, cost)
+			if old != nil && sameServer(old.vm, vm) {
+				be.requestLimit = old.requestLimit
+			}
 		}
+		delete(known, vm.Name)
 		n.backends = append(n.backends, be)
 	}
+	n.departed = s.departedServers(known, n.backends, now)
 	n.preferred = preferredBackends(n.backends)
 	return n
 }
 
+// departedServers returns the servers with a request limit that are not listed now: those
+// in gone, and those of s.departed that are not listed again or forgotten.
+func (s *snapshot) departedServers(gone map[string]*backend, listed []*backend, now int64) map[string]*backend {
+	departed := map[string]*backend{}
+	for _, servers := range []map[string]*backend{s.departed, gone} {
+		for name, be := range servers {
+			if named := be.requestLimit.named.Load(); named != nil && now-named.observedAt < int64(forgetLimitAfter) {
+				departed[name] = be
+			}
+		}
+	}
+	for _, be := range listed {
+		delete(departed, be.vm.Name)
+	}
+	return departed
+}
+
 const (
 	// preferredServers is the number of servers that an entry prefers in a large service.
 	// An entry that sends some requests a second then uses each of them again before an
@@ -183,7 +210,7 @@
 				continue
 			}
 		}
-		if !be.accepts(reservationMask, maxPerServer) || excluded(exclude, be.vm.Name) || be.full(reservationMask, p) || be.exceedsMaxStretch(reservationMask, p) || be.neededForTargets(reservationMask, p) {
+		if !be.accepts(reservationMask, maxPerServer) || excluded(exclude, be.vm.Name) || be.requestLimit.blocks(p) || be.full(reservationMask, p) || be.exceedsMaxStretch(reservationMask, p) || be.neededForTargets(reservationMask, p) {
 			continue
 		}
 		if load := be.load(reservationMask, p); load < lowestLoad {
--- a/internal/balancer/speed_test.go
+++ b/internal/balancer/speed_test.go
@@ -376,4 +376,6 @@
 
 func (f observerFunc) Sent(_ string, peersWantSlot bool) { f(peersWantSlot) }
 
+func (observerFunc) LimitNamed(string, NamedLimit, time.Time, bool) {}
+
 func (observerFunc) Ended(string, Result, bool, time.Time) {}
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -17,6 +17,8 @@
 	StateSlow ServerState = "slow"
 	// StateFull has no free slot.
 	StateFull ServerState = "full"
+	// StateLimited names a request limit, and this entry's share of it is used up.
+	StateLimited ServerState = "limited"
 	// StateDraining accepts no new requests, by its own report or a failed health check.
 	StateDraining ServerState = "draining"
 	// StateEjected failed too many requests.
@@ -103,6 +105,8 @@
 		return StateEjected
 	case be.health.halfOpen.Load():
 		return StateProbation
+	case be.requestLimit.blocks(p):
+		return StateLimited
 	case be.slotsTaken(reservationMask, p):
 		return StateFull
 	case be.speed.known() && be.speed.expected(p.now-be.report.receivedAt.Load()) < slowSpeed:
--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -63,6 +63,17 @@
 	SentAge time.Duration
 }
 
+// RequestLimit is the request limit that a backend server named in a response.
+type RequestLimit struct {
+	Server ServerID
+	// PerSecond is the limit in requests a second for all entries together.
+	PerSecond float64
+	// Ended is set if the response named no limit, after earlier ones had named one.
+	Ended bool
+	// Age is the age of the response at the time the heartbeat was sent.
+	Age time.Duration
+}
+
 // Heartbeat is the message that members send to each other periodically.
 type Heartbeat struct {
 	// Incarnation is the incarnation of the sender.
@@ -74,6 +85,7 @@
 	Status
 	Reports       []LoadReport
 	RequestCounts []RequestCounts
+	RequestLimits []RequestLimit
 }
 
 var errMalformedHeartbeat = errors.New("malformed heartbeat")
@@ -96,6 +108,14 @@
 	for _, c := range hb.RequestCounts {
 		out = c.append(out)
 	}
+	// The end of a heartbeat without limits is left out, as in earlier versions.
+	if len(hb.RequestLimits) == 0 {
+		return out
+	}
+	out = binary.AppendUvarint(out, uint64(len(hb.RequestLimits)))
+	for _, l := range hb.RequestLimits {
+		out = l.append(out)
+	}
 	return out
 }
 
@@ -130,6 +150,21 @@
 	return binary.AppendUvarint(out, uint64(max(c.SentAge, 0)/ageUnit))
 }
 
+// limitUnit is the resolution of request limits in a heartbeat, in requests a second.
+const limitUnit = 0.001
+
+// append appends the encoded limit: zero if it has ended, otherwise the number of units
+// plus one.
+func (l RequestLimit) append(out []byte) []byte {
+	out = binary.LittleEndian.AppendUint32(out, uint32(l.Server))
+	units := uint64(0)
+	if !l.Ended {
+		units = uint64(min(l.PerSecond/limitUnit, maxValue/2)) + 1
+	}
+	out = binary.AppendUvarint(out, units)
+	return binary.AppendUvarint(out, uint64(max(l.Age, 0)/ageUnit))
+}
+
 // decoder reads fields one after another. After the first error all fields read as
 // zero.
 type decoder struct {
@@ -195,6 +230,11 @@
 	for range d.count() {
 		hb.RequestCounts = append(hb.RequestCounts, d.requestCounts())
 	}
+	if !d.failed && len(d.data) > 0 {
+		for range d.count() {
+			hb.RequestLimits = append(hb.RequestLimits, d.requestLimit())
+		}
+	}
 	if d.failed {
 		return Heartbeat{}, errMalformedHeartbeat
 	}
@@ -209,6 +249,17 @@
 	return r
 }
 
+func (d *decoder) requestLimit() RequestLimit {
+	l := RequestLimit{Server: ServerID(binary.LittleEndian.Uint32(d.fixed(4)))}
+	if units := d.uvarint(); units > 0 {
+		l.PerSecond = float64(units-1) * limitUnit
+	} else {
+		l.Ended = true
+	}
+	l.Age = d.age()
+	return l
+}
+
 func (d *decoder) requestCounts() RequestCounts {
 	return RequestCounts{
 		Server: ServerID(binary.LittleEndian.Uint32(d.fixed(4))),
--- a/internal/cluster/datagram_test.go
+++ b/internal/cluster/datagram_test.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"bytes"
+	"math"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -17,6 +19,7 @@
 		{Server: 1 << 31, Draining: true},
 	},
 	RequestCounts: []RequestCounts{{Server: 9, Sent: 1, Completed: 2, Failed: 3, SentAge: 30 * time.Millisecond}},
+	RequestLimits: []RequestLimit{{Server: 9, PerSecond: 2.75, Age: 20 * time.Millisecond}, {Server: 3, Ended: true}, {Server: 4}},
 }
 
 func TestHeartbeatRoundTrip(t *testing.T) {
@@ -26,6 +29,20 @@
 	}
 }
 
+// While a cluster is updated, versions of this program with and without request limits in
+// their heartbeats read each other's.
+func TestHeartbeatWithoutLimitsIsAsBefore(t *testing.T) {
+	with, without := sampleHeartbeat, sampleHeartbeat
+	without.RequestLimits = nil
+	earlier := without.append(nil)
+	if got, err := decodeHeartbeat(earlier[1:]); err != nil || !reflect.DeepEqual(got, without) {
+		t.Errorf("decoded %+v, %v, want the heartbeat without limits", got, err)
+	}
+	if data := with.append(nil); !bytes.HasPrefix(data, earlier) {
+		t.Error("limits change what earlier versions read, want them after it")
+	}
+}
+
 func TestAddressRoundTrip(t *testing.T) {
 	want := netip.MustParseAddrPort("10.1.2.3:65535")
 	got, rest, ok := decodeAddress(append(appendAddress(nil, want), 1))
@@ -45,12 +62,17 @@
 		if err != nil {
 			return
 		}
-		if len(hb.Reports)+len(hb.RequestCounts) > len(data) {
-			t.Errorf("decoded %d elements from %d bytes", len(hb.Reports)+len(hb.RequestCounts), len(data))
+		if elements := len(hb.Reports) + len(hb.RequestCounts) + len(hb.RequestLimits); elements > len(data) {
+			t.Errorf("decoded %d elements from %d bytes", elements, len(data))
 		}
 		if hb.StoreReadAge < 0 || hb.Revision < 0 || hb.ServersVersion < 0 {
 			t.Errorf("status %+v has a negative number", hb.Status)
 		}
+		for _, l := range hb.RequestLimits {
+			if l.Age < 0 || !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) {
+				t.Errorf("limit %+v is no number from 0 on, or has a negative age", l)
+			}
+		}
 		for _, r := range hb.Reports {
 			if r.Age < 0 || r.InFlight < 0 || r.Queue < 0 {
 				t.Errorf("report %+v has a negative number", r)
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -79,6 +79,10 @@
 	Live []LiveMember
 	// Known is the number of members seen in the last minutes, this one included.
 	Known int
+	// Missing is the number of members that exceeded the liveness timeout in the last
+	// minutes and were not leaving when last seen. They may still run, on the other side of
+	// a network partition.
+	Missing int
 	// Silent are members that were ready when last seen and have since exceeded the
 	// liveness timeout, but not yet silentGrace.
 	Silent []LiveMember
@@ -206,6 +210,53 @@
 	return position
 }
 
+// LocalPosition returns a member's position in an order of the key in which the members of
+// the availability zone come first, 0 for the first. The order comprises the members that
+// are ready and not leaving; any other member comes after all of them.
+func (v *View) LocalPosition(vm, key, zone string) int {
+	keyHash := xxhash.Sum64String(key)
+	own := score(xxhash.Sum64String(vm), keyHash)
+	ownZone, listed := "", false
+	ahead, aheadInZone, inZone, total := 0, 0, 0, 0
+	for i := range v.Live {
+		m := &v.Live[i]
+		if !m.Ready || m.Leaving {
+			continue
+		}
+		total++
+		if m.Zone == zone {
+			inZone++
+		}
+		switch {
+		case m.VM == vm:
+			ownZone, listed = m.Zone, true
+		case score(m.nameHash(), keyHash) > own && m.Zone == zone:
+			aheadInZone++
+		case score(m.nameHash(), keyHash) > own:
+			ahead++
+		}
+	}
+	switch {
+	case !listed:
+		return total
+	case ownZone == zone:
+		return aheadInZone
+	default:
+		return inZone + ahead
+	}
+}
+
+// ReadyMembers returns the number of live members that are ready and not leaving.
+func (v *View) ReadyMembers() int {
+	ready := 0
+	for i := range v.Live {
+		if m := &v.Live[i]; m.Ready && !m.Leaving {
+			ready++
+		}
+	}
+	return ready
+}
+
 // Owner returns the member to which the key is assigned: the one with the highest
 // score in the zone, or in the whole cluster if the zone has no member. It returns
 // false if every member is leaving.
--- a/internal/cluster/member_test.go
+++ b/internal/cluster/member_test.go
@@ -125,3 +125,44 @@
 		t.Errorf("one of four members silent: caller addresses %v, want 3", got)
 	}
 }
+
+// In the order of a server's senders the entries of its availability zone come first, each
+// position is taken once, and members that are leaving or not ready come after all others.
+func TestLocalPosition(t *testing.T) {
+	var members []LiveMember
+	for i := range 20 {
+		m := member(i, 4)
+		m.Leaving, m.Ready = i == 3, i != 7
+		members = append(members, m)
+	}
+	v := viewOf(members...)
+	if got := v.ReadyMembers(); got != 18 {
+		t.Fatalf("%d ready members, want 18", got)
+	}
+	firsts := map[string]bool{}
+	for _, key := range []string{"s1", "s2", "s3", "s4", "s5"} {
+		taken := map[int]bool{}
+		for _, m := range members {
+			position := v.LocalPosition(m.VM, key, "zone-1")
+			switch {
+			case m.Leaving || !m.Ready:
+				if position != 18 {
+					t.Errorf("%s is leaving or not ready and has position %d, want 18", m.VM, position)
+				}
+				continue
+			case (m.Zone == "zone-1") != (position < 5):
+				t.Errorf("%s of %s has position %d, want the 5 entries of zone-1 first", m.VM, m.Zone, position)
+			}
+			taken[position] = true
+			if position == 0 {
+				firsts[m.VM] = true
+			}
+		}
+		if len(taken) != 18 {
+			t.Errorf("%d positions for 18 entries", len(taken))
+		}
+	}
+	if len(firsts) < 2 {
+		t.Error("one entry is the first for all keys, want them spread")
+	}
+}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -57,8 +57,8 @@
 	Conn PacketConn
 	// OnHeartbeat is called with each heartbeat of another member. It must not block.
 	OnHeartbeat func(from LiveMember, hb *Heartbeat)
-	// OnChange is called after the set of live members, or their Ready or Leaving
-	// status, has changed. It may be nil.
+	// OnChange is called after the set of live members, their Ready or Leaving status, or
+	// the number of missing members has changed. It may be nil.
 	OnChange func(*View)
 	// Scope receives the counters. If it is nil, nothing is counted.
 	Scope tally.Scope
@@ -162,7 +162,7 @@
 
 // encode returns the encoded heartbeat, split into parts that fit into one packet each.
 func (n *Node) encode(hb *Heartbeat) [][]byte {
-	const encodedReportBytes = 12 // approximate size of a LoadReport or RequestCounts
+	const encodedReportBytes = 12 // approximate size of a LoadReport, RequestCounts or RequestLimit
 	const maxPerPart = maxHeartbeatBytes / encodedReportBytes
 	var parts [][]byte
 	rest := *hb
@@ -174,10 +174,13 @@
 		part.Reports = rest.Reports[:min(maxPerPart, len(rest.Reports))]
 		remaining := maxPerPart - len(part.Reports)
 		part.RequestCounts = rest.RequestCounts[:min(remaining, len(rest.RequestCounts))]
+		remaining -= len(part.RequestCounts)
+		part.RequestLimits = rest.RequestLimits[:min(remaining, len(rest.RequestLimits))]
 		parts = append(parts, part.append(nil))
 		rest.Reports = rest.Reports[len(part.Reports):]
 		rest.RequestCounts = rest.RequestCounts[len(part.RequestCounts):]
-		if len(rest.Reports)+len(rest.RequestCounts) == 0 {
+		rest.RequestLimits = rest.RequestLimits[len(part.RequestLimits):]
+		if len(rest.Reports)+len(rest.RequestCounts)+len(rest.RequestLimits) == 0 {
 			return parts
 		}
 	}
@@ -200,6 +203,9 @@
 		case silent <= silentGrace && m.Ready && !m.Leaving:
 			v.Silent = append(v.Silent, m.LiveMember)
 		}
+		if silent > n.timeoutOf(&m.LiveMember) && !m.Leaving {
+			v.Missing++
+		}
 	}
 	if !selfAdded {
 		v.Live = append(v.Live, self)
@@ -210,7 +216,7 @@
 		n.lastChange = now
 	}
 	n.mu.Unlock()
-	if n.options.OnChange != nil && !sameMembers(old.Live, v.Live) {
+	if n.options.OnChange != nil && (!sameMembers(old.Live, v.Live) || old.Missing != v.Missing) {
 		n.options.OnChange(v)
 	}
 }
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -162,17 +162,18 @@
 		return
 	}
 	c.membersAppliedAt = now
-	ready := 0
-	for _, m := range v.Live {
-		if m.Ready && !m.Leaving {
-			ready++
-		}
-	}
+	ready := v.ReadyMembers()
 	c.services.SetEntryOrder(service.EntryOrder{
 		Position: func(server string) int { return v.Position(c.self, server) },
 		Entries:  max(ready, 1),
+		Senders: balancer.SenderOrder{
+			Position: func(server, zone string) int { return v.LocalPosition(c.self, server, zone) },
+			Entries:  max(ready, 1),
+			Live:     len(v.Live),
+			Missing:  v.Missing,
+		},
 	})
-	c.events.Info("members changed", "live", len(v.Live), "ready", ready, "silent", len(v.Silent), "known", v.Known)
+	c.events.Info("members changed", "live", len(v.Live), "ready", ready, "silent", len(v.Silent), "missing", v.Missing, "known", v.Known)
 }
 
 func newNode(s *Settings, events *eventlog.Logger, scope tally.Scope) (*cluster.Node, *clusterCallbacks, error) {
--- a/internal/loadsync/exchange.go
+++ b/internal/loadsync/exchange.go
@@ -31,6 +31,25 @@
 	}
 }
 
+// limitRepeatTime is how long a request limit is repeated in each heartbeat after the
+// response that named it, as some heartbeats are lost or do not reach all entries.
+const limitRepeatTime = time.Second
+
+// LimitNamed records the request limit in a response for the next heartbeats. A change is
+// sent immediately.
+func (s *Syncer) LimitNamed(server string, limit balancer.NamedLimit, at time.Time, changed bool) {
+	s.mu.Lock()
+	if t := s.byName[server]; t != nil {
+		p := s.pendingFor(t.id)
+		p.limit = cluster.RequestLimit{Server: t.id, PerSecond: limit.PerSecond, Ended: limit.Ended}
+		p.limitAt = at
+	}
+	s.mu.Unlock()
+	if changed {
+		s.options.Flush()
+	}
+}
+
 // recordResult adds the result of a request to the pending counts.
 func (s *Syncer) recordResult(server string, r balancer.Result, now time.Time) {
 	s.mu.Lock()
@@ -68,12 +87,20 @@
 			heartbeat.RequestCounts = append(heartbeat.RequestCounts, p.counts)
 			p.counts = cluster.RequestCounts{Server: id}
 		}
+		if !p.limitAt.IsZero() {
+			p.limit.Age = now.Sub(p.limitAt)
+			heartbeat.RequestLimits = append(heartbeat.RequestLimits, p.limit)
+			if p.limit.Age >= limitRepeatTime {
+				p.limitAt = time.Time{}
+			}
+		}
 	}
 }
 
-// Receive applies the reports and counts in another entry's heartbeat. Unknown servers are
-// ignored.
+// Receive applies the reports, counts and limits in another entry's heartbeat. Unknown
+// servers are ignored.
 func (s *Syncer) Receive(heartbeat *cluster.Heartbeat, now time.Time) {
+	s.receiveLimits(heartbeat.RequestLimits, now)
 	for _, r := range heartbeat.Reports {
 		t := s.target(r.Server)
 		if t == nil {
@@ -94,6 +121,15 @@
 	}
 }
 
+// receiveLimits applies the request limits in another entry's heartbeat.
+func (s *Syncer) receiveLimits(limits []cluster.RequestLimit, now time.Time) {
+	for _, l := range limits {
+		if t := s.target(l.Server); t != nil {
+			t.balancer.AddPeerLimit(t.vm.Name, now.Add(-l.Age), balancer.NamedLimit{PerSecond: l.PerSecond, Ended: l.Ended})
+		}
+	}
+}
+
 // recordPeerReport records the time of another entry's report, so that the server is not
 // probed right after it.
 func (s *Syncer) recordPeerReport(id cluster.ServerID, at time.Time) {
--- a/internal/loadsync/requestlimit_test.go
+++ b/internal/loadsync/requestlimit_test.go
@@ -129,6 +129,10 @@
 	e.services.SetEntryOrder(service.EntryOrder{
 		Position: func(server string) int { return v.Position(e.name, server) },
 		Entries:  len(v.Live),
+		Senders: balancer.SenderOrder{
+			Position: func(server, zone string) int { return v.LocalPosition(e.name, server, zone) },
+			Entries:  v.ReadyMembers(), Live: len(v.Live), Missing: v.Missing,
+		},
 	})
 }
 
@@ -282,3 +286,163 @@
 		}
 	})
 }
+
+// setViews gives all entries the full view, except the one out of contact: it sees only
+// itself, and the others do not see it.
+func (f *limitFleet) setViews(outOfContact *fleetEntry) {
+	for _, e := range f.entries {
+		v := &cluster.View{Known: f.view.Known}
+		for _, m := range f.view.Live {
+			if (m.VM == outOfContactName(outOfContact)) == (e == outOfContact) {
+				v.Live = append(v.Live, m)
+			}
+		}
+		v.Missing = len(f.view.Live) - len(v.Live)
+		e.setView(v)
+	}
+}
+
+func outOfContactName(e *fleetEntry) string {
+	if e == nil {
+		return ""
+	}
+	return e.name
+}
+
+// The limit holds while it falls and rises, while heartbeats are lost, and while an entry
+// restarts, is out of contact with the others or has no callers. No entry is excused here.
+// When it ends, the server is used like the others within a few seconds, without a rush.
+func TestServerLimitHoldsThroughDisturbances(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playDisturbances(t, seed) })
+		})
+	}
+}
+
+func playDisturbances(t *testing.T, seed uint64) {
+	const server = "s9"
+	f := newLimitFleet(t, seed, 19, 33, 221)
+	f.lost = 0.1
+	steps := []struct {
+		name  string
+		limit float64
+		begin func()
+	}{
+		{"named", 2.7, func() {}},
+		{"fallen", 1.2, func() {}},
+		{"entry out of contact", 1.2, func() {
+			e := f.entries[f.rng.IntN(len(f.entries))]
+			e.isolated = true
+			f.setViews(e)
+		}},
+		{"entry back", 1.2, func() {
+			for _, e := range f.entries {
+				e.isolated = false
+			}
+			f.setViews(nil)
+		}},
+		{"risen", 6.5, func() {}},
+		{"entry restarted", 6.5, func() {
+			i := f.rng.IntN(len(f.entries))
+			f.entries[i] = f.newEntry(f.view.Live[i])
+		}},
+		{"entries without callers", 3.3, func() {
+			for _, e := range f.entries {
+				e.silent = f.rng.IntN(3) == 0
+			}
+		}},
+	}
+	f.run(2 * time.Second)
+	start := time.Now()
+	f.run(8 * time.Second)
+	usual := f.since(server, start)
+	for _, step := range steps {
+		step.begin()
+		f.setLimit(server, strconv.FormatFloat(step.limit, 'f', -1, 64))
+		f.run(3 * time.Second) // the pages' time from which a limit counts
+		from := time.Now()
+		f.run(8 * time.Second)
+		f.checkLimit(server, step.limit, from)
+		if t.Failed() {
+			t.Fatalf("step %q", step.name)
+		}
+	}
+	for _, e := range f.entries {
+		e.silent = false
+	}
+	f.setLimit(server, "")
+	ended := time.Now()
+	f.run(time.Second)
+	if got, most := f.since(server, ended), 20; got > most {
+		t.Errorf("%d requests in the first second after the limit, want at most %d", got, most)
+	}
+	f.run(4 * time.Second)
+	back := time.Now()
+	f.run(8 * time.Second)
+	if got := f.since(server, back); got < usual/2 {
+		t.Errorf("%d requests in 8 s after the limit, want at least half of the %d before it", got, usual)
+	}
+	if f.refused > 0 {
+		t.Errorf("%d requests found no server, want none: the others have free slots", f.refused)
+	}
+}
+
+// A large service in which every server names a limit: the sum over all servers holds, and
+// the entries use it. What goes beyond is refused.
+func TestAllServersNameLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(t, 1, 19, 33, 221)
+		f.run(time.Second)
+		for server := range f.servers {
+			f.setLimit(server, "3")
+		}
+		f.run(3 * time.Second)
+		from, before := time.Now(), f.served
+		const length = 12 * time.Second
+		f.run(length)
+		for server := range f.servers {
+			f.checkLimit(server, 3, from)
+		}
+		possible := int(3 * length.Seconds() * float64(len(f.servers)))
+		if got := f.served - before; got < possible*7/10 {
+			t.Errorf("%d requests served, want at least 0.7 of the %d that the limits allow", got, possible)
+		}
+	})
+}
+
+// A limit reaches entries that have sent the server nothing, also if the first heartbeat
+// with it is lost, and a joining entry learns of it from the next response to any entry.
+func TestLimitTravelsByHeartbeat(t *testing.T) {
+	s, vms := &sender{counts: map[string]int{}}, servers(1)
+	a, _ := newSyncer("vm-0", viewOf(2, 2), vms, s)
+	b, set := newSyncer("vm-1", viewOf(2, 2), vms, s)
+	r, _ := set.Get("m/s")
+	flushes, now := 0, time.Now()
+	a.options.Flush = func() { flushes++ }
+	a.LimitNamed("s0", balancer.NamedLimit{PerSecond: 2.7}, now, true)
+	a.LimitNamed("gone", balancer.NamedLimit{PerSecond: 1}, now, false)
+	if flushes != 1 {
+		t.Errorf("%d flushes after a new limit, want 1", flushes)
+	}
+	a.Collect(&cluster.Heartbeat{}, now.Add(time.Millisecond)) // lost
+	heartbeat := &cluster.Heartbeat{}
+	a.Collect(heartbeat, now.Add(70*time.Millisecond))
+	b.Receive(heartbeat, now.Add(72*time.Millisecond))
+	if status := r.Balancer.Status(now.Add(72 * time.Millisecond))[0]; status.RequestLimit == nil || *status.RequestLimit != 2.7 {
+		t.Errorf("status %+v at the other entry, want the limit 2.7", status)
+	}
+	a.LimitNamed("s0", balancer.NamedLimit{Ended: true}, now.Add(time.Second), true)
+	heartbeat = &cluster.Heartbeat{}
+	a.Collect(heartbeat, now.Add(time.Second))
+	b.Receive(heartbeat, now.Add(time.Second+2*time.Millisecond))
+	if status := r.Balancer.Status(now.Add(2 * time.Second))[0]; status.RequestLimit != nil {
+		t.Errorf("status %+v at the other entry after the end, want no limit", status)
+	}
+	a.Collect(&cluster.Heartbeat{}, now.Add(3*time.Second))
+	heartbeat = &cluster.Heartbeat{}
+	a.Collect(heartbeat, now.Add(4*time.Second))
+	if len(heartbeat.RequestLimits) != 0 {
+		t.Errorf("limits %+v in a heartbeat long after the last response, want none", heartbeat.RequestLimits)
+	}
+}
--- a/internal/loadsync/syncer.go
+++ b/internal/loadsync/syncer.go
@@ -82,11 +82,14 @@
 	afterChange bool
 }
 
-// pending holds the report and counts of a server to send with the next heartbeat.
+// pending holds the report, the counts and the request limit of a server to send with the
+// next heartbeat.
 type pending struct {
 	report       cluster.LoadReport
 	reportAt     time.Time // time of report, zero if there is none
 	counts       cluster.RequestCounts
+	limit        cluster.RequestLimit
+	limitAt      time.Time // arrival of the response with limit, zero if there is none
 	lastSentAt   time.Time // when the last request in counts was sent
 	lastReportAt time.Time // time of the last report, of this or another entry
 }
@@ -127,6 +130,8 @@
 	return cluster.ServerID(xxhash.Sum64String(vm.Name + "\x00" + strconv.FormatInt(vm.Incarnation, 10)))
 }
 
+var _ balancer.Observer = (*Syncer)(nil)
+
 // Update replaces the set of servers by those of the running services.
 func (s *Syncer) Update(t *tree.Tree, running *service.Set, servers []fleet.VM) {
 	s.mu.Lock()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -48,6 +48,7 @@
 	ReasonQueueWait           Reason = "queue_wait"
 	ReasonStreams             Reason = "streams"
 	ReasonNoServer            Reason = "no_server"
+	ReasonServerLimit         Reason = "server_limit"
 	ReasonShed                Reason = "shed"
 	ReasonDialFailed          Reason = "dial_failed"
 	ReasonServerHungUp        Reason = "server_hung_up"
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -73,6 +73,9 @@
 	Position func(server string) int
 	// Entries is the number of entries.
 	Entries int
+	// Senders is the order in which entries divide the request limits of servers. If its
+	// Position is nil, all entries have equal shares.
+	Senders balancer.SenderOrder
 }
 
 // SetEntryOrder applies a new order of entries.
@@ -89,6 +92,9 @@
 	if s.order.Position != nil {
 		r.Balancer.SetEntryOrder(s.order.Position, s.order.Entries)
 	}
+	if s.order.Senders.Position != nil {
+		r.Balancer.SetSenderOrder(s.order.Senders)
+	}
 }
 
 // NewSet returns a Set without services.
