Show the epoch of the store and the positions that it refuses

Seen by: operators. In the incident of a restored store the log did not tell that a read was refused for its position, nor that offsets had begun anew.

Change: the adapter reads the store's epoch from each response; an entry logs when it changes and when a position is refused. No decision uses it yet. The stand-in of the store can be restored from a copy, and its servers write only what changed, as the platform's do: frequent records hid what a server that writes nothing new leaves in the store.

--- a/internal/logservice/keyed.go
+++ b/internal/logservice/keyed.go
@@ -25,6 +25,9 @@
 	Records []KeyedRecord
 	// Next is the offset to continue reading from.
 	Next int64
+	// Epoch counts how often the log was restored from an earlier copy of itself. Offsets
+	// of different epochs are not comparable.
+	Epoch int64
 }
 
 // CompactedLog is a log service that keeps the newest record of each key forever.
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -180,7 +180,7 @@
 		s.count("reads_servers")
 		page, err := s.options.Log.ReadKeyed(ctx, s.options.ServersStream, next, 0)
 		if err == nil {
-			s.onStoreResponse()
+			s.onStoreResponse(page.Epoch)
 			s.applyServers(s.deferRemovals(page.Records), "store")
 			s.servers.advance(page.Next)
 			return true
@@ -189,6 +189,7 @@
 			s.storeFailed("read servers", err)
 			return false
 		}
+		s.logRefusedPosition(s.options.ServersStream, next, err)
 	}
 	return s.readAllServers(ctx)
 }
@@ -200,7 +201,7 @@
 		s.storeFailed("read all servers", err)
 		return false
 	}
-	s.onStoreResponse()
+	s.onStoreResponse(page.Epoch)
 	s.applyMu.Lock()
 	changed, missing, errs := s.servers.reset(page, s.options.DecodeServer)
 	for _, err := range errs {
@@ -217,8 +218,11 @@
 }
 
 // onStoreResponse records a successful read, and the end of an outage if there was one.
-func (s *Syncer) onStoreResponse() {
+func (s *Syncer) onStoreResponse(epoch int64) {
 	now := time.Now()
+	if old := s.epoch.Swap(epoch); old != epoch {
+		s.options.Events.Warn("store epoch changed", "from", old, "to", epoch)
+	}
 	if s.lastContact.Load() != 0 {
 		s.removals.onStoreReturn(now, s.StoreReadAge(now))
 	}
@@ -303,11 +307,19 @@
 		if !isExpired(err) {
 			return page, err
 		}
+		s.logRefusedPosition(s.options.ConfigStream, next, err)
 	}
 	s.count("reads_config_newest")
 	return s.options.Log.Newest(ctx, s.options.ConfigStream)
 }
 
+// logRefusedPosition logs that the store does not have the records from an offset on, so
+// that all are read instead.
+func (s *Syncer) logRefusedPosition(stream string, from int64, err error) {
+	s.count("positions_refused")
+	s.options.Events.Warn("position refused by the store", "stream", stream, "offset", from, "epoch", s.epoch.Load(), "error", err)
+}
+
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -62,6 +62,7 @@
 	started  time.Time
 
 	lastContact atomic.Int64 // Unix nanoseconds of the last successful read of the store, zero before it
+	epoch       atomic.Int64 // of the store, by the last read of the servers
 	revision    atomic.Int64
 	// newerSeenAt is when a member last announced a newer revision than the active one,
 	// appliedAt when a configuration was last applied, in Unix nanoseconds.
--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -86,12 +87,15 @@
 	unhealthy    bool
 	state        string
 	sequence     int
+	written      []byte // the last record written
+	writtenState string // its state
 	runs         []Run
 	hung         int    // requests that hang unrun on an open connection
 	previousID   string // request id of the previous request, for StaleResponse
 }
 
-// heartbeatInterval is how often a server updates its record in the store.
+// heartbeatInterval is how often a server checks its record in the store. It writes the record
+// if it is missing, or if more than its sequence number has changed.
 const heartbeatInterval = 300 * time.Millisecond
 
 // slots is how many requests a server runs at a time.
@@ -213,14 +217,22 @@
 func (s *Server) heartbeat() {
 	s.mu.Lock()
 	s.sequence++
-	value := map[string]any{
+	if s.written != nil && s.writtenState == s.state && s.store.Has("keyed.servers", s.Name, s.written) {
+		s.mu.Unlock()
+		return
+	}
+	value, err := json.Marshal(map[string]any{
 		"address": s.Address,
 		"born":    s.startedAtMs,
 		"info":    map[string]any{"service": s.Service, "zone": s.Zone, "version": "v1", "slots": slots},
 		"status":  map[string]any{"state": s.state, "sequence": s.sequence, "warmupLeft": "0ms"},
+	})
+	if err != nil {
+		panic(err)
 	}
+	s.written, s.writtenState = value, s.state
 	s.mu.Unlock()
-	s.store.PutJSON("keyed.servers", s.Name, value)
+	s.store.Put("keyed.servers", s.Name, value)
 }
 
 // ServeHTTP implements http.Handler.
--- a/standin/usersplatform/store.go
+++ b/standin/usersplatform/store.go
@@ -4,6 +4,7 @@
 package usersplatform
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -22,11 +23,13 @@
 	key    string
 	value  []byte
 	offset int64
+	at     time.Time
 }
 
 // topic is partition 0 of a topic that keeps the newest record of each key.
 type topic struct {
-	records           []record
+	records           []record // those that reads return
+	history           []record // all, also expired ones
 	next              int64
 	newest            map[string]record
 	keysByFirstAppend []string
@@ -40,6 +43,7 @@
 	topics  map[string]*topic
 	changed chan struct{} // closed at the next append
 	calls   map[string]int
+	epoch   int // number of restores
 }
 
 // NewStore returns an empty store.
@@ -52,16 +56,58 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	r := record{key: key, value: value, offset: t.next}
-	t.next++
+	r := record{key: key, value: value, offset: t.next, at: time.Now()}
+	t.add(r)
 	t.records = append(t.records, r)
-	if _, known := t.newest[key]; !known {
-		t.keysByFirstAppend = append(t.keysByFirstAppend, key)
+	s.wake()
+	return r.offset
+}
+
+// add appends a record to the history and to the newest records.
+func (t *topic) add(r record) {
+	t.next = r.offset + 1
+	t.history = append(t.history, r)
+	if _, known := t.newest[r.key]; !known {
+		t.keysByFirstAppend = append(t.keysByFirstAppend, r.key)
 	}
-	t.newest[key] = r
+	t.newest[r.key] = r
+}
+
+// wake ends the waits of reads. The caller holds mu.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return r.offset
+}
+
+// Restore replaces the store by a copy of itself from that time: what was appended since is
+// lost, and its offsets are given out again. The writers have to write again what the copy
+// lacks.
+func (s *Store) Restore(copied time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	for name, old := range s.topics {
+		t := &topic{newest: map[string]record{}}
+		for _, r := range old.history {
+			if !r.at.After(copied) {
+				t.add(r)
+			}
+		}
+		for _, r := range old.records {
+			if !r.at.After(copied) {
+				t.records = append(t.records, r)
+			}
+		}
+		s.topics[name] = t
+	}
+	s.wake()
+}
+
+// Has reports whether the newest record of the key has that value.
+func (s *Store) Has(name, key string, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bytes.Equal(s.topic(name).newest[key].value, value)
 }
 
 // PutJSON appends a record with a JSON value and returns its offset.
@@ -207,6 +253,7 @@
 	name := r.URL.Query().Get("topic")
 	s.mu.Lock()
 	s.calls[r.URL.Path+" "+name]++
+	w.Header().Set("Store-Era", strconv.Itoa(s.epoch))
 	s.mu.Unlock()
 	switch r.URL.Path {
 	case "/chestnutrouter/log-append":
@@ -244,6 +291,8 @@
 	for {
 		s.mu.Lock()
 		data, found, retained := s.read(name, from)
+		// A restore may have come while the read waited.
+		w.Header().Set("Store-Era", strconv.Itoa(s.epoch))
 		changed := wake
 		if changed == nil {
 			changed = s.changed
@@ -276,7 +325,7 @@
 	if len(t.records) > 0 {
 		first = t.records[0].offset
 	}
-	if from < first {
+	if from < first || from > t.next {
 		return nil, false, false
 	}
 	data = binary.BigEndian.AppendUint64(nil, uint64(t.next))
