Order what was read from the store by its epoch, then by offset

Seen by: callers.

Cause: a position in a stream has a meaning only in one epoch of the store. Readers went on from an offset of the epoch before. While it was beyond the end they were refused and read everything, over and over; once the end had reached it, the read was valid and the record right before it was never read. Servers' records were compared by offset as well, so what servers wrote at offsets that were given out again was ignored or not passed on.

Ruled out: an older configuration is never applied (no such line; the order is by the operator's revision), and no reader was cut off.

Change: a position is the epoch and the offset, in that order, everywhere: next positions, versions in heartbeats, pulls, deferred records. A read from another epoch is refused, and all records are read. A member that read all servers asks another one to confirm them. The list of members is written again. A read that is refused twice in a row is not repeated without a pause.

Why it works: no comparison is left that mixes epochs, and an order by epoch first makes each maximum, version and announcement go on rising.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,9 @@
 	// Incarnation distinguishes successive starts of a VM under one name; zero if
 	// the platform does not report it.
 	Incarnation int64 `json:"incarnation,omitempty"`
+	// Sequence grows with each record that the process writes about itself; zero if the
+	// platform does not report it.
+	Sequence int64 `json:"-"`
 	// Slots is how many requests the VM runs concurrently; zero if only the
 	// service's configuration defines it.
 	Slots int `json:"slots,omitempty"`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,6 +265,8 @@
 		node:   e.params.Node,
 		self:   s.VM,
 		events: e.params.Events,
+
+		storeEpoch: e.params.StoreSync.StoreEpoch,
 	}
 	e.background.Go(func() { list.run(ctx) })
 }
--- a/internal/gateway/memberlist.go
+++ b/internal/gateway/memberlist.go
@@ -36,8 +36,12 @@
 	node   *cluster.Node
 	self   string
 	events *eventlog.Logger
+	// storeEpoch returns the epoch of the store. What was written in an earlier one may be
+	// lost.
+	storeEpoch func() int64
 
 	written   map[netip.AddrPort]bool
+	epoch     int64 // of the store when it was written
 	lastWrite time.Time
 	lastRead  time.Time
 	readPause time.Duration
@@ -60,9 +64,13 @@
 	}
 }
 
-// incomplete reports whether a live member is missing from the list. Stopped members may
+// incomplete reports whether a live member is missing from the list, or the store may have
+// lost it. Stopped members may
 // stay in the list, which only costs hellos without a reply.
 func (l *memberList) incomplete(v *cluster.View) bool {
+	if l.storeEpoch() != l.epoch {
+		return true
+	}
 	for _, m := range v.Live {
 		if !l.written[m.DatagramAddress] {
 			return true
@@ -74,6 +82,7 @@
 func (l *memberList) write(ctx context.Context, v *cluster.View) {
 	ctx, cancel := context.WithTimeout(ctx, memberListTimeout)
 	defer cancel()
+	epoch := l.storeEpoch()
 	addresses := make([]netip.AddrPort, 0, len(v.Live))
 	written := make(map[netip.AddrPort]bool, len(v.Live))
 	for _, m := range v.Live {
@@ -88,7 +97,7 @@
 		l.events.Warn("writing the member list failed", "members", len(addresses), "error", err)
 		return
 	}
-	l.written = written
+	l.written, l.epoch = written, epoch
 	l.events.Info("member list written", "members", len(addresses))
 }
 
@@ -108,10 +117,10 @@
 	for _, record := range page.Records {
 		var addresses []netip.AddrPort
 		if err := json.Unmarshal(record.Value, &addresses); err != nil {
-			l.events.Warn("malformed member list ignored", "key", record.Key, "offset", record.Offset, "error", err)
+			l.events.Warn("malformed member list ignored", "key", record.Key, "position", record.Position.String(), "error", err)
 			continue
 		}
 		l.node.AddSeeds(addresses...)
-		l.events.Info("member list read", "members", len(addresses), "offset", record.Offset)
+		l.events.Info("member list read", "members", len(addresses), "position", record.Position.String())
 	}
 }
--- a/internal/logservice/keyed.go
+++ b/internal/logservice/keyed.go
@@ -12,8 +12,8 @@
 	Key string
 	// Value is the newest value; empty if the key was deleted.
 	Value []byte
-	// Offset is the record's position in its stream.
-	Offset int64
+	// Position is the record's position in its stream.
+	Position Position
 }
 
 // IsTombstone reports whether the record deletes its key.
@@ -21,25 +21,23 @@
 
 // KeyedPage is the result of one read of a compacted stream.
 type KeyedPage struct {
-	// Records are in the order of their offsets.
+	// Records are in the order of their positions.
 	Records []KeyedRecord
-	// Next is the offset to continue reading from.
-	Next int64
-	// Epoch counts how often the log was restored from an earlier copy of itself. Offsets
-	// of different epochs are not comparable.
-	Epoch int64
+	// Next is the position to continue reading from.
+	Next Position
 }
 
 // CompactedLog is a log service that keeps the newest record of each key forever.
-// Implementations are safe for concurrent use. Their errors are *ExpiredError
-// and *UnavailableError.
+// Implementations are safe for concurrent use. Their errors are *ExpiredError,
+// *EpochError and *UnavailableError.
 type CompactedLog interface {
 	// Newest returns the newest record of each key. Every change that it lacks has
-	// an offset of Next or higher; a change that it contains may be there too.
+	// a position of Next or higher; a change that it contains may be there too.
 	Newest(ctx context.Context, stream string) (KeyedPage, error)
-	// ReadKeyed returns the records from an offset on. If there are none yet, it
-	// waits for the first one for up to the given time.
-	ReadKeyed(ctx context.Context, stream string, from int64, wait time.Duration) (KeyedPage, error)
+	// ReadKeyed returns the records from a position on. If there are none yet, it
+	// waits for the first one for up to the given time. It fails with *EpochError if
+	// the position is of another epoch than the log's present one.
+	ReadKeyed(ctx context.Context, stream string, from Position, wait time.Duration) (KeyedPage, error)
 	// Put appends a record.
 	Put(ctx context.Context, stream, key string, value []byte) error
 }
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -87,6 +87,20 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
+// EpochError reports that a position is of another epoch than the log's present one.
+type EpochError struct {
+	// Stream is the stream that was read.
+	Stream string
+	// Position is the position that was read from, and Epoch the log's present epoch.
+	Position Position
+	Epoch    int64
+}
+
+// Error returns the stream, the position and the present epoch.
+func (e *EpochError) Error() string {
+	return fmt.Sprintf("platform: position %v of %s is not of the present epoch %d", e.Position, e.Stream, e.Epoch)
+}
+
 // ExpiredError reports that the requested records are no longer kept.
 type ExpiredError struct {
 	// Stream is the stream that was read.
--- a/internal/storesync/chunk_test.go
+++ b/internal/storesync/chunk_test.go
@@ -19,7 +19,7 @@
 	source, target := newTestSyncer(), newTestSyncer()
 	source.options.DecodeTree, target.options.DecodeTree = decodeLargeTree, decodeLargeTree
 	apply := func(revision int) {
-		source.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: incompressible(revision), Offset: int64(revision)}}, int64(revision+1), "store")
+		source.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: incompressible(revision), Position: position(0, int64(revision))}}, position(0, int64(revision+1)), "store")
 	}
 	apply(1)
 	receiver, calls := source.Receiver(), 0
--- a/internal/storesync/doc.go
+++ b/internal/storesync/doc.go
@@ -8,6 +8,14 @@
 // for a while, the next ones in the order read it as fallback, each a little later
 // than the one before.
 //
-// Versions are offsets of the streams. Whatever source data comes from, it is applied
+// Versions are positions in the streams. Whatever source data comes from, it is applied
 // only if it is newer, so a member never goes back to an older version.
+//
+// The store may be restored from an earlier copy of itself. A position therefore carries the
+// epoch of the store, and a read from a position of an earlier epoch is refused; all
+// records are read then. Configurations are ordered by the operator's revision, so an older
+// one in the copy is not applied. A server's record in the copy that contradicts a later one
+// of the epoch before is deferred: what a member knows stays in force, is passed on to
+// members that know only the copy, and holds until the server writes again or enough time
+// has passed for the store to remove a server that is gone.
 package storesync
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -158,7 +158,7 @@
 	next := encodedUpdate{
 		id: xxhash.Sum64(data), data: data,
 		fromRevision: args.Revision, fromServers: args.Servers,
-		revision: s.Revision(), servers: u.ServersVersion,
+		revision: s.Revision(), servers: int64(u.ServersVersion),
 	}
 	if len(data) > largeUpdateBytes {
 		r.last = next
@@ -173,8 +173,11 @@
 	if s.revision.Load() > args.Revision {
 		u.Config = s.config
 	}
-	_, u.ServersNext = s.servers.versions()
-	u.Servers, u.ServersVersion = s.servers.since(args.Servers)
+	if !s.deferred.pending() {
+		_, u.ServersNext = s.servers.versions()
+	}
+	u.Servers, u.ServersVersion = s.servers.since(logservice.Position(args.Servers))
+	u.RemovedNumbers = s.servers.removedNumbers(u.Servers)
 	return u
 }
 
@@ -184,7 +187,7 @@
 	if m.Revision > s.Revision() {
 		s.newerSeenAt.Store(steady.Nanos(time.Now()))
 	}
-	if m.Revision <= s.Revision() && m.ServersVersion <= s.ServersVersion() {
+	if !s.lacks(m) {
 		return
 	}
 	select {
@@ -193,6 +196,18 @@
 	}
 }
 
+// lacks reports whether the member may have data that this one lacks.
+func (s *Syncer) lacks(m cluster.LiveMember) bool {
+	return m.Revision > s.Revision() || m.ServersVersion > s.ServersVersion() || s.canConfirm(m)
+}
+
+// canConfirm reports whether the member can confirm what this one read from the store: it
+// has read the store in the present epoch, or got it from one that has.
+func (s *Syncer) canConfirm(m cluster.LiveMember) bool {
+	theirs, own := logservice.Position(m.ServersVersion), logservice.Position(s.ServersVersion())
+	return s.unconfirmed.Load() && theirs > 0 && theirs.Epoch() >= own.Epoch()
+}
+
 // IsBehind reports whether another member announced a newer configuration than the active
 // one within the last behindTime.
 func (s *Syncer) IsBehind() bool {
@@ -232,7 +247,7 @@
 func (s *Syncer) otherSource(last cluster.LiveMember) (cluster.LiveMember, bool) {
 	var local, remote []cluster.LiveMember
 	for _, m := range s.options.View().Live {
-		if m.VM == last.VM || m.VM == s.options.Self || m.Revision <= s.Revision() && m.ServersVersion <= s.ServersVersion() {
+		if m.VM == last.VM || m.VM == s.options.Self || !s.lacks(m) {
 			continue
 		}
 		if m.Zone == s.options.Zone {
@@ -253,10 +268,14 @@
 // pull fetches and applies the changes that a member announced. It returns false if the
 // member was busy.
 func (s *Syncer) pull(ctx context.Context, m cluster.LiveMember) bool {
-	args := SinceArgs{Caller: s.options.Self, Revision: s.Revision(), Servers: s.ServersVersion()}
-	if m.Revision <= args.Revision && m.ServersVersion <= args.Servers {
+	if !s.lacks(m) {
 		return true
 	}
+	args := SinceArgs{Caller: s.options.Self, Revision: s.Revision(), Servers: s.ServersVersion()}
+	confirms := s.canConfirm(m)
+	if confirms {
+		args.Servers = 0
+	}
 	data, err := s.fetch(ctx, m, args)
 	var busy *busyError
 	if errors.As(err, &busy) {
@@ -273,7 +292,7 @@
 		return true
 	}
 	s.count("pulls")
-	s.applyUpdate(u, m.VM)
+	s.applyUpdate(u, confirms, m.VM)
 	return true
 }
 
@@ -313,9 +332,19 @@
 	return nil, &UpdateError{Cause: "it changed too often while it was fetched"}
 }
 
-func (s *Syncer) applyUpdate(u *update, source string) {
+// applyUpdate applies an update of another member. It confirms what was read from the store
+// if it has all that the other member knows.
+func (s *Syncer) applyUpdate(u *update, confirms bool, source string) {
 	s.applyConfig([]logservice.KeyedRecord{u.Config}, u.ConfigNext, source)
-	s.applyServers(u.Servers, source)
+	if confirms {
+		s.unconfirmed.Store(false)
+	}
+	s.applyPeerServers(u, confirms, source)
+	s.servers.adoptNumbers(u.RemovedNumbers)
 	s.servers.adoptVersion(u.ServersVersion)
-	s.servers.advance(u.ServersNext)
+	s.servers.advanceFromPeer(u.ServersNext)
+	if n := s.servers.repair(u.Servers, u.ServersVersion, s.options.DecodeServer); n > 0 {
+		s.count("repairs")
+		s.options.Events.Info("newer servers announced again", "servers", n, "peer", source)
+	}
 }
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -101,16 +101,16 @@
 	}
 }
 
-// applyDeferred removes the servers whose removal was deferred until now.
+// applyDeferred applies the records that were deferred until now.
 func (s *Syncer) applyDeferred(now time.Time) {
 	var records []logservice.KeyedRecord
-	for _, held := range s.removals.due(now) {
-		if r, ok := s.servers.rebaseRemoval(held); ok {
+	for _, held := range s.deferred.due(now) {
+		if r, ok := s.servers.rebase(held); ok {
 			records = append(records, r)
 		}
 	}
 	if len(records) > 0 {
-		s.applyServers(records, "lapse")
+		s.applyServers(records, "deferred")
 	}
 }
 
@@ -180,12 +180,12 @@
 		s.count("reads_servers")
 		page, err := s.options.Log.ReadKeyed(ctx, s.options.ServersStream, next, 0)
 		if err == nil {
-			s.onStoreResponse(page.Epoch)
+			s.onStoreResponse(page.Next.Epoch())
 			s.applyServers(s.deferRemovals(page.Records), "store")
 			s.servers.advance(page.Next)
 			return true
 		}
-		if !isExpired(err) {
+		if !isRefused(err) {
 			s.storeFailed("read servers", err)
 			return false
 		}
@@ -201,30 +201,39 @@
 		s.storeFailed("read all servers", err)
 		return false
 	}
-	s.onStoreResponse(page.Epoch)
+	s.onStoreResponse(page.Next.Epoch())
 	s.applyMu.Lock()
-	changed, missing, errs := s.servers.reset(page, s.options.DecodeServer)
-	for _, err := range errs {
+	result := s.servers.reset(page, s.options.DecodeServer)
+	if result.restored {
+		s.deferred.onRestore(time.Now())
+	}
+	for _, r := range result.contradicted {
+		s.deferred.hold(r, time.Now().Add(revivalGrace))
+		s.options.Events.Info("server record of a restored store deferred", "server", r.Key, "position", r.Position.String())
+	}
+	for _, err := range result.errs {
 		s.count("server_unreadable")
 		s.options.Events.Warn("server record ignored", "source", "newest", "error", err)
 	}
-	if changed {
+	if result.changed {
 		s.options.OnServers(s.servers.servers())
 	}
 	s.applyMu.Unlock()
-	s.options.Events.Info("servers read", "records", len(page.Records), "missing", len(missing), "next", page.Next)
-	s.applyServers(s.deferRemovals(missing), "newest")
+	s.unconfirmed.Store(true)
+	s.options.Events.Info("servers read", "records", len(page.Records), "missing", len(result.missing),
+		"contradicted", len(result.contradicted), "restored", result.restored, "next", page.Next.String())
+	s.applyServers(s.deferRemovals(result.missing), "newest")
 	return true
 }
 
 // onStoreResponse records a successful read, and the end of an outage if there was one.
 func (s *Syncer) onStoreResponse(epoch int64) {
 	now := time.Now()
-	if old := s.epoch.Swap(epoch); old != epoch {
+	if old := s.epoch.Swap(epoch); old != epoch && s.lastContact.Load() != 0 {
 		s.options.Events.Warn("store epoch changed", "from", old, "to", epoch)
 	}
 	if s.lastContact.Load() != 0 {
-		s.removals.onStoreReturn(now, s.StoreReadAge(now))
+		s.deferred.onStoreReturn(now, s.StoreReadAge(now))
 	}
 	s.markContact(now)
 }
@@ -235,9 +244,9 @@
 	now := time.Now()
 	remaining := records[:0:0]
 	for _, r := range records {
-		if r.IsTombstone() && s.servers.isLive(r.Key) && s.removals.hold(now, r) {
+		if r.IsTombstone() && s.servers.isLive(r.Key) && s.deferred.holdRemoval(now, r) {
 			s.count("removals_held")
-			s.options.Events.Info("server removal held", "server", r.Key, "offset", r.Offset)
+			s.options.Events.Info("server removal held", "server", r.Key, "position", r.Position.String())
 			continue
 		}
 		remaining = append(remaining, r)
@@ -255,10 +264,16 @@
 		}
 		sleep(ctx, startPollInterval)
 	}
+	refusedBefore := false
 	for ctx.Err() == nil {
-		position := s.readerPosition()
-		if position < activeReaders && s.readConfig(ctx, staggeredWait(position, time.Now())) {
-			continue
+		if position := s.readerPosition(); position < activeReaders {
+			ok, refused := s.readConfig(ctx, staggeredWait(position, time.Now()))
+			again := refused && refusedBefore
+			refusedBefore = refused
+			// A read without a wait at the store must not be repeated without a pause.
+			if ok && !again {
+				continue
+			}
 		}
 		sleep(ctx, configRetryPause+rand.N(configRetryPause))
 	}
@@ -278,46 +293,48 @@
 	return wait
 }
 
-// readConfig reads and applies the configuration and reports whether the read
-// succeeded.
-func (s *Syncer) readConfig(ctx context.Context, wait time.Duration) bool {
+// readConfig reads and applies the configuration. It reports whether the read succeeded, and
+// whether the store first refused the position to continue from.
+func (s *Syncer) readConfig(ctx context.Context, wait time.Duration) (ok, refused bool) {
 	s.applyMu.Lock()
 	next, known := s.configNext, s.configRead
 	s.applyMu.Unlock()
-	page, err := s.readConfigPage(ctx, next, known, wait)
+	page, refused, err := s.readConfigPage(ctx, next, known, wait)
 	if err != nil {
 		if ctx.Err() == nil {
 			s.storeFailed("read configuration", err)
 		}
-		return false
+		return false, refused
 	}
 	s.applyConfig(page.Records, page.Next, "store")
 	s.applyMu.Lock()
 	s.configNext, s.configRead = max(s.configNext, page.Next), true
 	s.applyMu.Unlock()
-	return true
+	return true, refused
 }
 
-// readConfigPage reads the records from offset next on, or the newest ones if next is
-// not known or no longer retained.
-func (s *Syncer) readConfigPage(ctx context.Context, next int64, known bool, wait time.Duration) (logservice.KeyedPage, error) {
+// readConfigPage reads the records from next on, or the newest ones if next is not known or
+// refused.
+func (s *Syncer) readConfigPage(ctx context.Context, next logservice.Position, known bool, wait time.Duration) (page logservice.KeyedPage, refused bool, err error) {
 	if known {
 		s.count("reads_config")
-		page, err := s.options.Log.ReadKeyed(ctx, s.options.ConfigStream, next, wait)
-		if !isExpired(err) {
-			return page, err
+		page, err = s.options.Log.ReadKeyed(ctx, s.options.ConfigStream, next, wait)
+		if !isRefused(err) {
+			return page, false, err
 		}
 		s.logRefusedPosition(s.options.ConfigStream, next, err)
+		refused = true
 	}
 	s.count("reads_config_newest")
-	return s.options.Log.Newest(ctx, s.options.ConfigStream)
+	page, err = s.options.Log.Newest(ctx, s.options.ConfigStream)
+	return page, refused, err
 }
 
-// logRefusedPosition logs that the store does not have the records from an offset on, so
+// logRefusedPosition logs that the store does not have the records from a position on, so
 // that all are read instead.
-func (s *Syncer) logRefusedPosition(stream string, from int64, err error) {
+func (s *Syncer) logRefusedPosition(stream string, from logservice.Position, err error) {
 	s.count("positions_refused")
-	s.options.Events.Warn("position refused by the store", "stream", stream, "offset", from, "epoch", s.epoch.Load(), "error", err)
+	s.options.Events.Warn("position refused by the store", "stream", stream, "position", from.String(), "error", err)
 }
 
 func sleep(ctx context.Context, duration time.Duration) {
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 )
@@ -94,3 +96,94 @@
 		}
 	}
 }
+
+// The copy has servers as live that left since, lacks one that came, and has one whose
+// removal was wrong. What was acknowledged as leaving stays out, what lives stays in, and
+// what the store still says once silent servers must be gone is believed. The same holds at
+// a member that has not noticed, and at one that starts and knows only the copy.
+func TestRestoredCopyRevivesNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, unaware := newTestSyncer(), newTestSyncer()
+		for _, key := range []string{"stays", "drains", "left", "returns"} {
+			s.log.put(key, "live 1")
+		}
+		s.readServers(t.Context())
+		s.log.put("drains", "leaving 2")
+		s.log.put("left", "leaving 2")
+		s.log.put("left", "")
+		s.log.put("came", "live 1")
+		s.log.put("returns", "")
+		s.readServers(t.Context())
+		pullAll(t, unaware, s)
+		s.log.restore(4)
+		s.readServers(t.Context())
+		starting := newTestSyncer()
+		starting.log = s.log
+		starting.options.Log = s.log
+		starting.readServers(t.Context())
+		pullAll(t, unaware, starting)
+		pullAll(t, s, starting)
+		pullAll(t, starting, s)
+		pullAll(t, unaware, s)
+		check := func(when string, want map[string]fleet.State) {
+			t.Helper()
+			for name, m := range map[string]*testSyncer{"reader": s, "unaware": unaware, "starting": starting} {
+				for _, key := range []string{"stays", "drains", "left", "came", "returns"} {
+					if m == starting && key == "came" && want[key] == fleet.Live && m.servers[key] == "" {
+						continue // not written again yet, so only members that knew it have it
+					}
+					if m.servers[key] != want[key] {
+						t.Errorf("%s: server %s is %q at the %s member, want %q", when, key, m.servers[key], name, want[key])
+					}
+				}
+			}
+		}
+		check("right after the restore", map[string]fleet.State{"stays": fleet.Live, "drains": fleet.Leaving, "came": fleet.Live})
+		s.log.put("drains", "leaving 5")
+		s.log.put("came", "live 5")
+		time.Sleep(removalGrace + time.Millisecond)
+		everyoneReads(t, s, unaware, starting)
+		check("written again", map[string]fleet.State{"stays": fleet.Live, "drains": fleet.Leaving, "came": fleet.Live})
+		s.log.put("left", "") // silent
+		everyoneReads(t, s, unaware, starting)
+		time.Sleep(revivalGrace)
+		everyoneReads(t, s, unaware, starting)
+		check("in the end", map[string]fleet.State{"stays": fleet.Live, "drains": fleet.Leaving, "came": fleet.Live, "returns": fleet.Live})
+	})
+}
+
+// A server that came in the lost span and does not write again is gone.
+func TestServerThatIsNotWrittenAgainIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestSyncer()
+		s.log.put("a", "live 1")
+		s.log.put("b", "live 1")
+		s.readServers(t.Context())
+		s.log.restore(1)
+		s.readServers(t.Context())
+		if len(s.servers) != 2 {
+			t.Errorf("servers %v right after the restore, want both", s.servers)
+		}
+		time.Sleep(removalGrace + time.Millisecond)
+		everyoneReads(t, s)
+		if len(s.servers) != 1 || s.servers["a"] != fleet.Live {
+			t.Errorf("servers %v after the grace period, want only a", s.servers)
+		}
+	})
+}
+
+// everyoneReads lets the first member read the store and the others pull from all.
+func everyoneReads(t *testing.T, members ...*testSyncer) {
+	t.Helper()
+	members[0].applyDeferred(time.Now())
+	members[0].readServers(t.Context())
+	for range 2 {
+		for _, to := range members {
+			for _, from := range members {
+				if from != to {
+					pullAll(t, to, from)
+				}
+			}
+		}
+	}
+}
--- a/internal/storesync/servers.go
+++ b/internal/storesync/servers.go
@@ -1,6 +1,8 @@
 package storesync
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,62 +19,113 @@
 type serverRow struct {
 	record logservice.KeyedRecord
 	vm     fleet.VM
-	usable bool  // the record describes a server to use
-	change int64 // version of the table at which the row last changed
+	usable bool // the record describes a server to use
+	// incarnation and sequence are those of the last usable record, also after a removal.
+	incarnation, sequence int64
+	change                logservice.Position // version of the table at which the row last changed
+}
+
+// describesLater reports whether the VM's own numbers show that it wrote the record after
+// the row's. A row that came as a removal has no numbers.
+func (r *serverRow) describesLater(vm fleet.VM) bool {
+	if r.incarnation == 0 && r.sequence == 0 {
+		return false
+	}
+	if r.incarnation != vm.Incarnation {
+		return vm.Incarnation > r.incarnation
+	}
+	return vm.Sequence > r.sequence
 }
 
 // serverTable holds the newest record of each backend server by key, also of removed
 // ones. The zero value is an empty table.
 type serverTable struct {
-	mu      sync.Mutex // guards the fields below
-	rows    map[string]*serverRow
-	next    int64 // all records before this offset are applied
-	version int64 // offset after the last record that changed anything
+	mu   sync.Mutex // guards the fields below
+	rows map[string]*serverRow
+	next logservice.Position // all records before this position are applied
+	// version rises with each change. It is the position after the last record that changed
+	// anything, or a little more: members with the same version have the same servers.
+	version logservice.Position
 }
 
 // decodeServer decodes a value of the store into a backend server.
 type decodeServer func(key string, value []byte) (fleet.VM, error)
 
+// serverSource is where a record comes from. The zero value is the store.
+type serverSource struct {
+	// peer is set if another member sent it, version is that member's version then.
+	peer    bool
+	version logservice.Position
+	// confirms is set if this member read all servers from the store and the other one
+	// sent all of its own.
+	confirms bool
+}
+
 // apply applies a record if it is newer than the known one of its key, and reports
 // whether anything else than the server's heartbeat has changed.
-func (t *serverTable) apply(r logservice.KeyedRecord, decode decodeServer) (changed bool, err error) {
+func (t *serverTable) apply(r logservice.KeyedRecord, from serverSource, decode decodeServer) (changed bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.applyLocked(r, decode)
+	return t.applyLocked(r, from, decode)
 }
 
-func (t *serverTable) applyLocked(r logservice.KeyedRecord, decode decodeServer) (bool, error) {
+func (t *serverTable) applyLocked(r logservice.KeyedRecord, from serverSource, decode decodeServer) (bool, error) {
 	if t.rows == nil {
 		t.rows = map[string]*serverRow{}
 	}
 	old := t.rows[r.Key]
-	if old != nil && r.Offset <= old.record.Offset {
+	if old != nil && (r.Position <= old.record.Position || from.peer && old.contradicts(r, decode)) {
 		return false, nil
 	}
 	next := &serverRow{record: r}
+	if old != nil {
+		next.incarnation, next.sequence = old.incarnation, old.sequence
+	}
 	var err error
 	if !r.IsTombstone() {
 		next.vm, err = decode(r.Key, r.Value)
 		next.usable = err == nil
 	}
+	if next.usable {
+		next.incarnation, next.sequence = next.vm.Incarnation, next.vm.Sequence
+	}
+	t.rows[r.Key] = next
 	if old != nil && old.usable == next.usable && sameVM(old.vm, next.vm) {
 		next.vm, next.change = old.vm, old.change
-		t.rows[r.Key] = next
+		// Other members may know less of the epoch before, or may have deferred a record of
+		// the present one, so they need this record although it changes nothing here.
+		if position := old.record.Position; position.Epoch() < r.Position.Epoch() || !position.IsRecord() {
+			next.change = t.raiseVersion(r.Position, from)
+		}
 		return false, nil
 	}
 	if old == nil && !next.usable {
 		next.change = t.version
-		t.rows[r.Key] = next
 		return false, err
 	}
-	t.version = max(t.version, r.Offset+1)
-	next.change = t.version
-	t.rows[r.Key] = next
+	next.change = t.raiseVersion(r.Position, from)
 	return true, err
 }
 
-// sameVM compares two servers. It ignores jitter in the end of the warm-up.
+// raiseVersion raises the version for a change by the record at the position, and returns it.
+func (t *serverTable) raiseVersion(position logservice.Position, from serverSource) logservice.Position {
+	switch {
+	case !from.peer:
+		t.version = max(t.version+1, position.Next())
+	case from.confirms && !position.IsRecord():
+		// What members concluded is not in the store, so others that read the same from it
+		// have the version without the change.
+		t.version = max(t.version, from.version) + 1
+	default:
+		t.version = max(t.version, from.version)
+	}
+	return t.version
+}
+
+// sameVM compares two servers. It ignores jitter in the end of the warm-up and the number
+// of the record.
 func sameVM(a, b fleet.VM) bool {
+	b.Sequence = a.Sequence
 	drift := time.Duration(a.WarmUntil-b.WarmUntil) * time.Millisecond
 	if a.WarmUntil != 0 && b.WarmUntil != 0 && drift.Abs() < warmUpTolerance {
 		b.WarmUntil = a.WarmUntil
@@ -93,8 +146,35 @@
 	return vms
 }
 
+// recordNumbers are the numbers by which a VM orders the records about itself.
+type recordNumbers struct{ Incarnation, Sequence int64 }
+
+// removedNumbers returns the last numbers of the servers among the records that are removed.
+func (t *serverTable) removedNumbers(records []logservice.KeyedRecord) map[string]recordNumbers {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	numbers := map[string]recordNumbers{}
+	for _, r := range records {
+		if row := t.rows[r.Key]; r.IsTombstone() && row != nil {
+			numbers[r.Key] = recordNumbers{row.incarnation, row.sequence}
+		}
+	}
+	return numbers
+}
+
+// adoptNumbers adopts the numbers of removed servers, where this member has none.
+func (t *serverTable) adoptNumbers(numbers map[string]recordNumbers) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, n := range numbers {
+		if r := t.rows[key]; r != nil && r.incarnation == 0 && r.sequence == 0 {
+			r.incarnation, r.sequence = n.Incarnation, n.Sequence
+		}
+	}
+}
+
 // since returns the records that changed after a version, and the table's version.
-func (t *serverTable) since(version int64) ([]logservice.KeyedRecord, int64) {
+func (t *serverTable) since(version logservice.Position) ([]logservice.KeyedRecord, logservice.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var records []logservice.KeyedRecord
@@ -106,47 +186,131 @@
 	return records, t.version
 }
 
-func (t *serverTable) versions() (version, next int64) {
+func (t *serverTable) versions() (version, next logservice.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.version, t.next
 }
 
 // advance records that all records before next are applied.
-func (t *serverTable) advance(next int64) {
+func (t *serverTable) advance(next logservice.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.next = max(t.next, next)
 }
 
+// advanceFromPeer is like advance for the position up to which a peer has read. A member that
+// has data of an earlier epoch must read all servers itself, to compare them with what it
+// knows.
+func (t *serverTable) advanceFromPeer(next logservice.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.next == 0 || next.Epoch() == t.next.Epoch() {
+		t.next = max(t.next, next)
+	}
+}
+
 // adoptVersion raises the version to that of a peer whose changes were applied.
-func (t *serverTable) adoptVersion(version int64) {
+func (t *serverTable) adoptVersion(version logservice.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.version = max(t.version, version)
 }
 
-// reset applies a complete page of the newest records. It returns a removal for each
-// server that is missing from the page; these are not applied yet.
-func (t *serverTable) reset(page logservice.KeyedPage, decode decodeServer) (changed bool, missing []logservice.KeyedRecord, errs []error) {
+// resetResult is what a complete page of the newest records changed.
+type resetResult struct {
+	changed bool
+	// restored is set if the page is of a later epoch of the store than what was read before.
+	restored bool
+	// missing are removals of the servers that are not in the page, and contradicted the
+	// records of a restored store against which a later one was kept. They are not applied
+	// yet.
+	missing, contradicted []logservice.KeyedRecord
+	errs                  []error
+}
+
+// reset applies a complete page of the newest records.
+func (t *serverTable) reset(page logservice.KeyedPage, decode decodeServer) resetResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	present := make(map[string]bool, len(page.Records))
-	for _, r := range page.Records {
+	result := resetResult{restored: t.next > 0 && page.Next.Epoch() > t.next.Epoch()}
+	records := slices.SortedFunc(slices.Values(page.Records), func(a, b logservice.KeyedRecord) int {
+		return cmp.Compare(a.Position, b.Position)
+	})
+	present := make(map[string]bool, len(records))
+	for _, r := range records {
 		present[r.Key] = true
-		recordChanged, err := t.applyLocked(r, decode)
-		changed = changed || recordChanged
+		if old := t.rows[r.Key]; old != nil && old.contradicts(r, decode) {
+			t.keep(old, page.Next)
+			r.Position = old.record.Position
+			result.contradicted = append(result.contradicted, r)
+			continue
+		}
+		recordChanged, err := t.applyLocked(r, serverSource{}, decode)
+		result.changed = result.changed || recordChanged
 		if err != nil {
-			errs = append(errs, err)
+			result.errs = append(result.errs, err)
 		}
 	}
 	for key, r := range t.rows {
-		if r.usable && !present[key] && r.record.Offset < page.Next {
-			missing = append(missing, logservice.KeyedRecord{Key: key, Offset: page.Next - 1})
+		if r.usable && !present[key] && r.record.Position < page.Next {
+			result.missing = append(result.missing, logservice.KeyedRecord{Key: key, Position: page.Next.Preceding(1)})
 		}
 	}
 	t.next = max(t.next, page.Next)
-	return changed, missing, errs
+	return result
+}
+
+// contradicts reports whether the row, read in an earlier epoch of the store, is later than
+// a record of the present one that differs. The copy from which the store was restored has
+// the offsets of the earlier epoch, so a record at a higher offset is later than the row. One
+// at a lower offset is most likely of the copy; it is later only if the server's own numbers
+// say so. A removal is never of the copy, as members read only its newest records, nor is
+// what another member concluded from them.
+func (r *serverRow) contradicts(present logservice.KeyedRecord, decode decodeServer) bool {
+	position := r.record.Position
+	switch {
+	case position.Epoch() >= present.Position.Epoch(),
+		present.Position.Offset() > position.Offset(),
+		present.IsTombstone(),
+		!present.Position.IsRecord():
+		return false
+	}
+	vm, err := decode(present.Key, present.Value)
+	usable := err == nil
+	if usable == r.usable && sameVM(r.vm, vm) {
+		return false
+	}
+	return !usable || !r.describesLater(vm)
+}
+
+// keep moves a row of an earlier epoch behind all records that were read before next, so
+// that other members take it as newer than those.
+func (t *serverTable) keep(r *serverRow, next logservice.Position) {
+	r.record.Position = next.Preceding(2)
+	r.change = t.raiseVersion(r.record.Position, serverSource{})
+}
+
+// repair raises the version of each row that is newer than the record in a peer's update
+// although the peer has the row's version: the peer lacks it. That is so if it read a
+// restored store without having known the epoch before.
+func (t *serverTable) repair(records []logservice.KeyedRecord, peerVersion logservice.Position, decode decodeServer) (repaired int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, theirs := range records {
+		r := t.rows[theirs.Key]
+		if r == nil || r.record.Position <= theirs.Position || r.change > peerVersion {
+			continue
+		}
+		vm, err := decode(theirs.Key, theirs.Value)
+		if usable := err == nil; usable == r.usable && sameVM(r.vm, vm) {
+			continue
+		}
+		t.version = max(t.version, peerVersion) + 1
+		r.change = t.version
+		repaired++
+	}
+	return repaired
 }
 
 // isLive reports whether the key belongs to a server that accepts new requests.
@@ -157,16 +321,15 @@
 	return r != nil && r.usable && r.vm.State == fleet.Live
 }
 
-// rebaseRemoval moves a deferred removal to the offset before next, so that other
-// members take it as newer than their data. It returns false if the server has
-// registered again since the removal.
-func (t *serverTable) rebaseRemoval(removal logservice.KeyedRecord) (logservice.KeyedRecord, bool) {
+// rebase moves a deferred record before next, so that other members take it as newer than
+// their data. It returns false if there has been a newer record of the server since.
+func (t *serverTable) rebase(deferred logservice.KeyedRecord) (logservice.KeyedRecord, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.rows[removal.Key]
-	if r == nil || r.record.Offset > removal.Offset {
-		return removal, false
+	r := t.rows[deferred.Key]
+	if r == nil || r.record.Position > deferred.Position {
+		return deferred, false
 	}
-	removal.Offset = max(removal.Offset, t.next-1)
-	return removal, true
+	deferred.Position = max(deferred.Position, t.next.Preceding(1))
+	return deferred, true
 }
--- a/internal/storesync/spread_test.go
+++ b/internal/storesync/spread_test.go
@@ -145,7 +145,7 @@
 			}()
 			value := largeConfiguration(2, routes)
 			began := time.Now()
-			syncers[0].applyConfig([]logservice.KeyedRecord{{Key: "config", Value: value, Offset: 1}}, 2, "store")
+			syncers[0].applyConfig([]logservice.KeyedRecord{{Key: "config", Value: value, Position: position(0, 1)}}, position(0, 2), "store")
 			late := entries
 			for late > 0 && time.Since(began) < bound+time.Second {
 				time.Sleep(5 * time.Millisecond)
@@ -188,7 +188,7 @@
 		if !s.IsBehind() {
 			t.Error("not behind after the heartbeat of a member with a newer revision")
 		}
-		s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("7"), Offset: 1}}, 2, "store")
+		s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("7"), Position: position(0, 1)}}, position(0, 2), "store")
 		if s.IsBehind() {
 			t.Error("behind with the newest revision")
 		}
--- a/internal/storesync/stagger_test.go
+++ b/internal/storesync/stagger_test.go
@@ -16,7 +16,7 @@
 // waiting read is not woken by an append.
 type unnotifiedLog struct{ fakeLog }
 
-func (l *unnotifiedLog) ReadKeyed(ctx context.Context, stream string, from int64, wait time.Duration) (logservice.KeyedPage, error) {
+func (l *unnotifiedLog) ReadKeyed(ctx context.Context, stream string, from logservice.Position, wait time.Duration) (logservice.KeyedPage, error) {
 	page, err := l.fakeLog.ReadKeyed(ctx, stream, from, 0)
 	if err == nil && len(page.Records) == 0 {
 		sleep(ctx, wait)
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -57,13 +57,16 @@
 type Syncer struct {
 	options  Options
 	servers  serverTable
-	removals deferredRemovals
+	deferred deferredRecords
 	pulls    chan cluster.LiveMember
 	started  time.Time
 
 	lastContact atomic.Int64 // Unix nanoseconds of the last successful read of the store, zero before it
-	epoch       atomic.Int64 // of the store, by the last read of the servers
+	epoch       atomic.Int64 // of the store, by the last read
 	revision    atomic.Int64
+	// unconfirmed is set after all servers were read from the store, until another member
+	// has sent all that it knows: if the store was restored, others may know better.
+	unconfirmed atomic.Bool
 	// newerSeenAt is when a member last announced a newer revision than the active one,
 	// appliedAt when a configuration was last applied, in Unix nanoseconds.
 	newerSeenAt, appliedAt atomic.Int64
@@ -71,7 +74,7 @@
 	applyMu sync.Mutex // serializes OnTree and OnServers, and guards the fields below
 	// config is the record of the active configuration.
 	config     logservice.KeyedRecord
-	configNext int64
+	configNext logservice.Position
 	configRead bool // configNext is known from the store or a peer
 }
 
@@ -90,9 +93,12 @@
 // none yet.
 func (s *Syncer) ServersVersion() int64 {
 	version, _ := s.servers.versions()
-	return version
+	return int64(version)
 }
 
+// StoreEpoch returns the epoch of the store by this member's last read.
+func (s *Syncer) StoreEpoch() int64 { return s.epoch.Load() }
+
 // StoreReadAge returns the time since this member itself last read the store. Before
 // the first read it is the time since the start plus a minute.
 func (s *Syncer) StoreReadAge(now time.Time) time.Duration {
@@ -118,7 +124,7 @@
 // applyConfig applies the newest of the records of the configuration if it is newer than
 // the active one. Older ones in the same page are not decoded: a large configuration takes
 // a small VM long.
-func (s *Syncer) applyConfig(records []logservice.KeyedRecord, next int64, source string) {
+func (s *Syncer) applyConfig(records []logservice.KeyedRecord, next logservice.Position, source string) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	s.configNext = max(s.configNext, next)
@@ -138,7 +144,7 @@
 	t, err := s.options.DecodeTree(r.Value)
 	if err != nil {
 		s.count("config_unreadable")
-		s.options.Events.Warn("configuration ignored", "offset", r.Offset, "source", source, "error", err)
+		s.options.Events.Warn("configuration ignored", "position", r.Position.String(), "source", source, "error", err)
 		return false
 	}
 	if t.Revision <= s.revision.Load() {
@@ -150,18 +156,27 @@
 	now := time.Now()
 	s.appliedAt.Store(steady.Nanos(now))
 	s.count("config_applied")
-	s.options.Events.Info("configuration in force", "revision", t.Revision, "offset", r.Offset, "source", source,
+	s.options.Events.Info("configuration in force", "revision", t.Revision, "position", r.Position.String(), "source", source,
 		"bytes", len(r.Value), "apply_ms", now.Sub(began).Milliseconds())
 	return true
 }
 
-// applyServers applies records of backend servers.
+// applyServers applies records of backend servers from the store.
 func (s *Syncer) applyServers(records []logservice.KeyedRecord, source string) {
+	s.applyServersFrom(records, serverSource{}, source)
+}
+
+// applyPeerServers applies the records of backend servers in another member's update.
+func (s *Syncer) applyPeerServers(u *update, confirms bool, source string) {
+	s.applyServersFrom(u.Servers, serverSource{peer: true, version: u.ServersVersion, confirms: confirms}, source)
+}
+
+func (s *Syncer) applyServersFrom(records []logservice.KeyedRecord, from serverSource, source string) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	changed := 0
 	for _, r := range records {
-		recordChanged, err := s.servers.apply(r, s.options.DecodeServer)
+		recordChanged, err := s.servers.apply(r, from, s.options.DecodeServer)
 		if recordChanged {
 			changed++
 		}
@@ -186,11 +201,11 @@
 	switch {
 	case err != nil:
 		s.count("server_unreadable")
-		s.options.Events.Warn("server record ignored", "server", r.Key, "offset", r.Offset, "source", source, "error", err)
+		s.options.Events.Warn("server record ignored", "server", r.Key, "position", r.Position.String(), "source", source, "error", err)
 	case changed && r.IsTombstone():
-		s.options.Events.Info("server gone", "server", r.Key, "offset", r.Offset, "source", source)
+		s.options.Events.Info("server gone", "server", r.Key, "position", r.Position.String(), "source", source)
 	case changed:
-		s.options.Events.Info("server changed", "server", r.Key, "offset", r.Offset, "source", source)
+		s.options.Events.Info("server changed", "server", r.Key, "position", r.Position.String(), "source", source)
 	}
 }
 
@@ -209,7 +224,10 @@
 
 func (s *Syncer) count(name string) { s.options.Scope.Counter("feed_" + name).Inc(1) }
 
-func isExpired(err error) bool {
-	var e *logservice.ExpiredError
-	return errors.As(err, &e)
+// isRefused reports whether the store does not have the records from a position on: they
+// are no longer kept, or the position is of another epoch.
+func isRefused(err error) bool {
+	var expired *logservice.ExpiredError
+	var epoch *logservice.EpochError
+	return errors.As(err, &expired) || errors.As(err, &epoch)
 }
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +33,25 @@
 func (l *fakeLog) put(key, value string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.records = append(l.records, logservice.KeyedRecord{Key: key, Value: []byte(value), Offset: int64(len(l.records))})
+	l.records = append(l.records, logservice.KeyedRecord{Key: key, Value: []byte(value)})
+}
+
+// position returns the position of an offset, which is in range in all tests.
+func position(epoch, offset int64) logservice.Position {
+	p, err := logservice.NewPosition(epoch, offset)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// from returns the records from an offset on. l.mu must be held.
+func (l *fakeLog) from(offset int64) []logservice.KeyedRecord {
+	records := slices.Clone(l.records[offset:])
+	for i := range records {
+		records[i].Position = position(l.epoch, offset+int64(i))
+	}
+	return records
 }
 
 func (l *fakeLog) Newest(context.Context, string) (logservice.KeyedPage, error) {
@@ -43,10 +62,10 @@
 		return logservice.KeyedPage{}, errDown
 	}
 	newest := map[string]logservice.KeyedRecord{}
-	for _, r := range l.records {
+	for _, r := range l.from(0) {
 		newest[r.Key] = r
 	}
-	page := logservice.KeyedPage{Next: int64(len(l.records)), Epoch: l.epoch}
+	page := logservice.KeyedPage{Next: position(l.epoch, int64(len(l.records)))}
 	for _, r := range newest {
 		if !r.IsTombstone() {
 			page.Records = append(page.Records, r)
@@ -55,28 +74,32 @@
 	return page, nil
 }
 
-func (l *fakeLog) ReadKeyed(_ context.Context, _ string, from int64, _ time.Duration) (logservice.KeyedPage, error) {
+func (l *fakeLog) ReadKeyed(_ context.Context, stream string, from logservice.Position, _ time.Duration) (logservice.KeyedPage, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	if l.down {
 		return logservice.KeyedPage{}, errDown
 	}
-	if from < l.oldest || from > int64(len(l.records)) {
+	if offset := from.Offset(); offset < l.oldest || offset > int64(len(l.records)) {
 		return logservice.KeyedPage{}, &logservice.ExpiredError{Oldest: l.oldest}
 	}
-	return logservice.KeyedPage{Records: append([]logservice.KeyedRecord(nil), l.records[from:]...), Next: int64(len(l.records)), Epoch: l.epoch}, nil
+	if from.Epoch() != l.epoch {
+		return logservice.KeyedPage{}, &logservice.EpochError{Stream: stream, Position: from, Epoch: l.epoch}
+	}
+	return logservice.KeyedPage{Records: l.from(from.Offset()), Next: position(l.epoch, int64(len(l.records)))}, nil
 }
 
 func (l *fakeLog) Put(context.Context, string, string, []byte) error { return errDown }
 
 // decode decodes a server from the text "STATE SEQUENCE".
 func decode(key string, value []byte) (fleet.VM, error) {
-	state, _, ok := strings.Cut(string(value), " ")
-	if !ok {
+	state, number, ok := strings.Cut(string(value), " ")
+	sequence, err := strconv.ParseInt(number, 10, 64)
+	if !ok || err != nil {
 		return fleet.VM{}, fmt.Errorf("%s: no server", key)
 	}
-	return fleet.VM{Name: key, State: fleet.State(state)}, nil
+	return fleet.VM{Name: key, State: fleet.State(state), Sequence: sequence}, nil
 }
 
 func decodeTree(value []byte) (*tree.Tree, error) {
@@ -168,8 +191,8 @@
 	newer.log.put("a", "leaving 2")
 	newer.log.put("b", "live 1")
 	newer.readServers(t.Context())
-	newer.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("7"), Offset: 3}}, 4, "store")
-	older.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("5"), Offset: 2}}, 3, "store")
+	newer.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("7"), Position: position(0, 3)}}, position(0, 4), "store")
+	older.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("5"), Position: position(0, 2)}}, position(0, 3), "store")
 
 	clients := map[string]*Syncer{"newer": newer.Syncer, "older": older.Syncer}
 	older.options.Client, newer.options.Client = directClient{clients}, directClient{clients}
@@ -179,7 +202,7 @@
 			older.Revision(), older.servers, older.ServersVersion())
 	}
 	before := len(newer.revisions)
-	older.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("6"), Offset: 9}}, 10, "store")
+	older.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("6"), Position: position(0, 9)}}, position(0, 10), "store")
 	newer.pull(t.Context(), cluster.LiveMember{Member: cluster.Member{PeerAddress: "older"}, Status: cluster.Status{Revision: 99}})
 	if older.Revision() != 7 || newer.Revision() != 7 || len(newer.revisions) != before {
 		t.Errorf("an older configuration was applied: revisions %v and %v, want both to end at 7", older.revisions, newer.revisions)
@@ -271,9 +294,9 @@
 // another key.
 func TestUnreadableConfiguration(t *testing.T) {
 	s := newTestSyncer()
-	s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("3")}}, 1, "store")
-	s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("x"), Offset: 1}}, 2, "store")
-	s.applyConfig([]logservice.KeyedRecord{{Key: "other", Value: []byte("9"), Offset: 2}}, 3, "store")
+	s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("3")}}, position(0, 1), "store")
+	s.applyConfig([]logservice.KeyedRecord{{Key: "config", Value: []byte("x"), Position: position(0, 1)}}, position(0, 2), "store")
+	s.applyConfig([]logservice.KeyedRecord{{Key: "other", Value: []byte("9"), Position: position(0, 2)}}, position(0, 3), "store")
 	if s.Revision() != 3 || len(s.revisions) != 1 {
 		t.Errorf("active revision %d of %v, want only 3", s.Revision(), s.revisions)
 	}
--- a/internal/storesync/update.go
+++ b/internal/storesync/update.go
@@ -17,14 +17,17 @@
 type update struct {
 	// Config is the active configuration, empty if it is not newer.
 	Config logservice.KeyedRecord
-	// ConfigNext is the offset from which to continue reading the configuration.
-	ConfigNext int64
+	// ConfigNext is the position from which to continue reading the configuration.
+	ConfigNext logservice.Position
 	// Servers are the records that changed.
 	Servers []logservice.KeyedRecord
+	// RemovedNumbers are the last numbers of the servers whose records are removals.
+	RemovedNumbers map[string]recordNumbers
 	// ServersVersion is the version of the list that includes these records.
-	ServersVersion int64
-	// ServersNext is the offset from which to continue reading the servers.
-	ServersNext int64
+	ServersVersion logservice.Position
+	// ServersNext is the position from which to continue reading the servers, zero if the
+	// sender has read records that it has not applied yet.
+	ServersNext logservice.Position
 }
 
 // UpdateError reports an update from another member that cannot be used.
