Send all servers to members that lack removals before the first read

A server that had left could stay in use for good.

Cause: a member that starts reads the newest record of each server, so it knows no earlier removals. Others took over its version and its position to read on from, and then never read or asked for a removal in between. It is older than the restored store: it needs only a start at the right moment.

Change: such a member sends all of its records to members with an earlier version, marked complete, and these drop what is not among them. A member that reads the store goes on from its own position.

Why it works: what is passed on is a set of changes only where the sender knows all changes since the version asked for.

--- a/internal/storesync/doc.go
+++ b/internal/storesync/doc.go
@@ -18,4 +18,7 @@
 // of the epoch before is deferred: what a member knows stays in force, is passed on to
 // members that know only the copy, and holds until the server writes again or enough time
 // has passed for the store to remove a server that is gone.
+//
+// A member that read all servers at once knows which there are, but no removals before
+// that. It sends members with an earlier version all of its records instead of the changes.
 package storesync
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -176,7 +176,8 @@
 	if !s.deferred.pending() {
 		_, u.ServersNext = s.servers.versions()
 	}
-	u.Servers, u.ServersVersion = s.servers.since(logservice.Position(args.Servers))
+	changes := s.servers.since(logservice.Position(args.Servers))
+	u.Servers, u.ServersVersion, u.ServersComplete = changes.records, changes.version, changes.complete
 	u.RemovedNumbers = s.servers.removedNumbers(u.Servers)
 	return u
 }
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -1,11 +1,14 @@
 package storesync
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 )
 
@@ -187,3 +190,263 @@
 		}
 	}
 }
+
+// restoredFleet plays members, servers and restores of the store at random, in virtual time.
+type restoredFleet struct {
+	t        *testing.T
+	rng      *rand.Rand
+	log      *fakeLog
+	members  []*fleetMember
+	servers  map[string]*playedServer
+	restored time.Time
+	started  int
+}
+
+type fleetMember struct {
+	*testSyncer
+	name     string
+	lastRead time.Time
+	since    time.Time
+	// known has, for each server, the number of its last change that the member has known.
+	known map[string]int
+}
+
+// playedServer is a server as it really is.
+type playedServer struct {
+	state    fleet.State // empty if it does not run
+	sequence int
+	started  int       // first sequence number of its present life
+	changes  int       // of state
+	changed  time.Time // the last of them
+	written  time.Time // of the record in the store
+	knownAt  time.Time // when a member first knew the last change
+	writeAt  time.Time // when it writes again what the store lacks
+}
+
+const (
+	fleetStep = 50 * time.Millisecond
+	// leavingBound is how long a server that reported its leaving may still get requests at
+	// a member, and joinBound how long a new one may be unknown.
+	leavingBound = 2 * time.Second
+	joinBound    = 3 * time.Second
+	// exchangeBound is how long members may take to learn from each other.
+	exchangeBound = time.Second
+	// silenceTimeout is when the store removes a server that does not write.
+	silenceTimeout = 4500 * time.Millisecond
+)
+
+func (f *restoredFleet) start() {
+	f.started++
+	m := &fleetMember{testSyncer: newTestSyncer(), name: fmt.Sprintf("vm-%d", f.started), since: time.Now(), known: map[string]int{}}
+	m.log, m.options.Log = f.log, f.log
+	f.members = append(f.members, m)
+}
+
+// write appends the record of a server.
+func (f *restoredFleet) write(key string) {
+	s := f.servers[key]
+	s.sequence++
+	s.written = time.Now()
+	f.log.put(key, fmt.Sprintf("%s %d", s.state, s.sequence))
+}
+
+// stores reports whether the store's record says how the server is.
+func (f *restoredFleet) stores(key string) bool {
+	s := f.servers[key]
+	page, err := f.log.Newest(f.t.Context(), "servers")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, r := range page.Records {
+		if r.Key == key {
+			vm, err := decode(r.Key, r.Value)
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			return vm.State == s.state && vm.Sequence >= int64(s.started)
+		}
+	}
+	return s.state == ""
+}
+
+// change makes a server start, leave or end.
+func (f *restoredFleet) change(now time.Time) {
+	key := fmt.Sprintf("s%d", f.rng.IntN(8))
+	s := f.servers[key]
+	if s == nil {
+		s = &playedServer{}
+		f.servers[key] = s
+	}
+	if now.Sub(s.changed) < leavingBound+joinBound {
+		return
+	}
+	s.changed = now
+	s.changes++
+	switch s.state {
+	case "":
+		// A start under the same name counts anew; its numbers go on here, as the text of
+		// the records has no incarnation.
+		s.state, s.started = fleet.Live, s.sequence+1
+		f.write(key)
+	case fleet.Live:
+		s.state = fleet.Leaving
+		f.write(key)
+	default:
+		s.state = ""
+		f.remove(key)
+	}
+}
+
+// remove appends the removal of a server.
+func (f *restoredFleet) remove(key string) {
+	f.servers[key].written = time.Now()
+	f.log.put(key, "")
+}
+
+// settle makes servers write again what the store lacks, and the store remove those that
+// are silent.
+func (f *restoredFleet) settle(now time.Time) {
+	for key, s := range f.servers {
+		switch {
+		case f.stores(key):
+			s.writeAt = time.Time{}
+		case s.writeAt.IsZero() && s.state == "":
+			s.writeAt = now.Add(silenceTimeout)
+		case s.writeAt.IsZero():
+			s.writeAt = now.Add(time.Duration(f.rng.IntN(1700)) * time.Millisecond)
+		case !now.Before(s.writeAt) && s.state == "":
+			f.remove(key)
+		case !now.Before(s.writeAt):
+			f.write(key)
+		}
+	}
+}
+
+// exchange lets the first two members read the store, and all pull what others announce.
+func (f *restoredFleet) exchange(now time.Time) {
+	for i, m := range f.members {
+		m.applyDeferred(now)
+		first := m.lastRead.IsZero()
+		if i < activeReaders && now.Sub(m.lastRead) >= readInterval || first {
+			m.lastRead = now
+			m.readServers(f.t.Context())
+		}
+	}
+	for _, to := range f.members {
+		for _, from := range f.members {
+			live := cluster.LiveMember{Status: cluster.Status{ServersVersion: from.ServersVersion()}}
+			if from == to || !to.lacks(live) || f.rng.IntN(4) == 0 {
+				continue
+			}
+			to.options.Client = directClient{map[string]*Syncer{"source": from.Syncer}}
+			to.pull(f.t.Context(), cluster.LiveMember{
+				Member: cluster.Member{PeerAddress: "source"}, Status: cluster.Status{ServersVersion: from.ServersVersion()},
+			})
+		}
+	}
+}
+
+// check compares what the members use with how the servers are. A member that has known
+// how a server is must not forget it. One that has not must learn it in time from the store, or
+// from a member that knows.
+func (f *restoredFleet) check(now time.Time) {
+	f.t.Helper()
+	for key, s := range f.servers {
+		known := false
+		for _, m := range f.members {
+			known = known || m.known[key] == s.changes
+		}
+		if !known {
+			s.knownAt = now
+		}
+		known = known && now.Sub(s.knownAt) > exchangeBound
+		bound := joinBound
+		if s.state != fleet.Live {
+			bound = leavingBound
+		}
+		stored := f.stores(key) && now.Sub(s.written) > bound
+		for _, m := range f.members {
+			settled := now.Sub(m.since) > exchangeBound && now.Sub(f.restored) > exchangeBound
+			matches := (m.servers[key] == fleet.Live) == (s.state == fleet.Live)
+			switch {
+			case matches:
+				m.known[key] = s.changes
+			case m.known[key] == s.changes, stored && settled, known && settled && s.state != fleet.Live:
+				f.dump(now, key)
+				f.t.Fatalf("%v after the last restore %s, started %v ago, has %s as %q, which is %q since %v, written %v ago",
+					now.Sub(f.restored), m.name, now.Sub(m.since), key, m.servers[key], s.state, now.Sub(s.changed), now.Sub(s.written))
+			}
+		}
+	}
+}
+
+// Members, servers and restores in any order: a server that left stays out and one that
+// lives stays in, at readers, at members that do not read, and at members that start or are
+// replaced meanwhile.
+func TestServersThroughRestores(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playRestores(t, seed) })
+		})
+	}
+}
+
+func playRestores(t *testing.T, seed uint64) {
+	f := &restoredFleet{t: t, rng: rand.New(rand.NewPCG(seed, 3)), log: &fakeLog{}, servers: map[string]*playedServer{}}
+	for i := range 6 {
+		key := fmt.Sprintf("s%d", i)
+		f.servers[key] = &playedServer{state: fleet.Live, changes: 1}
+		f.write(key)
+	}
+	for range 4 {
+		f.start()
+	}
+	const length = 60 * time.Second
+	quiet := time.Now().Add(length - 12*time.Second)
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(fleetStep) {
+		now := time.Now()
+		if now.Before(quiet) {
+			switch f.rng.IntN(120) {
+			case 0, 1, 2, 3:
+				f.change(now)
+			case 4:
+				if now.Sub(f.restored) > 8*time.Second {
+					f.log.restore(max(1, len(f.log.records)-f.rng.IntN(9)))
+					f.restored = now
+				}
+			case 5:
+				i := f.rng.IntN(len(f.members))
+				f.members = append(f.members[:i], f.members[i+1:]...)
+				f.start()
+			}
+		}
+		f.settle(now)
+		f.exchange(now)
+		f.check(now)
+	}
+	for _, m := range f.members {
+		for key, s := range f.servers {
+			if m.servers[key] != s.state {
+				f.dump(time.Now(), key)
+				t.Errorf("in the end %s has %s as %q, it is %q", m.name, key, m.servers[key], s.state)
+			}
+		}
+	}
+}
+
+func (f *restoredFleet) dump(now time.Time, key string) { // DBG
+	for _, m := range f.members {
+		v, n := m.Syncer.servers.versions()
+		fmt.Printf("%s since %v used %q v %v+%d next %v unconf %v", m.name, now.Sub(m.since), m.testSyncer.servers[key], v, v%4, n, m.unconfirmed.Load())
+		if r := m.Syncer.servers.rows[key]; r != nil {
+			fmt.Printf(" row %v+%d %q seq %d change %v+%d", r.record.Position, r.record.Position%4, r.record.Value, r.sequence, r.change, r.change%4)
+		}
+		fmt.Println(" held", len(m.Syncer.deferred.held))
+	}
+	for _, r := range f.log.from(0) {
+		if r.Key == key {
+			fmt.Printf("log %v %q\n", r.Position, r.Value)
+		}
+	}
+	fmt.Println("log end", len(f.log.records), "truth", *f.servers[key])
+}
--- a/internal/storesync/servers.go
+++ b/internal/storesync/servers.go
@@ -43,6 +43,10 @@
 	mu   sync.Mutex // guards the fields below
 	rows map[string]*serverRow
 	next logservice.Position // all records before this position are applied
+	// base is the position up to which the first read of all servers showed which there are.
+	// Earlier removals are not known, so a member with an earlier version can't be told what
+	// changed since, only what there is.
+	base logservice.Position
 	// version rises with each change. It is the position after the last record that changed
 	// anything, or a little more: members with the same version have the same servers.
 	version logservice.Position
@@ -173,17 +177,48 @@
 	}
 }
 
-// since returns the records that changed after a version, and the table's version.
-func (t *serverTable) since(version logservice.Position) ([]logservice.KeyedRecord, logservice.Position) {
+// serverChanges are the records that changed after a version, and the version that they lead
+// to. If complete is set, they are all records, and any server without one whose record is
+// before that position has been removed.
+type serverChanges struct {
+	records           []logservice.KeyedRecord
+	version, complete logservice.Position
+}
+
+// since returns the changes after a version.
+func (t *serverTable) since(version logservice.Position) serverChanges {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var records []logservice.KeyedRecord
+	changes := serverChanges{version: t.version}
+	if version < t.base {
+		changes.complete = t.base
+	}
 	for _, r := range t.rows {
-		if r.change > version {
-			records = append(records, r.record)
+		if r.change > version || changes.complete > 0 {
+			changes.records = append(changes.records, r.record)
 		}
 	}
-	return records, t.version
+	return changes
+}
+
+// absent returns removals of the servers that are not among all records of a peer although
+// it read the store after their records. Records of an earlier epoch may be missing in the
+// copy from which the store was restored, so they say nothing.
+func (t *serverTable) absent(records []logservice.KeyedRecord, complete logservice.Position) []logservice.KeyedRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	present := make(map[string]bool, len(records))
+	for _, r := range records {
+		present[r.Key] = true
+	}
+	var removals []logservice.KeyedRecord
+	for key, r := range t.rows {
+		position := r.record.Position
+		if r.usable && !present[key] && position < complete && position.Epoch() == complete.Epoch() {
+			removals = append(removals, logservice.KeyedRecord{Key: key, Position: complete.Preceding(1)})
+		}
+	}
+	return removals
 }
 
 func (t *serverTable) versions() (version, next logservice.Position) {
@@ -199,14 +234,15 @@
 	t.next = max(t.next, next)
 }
 
-// advanceFromPeer is like advance for the position up to which a peer has read. A member that
-// has data of an earlier epoch must read all servers itself, to compare them with what it
-// knows.
+// advanceFromPeer sets the position to continue reading from to that of a peer, if this
+// member has not read the store itself. One that has must go on from its own position: the
+// peer's data may lack removals before its position, and after a restore of the store this
+// member has to compare what it knows with all servers.
 func (t *serverTable) advanceFromPeer(next logservice.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.next == 0 || next.Epoch() == t.next.Epoch() {
-		t.next = max(t.next, next)
+	if t.next == 0 {
+		t.next, t.base = next, next
 	}
 }
 
@@ -233,6 +269,9 @@
 func (t *serverTable) reset(page logservice.KeyedPage, decode decodeServer) resetResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.next == 0 {
+		t.base = page.Next
+	}
 	result := resetResult{restored: t.next > 0 && page.Next.Epoch() > t.next.Epoch()}
 	records := slices.SortedFunc(slices.Values(page.Records), func(a, b logservice.KeyedRecord) int {
 		return cmp.Compare(a.Position, b.Position)
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -168,7 +169,11 @@
 
 // applyPeerServers applies the records of backend servers in another member's update.
 func (s *Syncer) applyPeerServers(u *update, confirms bool, source string) {
-	s.applyServersFrom(u.Servers, serverSource{peer: true, version: u.ServersVersion, confirms: confirms}, source)
+	records := u.Servers
+	if u.ServersComplete > 0 {
+		records = append(slices.Clone(records), s.servers.absent(records, u.ServersComplete)...)
+	}
+	s.applyServersFrom(records, serverSource{peer: true, version: u.ServersVersion, confirms: confirms}, source)
 }
 
 func (s *Syncer) applyServersFrom(records []logservice.KeyedRecord, from serverSource, source string) {
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -219,6 +219,31 @@
 	})
 }
 
+// A member that has just started read all servers after a removal, so it knows neither the
+// server nor that it was removed. Whoever takes its version and position over must not miss
+// the removal: the server that left would stay in use for good.
+func TestRemovalIsNotSkipped(t *testing.T) {
+	reader, other := newTestSyncer(), newTestSyncer()
+	reader.log.put("a", "live 1")
+	reader.log.put("b", "live 1")
+	reader.readServers(t.Context())
+	pullAll(t, other, reader)
+	reader.log.put("a", "")
+	reader.log.put("c", "live 1")
+	starting := newTestSyncer()
+	starting.options.Log = reader.log
+	starting.readServers(t.Context())
+	pullAll(t, reader, starting)
+	pullAll(t, other, starting)
+	reader.readServers(t.Context())
+	pullAll(t, other, reader)
+	for name, m := range map[string]*testSyncer{"reader": reader, "other": other} {
+		if m.servers["a"] != "" || m.servers["c"] != fleet.Live {
+			t.Errorf("%s: servers %v, want b and c", name, m.servers)
+		}
+	}
+}
+
 // directClient calls other syncers in this process.
 type directClient struct{ syncers map[string]*Syncer }
 
--- a/internal/storesync/update.go
+++ b/internal/storesync/update.go
@@ -21,6 +21,9 @@
 	ConfigNext logservice.Position
 	// Servers are the records that changed.
 	Servers []logservice.KeyedRecord
+	// ServersComplete is set if Servers are all records: any server without one whose
+	// record is before that position has been removed.
+	ServersComplete logservice.Position
 	// RemovedNumbers are the last numbers of the servers whose records are removals.
 	RemovedNumbers map[string]recordNumbers
 	// ServersVersion is the version of the list that includes these records.
