Compare lists of servers by a hash besides the version

Cause: members that read a restored store at different times, or without knowing the epoch before, raise the version by what they conclude themselves. Two of them can reach the same number with different servers, and none asks the other one.

Change: heartbeats carry a hash of the servers; members with the same version and another hash pull all servers of each other, with a pause that doubles. The rows kept against a restored store share one version.

--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -108,15 +108,12 @@
 	for _, c := range hb.RequestCounts {
 		out = c.append(out)
 	}
-	// The end of a heartbeat without limits is left out, as in earlier versions.
-	if len(hb.RequestLimits) == 0 {
-		return out
-	}
+	// Earlier versions of this program send heartbeats that end here, and ignore the rest.
 	out = binary.AppendUvarint(out, uint64(len(hb.RequestLimits)))
 	for _, l := range hb.RequestLimits {
 		out = l.append(out)
 	}
-	return out
+	return binary.LittleEndian.AppendUint32(out, hb.ServersHash)
 }
 
 func (hb *Heartbeat) flags() byte {
@@ -234,6 +231,7 @@
 		for range d.count() {
 			hb.RequestLimits = append(hb.RequestLimits, d.requestLimit())
 		}
+		hb.ServersHash = binary.LittleEndian.Uint32(d.fixed(4))
 	}
 	if d.failed {
 		return Heartbeat{}, errMalformedHeartbeat
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -38,6 +38,8 @@
 	Revision int64
 	// ServersVersion is the version of the member's list of backend servers.
 	ServersVersion int64
+	// ServersHash is a hash of the servers in that version.
+	ServersHash uint32
 	// StoreReadAge is the time since the member itself last read the store.
 	StoreReadAge time.Duration
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -288,11 +288,13 @@
 
 // status returns what this entry announces about itself.
 func (e *Entry) status(now time.Time) cluster.Status {
+	version, hash := e.params.StoreSync.ServersVersionAndHash()
 	return cluster.Status{
 		Ready:          e.Ready(),
 		Leaving:        e.params.Drainer.Draining(),
 		Revision:       e.params.StoreSync.Revision(),
-		ServersVersion: e.params.StoreSync.ServersVersion(),
+		ServersVersion: version,
+		ServersHash:    hash,
 		StoreReadAge:   e.params.StoreSync.StoreReadAge(now),
 	}
 }
--- a/internal/storesync/doc.go
+++ b/internal/storesync/doc.go
@@ -21,4 +21,8 @@
 //
 // A member that read all servers at once knows which there are, but no removals before
 // that. It sends members with an earlier version all of its records instead of the changes.
+//
+// A version does not say which servers a list has: members that read a restored store at
+// different times, or did not know the epoch before, may reach the same version in different
+// ways. Heartbeats therefore carry a hash of the servers as well.
 package storesync
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -197,16 +197,46 @@
 	}
 }
 
-// lacks reports whether the member may have data that this one lacks.
+// lacks reports whether the member has newer data than this one, or other servers in the same
+// version of the list.
 func (s *Syncer) lacks(m cluster.LiveMember) bool {
-	return m.Revision > s.Revision() || m.ServersVersion > s.ServersVersion() || s.canConfirm(m)
+	return m.Revision > s.Revision() || m.ServersVersion > s.ServersVersion() || s.differs(m)
 }
 
-// canConfirm reports whether the member can confirm what this one read from the store: it
-// has read the store in the present epoch, or got it from one that has.
-func (s *Syncer) canConfirm(m cluster.LiveMember) bool {
-	theirs, own := logservice.Position(m.ServersVersion), logservice.Position(s.ServersVersion())
-	return s.unconfirmed.Load() && theirs > 0 && theirs.Epoch() >= own.Epoch()
+// differs reports whether the member has other servers in the same version of the list, as far
+// as it has sent a hash. That is so where one of them read a restored store and the other one
+// knows later records of the epoch before. Both then pull all servers of the other one.
+func (s *Syncer) differs(m cluster.LiveMember) bool {
+	version, hash := s.ServersVersionAndHash()
+	return version > 0 && m.ServersVersion == version && m.ServersHash != 0 && m.ServersHash != hash
+}
+
+const (
+	// minComparePause and maxComparePause bound the pause between two pulls of all servers
+	// because they differ, which doubles while they go on to.
+	minComparePause = 100 * time.Millisecond
+	maxComparePause = 10 * time.Second
+)
+
+// comparison bounds the pulls of all servers.
+type comparison struct {
+	mu    sync.Mutex // guards the fields below
+	last  time.Time
+	pause time.Duration
+}
+
+// due reports whether all servers must be pulled now, and counts it.
+func (c *comparison) due(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.last) < c.pause {
+		return false
+	}
+	if now.Sub(c.last) > 2*maxComparePause {
+		c.pause = 0
+	}
+	c.last, c.pause = now, min(max(2*c.pause, minComparePause), maxComparePause)
+	return true
 }
 
 // IsBehind reports whether another member announced a newer configuration than the active
@@ -273,9 +303,13 @@
 		return true
 	}
 	args := SinceArgs{Caller: s.options.Self, Revision: s.Revision(), Servers: s.ServersVersion()}
-	confirms := s.canConfirm(m)
-	if confirms {
+	if s.differs(m) {
+		if !s.comparison.due(time.Now()) {
+			return true
+		}
 		args.Servers = 0
+		s.count("servers_differ")
+		s.options.Events.Info("other servers in the same version", "peer", m.VM, "version", logservice.Position(m.ServersVersion).String())
 	}
 	data, err := s.fetch(ctx, m, args)
 	var busy *busyError
@@ -293,7 +327,7 @@
 		return true
 	}
 	s.count("pulls")
-	s.applyUpdate(u, confirms, m.VM)
+	s.applyUpdate(u, m.VM)
 	return true
 }
 
@@ -333,19 +367,10 @@
 	return nil, &UpdateError{Cause: "it changed too often while it was fetched"}
 }
 
-// applyUpdate applies an update of another member. It confirms what was read from the store
-// if it has all that the other member knows.
-func (s *Syncer) applyUpdate(u *update, confirms bool, source string) {
+func (s *Syncer) applyUpdate(u *update, source string) {
 	s.applyConfig([]logservice.KeyedRecord{u.Config}, u.ConfigNext, source)
-	if confirms {
-		s.unconfirmed.Store(false)
-	}
-	s.applyPeerServers(u, confirms, source)
+	s.applyPeerServers(u, source)
 	s.servers.adoptNumbers(u.RemovedNumbers)
 	s.servers.adoptVersion(u.ServersVersion)
 	s.servers.advanceFromPeer(u.ServersNext)
-	if n := s.servers.repair(u.Servers, u.ServersVersion, s.options.DecodeServer); n > 0 {
-		s.count("repairs")
-		s.options.Events.Info("newer servers announced again", "servers", n, "peer", source)
-	}
 }
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -219,7 +219,6 @@
 		s.options.OnServers(s.servers.servers())
 	}
 	s.applyMu.Unlock()
-	s.unconfirmed.Store(true)
 	s.options.Events.Info("servers read", "records", len(page.Records), "missing", len(result.missing),
 		"contradicted", len(result.contradicted), "restored", result.restored, "next", page.Next.String())
 	s.applyServers(s.deferRemovals(result.missing), "newest")
--- a/internal/storesync/servers.go
+++ b/internal/storesync/servers.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
@@ -23,6 +26,7 @@
 	// incarnation and sequence are those of the last usable record, also after a removal.
 	incarnation, sequence int64
 	change                logservice.Position // version of the table at which the row last changed
+	hash                  uint32              // see serverHash, zero if the row is not usable
 }
 
 // describesLater reports whether the VM's own numbers show that it wrote the record after
@@ -48,8 +52,11 @@
 	// changed since, only what there is.
 	base logservice.Position
 	// version rises with each change. It is the position after the last record that changed
-	// anything, or a little more: members with the same version have the same servers.
+	// anything, or a little more.
 	version logservice.Position
+	// hash is the sum of the hashes of the rows. Members with the same version mostly have
+	// the same servers; their hashes tell whether they do.
+	hash uint32
 }
 
 // decodeServer decodes a value of the store into a backend server.
@@ -60,9 +67,6 @@
 	// peer is set if another member sent it, version is that member's version then.
 	peer    bool
 	version logservice.Position
-	// confirms is set if this member read all servers from the store and the other one
-	// sent all of its own.
-	confirms bool
 }
 
 // apply applies a record if it is newer than the known one of its key, and reports
@@ -94,6 +98,13 @@
 		next.incarnation, next.sequence = next.vm.Incarnation, next.vm.Sequence
 	}
 	t.rows[r.Key] = next
+	if old != nil {
+		t.hash -= old.hash
+	}
+	if next.usable {
+		next.hash = serverHash(next.vm)
+		t.hash += next.hash
+	}
 	if old != nil && old.usable == next.usable && sameVM(old.vm, next.vm) {
 		next.vm, next.change = old.vm, old.change
 		// Other members may know less of the epoch before, or may have deferred a record of
@@ -114,14 +125,10 @@
 // raiseVersion raises the version for a change by the record at the position, and returns it.
 func (t *serverTable) raiseVersion(position logservice.Position, from serverSource) logservice.Position {
 	switch {
-	case !from.peer:
-		t.version = max(t.version+1, position.Next())
-	case from.confirms && !position.IsRecord():
-		// What members concluded is not in the store, so others that read the same from it
-		// have the version without the change.
-		t.version = max(t.version, from.version) + 1
-	default:
+	case from.peer:
 		t.version = max(t.version, from.version)
+	default:
+		t.version = max(t.version+1, position.Next())
 	}
 	return t.version
 }
@@ -221,6 +228,13 @@
 	return removals
 }
 
+// versionAndHash returns the version and the hash that belongs to it.
+func (t *serverTable) versionAndHash() (logservice.Position, uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version, t.hash
+}
+
 func (t *serverTable) versions() (version, next logservice.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -280,8 +294,6 @@
 	for _, r := range records {
 		present[r.Key] = true
 		if old := t.rows[r.Key]; old != nil && old.contradicts(r, decode) {
-			t.keep(old, page.Next)
-			r.Position = old.record.Position
 			result.contradicted = append(result.contradicted, r)
 			continue
 		}
@@ -291,6 +303,7 @@
 			result.errs = append(result.errs, err)
 		}
 	}
+	t.keep(result.contradicted, page.Next)
 	for key, r := range t.rows {
 		if r.usable && !present[key] && r.record.Position < page.Next {
 			result.missing = append(result.missing, logservice.KeyedRecord{Key: key, Position: page.Next.Preceding(1)})
@@ -323,33 +336,29 @@
 	return !usable || !r.describesLater(vm)
 }
 
-// keep moves a row of an earlier epoch behind all records that were read before next, so
-// that other members take it as newer than those.
-func (t *serverTable) keep(r *serverRow, next logservice.Position) {
-	r.record.Position = next.Preceding(2)
-	r.change = t.raiseVersion(r.record.Position, serverSource{})
+// keep moves the rows that contradict the records behind all records before next, so that
+// other members take them as newer, and moves the records there to be applied later.
+func (t *serverTable) keep(contradicted []logservice.KeyedRecord, next logservice.Position) {
+	if len(contradicted) == 0 {
+		return
+	}
+	t.version = max(t.version+1, next)
+	for i := range contradicted {
+		r := t.rows[contradicted[i].Key]
+		r.record.Position, r.change = next.Preceding(2), t.version
+		contradicted[i].Position = next.Preceding(2)
+	}
 }
 
-// repair raises the version of each row that is newer than the record in a peer's update
-// although the peer has the row's version: the peer lacks it. That is so if it read a
-// restored store without having known the epoch before.
-func (t *serverTable) repair(records []logservice.KeyedRecord, peerVersion logservice.Position, decode decodeServer) (repaired int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, theirs := range records {
-		r := t.rows[theirs.Key]
-		if r == nil || r.record.Position <= theirs.Position || r.change > peerVersion {
-			continue
-		}
-		vm, err := decode(theirs.Key, theirs.Value)
-		if usable := err == nil; usable == r.usable && sameVM(r.vm, vm) {
-			continue
-		}
-		t.version = max(t.version, peerVersion) + 1
-		r.change = t.version
-		repaired++
+// serverHash hashes what members need to agree on about a server.
+func serverHash(vm fleet.VM) uint32 {
+	h := xxhash.New()
+	for _, text := range []string{vm.Name, vm.Address, vm.Zone, vm.Service, string(vm.State), strconv.FormatInt(vm.Incarnation, 10), strconv.Itoa(vm.Slots)} {
+		// A hash does not fail to write.
+		_, _ = h.WriteString(text)
+		_, _ = h.WriteString("\x00")
 	}
-	return repaired
+	return uint32(h.Sum64())
 }
 
 // isLive reports whether the key belongs to a server that accepts new requests.
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -65,9 +65,8 @@
 	lastContact atomic.Int64 // Unix nanoseconds of the last successful read of the store, zero before it
 	epoch       atomic.Int64 // of the store, by the last read
 	revision    atomic.Int64
-	// unconfirmed is set after all servers were read from the store, until another member
-	// has sent all that it knows: if the store was restored, others may know better.
-	unconfirmed atomic.Bool
+	// comparison bounds how often all servers are pulled because hashes differ.
+	comparison comparison
 	// newerSeenAt is when a member last announced a newer revision than the active one,
 	// appliedAt when a configuration was last applied, in Unix nanoseconds.
 	newerSeenAt, appliedAt atomic.Int64
@@ -97,6 +96,13 @@
 	return int64(version)
 }
 
+// ServersVersionAndHash returns the version of the list of backend servers and a hash of the
+// servers in it.
+func (s *Syncer) ServersVersionAndHash() (version int64, hash uint32) {
+	position, hash := s.servers.versionAndHash()
+	return int64(position), hash
+}
+
 // StoreEpoch returns the epoch of the store by this member's last read.
 func (s *Syncer) StoreEpoch() int64 { return s.epoch.Load() }
 
@@ -168,12 +174,12 @@
 }
 
 // applyPeerServers applies the records of backend servers in another member's update.
-func (s *Syncer) applyPeerServers(u *update, confirms bool, source string) {
+func (s *Syncer) applyPeerServers(u *update, source string) {
 	records := u.Servers
 	if u.ServersComplete > 0 {
 		records = append(slices.Clone(records), s.servers.absent(records, u.ServersComplete)...)
 	}
-	s.applyServersFrom(records, serverSource{peer: true, version: u.ServersVersion, confirms: confirms}, source)
+	s.applyServersFrom(records, serverSource{peer: true, version: u.ServersVersion}, source)
 }
 
 func (s *Syncer) applyServersFrom(records []logservice.KeyedRecord, from serverSource, source string) {
