--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -122,6 +122,32 @@
 	})
 }
 
+// The log of the product's own platform is append-only. If it lost records all the same and
+// gave their offsets out again, entries that run would keep what was accepted and miss the
+// records at those offsets; an entry that starts would have another state. This can't be
+// mended here, but it never goes back unnoticed: the states differ at the same offset, which
+// CheckDivergence reports.
+func TestLogThatGoesBackIsNoticed(t *testing.T) {
+	withWorld(t, 2, func(t *testing.T, w *world) {
+		before := w.entries[0].Current()
+		w.set(func() { w.records, w.states = w.records[:2], w.states[:2] })
+		w.append(claim(2, "i2", ""))
+		time.Sleep(time.Minute)
+		if got := w.entries[0].Current(); got.Hash() != before.Hash() {
+			t.Fatalf("the state changed to offset %d by a record at an offset that was given out before", got.Offset())
+		}
+		w.append(claim(3, "i3", ""))
+		time.Sleep(time.Minute)
+		w.start(1)
+		time.Sleep(time.Minute)
+		offset, state := w.entries[0].Fingerprint()
+		otherOffset, otherState := w.entries[1].Fingerprint()
+		if offset != 3 || otherOffset != 3 || state == otherState {
+			t.Errorf("offsets %d and %d, states %x and %x, want two states at offset 3", offset, otherOffset, state, otherState)
+		}
+	})
+}
+
 func TestPeerWithAnotherStateIsNotFollowed(t *testing.T) {
 	f := New(Options{})
 	next, _ := statemachine.Empty().Apply(0, initialRecord())
