Stop a member in TestRestartAndEnd only once it was known as ready

Cause: the test stopped a member as soon as the others saw it live. One that is known by its hello only is live, but has not said that it is ready, and only members that were ready are listed as silent: their addresses are handed out to callers of an isolated member. Ruled out: a fault of the table, as the member's record was kept (known 3).

Change: the test waits until all see each other as ready; what it checks afterwards is unchanged. A new test states the case that it met by accident: TestMemberThatWasNeverReadyIsNotSilent.

--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -63,11 +64,23 @@
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
 func awaitLive(t testing.TB, want int, nodes ...*testNode) {
+	t.Helper()
+	awaitMembers(t, "live", want, func(v *View) int { return len(v.Live) }, nodes...)
+}
+
+// awaitReady waits until each node has received from that many members, itself included, that
+// they are ready. A member that is known by its hello only is live, but not yet ready.
+func awaitReady(t testing.TB, want int, nodes ...*testNode) {
+	t.Helper()
+	awaitMembers(t, "ready", want, (*View).ReadyMembers, nodes...)
+}
+
+func awaitMembers(t testing.TB, kind string, want int, count func(*View) int, nodes ...*testNode) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		converged := 0
 		for _, n := range nodes {
-			if len(n.View().Live) == want {
+			if count(n.View()) == want {
 				converged++
 			}
 		}
@@ -75,7 +88,7 @@
 			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("only %d of %d nodes see %d live members", converged, len(nodes), want)
+			t.Fatalf("only %d of %d nodes see %d %s members", converged, len(nodes), want, kind)
 		}
 	}
 }
@@ -103,6 +116,7 @@
 	b := startNode(t, "vm-b", "a", 1, anyPort, a.options.Self.DatagramAddress)
 	c := startNode(t, "vm-c", "b", 1, anyPort, a.options.Self.DatagramAddress)
 	awaitLive(t, 3, a, b, c)
+	awaitReady(t, 3, a, b, c)
 	address := b.options.Self.DatagramAddress
 	b.stop()
 	awaitLive(t, 2, a, c)
@@ -118,6 +132,20 @@
 	}
 }
 
+// A member that is known by its hello only has never said that it is ready. When it falls
+// silent, its address must not be among those for callers of an isolated member.
+func TestMemberThatWasNeverReadyIsNotSilent(t *testing.T) {
+	a := startNode(t, "vm-a", "a", 1, anyPort)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	now := time.Now()
+	a.handleHello(from, &hello{From: Member{VM: "vm-x", Zone: "a", CallerAddress: "x", DatagramAddress: from, Incarnation: 5}}, now)
+	awaitLive(t, 2, a)
+	awaitLive(t, 1, a)
+	if v := a.View(); v.Known != 2 || len(v.Silent) != 0 || slices.Contains(v.CallerAddresses(), "x") {
+		t.Errorf("known %d, silent %d members, addresses %v, want 2, 0 and not that of vm-x", v.Known, len(v.Silent), v.CallerAddresses())
+	}
+}
+
 // A heartbeat of an earlier incarnation, or one that arrives late or twice, does not
 // change the sender's record.
 func TestOldHeartbeatsAreIgnored(t *testing.T) {
