--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -13,6 +15,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 )
 
@@ -46,3 +49,36 @@
 		}
 	})
 }
+
+// A store that was restored from a copy may have lost the list of members that was written
+// before. Members that start after all others were lost would then find nobody.
+func TestMemberListIsWrittenAgainAfterARestore(t *testing.T) {
+	var epoch int64
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	v := &cluster.View{Live: []cluster.LiveMember{{Member: cluster.Member{VM: "vm-0", DatagramAddress: address}}}}
+	store := &putLog{}
+	list := &memberList{log: store, stream: "entries", events: eventlog.New(&bytes.Buffer{}, log.InfoLevel), storeEpoch: func() int64 { return epoch }}
+	list.write(t.Context(), v)
+	if list.incomplete(v) {
+		t.Error("the list is incomplete right after it was written")
+	}
+	epoch++
+	if !list.incomplete(v) {
+		t.Error("the list counts as complete although the store was restored")
+	}
+	list.write(t.Context(), v)
+	if list.incomplete(v) || store.puts != 2 {
+		t.Errorf("incomplete %v after %d writes, want a complete list after 2", list.incomplete(v), store.puts)
+	}
+}
+
+// putLog counts the records that are put.
+type putLog struct {
+	logservice.CompactedLog
+	puts int
+}
+
+func (l *putLog) Put(context.Context, string, string, []byte) error {
+	l.puts++
+	return nil
+}
