--- /dev/null
+++ b/internal/storesync/configlife_test.go
@@ -0,0 +1,458 @@
+package storesync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
+)
+
+const (
+	// configBound is the time after its acknowledgement in which a configuration must be in
+	// force at all members in touch, and touchTime how long a member and the store must have
+	// been without a disturbance for that.
+	configBound = 2 * time.Second
+	touchTime   = 3 * time.Second
+	// storeAnswer is how long the store takes to respond, and storeTimeLimit how long its
+	// client waits beyond the wait of a read.
+	storeAnswer    = 4 * time.Millisecond
+	storeTimeLimit = 800 * time.Millisecond
+	heartbeatPause = 66 * time.Millisecond
+)
+
+// livesLog is a log with long polls whose store can be away, slow and restored.
+type livesLog struct {
+	fakeLog
+	rng *rand.Rand // guarded by fakeLog.mu
+	// unnotified is the share of waiting reads that an append does not wake, slow the time
+	// that a response is on its way.
+	unnotified float64
+	slow       time.Duration
+}
+
+// memberLog is the store as one member reaches it.
+type memberLog struct {
+	*livesLog
+	cut bool // guarded by fakeLog.mu
+}
+
+// call waits as long as a call takes. It returns an error if there is no response.
+func (l *memberLog) call(ctx context.Context, wait time.Duration) error {
+	l.mu.Lock()
+	cut, slow := l.cut, l.slow
+	l.mu.Unlock()
+	if cut {
+		sleep(ctx, storeTimeLimit+wait)
+		return errDown
+	}
+	sleep(ctx, storeAnswer+slow)
+	return ctx.Err()
+}
+
+// random returns a number below one.
+func (l *memberLog) random() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Float64()
+}
+
+func (l *memberLog) Newest(ctx context.Context, stream string) (logservice.KeyedPage, error) {
+	page, err := l.fakeLog.Newest(ctx, stream)
+	if callErr := l.call(ctx, 0); callErr != nil {
+		return logservice.KeyedPage{}, callErr
+	}
+	return page, err
+}
+
+func (l *memberLog) ReadKeyed(ctx context.Context, stream string, from logservice.Position, wait time.Duration) (logservice.KeyedPage, error) {
+	woken := l.random() >= l.unnotified
+	for deadline := time.Now().Add(wait); ; sleep(ctx, 5*time.Millisecond) {
+		page, err := l.fakeLog.ReadKeyed(ctx, stream, from, 0)
+		ended := time.Now().After(deadline) || wait == 0 || ctx.Err() != nil
+		if err == nil && len(page.Records) == 0 && !ended || err == nil && !woken && !ended {
+			continue
+		}
+		if callErr := l.call(ctx, wait); callErr != nil {
+			return logservice.KeyedPage{}, callErr
+		}
+		return page, err
+	}
+}
+
+// livesMember is one start of a member.
+type livesMember struct {
+	*testSyncer
+	name    string
+	log     *memberLog
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	since   time.Time // of its start, or the end of its last disturbance
+	ended   time.Time // zero while it runs
+	dark    bool      // its VM does not respond any more
+	shown   int       // revisions that were checked
+}
+
+// configLives plays members that read the configuration from a store with several lives.
+type configLives struct {
+	t   *testing.T
+	rng *rand.Rand
+	log *livesLog
+
+	mu      sync.Mutex // guards the members
+	members []*livesMember
+	started int
+
+	revision  int64
+	acked     map[int64]time.Time // by revision, of the first write that was not lost unseen
+	disturbed time.Time           // end of the last disturbance of the store
+	rewrites  []string            // lost records that the operator writes again
+}
+
+// Call implements peer.Client.
+func (c *configLives) Call(ctx context.Context, address, _ string, args, reply any) error {
+	sleep(ctx, time.Millisecond)
+	c.mu.Lock()
+	var target *livesMember
+	for _, m := range c.members {
+		if m.name == address && m.ended.IsZero() {
+			target = m
+		}
+		if m.name == address && m.dark {
+			c.mu.Unlock()
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	}
+	c.mu.Unlock()
+	if target == nil {
+		return errDown
+	}
+	return target.Receiver().Since(args.(SinceArgs), reply.(*SinceReply))
+}
+
+func (c *configLives) view() *cluster.View {
+	const livenessTimeout = 500 * time.Millisecond
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	v := &cluster.View{}
+	for _, m := range c.members {
+		seen := now
+		if !m.ended.IsZero() {
+			seen = m.ended
+		}
+		if now.Sub(seen) > livenessTimeout {
+			continue
+		}
+		v.Live = append(v.Live, cluster.LiveMember{
+			Member: cluster.Member{VM: m.name, Zone: m.options.Zone, PeerAddress: m.name}, LastSeen: seen,
+			Status: cluster.Status{Revision: m.Revision(), ServersVersion: m.ServersVersion(), StoreReadAge: m.StoreReadAge(seen)},
+		})
+	}
+	v.Known = len(v.Live)
+	return v
+}
+
+func (c *configLives) start() *livesMember {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	m := &livesMember{testSyncer: newTestSyncer(), name: fmt.Sprintf("vm-%d", c.started), log: &memberLog{livesLog: c.log}, since: time.Now()}
+	m.options.Log, m.options.Client, m.options.Self, m.options.View = m.log, c, m.name, c.view
+	m.options.Zone = fmt.Sprint(c.started % 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.running.Go(func() { m.Run(ctx) })
+	c.members = append(c.members, m)
+	return m
+}
+
+// end stops a member as by a signal, or with its whole VM.
+func (c *configLives) end(m *livesMember, dark bool) {
+	m.cancel()
+	c.mu.Lock()
+	m.ended, m.dark = time.Now(), dark
+	c.mu.Unlock()
+}
+
+func (c *configLives) running() []*livesMember {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.members), func(m *livesMember) bool { return !m.ended.IsZero() })
+}
+
+// heartbeat announces the versions of each member to all others.
+func (c *configLives) heartbeat() {
+	for _, announced := range c.view().Live {
+		for _, m := range c.running() {
+			if m.name != announced.VM {
+				m.ObservePeer(announced)
+			}
+		}
+	}
+}
+
+// publish writes the next configuration, and sometimes one that can't be read.
+func (c *configLives) publish() {
+	c.revision += 1 + int64(c.rng.IntN(3))
+	c.write(strconv.FormatInt(c.revision, 10))
+	if c.rng.IntN(6) == 0 {
+		c.log.put("config", "no configuration")
+	}
+}
+
+func (c *configLives) write(value string) {
+	c.log.put("config", value)
+	revision, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
+		return
+	}
+	if _, written := c.acked[revision]; !written {
+		c.acked[revision] = time.Now()
+	}
+}
+
+// restore replaces the store by a copy. Lost revisions that no member knows are acknowledged
+// when the operator writes them again.
+func (c *configLives) restore() {
+	c.log.mu.Lock()
+	kept := max(1, len(c.log.records)-c.rng.IntN(5))
+	lost := slices.Clone(c.log.records[kept:])
+	c.log.mu.Unlock()
+	c.log.restore(kept)
+	c.disturbed = time.Now()
+	c.rewrites = nil
+	for _, r := range lost {
+		if revision, err := strconv.ParseInt(string(r.Value), 10, 64); err == nil {
+			delete(c.acked, revision)
+		}
+		if r.Key == "config" {
+			c.rewrites = append(c.rewrites, string(r.Value))
+		}
+	}
+	switch c.rng.IntN(3) {
+	case 0:
+		c.rewrites = c.rewrites[max(0, len(c.rewrites)-1):]
+	case 1:
+		c.rng.Shuffle(len(c.rewrites), func(i, j int) { c.rewrites[i], c.rewrites[j] = c.rewrites[j], c.rewrites[i] })
+	}
+}
+
+// step plays one event, or none.
+func (c *configLives) step() {
+	if len(c.rewrites) > 0 && c.rng.IntN(8) == 0 {
+		c.write(c.rewrites[0])
+		c.rewrites = c.rewrites[1:]
+	}
+	members := c.running()
+	m := members[c.rng.IntN(len(members))]
+	switch c.rng.IntN(220) {
+	case 0, 1, 2, 3:
+		c.publish()
+	case 4:
+		if time.Since(c.disturbed) > 5*time.Second || c.rng.IntN(4) == 0 {
+			c.restore()
+		}
+	case 5, 6:
+		if reader := c.reader(c.rng.IntN(3)); reader != nil {
+			c.end(reader, c.rng.IntN(2) == 0)
+			c.start()
+			c.publish()
+		}
+	case 7, 8:
+		m.setCut(true)
+	case 9, 10, 11, 12:
+		for _, other := range members {
+			if other.isCut() {
+				other.setCut(false)
+				other.since = time.Now()
+			}
+		}
+	case 13:
+		c.log.mu.Lock()
+		c.log.oldest = int64(len(c.log.records))
+		c.log.mu.Unlock()
+	}
+}
+
+func (m *livesMember) setCut(cut bool) {
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	m.log.cut = cut
+}
+
+func (m *livesMember) isCut() bool {
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	return m.log.cut
+}
+
+// reader returns the member at that position in the order of the readers.
+func (c *configLives) reader(position int) *livesMember {
+	v := c.view()
+	for _, m := range c.running() {
+		if v.ReaderPosition(m.name) == position {
+			return m
+		}
+	}
+	return nil
+}
+
+// check fails the test if a member has gone back, or lacks what must be in force.
+func (c *configLives) check() {
+	c.t.Helper()
+	now := time.Now()
+	var due int64
+	for revision, at := range c.acked {
+		if now.Sub(at) > configBound {
+			due = max(due, revision)
+		}
+	}
+	for _, m := range c.running() {
+		if !slices.IsSorted(m.revisions) {
+			c.t.Fatalf("%s went back: %v", m.name, m.revisions)
+		}
+		if m.isCut() || now.Sub(m.since) < touchTime || now.Sub(c.disturbed) < touchTime {
+			continue
+		}
+		if m.Revision() < due {
+			c.t.Fatalf("%s has revision %d, %d was acknowledged %v ago; the store was restored %v ago, the member started or reached it again %v ago",
+				m.name, m.Revision(), due, now.Sub(c.acked[due]), now.Sub(c.disturbed), now.Sub(m.since))
+		}
+	}
+}
+
+func playConfigLives(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 26))
+	c := &configLives{t: t, rng: rng, acked: map[int64]time.Time{}, log: &livesLog{rng: rand.New(rand.NewPCG(seed, 27)), unnotified: 0.1}}
+	c.log.put("a", "live 1")
+	c.publish()
+	for range 8 {
+		c.start()
+	}
+	c.disturbed = time.Now()
+	defer func() {
+		for _, m := range c.members {
+			m.cancel()
+			m.running.Wait()
+		}
+	}()
+	const tick = heartbeatPause / 3
+	for i := range int(60 * time.Second / tick) {
+		c.step()
+		if i%3 == 0 {
+			c.heartbeat()
+		}
+		time.Sleep(tick)
+		c.check()
+	}
+}
+
+// Restores, changes in any order, unreadable records, readers that end or lose the store
+// and members that start: no member in touch may go back to an older configuration, or lack
+// one that was acknowledged 2 s ago (incident of 2026-12-05).
+func TestConfigurationThroughStoreLives(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playConfigLives(t, seed) })
+		})
+	}
+}
+
+// The first members in the order of readers lose the store just after a read, and a
+// configuration is acknowledged right then. All others have a path to the store, so it must be
+// in force there in time, however many of the first ones are cut off.
+func TestConfigurationWhileReadersAreCutOff(t *testing.T) {
+	const members = 19
+	for cut := 0; cut <= 8; cut++ {
+		synctest.Test(t, func(t *testing.T) {
+			c := &configLives{t: t, rng: rand.New(rand.NewPCG(1, 1)), acked: map[int64]time.Time{}, log: &livesLog{rng: rand.New(rand.NewPCG(1, 2))}}
+			c.log.put("a", "live 1")
+			c.publish()
+			for range members {
+				c.start()
+			}
+			defer func() {
+				for _, m := range c.members {
+					m.cancel()
+					m.running.Wait()
+				}
+			}()
+			var slowest time.Duration
+			for round := range 12 {
+				for range 60 {
+					c.heartbeat()
+					time.Sleep(heartbeatPause)
+				}
+				time.Sleep(time.Duration(round) * 40 * time.Millisecond)
+				v := c.view()
+				for _, m := range c.running() {
+					m.setCut(v.ReaderPosition(m.name) < cut)
+				}
+				c.publish()
+				began := time.Now()
+				late := func() bool {
+					return slices.ContainsFunc(c.running(), func(m *livesMember) bool { return !m.isCut() && m.Revision() < c.revision })
+				}
+				for late() && time.Since(began) < 2*configBound {
+					c.heartbeat()
+					time.Sleep(heartbeatPause)
+				}
+				slowest = max(slowest, time.Since(began))
+				for _, m := range c.running() {
+					m.setCut(false)
+				}
+			}
+			t.Logf("%d readers cut off: in force everywhere else after %v", cut, slowest)
+			if slowest > configBound {
+				t.Errorf("%d readers cut off: in force everywhere else after %v, want %v", cut, slowest, configBound)
+			}
+		})
+	}
+}
+
+// After a restore the operator writes lost revisions again while it sends a new one, so an
+// older revision may follow a newer one in the log. The newer one was in force nowhere.
+func TestConfigurationBeforeAnOlderRecordIsTaken(t *testing.T) {
+	for _, rewritten := range [][]string{{"6", "5"}, {"4", "6", "5"}, {"5", "6", "4"}, {"6", "no configuration", "4", "5"}} {
+		s, starting := newTestSyncer(), newTestSyncer()
+		for revision := 1; revision <= 5; revision++ {
+			s.log.put("config", strconv.Itoa(revision))
+		}
+		s.readConfig(t.Context(), 0)
+		s.log.restore(3)
+		for _, value := range rewritten {
+			s.log.put("config", value)
+		}
+		s.readConfig(t.Context(), 0)
+		if s.Revision() != 6 {
+			t.Errorf("written again %v: revision %d is active at a reader, want 6", rewritten, s.Revision())
+		}
+		starting.options.Log = s.log
+		starting.readConfig(t.Context(), 0)
+		if starting.Revision() != 6 {
+			t.Errorf("written again %v: revision %d is active at a member that starts, want 6", rewritten, starting.Revision())
+		}
+	}
+}
+
+// The same without a restore: a reader finds both records in one read.
+func TestConfigurationsOfOneReadInAnyOrder(t *testing.T) {
+	s := newTestSyncer()
+	s.log.put("config", "1")
+	s.readConfig(t.Context(), 0)
+	s.log.put("config", "3")
+	s.log.put("config", "2")
+	s.readConfig(t.Context(), 0)
+	if s.Revision() != 3 || !slices.IsSorted(s.revisions) {
+		t.Errorf("revision %d is active after %v, want 3", s.Revision(), s.revisions)
+	}
+}
