Take the configuration with the highest revision, wherever it is in the log

Callers saw: a change that the store had acknowledged was in force at no entry, for good. Cause: of the records of one read, only the last readable one was looked at, and after a refused position only the newest record of the key. The operator's revisions are the only order that survives a restore: what was lost is written again while new changes are sent, so an older revision can follow a newer one. The reader took the older one, found it not newer, and continued behind both.

Now the highest revision of a read is applied (only the revisions of the others are decoded), and after a restore all retained records are read, one call in place of one if the history is whole.

--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -22,6 +22,8 @@
 	// servers' records.
 	DecodeTree   func(value []byte) (*tree.Tree, error)
 	DecodeServer func(key string, value []byte) (fleet.VM, error)
+	// DecodeRevision decodes only the revision of a configuration.
+	DecodeRevision func(value []byte) (int64, error)
 	// Dialect adapts requests to backend servers and their responses, Prober sends
 	// probes to backend servers.
 	Dialect forward.Dialect
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -249,16 +249,17 @@
 			}
 			return next, err
 		},
-		DecodeServer: adapter.DecodeServer,
-		Client:       pool,
-		Self:         s.VM,
-		Zone:         s.Zone,
-		Bootstrap:    s.Bootstrap,
-		View:         node.View,
-		OnTree:       a.setTree,
-		OnServers:    func(vms []fleet.VM) { a.setServers(vms) },
-		Events:       events,
-		Scope:        scope,
+		DecodeRevision: adapter.DecodeRevision,
+		DecodeServer:   adapter.DecodeServer,
+		Client:         pool,
+		Self:           s.VM,
+		Zone:           s.Zone,
+		Bootstrap:      s.Bootstrap,
+		View:           node.View,
+		OnTree:         a.setTree,
+		OnServers:      func(vms []fleet.VM) { a.setServers(vms) },
+		Events:         events,
+		Scope:          scope,
 	})
 	callbacks.storeSync = storeSync
 	return storeSync
--- a/internal/logservice/keyed.go
+++ b/internal/logservice/keyed.go
@@ -25,6 +25,9 @@
 	Records []KeyedRecord
 	// Next is the position to continue reading from.
 	Next Position
+	// End is the position after the newest record of the stream. It is beyond Next if the
+	// page was cut, and zero if it is not known.
+	End Position
 }
 
 // CompactedLog is a log service that keeps the newest record of each key forever.
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -107,6 +107,8 @@
 	Stream string
 	// Oldest is the oldest offset that is still kept.
 	Oldest int64
+	// Epoch is the log's present epoch, zero if it has none.
+	Epoch int64
 }
 
 // Error returns the stream and the oldest kept offset.
--- a/internal/storesync/configlife_test.go
+++ b/internal/storesync/configlife_test.go
@@ -13,6 +13,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 const (
@@ -97,7 +98,6 @@
 	since   time.Time // of its start, or the end of its last disturbance
 	ended   time.Time // zero while it runs
 	dark    bool      // its VM does not respond any more
-	shown   int       // revisions that were checked
 }
 
 // configLives plays members that read the configuration from a store with several lives.
@@ -168,6 +168,11 @@
 	m := &livesMember{testSyncer: newTestSyncer(), name: fmt.Sprintf("vm-%d", c.started), log: &memberLog{livesLog: c.log}, since: time.Now()}
 	m.options.Log, m.options.Client, m.options.Self, m.options.View = m.log, c, m.name, c.view
 	m.options.Zone = fmt.Sprint(c.started % 3)
+	m.options.OnTree = func(t *tree.Tree) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		m.revisions = append(m.revisions, t.Revision)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.running.Go(func() { m.Run(ctx) })
@@ -317,8 +322,11 @@
 		}
 	}
 	for _, m := range c.running() {
-		if !slices.IsSorted(m.revisions) {
-			c.t.Fatalf("%s went back: %v", m.name, m.revisions)
+		c.mu.Lock()
+		applied := slices.Clone(m.revisions)
+		c.mu.Unlock()
+		if !slices.IsSorted(applied) {
+			c.t.Fatalf("%s went back: %v", m.name, applied)
 		}
 		if m.isCut() || now.Sub(m.since) < touchTime || now.Sub(c.disturbed) < touchTime {
 			continue
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -312,8 +313,9 @@
 	return true, refused
 }
 
-// readConfigPage reads the records from next on, or the newest ones if next is not known or
-// refused.
+// readConfigPage reads the records from next on. If next is not known or refused, it reads the
+// newest record, and in a store that was restored since all retained ones: the newest record
+// may not have the highest revision there.
 func (s *Syncer) readConfigPage(ctx context.Context, next logservice.Position, known bool, wait time.Duration) (page logservice.KeyedPage, refused bool, err error) {
 	if known {
 		s.count("reads_config")
@@ -323,10 +325,74 @@
 		}
 		s.logRefusedPosition(s.options.ConfigStream, next, err)
 		refused = true
+		if epoch := presentEpoch(err); epoch > next.Epoch() {
+			history, complete, historyErr := s.readConfigHistory(ctx, epoch)
+			if historyErr == nil && complete {
+				return history, true, nil
+			}
+		}
 	}
 	s.count("reads_config_newest")
 	page, err = s.options.Log.Newest(ctx, s.options.ConfigStream)
-	return page, refused, err
+	if epoch := page.Next.Epoch(); err != nil || epoch == 0 || known && epoch == next.Epoch() {
+		return page, refused, err
+	}
+	history, _, err := s.readConfigHistory(ctx, page.Next.Epoch())
+	if err != nil {
+		return logservice.KeyedPage{}, refused, err
+	}
+	page.Records = append(page.Records, history.Records...)
+	page.Next = max(page.Next, history.Next)
+	return page, refused, nil
+}
+
+// maxHistoryReads bounds the reads of readConfigHistory. One returns about a megabyte.
+const maxHistoryReads = 16
+
+// readConfigHistory reads all records of the configuration's stream that the store retains in
+// an epoch. It reports whether these are all that there were.
+func (s *Syncer) readConfigHistory(ctx context.Context, epoch int64) (history logservice.KeyedPage, complete bool, err error) {
+	from, err := logservice.NewPosition(epoch, 0)
+	if err != nil {
+		return logservice.KeyedPage{}, false, err
+	}
+	complete = true
+	for range maxHistoryReads {
+		s.count("reads_config_history")
+		page, err := s.options.Log.ReadKeyed(ctx, s.options.ConfigStream, from, 0)
+		var expired *logservice.ExpiredError
+		switch {
+		case errors.As(err, &expired) && complete && expired.Oldest > 0:
+			complete = false
+			if from, err = logservice.NewPosition(epoch, expired.Oldest); err != nil {
+				return logservice.KeyedPage{}, false, err
+			}
+			continue
+		case err != nil:
+			return logservice.KeyedPage{}, false, err
+		}
+		history.Records = append(history.Records, page.Records...)
+		history.Next = page.Next
+		if page.Next >= page.End {
+			break
+		}
+		from = page.Next
+	}
+	return history, complete, nil
+}
+
+// presentEpoch returns the epoch of the store that refused a position.
+func presentEpoch(refusal error) int64 {
+	var expired *logservice.ExpiredError
+	var epoch *logservice.EpochError
+	switch {
+	case errors.As(refusal, &expired):
+		return expired.Epoch
+	case errors.As(refusal, &epoch):
+		return epoch.Epoch
+	default:
+		return 0
+	}
 }
 
 // logRefusedPosition logs that the store does not have the records from a position on, so
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -1,6 +1,7 @@
 package storesync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -28,6 +29,9 @@
 	ConfigStream, ConfigKey, ServersStream string
 	// DecodeTree decodes the configuration's value into a tree.
 	DecodeTree func(value []byte) (*tree.Tree, error)
+	// DecodeRevision decodes only the revision of a configuration, at a small part of the
+	// cost.
+	DecodeRevision func(value []byte) (int64, error)
 	// DecodeServer decodes a server's value. An error means that the record describes
 	// no usable server.
 	DecodeServer func(key string, value []byte) (fleet.VM, error)
@@ -128,22 +132,48 @@
 	group.Wait()
 }
 
-// applyConfig applies the newest of the records of the configuration if it is newer than
-// the active one. Older ones in the same page are not decoded: a large configuration takes
-// a small VM long.
+// applyConfig applies the record with the highest revision that can be read, if it is newer
+// than the active one.
 func (s *Syncer) applyConfig(records []logservice.KeyedRecord, next logservice.Position, source string) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	s.configNext = max(s.configNext, next)
 	s.configRead = s.configRead || next > 0
-	for i := len(records) - 1; i >= 0; i-- {
-		r := records[i]
-		if !r.IsTombstone() && r.Key == s.options.ConfigKey && s.applyConfigRecord(r, source) {
+	for _, r := range s.newestRevisionFirst(records) {
+		if s.applyConfigRecord(r, source) {
 			return
 		}
 	}
 }
 
+// newestRevisionFirst returns the records of the configuration, the highest revision first.
+// Their order in the store does not tell: after a restore from a copy, older revisions may be
+// written again behind newer ones. Only the revisions are decoded, as a large configuration
+// takes a small VM long.
+func (s *Syncer) newestRevisionFirst(records []logservice.KeyedRecord) []logservice.KeyedRecord {
+	var found []logservice.KeyedRecord
+	for _, r := range records {
+		if !r.IsTombstone() && r.Key == s.options.ConfigKey {
+			found = append(found, r)
+		}
+	}
+	if len(found) < 2 {
+		return found
+	}
+	revisions := make(map[logservice.Position]int64, len(found))
+	for _, r := range found {
+		revision, err := s.options.DecodeRevision(r.Value)
+		if err != nil {
+			revision = 0 // applyConfigRecord reports it
+		}
+		revisions[r.Position] = revision
+	}
+	slices.SortFunc(found, func(a, b logservice.KeyedRecord) int {
+		return cmp.Or(cmp.Compare(revisions[b.Position], revisions[a.Position]), cmp.Compare(b.Position, a.Position))
+	})
+	return found
+}
+
 // applyConfigRecord reports whether the record holds a configuration; an older one than
 // the active one is not applied. s.applyMu must be held.
 func (s *Syncer) applyConfigRecord(r logservice.KeyedRecord, source string) bool {
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -82,7 +82,7 @@
 		return logservice.KeyedPage{}, errDown
 	}
 	if offset := from.Offset(); offset < l.oldest || offset > int64(len(l.records)) {
-		return logservice.KeyedPage{}, &logservice.ExpiredError{Oldest: l.oldest}
+		return logservice.KeyedPage{}, &logservice.ExpiredError{Oldest: l.oldest, Epoch: l.epoch}
 	}
 	if from.Epoch() != l.epoch {
 		return logservice.KeyedPage{}, &logservice.EpochError{Stream: stream, Position: from, Epoch: l.epoch}
@@ -107,6 +107,8 @@
 	return &tree.Tree{Revision: revision}, err
 }
 
+func decodeRevision(value []byte) (int64, error) { return strconv.ParseInt(string(value), 10, 64) }
+
 // testSyncer is a syncer that records what it applied.
 type testSyncer struct {
 	*Syncer
@@ -121,7 +123,7 @@
 	s.live = []cluster.LiveMember{{Member: cluster.Member{VM: "self", Zone: "a"}}}
 	s.Syncer = New(Options{
 		Log: s.log, ConfigStream: "config", ConfigKey: "config", ServersStream: "servers",
-		DecodeTree: decodeTree, DecodeServer: decode, Self: "self",
+		DecodeTree: decodeTree, DecodeRevision: decodeRevision, DecodeServer: decode, Self: "self",
 		View:   func() *cluster.View { return &cluster.View{Live: s.live} },
 		OnTree: func(t *tree.Tree) { s.revisions = append(s.revisions, t.Revision) },
 		OnServers: func(vms []fleet.VM) {
