Let the first twelve fallback readers read 50 ms apart

Callers would see: if the first six or more members in the order of readers lose the store at the moment of a change, the change is in force at all the others only after 2.05 s, want 2 s; each further one adds 0.15 s. Cause: the delays of detection add up, 1.0 s of silence and 0.15 s for each position.

Sum for n members cut off, before: 1.0 + 0.15 n + 0.05 (poll) + one read of the servers and one of the configuration + one heartbeat and a pull; now 1.0 + 0.05 n up to twelve. The cost is up to ten more store calls in an outage of more than 1.6 s.

The test's log kept its oldest offset beyond the end after a restore, and let responses of cut calls arrive; that was wrong.

--- a/internal/storesync/configlife_test.go
+++ b/internal/storesync/configlife_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,16 +43,25 @@
 // memberLog is the store as one member reaches it.
 type memberLog struct {
 	*livesLog
-	cut bool // guarded by fakeLog.mu
+	cut  bool // guarded by fakeLog.mu, like cuts
+	cuts int  // how often the path was cut; the calls in progress are lost then
 }
 
-// call waits as long as a call takes. It returns an error if there is no response.
-func (l *memberLog) call(ctx context.Context, wait time.Duration) error {
+// cutsSoFar returns how often the path was cut.
+func (l *memberLog) cutsSoFar() int {
 	l.mu.Lock()
-	cut, slow := l.cut, l.slow
+	defer l.mu.Unlock()
+	return l.cuts
+}
+
+// respond waits until a response arrives. It returns an error if none does until the limit of
+// a call with that wait.
+func (l *memberLog) respond(ctx context.Context, began time.Time, cuts int, wait time.Duration) error {
+	l.mu.Lock()
+	lost, slow := l.cut || l.cuts != cuts, l.slow
 	l.mu.Unlock()
-	if cut {
-		sleep(ctx, storeTimeLimit+wait)
+	if lost {
+		sleep(ctx, time.Until(began.Add(storeTimeLimit+wait)))
 		return errDown
 	}
 	sleep(ctx, storeAnswer+slow)
@@ -66,8 +76,9 @@
 }
 
 func (l *memberLog) Newest(ctx context.Context, stream string) (logservice.KeyedPage, error) {
+	began, cuts := time.Now(), l.cutsSoFar()
 	page, err := l.fakeLog.Newest(ctx, stream)
-	if callErr := l.call(ctx, 0); callErr != nil {
+	if callErr := l.respond(ctx, began, cuts, 0); callErr != nil {
 		return logservice.KeyedPage{}, callErr
 	}
 	return page, err
@@ -75,13 +86,15 @@
 
 func (l *memberLog) ReadKeyed(ctx context.Context, stream string, from logservice.Position, wait time.Duration) (logservice.KeyedPage, error) {
 	woken := l.random() >= l.unnotified
-	for deadline := time.Now().Add(wait); ; sleep(ctx, 5*time.Millisecond) {
+	began, cuts := time.Now(), l.cutsSoFar()
+	for deadline := began.Add(wait); ; sleep(ctx, 5*time.Millisecond) {
 		page, err := l.fakeLog.ReadKeyed(ctx, stream, from, 0)
+		woken = woken || time.Now().Equal(began) && len(page.Records) > 0
 		ended := time.Now().After(deadline) || wait == 0 || ctx.Err() != nil
 		if err == nil && len(page.Records) == 0 && !ended || err == nil && !woken && !ended {
 			continue
 		}
-		if callErr := l.call(ctx, wait); callErr != nil {
+		if callErr := l.respond(ctx, began, cuts, wait); callErr != nil {
 			return logservice.KeyedPage{}, callErr
 		}
 		return page, err
@@ -106,9 +119,10 @@
 	rng *rand.Rand
 	log *livesLog
 
-	mu      sync.Mutex // guards the members
+	mu      sync.Mutex // guards the members and events
 	members []*livesMember
 	started int
+	events  []string // what happened, for the report of a failure
 
 	revision  int64
 	acked     map[int64]time.Time // by revision, of the first write that was not lost unseen
@@ -172,7 +186,9 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		m.revisions = append(m.revisions, t.Revision)
+		c.noteLocked("%s applies %d", m.name, t.Revision)
 	}
+	c.noteLocked("%s starts", m.name)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.running.Go(func() { m.Run(ctx) })
@@ -180,8 +196,28 @@
 	return m
 }
 
+func (c *configLives) noteLocked(format string, args ...any) {
+	c.events = append(c.events, time.Now().Format("04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+func (c *configLives) note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteLocked(format, args...)
+}
+
+// fail ends the test with the last events.
+func (c *configLives) fail(format string, args ...any) {
+	c.t.Helper()
+	const shownEvents = 60
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.Fatalf(format+"\n%s", append(args, strings.Join(c.events[max(0, len(c.events)-shownEvents):], "\n"))...)
+}
+
 // end stops a member as by a signal, or with its whole VM.
 func (c *configLives) end(m *livesMember, dark bool) {
+	c.note("%s ends, dark %v", m.name, dark)
 	m.cancel()
 	c.mu.Lock()
 	m.ended, m.dark = time.Now(), dark
@@ -194,11 +230,13 @@
 	return slices.DeleteFunc(slices.Clone(c.members), func(m *livesMember) bool { return !m.ended.IsZero() })
 }
 
-// heartbeat announces the versions of each member to all others.
+// heartbeat announces the versions of each running member to all others.
 func (c *configLives) heartbeat() {
+	running := c.running()
 	for _, announced := range c.view().Live {
-		for _, m := range c.running() {
-			if m.name != announced.VM {
+		sends := slices.ContainsFunc(running, func(m *livesMember) bool { return m.name == announced.VM })
+		for _, m := range running {
+			if sends && m.name != announced.VM {
 				m.ObservePeer(announced)
 			}
 		}
@@ -215,6 +253,7 @@
 }
 
 func (c *configLives) write(value string) {
+	c.note("the operator writes %q", value)
 	c.log.put("config", value)
 	revision, err := strconv.ParseInt(value, 10, 64)
 	if err != nil {
@@ -233,6 +272,7 @@
 	lost := slices.Clone(c.log.records[kept:])
 	c.log.mu.Unlock()
 	c.log.restore(kept)
+	c.note("the store is restored, %d records lost", len(lost))
 	c.disturbed = time.Now()
 	c.rewrites = nil
 	for _, r := range lost {
@@ -274,23 +314,42 @@
 		}
 	case 7, 8:
 		m.setCut(true)
+		c.note("%s is cut off", m.name)
 	case 9, 10, 11, 12:
 		for _, other := range members {
 			if other.isCut() {
 				other.setCut(false)
 				other.since = time.Now()
+				c.note("%s reaches the store again", other.name)
 			}
 		}
 	case 13:
-		c.log.mu.Lock()
-		c.log.oldest = int64(len(c.log.records))
-		c.log.mu.Unlock()
+		c.compact()
 	}
 }
 
+// compact makes the store forget its history. The newest record of each key stays; if nobody
+// can read that of the configuration, none would be left.
+func (c *configLives) compact() {
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	for _, r := range slices.Backward(c.log.records) {
+		if r.Key == "config" {
+			if _, err := decodeRevision(r.Value); err != nil {
+				return
+			}
+			break
+		}
+	}
+	c.log.oldest = int64(len(c.log.records))
+}
+
 func (m *livesMember) setCut(cut bool) {
 	m.log.mu.Lock()
 	defer m.log.mu.Unlock()
+	if cut && !m.log.cut {
+		m.log.cuts++
+	}
 	m.log.cut = cut
 }
 
@@ -326,13 +385,13 @@
 		applied := slices.Clone(m.revisions)
 		c.mu.Unlock()
 		if !slices.IsSorted(applied) {
-			c.t.Fatalf("%s went back: %v", m.name, applied)
+			c.fail("%s went back: %v", m.name, applied)
 		}
 		if m.isCut() || now.Sub(m.since) < touchTime || now.Sub(c.disturbed) < touchTime {
 			continue
 		}
 		if m.Revision() < due {
-			c.t.Fatalf("%s has revision %d, %d was acknowledged %v ago; the store was restored %v ago, the member started or reached it again %v ago",
+			c.fail("%s has revision %d, %d was acknowledged %v ago; the store was restored %v ago, the member started or reached it again %v ago",
 				m.name, m.Revision(), due, now.Sub(c.acked[due]), now.Sub(c.disturbed), now.Sub(m.since))
 		}
 	}
@@ -347,12 +406,7 @@
 		c.start()
 	}
 	c.disturbed = time.Now()
-	defer func() {
-		for _, m := range c.members {
-			m.cancel()
-			m.running.Wait()
-		}
-	}()
+	defer c.stop()
 	const tick = heartbeatPause / 3
 	for i := range int(60 * time.Second / tick) {
 		c.step()
@@ -368,56 +422,87 @@
 // and members that start: no member in touch may go back to an older configuration, or lack
 // one that was acknowledged 2 s ago (incident of 2026-12-05).
 func TestConfigurationThroughStoreLives(t *testing.T) {
-	for seed := range uint64(20) {
+	seeds := uint64(24)
+	if raceEnabled {
+		seeds = 4 // all are played without the race detector, see scripts/test
+	}
+	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playConfigLives(t, seed) })
 		})
 	}
 }
 
+// newConfigLives starts members that share a store and have run for a while.
+func newConfigLives(t *testing.T, members int) *configLives {
+	c := &configLives{t: t, rng: rand.New(rand.NewPCG(1, 1)), acked: map[int64]time.Time{}, log: &livesLog{rng: rand.New(rand.NewPCG(1, 2))}}
+	c.log.put("a", "live 1")
+	c.publish()
+	for range members {
+		c.start()
+	}
+	return c
+}
+
+// stop ends all members.
+func (c *configLives) stop() {
+	for _, m := range c.members {
+		m.cancel()
+		m.running.Wait()
+	}
+}
+
+// run lets the members send heartbeats for that time.
+func (c *configLives) run(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(heartbeatPause) {
+		c.heartbeat()
+	}
+}
+
+// cutReaders cuts the first readers off the store, and no other member.
+func (c *configLives) cutReaders(count int) {
+	v := c.view()
+	for _, m := range c.running() {
+		m.setCut(v.ReaderPosition(m.name) < count)
+	}
+}
+
+// publishAndAwait publishes a configuration and returns how long it takes until it is in force
+// at all members that are not cut off.
+func (c *configLives) publishAndAwait() time.Duration {
+	c.publish()
+	began := time.Now()
+	late := func(m *livesMember) bool { return !m.isCut() && m.Revision() < c.revision }
+	for slices.ContainsFunc(c.running(), late) && time.Since(began) < 2*configBound {
+		c.heartbeat()
+		time.Sleep(heartbeatPause)
+	}
+	return time.Since(began)
+}
+
+// rounds returns the number of rounds to play; all are played without the race detector.
+func rounds(whole int) int {
+	if raceEnabled {
+		return whole / 6
+	}
+	return whole
+}
+
 // The first members in the order of readers lose the store just after a read, and a
 // configuration is acknowledged right then. All others have a path to the store, so it must be
 // in force there in time, however many of the first ones are cut off.
 func TestConfigurationWhileReadersAreCutOff(t *testing.T) {
-	const members = 19
 	for cut := 0; cut <= 8; cut++ {
 		synctest.Test(t, func(t *testing.T) {
-			c := &configLives{t: t, rng: rand.New(rand.NewPCG(1, 1)), acked: map[int64]time.Time{}, log: &livesLog{rng: rand.New(rand.NewPCG(1, 2))}}
-			c.log.put("a", "live 1")
-			c.publish()
-			for range members {
-				c.start()
-			}
-			defer func() {
-				for _, m := range c.members {
-					m.cancel()
-					m.running.Wait()
-				}
-			}()
+			c := newConfigLives(t, 19)
+			defer c.stop()
 			var slowest time.Duration
-			for round := range 12 {
-				for range 60 {
-					c.heartbeat()
-					time.Sleep(heartbeatPause)
-				}
-				time.Sleep(time.Duration(round) * 40 * time.Millisecond)
-				v := c.view()
-				for _, m := range c.running() {
-					m.setCut(v.ReaderPosition(m.name) < cut)
-				}
-				c.publish()
-				began := time.Now()
-				late := func() bool {
-					return slices.ContainsFunc(c.running(), func(m *livesMember) bool { return !m.isCut() && m.Revision() < c.revision })
-				}
-				for late() && time.Since(began) < 2*configBound {
-					c.heartbeat()
-					time.Sleep(heartbeatPause)
-				}
-				slowest = max(slowest, time.Since(began))
-				for _, m := range c.running() {
-					m.setCut(false)
-				}
+			for round := range rounds(12) {
+				c.cutReaders(0)
+				c.run(4*time.Second + time.Duration(round)*40*time.Millisecond)
+				c.cutReaders(cut)
+				slowest = max(slowest, c.publishAndAwait())
 			}
 			t.Logf("%d readers cut off: in force everywhere else after %v", cut, slowest)
 			if slowest > configBound {
@@ -427,6 +512,31 @@
 	}
 }
 
+// Both readers lose the store and reach it again, and a configuration is acknowledged soon
+// after. The responses that they waited for are lost, but nobody reads the store in their place
+// any more, as they do read the servers.
+func TestConfigurationAfterReadersReachTheStoreAgain(t *testing.T) {
+	for _, away := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newConfigLives(t, 19)
+			defer c.stop()
+			var slowest time.Duration
+			for round := range rounds(24) {
+				c.run(4*time.Second + time.Duration(round)*40*time.Millisecond)
+				c.cutReaders(activeReaders)
+				c.run(away)
+				c.cutReaders(0)
+				c.run(time.Duration(round) * 50 * time.Millisecond)
+				slowest = max(slowest, c.publishAndAwait())
+			}
+			t.Logf("away for %v: in force everywhere after %v", away, slowest)
+			if slowest > configBound {
+				t.Errorf("away for %v: in force everywhere after %v, want %v", away, slowest, configBound)
+			}
+		})
+	}
+}
+
 // After a restore the operator writes lost revisions again while it sends a new one, so an
 // older revision may follow a newer one in the log. The newer one was in force nowhere.
 func TestConfigurationBeforeAnOlderRecordIsTaken(t *testing.T) {
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -27,8 +27,12 @@
 	// fallbackAfter is the age of the newest successful read of any member above which
 	// the next members in the order read too. By then two reads of a reader have failed.
 	fallbackAfter = 1000 * time.Millisecond
-	// fallbackStep is the additional delay per position in the order of readers.
-	fallbackStep = 150 * time.Millisecond
+	// fallbackStep is the additional delay per position in the order of readers up to
+	// quickFallbacks, lateFallbackStep that of later positions. If as many members lose the
+	// store at the same time, a configuration still is in force in time at the others.
+	fallbackStep     = 50 * time.Millisecond
+	quickFallbacks   = 12
+	lateFallbackStep = 150 * time.Millisecond
 	// maxFallbackDelay bounds the sum of these delays in large clusters.
 	maxFallbackDelay = 3 * time.Second
 	// maxBackoff bounds the doubling of the interval after failed reads.
@@ -135,8 +139,15 @@
 	if s.hasNoServers() {
 		return true
 	}
-	threshold := fallbackAfter + min(time.Duration(position)*fallbackStep, maxFallbackDelay)
-	return s.newestReadAge(now) > threshold
+	return s.newestReadAge(now) > fallbackAfter+fallbackDelay(position)
+}
+
+// fallbackDelay returns how much longer than the first one a member waits before it reads the
+// store as a fallback.
+func fallbackDelay(position int) time.Duration {
+	quick := min(position, quickFallbacks)
+	delay := time.Duration(quick)*fallbackStep + time.Duration(position-quick)*lateFallbackStep
+	return min(delay, maxFallbackDelay)
 }
 
 // hasNoServers reports whether this member has received servers neither from the store
@@ -314,8 +325,8 @@
 }
 
 // readConfigPage reads the records from next on. If next is not known or refused, it reads the
-// newest record, and in a store that was restored since all retained ones: the newest record
-// may not have the highest revision there.
+// newest record, and all retained ones if that one can't be read, or if the store was restored
+// since: the newest record may not have the highest revision then.
 func (s *Syncer) readConfigPage(ctx context.Context, next logservice.Position, known bool, wait time.Duration) (page logservice.KeyedPage, refused bool, err error) {
 	if known {
 		s.count("reads_config")
@@ -334,18 +345,36 @@
 	}
 	s.count("reads_config_newest")
 	page, err = s.options.Log.Newest(ctx, s.options.ConfigStream)
-	if epoch := page.Next.Epoch(); err != nil || epoch == 0 || known && epoch == next.Epoch() {
+	epoch := page.Next.Epoch()
+	restored := epoch > 0 && (!known || epoch > next.Epoch())
+	if err != nil || !restored && s.isReadable(page.Records) {
 		return page, refused, err
 	}
-	history, _, err := s.readConfigHistory(ctx, page.Next.Epoch())
+	history, _, err := s.readConfigHistory(ctx, epoch)
 	if err != nil {
-		return logservice.KeyedPage{}, refused, err
+		// The newest record is applied, and the next read is refused and tries again.
+		s.storeFailed("read the history of the configuration", err)
+		page.Next = next
+		return page, refused, nil
 	}
 	page.Records = append(page.Records, history.Records...)
 	page.Next = max(page.Next, history.Next)
 	return page, refused, nil
 }
 
+// isReadable reports whether the revision of each configuration among the records can be read.
+func (s *Syncer) isReadable(records []logservice.KeyedRecord) bool {
+	for _, r := range records {
+		if r.IsTombstone() || r.Key != s.options.ConfigKey {
+			continue
+		}
+		if _, err := s.options.DecodeRevision(r.Value); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // maxHistoryReads bounds the reads of readConfigHistory. One returns about a megabyte.
 const maxHistoryReads = 16
 
--- a/internal/storesync/restored_test.go
+++ b/internal/storesync/restored_test.go
@@ -17,6 +17,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = l.records[:records:records]
+	l.oldest = min(l.oldest, int64(records))
 	l.epoch++
 }
 
