--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -30,10 +30,16 @@
 		return
 	}
 	fields = append(fields, "outcome", rec.Refusal.Outcome, "reason", rec.Refusal.Reason,
-		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds())
+		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds(),
+		"caller", rec.Request.RemoteAddr, "method", rec.Request.Method, "path", cut(rec.Request.URL.Path, maxLoggedPathBytes))
 	l.events.Warn("call refused", fields...)
 }
 
+// maxLoggedPathBytes bounds the path in a log line.
+const maxLoggedPathBytes = 100
+
+func cut(text string, length int) string { return text[:min(len(text), length)] }
+
 // formatSteps formats each attempt: server, result, times in milliseconds, and the load
 // estimate with the age in milliseconds of the report that it is based on.
 func formatSteps(steps []attempt.Step) string {
