--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -50,6 +50,8 @@
 	// NoStamp responds with 200 without the header that proves that a server
 	// generated the response.
 	NoStamp Behaviour = "no_stamp"
+	// CrashOnRun ends the server when it begins to run the request.
+	CrashOnRun Behaviour = "crash_on_run"
 	// Plain503 runs the request and responds with 503, without the header that would
 	// prove that it did not run.
 	Plain503 Behaviour = "bare_busy"
@@ -267,6 +269,11 @@
 		s.hang(r)
 		return
 	}
+	if behaviour == CrashOnRun {
+		s.recordRun(r, id, len(body))
+		s.Crash()
+		return
+	}
 	s.run(r, id, len(body))
 	s.respond(w, r, behaviour, id)
 }
@@ -310,16 +317,22 @@
 	return fmt.Sprintf("%d,%d,%d,%d", min(s.running, slots), max(0, s.running-slots), slots, s.slowdown)
 }
 
+func (s *Server) recordRun(r *http.Request, id string, body int) {
+	deadline, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, Run{
+		ID: id, Server: s.Name, Method: r.Method, Path: r.URL.RequestURI(), Body: body, DeadlineMs: deadline, At: time.Now(),
+	})
+}
+
 // run records the request and waits for its service time, or until the caller
 // disconnects or the server stops.
 func (s *Server) run(r *http.Request, id string, body int) {
-	deadline, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	s.recordRun(r, id, body)
 	s.mu.Lock()
 	s.running++
 	serviceTime := s.serviceTime * time.Duration(s.slowdown) / 100
-	s.runs = append(s.runs, Run{
-		ID: id, Server: s.Name, Method: r.Method, Path: r.URL.RequestURI(), Body: body, DeadlineMs: deadline, At: time.Now(),
-	})
 	s.mu.Unlock()
 	select {
 	case <-time.After(serviceTime):
