Hold requests that end the backend servers that run them

Cause: nothing tied one failure to another. Each copy of the request was a new one at whichever entry it reached, and the entries sent idempotent ones again.

Now a request is known by its content over all entries (package quarantine). If its connection ends without a response and nobody listens at the server's address any more, and the server was not leaving, that is evidence, which the entries share in their heartbeats. A response clears it. Requests that ran beside one crash are only not hedged, and not repeated in the call in which a second server ends.

What ran beside crashes by chance is cleared by its next response, and servers that end at the same moment count once, so a crash of a host is no evidence of several.

--- a/internal/attempt/body.go
+++ b/internal/attempt/body.go
@@ -8,6 +8,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 )
 
 // releasingBody releases the server's slot when the response body is closed,
@@ -17,6 +18,7 @@
 	grant    Grant
 	began    time.Time
 	response *forward.Response
+	tracked  *quarantine.Request
 
 	latency   time.Duration // zero until the body has ended
 	truncated bool
@@ -42,6 +44,12 @@
 	b.closed = true
 	err := b.body.Close()
 	b.grant.Done(b.result())
+	switch {
+	case b.truncated:
+		b.tracked.ConnectionEnded(b.grant.Server())
+	case b.latency > 0:
+		b.tracked.Answered()
+	}
 	return err
 }
 
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -9,9 +9,11 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"chestnutrouter.example/chestnutrouter/internal/wire"
 )
@@ -24,6 +26,7 @@
 	priorAttempts int // attempts already made by the layers in front of this entry
 	budget        *budget
 	trace         *Trace
+	tracked       *quarantine.Request // nil without a guard
 	began         time.Time
 
 	attempts       int // requests that may have reached a server, hedges included
@@ -128,14 +131,26 @@
 		step.Result = string(failure.Stage) + "_" + string(failure.Reason)
 		c.trace.add(step)
 		grant.Done(failureResult(failure, time.Since(began)))
+		c.reportFailure(grant.Server(), failure)
 		return result{failure: failure}
 	}
 	step.Result = strconv.Itoa(response.Status)
 	c.trace.add(step)
-	response.Body = &releasingBody{body: response.Body, grant: grant, began: began, response: response}
+	response.Body = &releasingBody{body: response.Body, grant: grant, began: began, response: response, tracked: c.tracked}
 	return result{response: response}
 }
 
+// reportFailure reports an attempt that may have run and got no response to the guard.
+func (c *call) reportFailure(server fleet.VM, f *forward.SendError) {
+	switch {
+	case f.Outcome == outcome.NotRun:
+	case f.Reason == outcome.ReasonServerHungUp:
+		c.tracked.ConnectionEnded(server)
+	case f.Reason == outcome.ReasonDeadline || f.Reason == outcome.ReasonCallerGone:
+		c.tracked.NoResponse(server)
+	}
+}
+
 // markUnsent moves an attempt of which no byte was sent from attempts to
 // unsentAttempts.
 func (c *call) markUnsent() {
--- a/internal/attempt/hedge.go
+++ b/internal/attempt/hedge.go
@@ -36,6 +36,9 @@
 	if c.req.GetBody == nil && c.req.Body != nil && c.req.Body != http.NoBody {
 		return 0, false
 	}
+	if c.tracked.Suspect() {
+		return 0, false
+	}
 	return c.runner.admitter.HedgeDelay(c.match.Service.Key(), c.match.Rank.Name, c.match.Route.Target)
 }
 
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -22,6 +22,7 @@
 	deniedDeadline      = "deadline"
 	deniedBody          = "body_sent"
 	deniedBudget        = "budget"
+	deniedSuspect       = "suspect"
 )
 
 // retryReason returns why the attempt should be retried, or "" if it is final.
@@ -85,6 +86,8 @@
 		return deniedDeadline
 	case !c.replayable(res):
 		return deniedBody
+	case res.failure != nil && res.failure.Outcome != outcome.NotRun && c.tracked.Suspect():
+		return deniedSuspect
 	case uncounted == 0 && !c.budget.retries.take():
 		return deniedBudget
 	default:
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -20,6 +20,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"chestnutrouter.example/chestnutrouter/internal/wire"
 )
@@ -71,6 +72,7 @@
 	sender   Sender
 	scope    tally.Scope
 	budgets  budgets
+	guard    *quarantine.Guard
 }
 
 // New returns a Runner that counts into scope.
@@ -78,14 +80,28 @@
 	return &Runner{admitter: admitter, sender: sender, scope: scope}
 }
 
+// WithGuard makes the Runner refuse requests that are held by the guard, and report to it how
+// attempts end. It must be called before the first call, and returns the Runner.
+func (r *Runner) WithGuard(guard *quarantine.Guard) *Runner {
+	r.guard = guard
+	return r
+}
+
 // Do runs the call and returns the server's response or a refusal. The caller
 // of Do must close the response Body. The body of req is sent again only if
 // req.GetBody is set. ctx carries the deadline; cancelling it cancels the
 // attempts, except that of a non-idempotent request that has already left the
 // queue.
 func (r *Runner) Do(ctx context.Context, m tree.Match, req *http.Request) (*forward.Response, *outcome.Refusal) {
+	tracked, refusal := r.guard.Begin(req)
+	if refusal != nil {
+		traceOf(ctx).add(Step{Result: string(refusal.Reason)})
+		return nil, refusal
+	}
+	defer tracked.End()
 	c := &call{
 		runner:        r,
+		tracked:       tracked,
 		match:         m,
 		req:           req,
 		priorAttempts: parsePriorAttempts(req),
--- a/internal/balancer/reportstate.go
+++ b/internal/balancer/reportstate.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
 // reportLifetime is the age from which a report has no weight; the weight decreases
@@ -18,6 +20,21 @@
 	draining     atomic.Bool
 }
 
+// IsDraining reports whether the server reported that it accepts no new requests.
+func (b *Balancer) IsDraining(server string) bool {
+	be := b.snapshot.Load().backend(server)
+	return be != nil && be.report.draining.Load()
+}
+
+// LastReport returns when the server last reported its load, the zero time if it never did.
+func (b *Balancer) LastReport(server string) time.Time {
+	be := b.snapshot.Load().backend(server)
+	if be == nil || be.report.receivedAt.Load() == 0 {
+		return time.Time{}
+	}
+	return steady.Time(be.report.receivedAt.Load())
+}
+
 // update applies a report that arrived while ownRequests of this entry were still in
 // progress at the server. It returns the number of requests of other entries.
 func (s *reportState) update(r Report, ownRequests int, now int64) float64 {
--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -86,6 +86,7 @@
 	Reports       []LoadReport
 	RequestCounts []RequestCounts
 	RequestLimits []RequestLimit
+	CrashReports  []CrashReport
 }
 
 var errMalformedHeartbeat = errors.New("malformed heartbeat")
@@ -113,7 +114,15 @@
 	for _, l := range hb.RequestLimits {
 		out = l.append(out)
 	}
-	return binary.LittleEndian.AppendUint32(out, hb.ServersHash)
+	out = binary.LittleEndian.AppendUint32(out, hb.ServersHash)
+	if len(hb.CrashReports) == 0 {
+		return out
+	}
+	out = binary.AppendUvarint(out, uint64(len(hb.CrashReports)))
+	for _, r := range hb.CrashReports {
+		out = r.append(out)
+	}
+	return out
 }
 
 func (hb *Heartbeat) flags() byte {
@@ -233,6 +242,11 @@
 		}
 		hb.ServersHash = binary.LittleEndian.Uint32(d.fixed(4))
 	}
+	if !d.failed && len(d.data) > 0 {
+		for range d.count() {
+			hb.CrashReports = append(hb.CrashReports, d.crashReport())
+		}
+	}
 	if d.failed {
 		return Heartbeat{}, errMalformedHeartbeat
 	}
--- a/internal/cluster/datagram_test.go
+++ b/internal/cluster/datagram_test.go
@@ -20,6 +20,10 @@
 	},
 	RequestCounts: []RequestCounts{{Server: 9, Sent: 1, Completed: 2, Failed: 3, SentAge: 30 * time.Millisecond}},
 	RequestLimits: []RequestLimit{{Server: 9, PerSecond: 2.75, Age: 20 * time.Millisecond}, {Server: 3, Ended: true}, {Server: 4}},
+	CrashReports: []CrashReport{
+		{Request: RequestID{Head: 5, Fingerprint: [16]byte{1, 15: 2}}, Server: 9, Age: 26 * time.Hour},
+		{Request: RequestID{Head: 6}, Cleared: true},
+	},
 }
 
 func TestHeartbeatRoundTrip(t *testing.T) {
@@ -33,7 +37,7 @@
 // their heartbeats read each other's.
 func TestHeartbeatWithoutLimitsIsAsBefore(t *testing.T) {
 	with, without := sampleHeartbeat, sampleHeartbeat
-	without.RequestLimits, without.ServersHash = nil, 0
+	without.RequestLimits, without.ServersHash, without.CrashReports = nil, 0, nil
 	const lengthOfRest = 1 + 4 // the number of limits and the hash
 	earlier := without.append(nil)
 	earlier = earlier[:len(earlier)-lengthOfRest]
@@ -45,6 +49,43 @@
 	}
 }
 
+// Crash reports follow what versions without them read, and take no byte where there are none.
+func TestHeartbeatWithoutCrashReportsIsAsBefore(t *testing.T) {
+	without := sampleHeartbeat
+	without.CrashReports = nil
+	earlier := without.append(nil)
+	if got, err := decodeHeartbeat(earlier[1:]); err != nil || !reflect.DeepEqual(got, without) {
+		t.Errorf("decoded %+v, %v, want the heartbeat without crash reports", got, err)
+	}
+	if data := sampleHeartbeat.append(nil); !bytes.HasPrefix(data, earlier) {
+		t.Error("crash reports change what earlier versions read, want them after it")
+	}
+}
+
+// Many crash reports are split into parts that fit into a packet, and none is lost.
+func TestCrashReportsAreSplitIntoParts(t *testing.T) {
+	n := &Node{}
+	n.view.Store(&View{})
+	hb := sampleHeartbeat
+	for i := range 200 {
+		hb.CrashReports = append(hb.CrashReports, CrashReport{Request: RequestID{Head: uint32(i)}})
+	}
+	got := 0
+	for _, part := range n.encode(&hb) {
+		if len(part) > maxHeartbeatBytes+100 {
+			t.Errorf("a part has %d B, want about %d at most", len(part), maxHeartbeatBytes)
+		}
+		decoded, err := decodeHeartbeat(part[1:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		got += len(decoded.CrashReports)
+	}
+	if got != len(hb.CrashReports) {
+		t.Errorf("%d crash reports in all parts, want %d", got, len(hb.CrashReports))
+	}
+}
+
 func TestAddressRoundTrip(t *testing.T) {
 	want := netip.MustParseAddrPort("10.1.2.3:65535")
 	got, rest, ok := decodeAddress(append(appendAddress(nil, want), 1))
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -163,6 +163,7 @@
 // encode returns the encoded heartbeat, split into parts that fit into one packet each.
 func (n *Node) encode(hb *Heartbeat) [][]byte {
 	const encodedReportBytes = 12 // approximate size of a LoadReport, RequestCounts or RequestLimit
+	const crashReportSize = 3     // of a CrashReport, in encodedReportBytes
 	const maxPerPart = maxHeartbeatBytes / encodedReportBytes
 	var parts [][]byte
 	rest := *hb
@@ -176,11 +177,14 @@
 		part.RequestCounts = rest.RequestCounts[:min(remaining, len(rest.RequestCounts))]
 		remaining -= len(part.RequestCounts)
 		part.RequestLimits = rest.RequestLimits[:min(remaining, len(rest.RequestLimits))]
+		remaining -= len(part.RequestLimits)
+		part.CrashReports = rest.CrashReports[:min(remaining/crashReportSize, len(rest.CrashReports))]
 		parts = append(parts, part.append(nil))
 		rest.Reports = rest.Reports[len(part.Reports):]
 		rest.RequestCounts = rest.RequestCounts[len(part.RequestCounts):]
 		rest.RequestLimits = rest.RequestLimits[len(part.RequestLimits):]
-		if len(rest.Reports)+len(rest.RequestCounts)+len(rest.RequestLimits) == 0 {
+		rest.CrashReports = rest.CrashReports[len(part.CrashReports):]
+		if len(rest.Reports)+len(rest.RequestCounts)+len(rest.RequestLimits)+len(rest.CrashReports) == 0 {
 			return parts
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/loadsync"
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 	"chestnutrouter.example/chestnutrouter/internal/storesync"
 	"chestnutrouter.example/chestnutrouter/internal/traffic"
@@ -69,6 +71,7 @@
 	Services  *service.Set
 	Forwarder *forward.Forwarder
 	Handler   *frontend.Handler
+	Guard     *quarantine.Guard
 	Drainer   *frontend.Drainer
 	Tree      *treeHolder
 }
@@ -98,6 +101,15 @@
 // Tree returns the active tree, nil if there is none yet.
 func (t *treeHolder) Tree() *tree.Tree { return t.tree.Load() }
 
+// isInUse reports whether the store lists that start of the server as live.
+func (t *treeHolder) isInUse(vm fleet.VM) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.servers, func(listed fleet.VM) bool {
+		return listed.Name == vm.Name && listed.Incarnation == vm.Incarnation && listed.State == fleet.Live
+	})
+}
+
 // serverList holds the backend servers by service.
 type serverList map[string][]fleet.VM
 
@@ -304,6 +316,7 @@
 func (e *Entry) sendHeartbeat(status cluster.Status, now time.Time) {
 	hb := &cluster.Heartbeat{Status: status}
 	e.params.LoadSync.Collect(hb, now)
+	e.params.Guard.Collect(hb, now)
 	e.params.Node.SendHeartbeat(hb, now)
 }
 
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -23,6 +23,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/loadsync"
 	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/peer"
+	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 	"chestnutrouter.example/chestnutrouter/internal/service"
 	"chestnutrouter.example/chestnutrouter/internal/storesync"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
@@ -65,6 +66,7 @@
 			newServices,
 			newStoreSync,
 			newForwarder,
+			newGuard,
 			newDrain,
 			newHandler,
 			newEntry,
@@ -114,6 +116,7 @@
 	storeSync *storesync.Syncer
 	loadSync  *loadsync.Syncer
 	services  *service.Set
+	guard     *quarantine.Guard
 	events    *eventlog.Logger
 
 	pendingView      atomic.Pointer[cluster.View] // not applied yet, nil if there is none
@@ -121,15 +124,18 @@
 }
 
 func (c *clusterCallbacks) onHeartbeat(from cluster.LiveMember, hb *cluster.Heartbeat) {
-	c.loadSync.Receive(hb, time.Now())
+	now := time.Now()
+	c.loadSync.Receive(hb, now)
+	c.guard.Receive(hb, now)
 	c.storeSync.ObservePeer(from)
 }
 
-// sendNow sends the load reports since the last heartbeat to the other members immediately.
+// sendNow sends the load and crash reports since the last heartbeat to the other members immediately.
 func (c *clusterCallbacks) sendNow(node *cluster.Node) {
 	now := time.Now()
 	hb := &cluster.Heartbeat{}
 	c.loadSync.Collect(hb, now)
+	c.guard.Collect(hb, now)
 	node.SendUpdate(hb, now)
 }
 
@@ -288,13 +294,29 @@
 	})
 }
 
-func newHandler(s *Settings, holder *treeHolder, storeSync *storesync.Syncer, services *service.Set, forwarder *forward.Forwarder, drainer *frontend.Drainer,
+func newGuard(s *Settings, node *cluster.Node, callbacks *clusterCallbacks, services *service.Set, holder *treeHolder,
 	events *eventlog.Logger, scope tally.Scope,
+) *quarantine.Guard {
+	callbacks.guard = quarantine.NewGuard(quarantine.Options{
+		Check:      checkServer,
+		InUse:      func(vm fleet.VM) bool { return holder.isInUse(vm) && !services.IsDraining(vm) },
+		LastReport: services.LastReport,
+		View:       node.View,
+		Self:       s.VM,
+		Flush:      func() { callbacks.sendNow(node) },
+		Events:     events,
+		Scope:      scope,
+	})
+	return callbacks.guard
+}
+
+func newHandler(s *Settings, holder *treeHolder, storeSync *storesync.Syncer, services *service.Set, forwarder *forward.Forwarder, drainer *frontend.Drainer,
+	guard *quarantine.Guard, events *eventlog.Logger, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
 		VM:                   s.VM,
 		Tree:                 holder,
-		Runner:               attempt.New(attempt.QueueAdmitter{Services: services}, forwarder, scope),
+		Runner:               attempt.New(attempt.QueueAdmitter{Services: services}, forwarder, scope).WithGuard(guard),
 		Servers:              noServerHosts{},
 		Drainer:              drainer,
 		IsBehind:             storeSync.IsBehind,
--- a/internal/loadsync/syncer.go
+++ b/internal/loadsync/syncer.go
@@ -14,11 +14,9 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
@@ -124,12 +122,6 @@
 	}
 }
 
-// serverID returns the id in heartbeats of a server process: a hash of its VM's name and
-// incarnation.
-func serverID(vm fleet.VM) cluster.ServerID {
-	return cluster.ServerID(xxhash.Sum64String(vm.Name + "\x00" + strconv.FormatInt(vm.Incarnation, 10)))
-}
-
 var _ balancer.Observer = (*Syncer)(nil)
 
 // Update replaces the set of servers by those of the running services.
@@ -151,7 +143,7 @@
 		if !ok {
 			continue
 		}
-		next := &target{id: serverID(vm), vm: vm, service: svc, balancer: r.Balancer}
+		next := &target{id: cluster.ServerIDOf(vm), vm: vm, service: svc, balancer: r.Balancer}
 		if old := s.targets[next.id]; old != nil {
 			next.probing, next.tracker, next.dueAt, next.afterChange = old.probing, old.tracker, old.dueAt, old.afterChange
 		}
--- a/internal/operation/fingerprint.go
+++ b/internal/operation/fingerprint.go
@@ -50,9 +50,9 @@
 	h.Write([]byte(field))
 }
 
-// scoped binds the fingerprint to a caller, so that no other caller's request
+// Scoped binds the fingerprint to a caller, so that no other caller's request
 // matches it.
-func (f Fingerprint) scoped(caller string) Fingerprint {
+func (f Fingerprint) Scoped(caller string) Fingerprint {
 	h := sha256.New()
 	writeField(h, caller)
 	h.Write(f[:])
--- a/internal/operation/ownerclient.go
+++ b/internal/operation/ownerclient.go
@@ -41,7 +41,7 @@
 // the owner may have run the operation for an earlier request.
 func (o *OwnerClient) Forward(ctx context.Context, id ID, caller string, r *http.Request, body []byte) (Response, *outcome.Refusal) {
 	args := newAskArgs(ctx, id, caller, r, body)
-	scoped := Fingerprint(args.Fingerprint).scoped(caller)
+	scoped := Fingerprint(args.Fingerprint).Scoped(caller)
 	if refusal, ok := o.opts.Seals.Lookup(id, scoped); ok {
 		return Response{}, refusal
 	}
--- a/internal/operation/table.go
+++ b/internal/operation/table.go
@@ -126,7 +126,7 @@
 	if id.Incarnation != t.opts.Incarnation {
 		return nil, outcome.NewUnknown(outcome.ReasonOwnerUnknown, "the operation belongs to another entry")
 	}
-	scoped := fp.scoped(caller)
+	scoped := fp.Scoped(caller)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.advance()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -50,6 +50,7 @@
 	ReasonNoServer            Reason = "no_server"
 	ReasonServerLimit         Reason = "server_limit"
 	ReasonShed                Reason = "shed"
+	ReasonQuarantined         Reason = "quarantined"
 	ReasonDialFailed          Reason = "dial_failed"
 	ReasonServerHungUp        Reason = "server_hung_up"
 	ReasonWrongAnswer         Reason = "wrong_answer"
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -9,6 +9,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -111,6 +112,22 @@
 	return r, ok
 }
 
+// IsDraining reports whether the server reported to any entry that it leaves.
+func (s *Set) IsDraining(server fleet.VM) bool {
+	r, ok := s.Get(server.Service)
+	return ok && r.Balancer.IsDraining(server.Name)
+}
+
+// LastReport returns when the server last reported its load to any entry, the zero time if it
+// never did.
+func (s *Set) LastReport(server fleet.VM) time.Time {
+	r, ok := s.Get(server.Service)
+	if !ok {
+		return time.Time{}
+	}
+	return r.Balancer.LastReport(server.Name)
+}
+
 // SetTree creates the services that are new in the tree and drops those that
 // are no longer in it. A service that remains keeps its measurements.
 func (s *Set) SetTree(t *tree.Tree) {
