Honour what a server says about further requests: leaving, or a pause

New on the users' pages: a server that leaves says so in all its responses (Server-Leaving), and one that turns a request away may name a time for which it wants nothing from that entry (Retry-After). Neither was read: a server that only said it in its responses went on getting requests, and one in its pause got requests and some 25 health checks a second.

Both are kept by the start of a server, apart from its load reports, which the next response replaces, and also while it is not listed. If every server leaves, pauses or is out of its limit, requests are refused at once.

--- a/internal/admission/serverlimit.go
+++ b/internal/admission/serverlimit.go
@@ -18,9 +18,9 @@
 // room for: by then the servers may need their limits no longer.
 const maxLimitRetryAfter = 2 * time.Second
 
-// checkServerLimits refuses an item if every server names a request limit and this entry's
-// share of them leaves no room for the item within its target. Waiting would not help, but
-// another entry may have a share left.
+// checkServerLimits refuses an item if no server wants it within its target: each names a request
+// limit of which this entry's share is used up, asked for a pause or is leaving. Waiting would
+// not help, but another entry may have a share left.
 func (s *Scheduler) checkServerLimits(rq *rankQueue, item *Item, now time.Time) *outcome.Refusal {
 	servers, ok := s.servers.(limitedPicker)
 	if !ok {
@@ -39,5 +39,5 @@
 		return nil
 	}
 	retryAfter := min(limit.Wait-max(slack, 0), limit.Interval, maxLimitRetryAfter)
-	return refuseBusy(outcome.ReasonServerLimit, "the request limits of all servers are used up", retryAfter)
+	return refuseBusy(outcome.ReasonServerLimit, "each backend server limits its requests, asked for a pause or is leaving", retryAfter)
 }
--- a/internal/attempt/body.go
+++ b/internal/attempt/body.go
@@ -62,7 +62,7 @@
 	if b.truncated || b.response.Status >= http.StatusInternalServerError {
 		r.Kind = balancer.Error
 	}
-	r.RequestLimit = b.response.RequestLimit
+	r.RequestLimit, r.Notices = b.response.RequestLimit, b.response.Notices
 	setReport(&r, b.response.LoadReport)
 	return r
 }
@@ -77,7 +77,7 @@
 	case f.Stage == forward.StageDial && f.Reason == outcome.ReasonDialFailed:
 		r.Kind = balancer.DialFailed
 	}
-	r.RequestLimit = f.RequestLimit
+	r.RequestLimit, r.Notices = f.RequestLimit, f.Notices
 	setReport(&r, f.LoadReport)
 	return r
 }
--- a/internal/balancer/backend.go
+++ b/internal/balancer/backend.go
@@ -40,6 +40,7 @@
 	shedShare    ewma // share of requests that the server shed
 	entryOrder   entryOrder
 	requestLimit *requestLimit
+	notices      *notices
 	nameHash     uint64        // hash of vm.Name
 	joinedAt     int64         // nanoseconds since the Unix epoch; zero if it was in the first set of servers
 	probedAt     atomic.Int64  // nanoseconds since the Unix epoch
@@ -49,7 +50,7 @@
 }
 
 func newBackend(vm fleet.VM, joinedAt int64, cost float64) *backend {
-	be := &backend{vm: vm, joinedAt: joinedAt, localityCost: cost, nameHash: xxhash.Sum64String(vm.Name), requestLimit: &requestLimit{}}
+	be := &backend{vm: vm, joinedAt: joinedAt, localityCost: cost, nameHash: xxhash.Sum64String(vm.Name), requestLimit: &requestLimit{}, notices: &notices{}}
 	be.health.penalizedUntil.Store(joinedAt + int64(slowStart))
 	for i := range be.reservations {
 		be.reservations[i].VM = vm
@@ -84,9 +85,9 @@
 }
 
 // accepts reports whether the server may get another request of this entry: it is
-// below the limit of reservations and not draining.
-func (be *backend) accepts(reservationMask uint32, limit int) bool {
-	return bits.OnesCount32(reservationMask) < limit && !be.report.draining.Load()
+// below the limit of reservations, not draining, and wants requests.
+func (be *backend) accepts(reservationMask uint32, limit int, now int64) bool {
+	return bits.OnesCount32(reservationMask) < limit && !be.report.draining.Load() && !be.notices.blocks(now)
 }
 
 // suspended reports whether the server is ejected, or half-open after an ejection
--- a/internal/balancer/limitshare.go
+++ b/internal/balancer/limitshare.go
@@ -146,23 +146,35 @@
 }
 
 // LimitWait returns how long a request has to wait behind the given number of others. It
-// returns false unless request limits are all that keeps it waiting, that is if every
-// server which accepts requests names a limit and this entry's shares are used up.
+// returns false unless the servers' own wishes are all that keeps it waiting, that is if each of
+// them names a limit of which this entry's share is used up, asked for a pause or is leaving.
 func (b *Balancer) LimitWait(now time.Time, exclude []string, ahead int) (LimitWait, bool) {
 	s := b.snapshot.Load()
 	var p pickParams
 	share, total, next := 0.0, 0.0, math.Inf(1) // next is in seconds
+	blocked := false
 	for _, be := range s.backends {
-		if be.report.draining.Load() || excluded(exclude, be.vm.Name) {
+		if excluded(exclude, be.vm.Name) {
+			continue
+		}
+		if p.limits == nil {
+			p = pickParams{now: steady.Nanos(now), limits: b.limits.Load()}
+		}
+		if be.notices.blocks(p.now) {
+			blocked = true
+			if be.notices.leavingSince.Load() == 0 {
+				next = min(next, time.Duration(be.notices.pausedUntil.Load()-p.now).Seconds())
+			}
+			continue
+		}
+		if be.report.draining.Load() {
 			continue
 		}
 		l := be.requestLimit
 		if l.named.Load() == nil {
 			return LimitWait{}, false
 		}
-		if p.limits == nil {
-			p = pickParams{now: steady.Nanos(now), limits: b.limits.Load()}
-		}
+		blocked = true
 		named, perSecond := l.inForce(p.now)
 		if named == nil || !l.blocks(&p) {
 			return LimitWait{}, false
@@ -171,11 +183,14 @@
 		own, wait := l.nextToken(p.now)
 		share, next = share+own, min(next, wait)
 	}
-	if p.limits == nil {
+	if !blocked {
 		return LimitWait{}, false // no server accepts requests
 	}
+	if share > 0 {
+		next += float64(ahead) / share
+	}
 	return LimitWait{
-		Wait:     seconds(next + float64(ahead)/share),
+		Wait:     seconds(next),
 		Interval: seconds(float64(max(p.limits.entries(), 1)) / total),
 	}, true
 }
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -29,6 +29,9 @@
 	// RequestLimit is the raw request limit that the response to a probe names, empty if it
 	// names none. Limits that responses to requests name are not part of the report.
 	RequestLimit string
+	// Notices are what the response to a probe says about further requests. Those of
+	// responses to requests are not part of the report.
+	Notices Notices
 }
 
 // ReportError is returned for a load report that cannot be parsed.
--- a/internal/balancer/reportstate.go
+++ b/internal/balancer/reportstate.go
@@ -23,7 +23,7 @@
 // IsDraining reports whether the server reported that it accepts no new requests.
 func (b *Balancer) IsDraining(server string) bool {
 	be := b.snapshot.Load().backend(server)
-	return be != nil && be.report.draining.Load()
+	return be != nil && (be.report.draining.Load() || be.notices.leavingSince.Load() != 0)
 }
 
 // LastReport returns when the server last reported its load, the zero time if it never did.
--- a/internal/balancer/requestlimit.go
+++ b/internal/balancer/requestlimit.go
@@ -176,12 +176,16 @@
 	b.observeRawLimit(be, r.RequestLimit, now, LimitFromResponse)
 }
 
-// ObserveProbe records the request limit that the response to a probe names. A probe's
+// ObserveProbe records the notices and the request limit in the response to a probe. A probe's
 // response without a limit says nothing about it, as health checks may be answered by
 // another part of the server than requests.
 func (b *Balancer) ObserveProbe(server string, now time.Time, r Report) {
 	be := b.snapshot.Load().backend(server)
-	if be != nil && r.RequestLimit != "" {
+	if be == nil {
+		return
+	}
+	be.notices.record(r.Notices, now)
+	if r.RequestLimit != "" {
 		b.observeRawLimit(be, r.RequestLimit, now, LimitFromProbe)
 	}
 }
--- a/internal/balancer/result.go
+++ b/internal/balancer/result.go
@@ -43,6 +43,8 @@
 	// RequestLimit is the raw request limit that the response names, empty if it names
 	// none.
 	RequestLimit string
+	// Notices are what the response says about further requests.
+	Notices Notices
 	// Estimate is the estimate that the choice of the server was based on.
 	Estimate Estimate
 	// Upload keeps the latency out of the statistics: the time for a large body says
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -37,8 +37,8 @@
 	preferred    []*backend
 	slots        int
 	maxPerServer int // maximum requests of this entry in progress at one server
-	// departed are servers that named a request limit and are no longer listed. A server may
-	// be listed again while the limit still holds.
+	// departed are servers that named a request limit, asked for a pause or were leaving, and
+	// are no longer listed. A server may be listed again while that still holds.
 	departed map[string]*backend
 }
 
@@ -76,7 +76,7 @@
 			old := cmp.Or(be, s.departed[vm.Name])
 			be = newBackend(vm, joinedAt, cost)
 			if old != nil && sameServer(old.vm, vm) {
-				be.requestLimit = old.requestLimit
+				be.requestLimit, be.notices = old.requestLimit, old.notices
 			}
 		}
 		delete(known, vm.Name)
@@ -87,13 +87,14 @@
 	return n
 }
 
-// departedServers returns the servers with a request limit that are not listed now: those
+// departedServers returns the servers with a request limit or notices that are not listed now: those
 // in gone, and those of s.departed that are not listed again or forgotten.
 func (s *snapshot) departedServers(gone map[string]*backend, listed []*backend, now int64) map[string]*backend {
 	departed := map[string]*backend{}
 	for _, servers := range []map[string]*backend{s.departed, gone} {
 		for name, be := range servers {
-			if named := be.requestLimit.named.Load(); named != nil && now-named.observedAt < int64(forgetLimitAfter) {
+			named := be.requestLimit.named.Load()
+			if named != nil && now-named.observedAt < int64(forgetLimitAfter) || be.notices.inForce(now) {
 				departed[name] = be
 			}
 		}
@@ -210,7 +211,7 @@
 				continue
 			}
 		}
-		if !be.accepts(reservationMask, maxPerServer) || excluded(exclude, be.vm.Name) || be.requestLimit.blocks(p) || be.full(reservationMask, p) || be.exceedsMaxStretch(reservationMask, p) || be.neededForTargets(reservationMask, p) {
+		if !be.accepts(reservationMask, maxPerServer, p.now) || excluded(exclude, be.vm.Name) || be.requestLimit.blocks(p) || be.full(reservationMask, p) || be.exceedsMaxStretch(reservationMask, p) || be.neededForTargets(reservationMask, p) {
 			continue
 		}
 		if load := be.load(reservationMask, p); load < lowestLoad {
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -19,6 +19,8 @@
 	StateFull ServerState = "full"
 	// StateLimited names a request limit, and this entry's share of it is used up.
 	StateLimited ServerState = "limited"
+	// StatePaused asked this entry to send nothing for a while.
+	StatePaused ServerState = "paused"
 	// StateDraining accepts no new requests, by its own report or a failed health check.
 	StateDraining ServerState = "draining"
 	// StateEjected failed too many requests.
@@ -99,8 +101,10 @@
 func (be *backend) state(p *pickParams) ServerState {
 	reservationMask := be.reserved.Load()
 	switch {
-	case be.report.draining.Load():
+	case be.report.draining.Load() || be.notices.leavingSince.Load() != 0:
 		return StateDraining
+	case be.notices.blocks(p.now):
+		return StatePaused
 	case be.health.ejectedUntil.Load() > p.now:
 		return StateEjected
 	case be.health.halfOpen.Load():
--- a/internal/forward/buffer.go
+++ b/internal/forward/buffer.go
@@ -21,6 +21,7 @@
 			BodyRead:     true,
 			LoadReport:   resp.LoadReport,
 			RequestLimit: resp.RequestLimit,
+			Notices:      resp.Notices,
 			Err:          err,
 		}
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -160,11 +160,15 @@
 // convertResponse returns the server's response as a Response, or a SendError if
 // it is shed, is not the response to this request or switches protocols.
 func (a *attempt) convertResponse(resp *http.Response) (*Response, *SendError) {
+	pause := pauseOf(resp)
 	if err := a.opts.Dialect.RewriteResponse(resp, a.header); err != nil {
 		_ = resp.Body.Close()
 		a.cancel(nil)
-		return nil, a.sendError(StageResponse, outcome.Unknown, outcome.ReasonWrongAnswer, "", err)
+		failure := a.sendError(StageResponse, outcome.Unknown, outcome.ReasonWrongAnswer, "", err)
+		failure.Notices = noticesOf(resp, pause)
+		return nil, failure
 	}
+	notices := noticesOf(resp, pause)
 	svc := a.match.Service
 	reportHeader := headerName(svc.LoadReportHeader, wire.HeaderLoadReport)
 	shedHeader := headerName(svc.LoadShedHeader, wire.HeaderLoadShed)
@@ -173,7 +177,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(shedHeader) == wire.ShedNotRun {
 		a.discard(resp)
 		failure := a.sendError(StageResponse, outcome.NotRun, outcome.ReasonShed, loadReport, nil)
-		failure.RequestLimit = requestLimit
+		failure.RequestLimit, failure.Notices = requestLimit, notices
 		return nil, failure
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -181,7 +185,9 @@
 		return nil, a.sendError(StageResponse, outcome.Unknown, outcome.ReasonServerHungUp, loadReport, errUnrequestedUpgrade)
 	}
 	stripResponseHeader(resp.Header, reportHeader)
-	return newResponse(a, resp, loadReport, requestLimit), nil
+	response := newResponse(a, resp, loadReport, requestLimit)
+	response.Notices = notices
+	return response, nil
 }
 
 // discard ends the attempt. A short body is read first, so that the connection
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -81,6 +81,7 @@
 	}
 	h.Del(loadReportHeader)
 	h.Del(wire.HeaderRequestLimit)
+	h.Del(wire.HeaderLeaving)
 }
 
 func headerName(name, defaultName string) string {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/wire"
 )
@@ -57,6 +58,8 @@
 	LoadReport string
 	// RequestLimit is the raw request limit that the server names, or empty.
 	RequestLimit string
+	// Notices are what the response says about further requests to the server.
+	Notices balancer.Notices
 	// AnnouncedTrailers are the names in the server's Trailer header.
 	AnnouncedTrailers []string
 	// Trailer returns the trailers after Body has been read to EOF.
--- a/internal/forward/senderror.go
+++ b/internal/forward/senderror.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 )
 
@@ -41,6 +42,8 @@
 	LoadReport string
 	// RequestLimit is the raw request limit that the response names, or empty.
 	RequestLimit string
+	// Notices are what the response says about further requests to the server.
+	Notices balancer.Notices
 	// Err is the underlying error; nil for a shed request.
 	Err error
 }
--- a/internal/loadsync/syncer.go
+++ b/internal/loadsync/syncer.go
@@ -209,7 +209,7 @@
 		if s.budget < 1 {
 			break
 		}
-		if !t.owned || t.probing || t.dueAt.After(now) || now.Sub(s.pendingFor(t.id).lastReportAt) < minReportAge {
+		if !t.owned || t.probing || t.dueAt.After(now) || !t.balancer.Wants(t.vm.Name, now) || now.Sub(s.pendingFor(t.id).lastReportAt) < minReportAge {
 			continue
 		}
 		s.budget--
@@ -236,7 +236,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	t := s.targets[id]
-	if t == nil || !t.owned || t.probing || t.dueAt.After(now) || ctx.Err() != nil {
+	if t == nil || !t.owned || t.probing || t.dueAt.After(now) || ctx.Err() != nil || !t.balancer.Wants(t.vm.Name, now) {
 		s.mu.Unlock()
 		return
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,8 @@
 	// HeaderRequestLimit carries a decimal number: the requests a second that the server
 	// takes from all entries together. The limit holds until a response lacks the header.
 	HeaderRequestLimit = "Request-Limit"
+	// HeaderLeaving is on each response of a server that is shutting down.
+	HeaderLeaving = "Leaving"
 	// ShedNotRun is the value of HeaderLoadShed that guarantees that nothing ran.
 	ShedNotRun = "not-run"
 )
--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -84,6 +84,8 @@
 	serviceTime  time.Duration
 	slowdown     int
 	requestLimit string // of Server-Limit, empty if it names none
+	leaving      bool   // responses carry Server-Leaving
+	retryAfter   string // of responses by which it turns a request away, empty if it names none
 	running      int
 	probes       int
 	unhealthy    bool
@@ -92,6 +94,7 @@
 	written      []byte // the last record written
 	writtenState string // its state
 	runs         []Run
+	shed         int    // requests that it turned away
 	hung         int    // requests that hang unrun on an open connection
 	previousID   string // request id of the previous request, for StaleResponse
 }
@@ -155,6 +158,27 @@
 	s.requestLimit = perSecond
 }
 
+// SetLeaving makes all responses say that the server is leaving. It does not change its record.
+func (s *Server) SetLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// SetRetryAfter sets the Retry-After of the responses by which the server turns requests away.
+func (s *Server) SetRetryAfter(seconds string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = seconds
+}
+
+// Shed returns the number of requests that the server turned away.
+func (s *Server) Shed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shed
+}
+
 // SetUnhealthy makes the health check fail, or pass again.
 func (s *Server) SetUnhealthy(unhealthy bool) {
 	s.mu.Lock()
@@ -255,6 +279,15 @@
 	}
 	s.mu.Lock()
 	behaviour := s.behaviourFor(r)
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if behaviour == Shed {
+		s.shed++
+		if s.retryAfter != "" {
+			w.Header().Set("Retry-After", s.retryAfter)
+		}
+	}
 	s.mu.Unlock()
 	switch behaviour {
 	case Shed:
