Believe a refusal without an id only on a connection's first request

With an id it was recognized before.

Now such a refusal on a connection with earlier requests leaves the outcome unknown, and any without an id ends its connection.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -175,8 +175,15 @@
 	loadReport := resp.Header.Get(reportHeader)
 	requestLimit := resp.Header.Get(wire.HeaderRequestLimit)
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(shedHeader) == wire.ShedNotRun {
+		unidentified := resp.Header.Get(wire.HeaderUnidentified) != ""
+		if unidentified {
+			a.closeConn()
+		}
 		a.discard(resp)
 		failure := a.sendError(StageResponse, outcome.NotRun, outcome.ReasonShed, loadReport, nil)
+		if unidentified && a.reusesConn() {
+			failure = a.sendError(StageResponse, outcome.Unknown, outcome.ReasonWrongAnswer, loadReport, errUnidentifiedRefusal)
+		}
 		failure.RequestLimit, failure.Notices = requestLimit, notices
 		return nil, failure
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -15,6 +15,8 @@
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
+var errUnidentifiedRefusal = errors.New("a refusal that does not say which request was not run, on a connection that was used before")
+
 var errUnrequestedUpgrade = errors.New("server switched protocols without an upgrade request")
 
 // attempt is the state of one Send.
@@ -29,6 +31,7 @@
 	mu       sync.Mutex
 	conn     *conn     // connection bound to the request; nil before the first
 	transfer *transfer // the request's use of conn
+	reused   bool      // conn was used by earlier requests
 }
 
 // trace makes the transport report the connection that it picks for the attempt.
@@ -55,7 +58,24 @@
 		a.cancel(errTransportRetry)
 		return
 	}
-	a.conn, a.transfer = c, transfer
+	a.conn, a.transfer, a.reused = c, transfer, info.Reused
+}
+
+// closeConn closes the connection, so that no further request uses it.
+func (a *attempt) closeConn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.closeFor(a.transfer)
+	}
+}
+
+// reusesConn reports whether earlier requests used the connection: a response that does not say
+// which request it belongs to may be the repetition of one to them.
+func (a *attempt) reusesConn() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reused
 }
 
 // abort stops all writes for the request and determines its outcome.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,6 +39,9 @@
 	HeaderRequestLimit = "Request-Limit"
 	// HeaderLeaving is on each response of a server that is shutting down.
 	HeaderLeaving = "Leaving"
+	// HeaderUnidentified is set on the response to a request that was not run if it does not
+	// say which request that is.
+	HeaderUnidentified = "Unidentified"
 	// ShedNotRun is the value of HeaderLoadShed that guarantees that nothing ran.
 	ShedNotRun = "not-run"
 )
