Read on past items and records that can't be read

Here a page of newest records was refused whole if one item had a bad offset, key or value, and a read whole if it ended within a record; each next read met the same and was refused again, so the entry followed nothing any more.

Lines and a counter say how many records were left out.

--- a/internal/logservice/keyed.go
+++ b/internal/logservice/keyed.go
@@ -25,6 +25,8 @@
 	Records []KeyedRecord
 	// Next is the position to continue reading from.
 	Next Position
+	// Unreadable is the number of records that are left out as they can't be read.
+	Unreadable int
 	// End is the position after the newest record of the stream. It is beyond Next if the
 	// page was cut, and zero if it is not known.
 	End Position
@@ -32,7 +34,7 @@
 
 // CompactedLog is a log service that keeps the newest record of each key forever.
 // Implementations are safe for concurrent use. Their errors are *ExpiredError,
-// *EpochError and *UnavailableError.
+// *EpochError, *MalformedError and *UnavailableError.
 type CompactedLog interface {
 	// Newest returns the newest record of each key. Every change that it lacks has
 	// a position of Next or higher; a change that it contains may be there too.
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -101,6 +101,18 @@
 	return fmt.Sprintf("platform: position %v of %s is not of the present epoch %d", e.Position, e.Stream, e.Epoch)
 }
 
+// MalformedError reports that the records from a position on can't be told apart.
+type MalformedError struct {
+	// Stream is the stream that was read, and Position where.
+	Stream   string
+	Position Position
+}
+
+// Error returns the stream and the position.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("platform: malformed records of %s at %v", e.Stream, e.Position)
+}
+
 // ExpiredError reports that the requested records are no longer kept.
 type ExpiredError struct {
 	// Stream is the stream that was read.
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -199,6 +199,7 @@
 		page, err := s.options.Log.ReadKeyed(ctx, s.options.ServersStream, next, 0)
 		if err == nil {
 			s.onStoreResponse(page.Next.Epoch())
+			s.logUnreadable(s.options.ServersStream, page)
 			s.applyServers(s.deferRemovals(page.Records), "store")
 			s.servers.advance(page.Next)
 			return true
@@ -220,6 +221,7 @@
 		return false
 	}
 	s.onStoreResponse(page.Next.Epoch())
+	s.logUnreadable(s.options.ServersStream, page)
 	s.applyMu.Lock()
 	result := s.servers.reset(page, s.options.DecodeServer)
 	if result.restored {
@@ -355,6 +357,7 @@
 		}
 		return false, refused
 	}
+	s.logUnreadable(s.options.ConfigStream, page)
 	s.applyConfig(page.Records, page.Next, "store")
 	s.applyMu.Lock()
 	s.configNext, s.configRead = max(s.configNext, page.Next), true
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -267,10 +267,19 @@
 
 func (s *Syncer) count(name string) { s.options.Scope.Counter("feed_" + name).Inc(1) }
 
-// isRefused reports whether the store does not have the records from a position on: they
-// are no longer kept, or the position is of another epoch.
+// isRefused reports whether the records from a position on can't be read there: they are no
+// longer kept or malformed, or the position is of another epoch.
 func isRefused(err error) bool {
 	var expired *logservice.ExpiredError
 	var epoch *logservice.EpochError
-	return errors.As(err, &expired) || errors.As(err, &epoch)
+	var malformed *logservice.MalformedError
+	return errors.As(err, &expired) || errors.As(err, &epoch) || errors.As(err, &malformed)
+}
+
+// logUnreadable logs how many records of a page could not be read.
+func (s *Syncer) logUnreadable(stream string, page logservice.KeyedPage) {
+	if page.Unreadable > 0 {
+		s.count("records_unreadable")
+		s.options.Events.Warn("records can't be read", "stream", stream, "records", page.Unreadable, "next", page.Next.String())
+	}
 }
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -26,6 +26,8 @@
 	epoch   int64
 	down    bool
 	reads   int
+	// malformed is the offset from which reads up to it can't be decoded, zero for none.
+	malformed int64
 }
 
 var errDown = errors.New("down")
@@ -87,6 +89,9 @@
 	if from.Epoch() != l.epoch {
 		return logservice.KeyedPage{}, &logservice.EpochError{Stream: stream, Position: from, Epoch: l.epoch}
 	}
+	if l.malformed > 0 && from.Offset() <= l.malformed {
+		return logservice.KeyedPage{}, &logservice.MalformedError{Stream: stream, Position: from}
+	}
 	return logservice.KeyedPage{Records: l.from(from.Offset()), Next: position(l.epoch, int64(len(l.records)))}, nil
 }
 
@@ -336,3 +341,25 @@
 func (f callFunc) Call(_ context.Context, _, _ string, args, reply any) error {
 	return f(args.(SinceArgs), reply.(*SinceReply))
 }
+
+// The records from a position on can't be told apart. The reader must not ask for them again at each
+// read, and follow nothing any more: it reads the newest ones and goes on after them.
+func TestMalformedRecordsArePassed(t *testing.T) {
+	s := newTestSyncer()
+	s.log.put("a", "live 1")
+	s.log.put("config", "1")
+	s.readServers(t.Context())
+	s.readConfig(t.Context(), 0)
+	s.log.put("b", "live 1")
+	s.log.put("config", "2")
+	s.log.malformed = 3
+	s.readServers(t.Context())
+	s.readConfig(t.Context(), 0)
+	s.log.put("c", "live 1")
+	s.log.put("config", "3")
+	s.readServers(t.Context())
+	s.readConfig(t.Context(), 0)
+	if s.Revision() != 3 || len(s.servers) != 3 {
+		t.Errorf("revision %d and servers %v, want 3 and a, b, c", s.Revision(), s.servers)
+	}
+}
