Contain a panic while a record is decoded

The same class as a request that ends server after server: a record that ends each entry that reads it, again after each restart. None is known; the decoders of records are fuzzed or tested with odd input. If one panics, the record counts as unreadable and the others hold (TestRecordThatPanicsIsIgnored, new with the guard; without it the test process ends).

--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -89,6 +89,11 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
+	decodeServer := options.DecodeServer
+	options.DecodeServer = func(key string, value []byte) (fleet.VM, error) {
+		return contain(func(value []byte) (fleet.VM, error) { return decodeServer(key, value) })(value)
+	}
+	options.DecodeTree, options.DecodeRevision = contain(options.DecodeTree), contain(options.DecodeRevision)
 	return &Syncer{options: options, pulls: make(chan cluster.LiveMember, 1), started: time.Now()}
 }
 
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -363,3 +363,36 @@
 		t.Errorf("revision %d and servers %v, want 3 and a, b, c", s.Revision(), s.servers)
 	}
 }
+
+// One record makes its decoder panic. It must not end this member, and then all others that read
+// it; the records beside it are used.
+func TestRecordThatPanicsIsIgnored(t *testing.T) {
+	s := newTestSyncer()
+	options := s.options
+	panicking := "panics"
+	options.DecodeServer = func(key string, value []byte) (fleet.VM, error) {
+		if string(value) == panicking {
+			panic("index out of range")
+		}
+		return decode(key, value)
+	}
+	options.DecodeTree = func(value []byte) (*tree.Tree, error) {
+		if string(value) == panicking {
+			panic("index out of range")
+		}
+		return decodeTree(value)
+	}
+	s.Syncer = New(options)
+	s.log.put("a", "live 1")
+	s.log.put("b", panicking)
+	s.log.put("config", "4")
+	s.log.put("config", panicking)
+	for range 2 {
+		s.readServers(t.Context())
+		s.readConfig(t.Context(), 0)
+		s.log.put("c", panicking)
+	}
+	if s.Revision() != 4 || len(s.servers) != 1 || s.servers["a"] != fleet.Live {
+		t.Errorf("revision %d and servers %v, want 4 and a", s.Revision(), s.servers)
+	}
+}
