--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -8,8 +8,8 @@
 // more, alone, as a newer version of the servers may handle it; the time doubles and more with
 // each server that ends. A run that ends with a response clears the request.
 //
-// Lock order: the locks of Table and of Guard are leaves; neither is held while a goroutine
-// waits.
+// Lock order: Guard, then Table. No other lock is taken under either, and neither is held while
+// a goroutine waits.
 package quarantine
 
 import (
