Forget evidence that has expired when new evidence comes

A request that ran beside a crash more than ten minutes ago would have been held for the next one: the old evidence counted again once there was new. Found by reading; TestSuspicionEnds fails without the change.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -108,6 +108,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[e.Request]
+	if r != nil && r.expired(now) {
+		t.forget(e.Request)
+		r = nil
+	}
 	if e.Cleared {
 		if r == nil || !e.At.After(r.clearedAt) || !r.hasEvidenceUntil(e.At) {
 			return false
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -108,6 +108,10 @@
 	if n := table.Crashes(requestID(1), after(suspicionLifetime)); n != 0 {
 		t.Errorf("%d crashes after %v, want none", n, suspicionLifetime)
 	}
+	table.Add(crash(1, 2, suspicionLifetime), after(suspicionLifetime))
+	if v := table.Judge(requestID(1), true, after(suspicionLifetime+time.Second)); v.Held || v.Crashes != 1 {
+		t.Errorf("verdict %+v after another crash, want one crash and not held", v)
+	}
 }
 
 // A caller makes thousands of different requests that end servers. The memory is bounded, and
