Repeat evidence for a second from when it was found, not from the server's end

If the check of a server took longer than a second, as behind a link that loses packets, its evidence was dropped before the first heartbeat with it, and no other entry learned of it. Found by reading; TestEvidenceOfASlowCheckIsSent failed before (0 crashes known at the other entry, want 1).

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -84,7 +84,7 @@
 
 	mu          sync.Mutex // guards the fields below
 	checks      map[cluster.ServerID][]suspicion
-	recent      []Evidence // of this entry, repeated in heartbeats
+	recent      []recentEvidence
 	collectedAt time.Time
 	announced   int // reports announced so far, to announce others next
 }
@@ -96,6 +96,12 @@
 	at      time.Time
 }
 
+// recentEvidence is evidence of this entry that heartbeats repeat.
+type recentEvidence struct {
+	Evidence
+	addedAt time.Time // a check may take long, so this may be well after Evidence.At
+}
+
 // NewGuard returns a Guard without evidence.
 func NewGuard(options Options) *Guard {
 	if options.Scope == nil {
@@ -307,7 +313,7 @@
 	if len(g.recent) >= maxReports {
 		g.recent = g.recent[1:]
 	}
-	g.recent = append(g.recent, e)
+	g.recent = append(g.recent, recentEvidence{e, now})
 	return true
 }
 
@@ -319,10 +325,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for len(g.recent) > 0 && now.Sub(g.recent[0].At) > repeatTime {
+	for len(g.recent) > 0 && now.Sub(g.recent[0].addedAt) > repeatTime {
 		g.recent = g.recent[1:]
 	}
-	reports := append([]Evidence(nil), g.recent...)
+	reports := make([]Evidence, 0, len(g.recent))
+	for _, r := range g.recent {
+		reports = append(reports, r.Evidence)
+	}
 	// The times are random and without memory, so that entries that start together do not
 	// announce together.
 	elapsed := now.Sub(g.collectedAt)
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -247,3 +247,22 @@
 	q.Answered()
 	q.End()
 }
+
+// A server is cut off or slow to refuse connections, so that the check of it takes a second. The
+// other entries must learn of its end all the same.
+func TestEvidenceOfASlowCheckIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEntries(2, 0)
+		e.guards[0].options.Check = func(context.Context, fleet.VM) ServerCheck {
+			time.Sleep(repeatTime + time.Millisecond)
+			return Ended
+		}
+		q, _ := e.guards[0].Begin(newRequest("GET", "/look/a", ""))
+		q.ConnectionEnded(fleet.VM{Name: "server"})
+		e.run(2 * repeatTime)
+		id, _ := q.id()
+		if n := e.guards[1].table.Crashes(id, time.Now()); n != 1 {
+			t.Errorf("%d crashes at the other entry, want 1", n)
+		}
+	})
+}
