--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -38,6 +38,9 @@
 	// OnRequestLimit, if not nil, is called when a server's request limit is named,
 	// changed or ended. It may be called on the request path.
 	OnRequestLimit func(RequestLimitChange)
+	// OnNotices, if not nil, is called when a server first says that it is leaving, and when a
+	// pause begins. It may be called on the request path.
+	OnNotices func(server string, news Notices)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
--- a/internal/balancer/done.go
+++ b/internal/balancer/done.go
@@ -19,7 +19,7 @@
 		b.applyReport(reservation.backend, ownRequests, now, r)
 	}
 	b.observeResponse(reservation.backend, r, now)
-	reservation.backend.notices.record(r.Notices, now)
+	b.observeNotices(reservation.backend, r.Notices, now)
 	switch r.Kind {
 	case OK:
 		b.updateShed(reservation.backend, 0)
--- a/internal/balancer/notices.go
+++ b/internal/balancer/notices.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
@@ -34,18 +35,42 @@
 	return n.leavingSince.Load() != 0 || now < n.pausedUntil.Load()
 }
 
-// record records the notices of a response that arrived at that time.
-func (n *notices) record(r Notices, now time.Time) {
-	if r.Leaving {
-		n.leavingSince.CompareAndSwap(0, steady.Nanos(now))
-	}
-	until := steady.Nanos(now.Add(min(r.Pause, MaxPause)))
-	for r.Pause > 0 {
+// record records the notices of a response that arrived at that time. It returns those that are
+// news: that the server leaves, or a pause that begins.
+func (n *notices) record(r Notices, now time.Time) (news Notices) {
+	news.Leaving = r.Leaving && n.leavingSince.CompareAndSwap(0, steady.Nanos(now))
+	pause := min(r.Pause, MaxPause)
+	until := steady.Nanos(now.Add(pause))
+	for pause > 0 {
 		old := n.pausedUntil.Load()
-		if until <= old || n.pausedUntil.CompareAndSwap(old, until) {
-			return
+		if until <= old {
+			break
+		}
+		if n.pausedUntil.CompareAndSwap(old, until) {
+			if old <= steady.Nanos(now) {
+				news.Pause = pause
+			}
+			break
 		}
 	}
+	return news
+}
+
+// observeNotices records the notices of a response, and counts and reports those that are news.
+func (b *Balancer) observeNotices(be *backend, r Notices, now time.Time) {
+	news := be.notices.record(r, now)
+	if news == (Notices{}) {
+		return
+	}
+	if news.Leaving {
+		metrics.Count(b.options.Scope, metrics.Notices, "leaving")
+	}
+	if news.Pause > 0 {
+		metrics.Count(b.options.Scope, metrics.Notices, "pause")
+	}
+	if b.options.OnNotices != nil {
+		b.options.OnNotices(be.vm.Name, news)
+	}
 }
 
 // inForce reports whether the notices of a server that is not listed must be remembered.
--- a/internal/balancer/notices_test.go
+++ b/internal/balancer/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,7 +51,8 @@
 // A server that turns a request away names a time for which it wants nothing from this entry. It
 // gets nothing until then, and is used again afterwards.
 func TestPausedServerGetsNothing(t *testing.T) {
-	b, svc, now := New(Options{}), &tree.Service{}, time.Unix(1000, 0)
+	var news []Notices
+	b, svc, now := New(Options{OnNotices: func(_ string, n Notices) { news = append(news, n) }}), &tree.Service{}, time.Unix(1000, 0)
 	b.UpdateAt(now, noticeServers(1, "a", "b"), svc)
 	answer(t, b, "a", now, Notices{Pause: 3 * time.Second})
 	if got := picks(b, now.Add(2900*time.Millisecond)); got["a"] || !got["b"] {
@@ -67,6 +69,9 @@
 	if got := picks(b, now.Add(4*time.Second)); !got["a"] {
 		t.Error("a gets nothing after its pause")
 	}
+	if want := []Notices{{Pause: 3 * time.Second}}; !slices.Equal(news, want) {
+		t.Errorf("reported %v, want only the pause that began", news)
+	}
 }
 
 // A server says that it is leaving. No load report, failed store or second listing makes it get
--- a/internal/balancer/requestlimit.go
+++ b/internal/balancer/requestlimit.go
@@ -184,7 +184,7 @@
 	if be == nil {
 		return
 	}
-	be.notices.record(r.Notices, now)
+	b.observeNotices(be, r.Notices, now)
 	if r.RequestLimit != "" {
 		b.observeRawLimit(be, r.RequestLimit, now, LimitFromProbe)
 	}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -152,6 +152,16 @@
 	c.events.Info("server limit named", append(fields, "per_second", change.PerSecond)...)
 }
 
+// logNotices logs what a backend server newly says about further requests.
+func (c *clusterCallbacks) logNotices(server string, news balancer.Notices) {
+	if news.Leaving {
+		c.events.Info("server says that it is leaving", "server", server)
+	}
+	if news.Pause > 0 {
+		c.events.Info("server asked for a pause", "server", server, "pause_ms", news.Pause.Milliseconds())
+	}
+}
+
 // minMembersInterval is the minimum time between two changes of members that are
 // applied. A change takes time for each pair of a member and a server, and at a start
 // members join one by one.
@@ -234,6 +244,7 @@
 		Observer: loadSync,
 
 		OnRequestLimit: callbacks.logRequestLimit,
+		OnNotices:      callbacks.logNotices,
 	})
 	callbacks.services = set
 	return set
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,8 @@
 	Ejections = "ejections"
 	// RequestLimits counts the changes of the request limits that backend servers name.
 	RequestLimits = "request_limits"
+	// Notices counts what backend servers newly say about further requests.
+	Notices = "server_notices"
 	// Probes counts active load probes, the used part of the probe budget.
 	Probes = "probes"
 )
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -48,6 +48,9 @@
 	// OnRequestLimit is called when a backend server's request limit is named, changed
 	// or ended. It may be nil.
 	OnRequestLimit func(balancer.RequestLimitChange)
+	// OnNotices is called when a backend server first says that it is leaving, and when a
+	// pause begins. It may be nil.
+	OnNotices func(server string, news balancer.Notices)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -173,6 +176,7 @@
 			Observer:   s.options.Observer,
 
 			OnRequestLimit: s.options.OnRequestLimit,
+			OnNotices:      s.options.OnNotices,
 		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Runtime{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
