Deny the second retry of a suspect by the servers that ended before

Whether a request was sent again in its call depended on how soon the check of the server that had just ended was done: with its evidence in, the first retry was denied too.

--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -35,11 +35,12 @@
 	maybeRan       bool // an attempt's outcome is unknown
 }
 
-// result is how one attempt ended: exactly one field is set.
+// result is how one attempt ended: exactly one of response, failure and refusal is set.
 type result struct {
 	response *forward.Response
 	failure  *forward.SendError
 	refusal  *outcome.Refusal
+	server   fleet.VM // of a failure
 }
 
 // unsent reports whether certainly no byte was sent to a server.
@@ -132,7 +133,7 @@
 		c.trace.add(step)
 		grant.Done(failureResult(failure, time.Since(began)))
 		c.reportFailure(grant.Server(), failure)
-		return result{failure: failure}
+		return result{failure: failure, server: grant.Server()}
 	}
 	step.Result = strconv.Itoa(response.Status)
 	c.trace.add(step)
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -86,7 +86,7 @@
 		return deniedDeadline
 	case !c.replayable(res):
 		return deniedBody
-	case res.failure != nil && res.failure.Outcome != outcome.NotRun && c.tracked.Suspect():
+	case res.failure != nil && res.failure.Outcome != outcome.NotRun && c.tracked.SuspectBeside(res.server):
 		return deniedSuspect
 	case uncounted == 0 && !c.budget.retries.take():
 		return deniedBudget
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -190,13 +190,17 @@
 }
 
 // Suspect reports whether a server has ended under the request. Such a request is sent to one
-// server at a time, and not again within its call.
-func (q *Request) Suspect() bool {
+// server at a time.
+func (q *Request) Suspect() bool { return q.SuspectBeside(fleet.VM{}) }
+
+// SuspectBeside reports whether a server other than that one, which may just have ended, has ended
+// under the request. It is not sent again within its call then.
+func (q *Request) SuspectBeside(server fleet.VM) bool {
 	if q == nil || !q.guard.table.MayKnow(q.head) {
 		return false
 	}
 	id, ok := q.id()
-	return ok && q.guard.table.Crashes(id, time.Now()) > 0
+	return ok && q.guard.table.CrashesBeside(id, cluster.ServerIDOf(server), time.Now()) > 0
 }
 
 // ConnectionEnded reports that the connection to a server that may have begun to run the request
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -180,6 +180,20 @@
 	return 0
 }
 
+// CrashesBeside returns how many servers other than that one have ended under a request.
+func (t *Table) CrashesBeside(id cluster.RequestID, server cluster.ServerID, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil || r.expired(now) {
+		return 0
+	}
+	if _, ended := r.ended[server]; ended {
+		return len(r.ended) - 1
+	}
+	return len(r.ended)
+}
+
 // Held returns the evidence against all requests that are held, the newest first.
 func (t *Table) Held(now time.Time) []Evidence {
 	t.mu.Lock()
