--- a/internal/proctest/entry.go
+++ b/internal/proctest/entry.go
@@ -93,6 +93,7 @@
 	}
 	e.cmd = exec.Command(e.fleet.binaries.Router, "--settings", file)
 	e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
+	OwnGroup(e.cmd)
 	if err := e.cmd.Start(); err != nil {
 		return err
 	}
--- a/internal/proctest/server.go
+++ b/internal/proctest/server.go
@@ -24,6 +24,7 @@
 // it to the VM list. Kill or Stop must end it.
 func (f *Fleet) StartServerProcess(name, zone, service string) (*ServerProcess, error) {
 	cmd := exec.Command(f.binaries.Standin, "backend", "--name", name)
+	OwnGroup(cmd)
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/proctest"
 	"chestnutrouter.example/chestnutrouter/standin/usersplatform"
 )
 
@@ -244,6 +245,7 @@
 	}
 	cmd := exec.Command(e.world.binary, "gateway", "--settings", e.settings)
 	cmd.Stdout, cmd.Stderr = out, out
+	proctest.OwnGroup(cmd)
 	if err := cmd.Start(); err != nil {
 		e.world.t.Fatal(err)
 	}
