Give processes of tests addresses that nobody else takes

The entry's process had not been listening for the whole wait.

Cause: freeAddresses asked the kernel for free ports of 127.0.0.1, closed them and left them to whoever came first until the entry listened. Those are ephemeral ports, which the kernel also gives to each outgoing connection and to each test server of the packages that run beside. An entry whose port is taken ends at its start.

--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/loopback"
 )
 
 // fakeEntries are entries that respond to calls with a shared script: one step for
@@ -144,16 +146,15 @@
 // dial proves that it did not run, so an operation of the next entry replaces it.
 func TestFailoverFromADeadEntry(t *testing.T) {
 	f := startEntries(t, 1, ran)
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	dead, err := loopback.Next()
 	if err != nil {
 		t.Fatal(err)
 	}
 	c := f.client(t)
 	c.resolver.store(&endpointList{TTLMs: 60_000, Entries: []Entry{
-		{Address: dead.Addr().String(), Ticket: "dead:0"},
+		{Address: dead.String(), Ticket: "dead:0"},
 		{Address: f.servers[0].Listener.Addr().String(), Ticket: f.tickets[0]},
 	}})
-	dead.Close()
 	resp, err := c.DoOnce(newOrder(t))
 	if err != nil {
 		t.Fatal(err)
--- a/examples/quickstart/tour/plan.go
+++ b/examples/quickstart/tour/plan.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/loopback"
 	"chestnutrouter.example/chestnutrouter/internal/settings"
 )
 
@@ -50,20 +51,24 @@
 // entries' settings, and the shell variables of run.sh and of the operators'
 // walkthrough.
 func writePlan(_ context.Context, dir string) error {
-	ports := &portAllocator{}
-	defer ports.release()
-	p := plan{Platform: ports.next()}
+	var errs []error
+	address := func() string {
+		next, err := loopback.Next()
+		errs = append(errs, err)
+		return next.String()
+	}
+	p := plan{Platform: address()}
 	for _, vm := range plannedVMs {
 		vm.State = fleet.Live
-		vm.Address = ports.next()
+		vm.Address = address()
 		if vm.Service == fleet.EntryService {
-			vm.PeerAddress = ports.next()
-			vm.StatusAddress = ports.next()
+			vm.PeerAddress = address()
+			vm.StatusAddress = address()
 		}
 		p.VMs = append(p.VMs, vm)
 	}
-	if ports.err != nil {
-		return ports.err
+	if err := errors.Join(errs...); err != nil {
+		return err
 	}
 	for _, vm := range p.entries() {
 		if err := writeJSON(filepath.Join(dir, vm.Name+".jsonc"), p.settingsOf(vm)); err != nil {
@@ -153,26 +158,3 @@
 	}
 	return os.WriteFile(file, data, 0o600)
 }
-
-// portAllocator allocates free loopback addresses. It keeps the ports bound until
-// release, so that it allocates none twice.
-type portAllocator struct {
-	listeners []net.Listener
-	err       error
-}
-
-func (p *portAllocator) next() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.err = err
-		return ""
-	}
-	p.listeners = append(p.listeners, l)
-	return l.Addr().String()
-}
-
-func (p *portAllocator) release() {
-	for _, l := range p.listeners {
-		l.Close()
-	}
-}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/loopback"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 )
 
@@ -61,13 +62,11 @@
 }
 
 func TestFailedDialIsNotRun(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Next()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	l.Close()
-	_, failure := newForwarder(t).Send(context.Background(), fleet.VM{Address: address}, ordersMatch(false), newRequest("POST", "/", 0), nil)
+	_, failure := newForwarder(t).Send(context.Background(), fleet.VM{Address: address.String()}, ordersMatch(false), newRequest("POST", "/", 0), nil)
 	if failure == nil || failure.Outcome != outcome.NotRun || failure.Stage != StageDial {
 		t.Fatalf("failure %v, want outcome not-run at stage dial", failure)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"chestnutrouter.example/chestnutrouter/internal/loopback"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -104,13 +106,11 @@
 }
 
 func TestNoListenerMeansNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Next()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	l.Close()
-	_, err = twice(newPool(t), address, 1)
+	_, err = twice(newPool(t), address.String(), 1)
 	var unreachable *UnreachableError
 	if !errors.As(err, &unreachable) || unreachable.Sent {
 		t.Fatalf("got error %v, want an UnreachableError of a request that was not sent", err)
--- a/internal/proctest/entry.go
+++ b/internal/proctest/entry.go
@@ -23,6 +23,8 @@
 	addressTTLMs = 300
 	keepAliveMs  = 300
 	drainLimitMs = 10_000
+	// logEndBytes bounds how much of an ended entry's log an error shows.
+	logEndBytes = 1000
 )
 
 // Entry is an entry process.
@@ -114,11 +116,20 @@
 func (e *Entry) WaitReady(ctx context.Context) error {
 	err := Until(ctx, readyTimeout, func() bool { return e.statusCode("/readyz") == http.StatusOK })
 	if err != nil {
-		return fmt.Errorf("%s is not ready: %w", e.VM.Name, err)
+		return fmt.Errorf("%s is not ready: %w\n%s", e.VM.Name, err, e.fleet.describeEnded())
 	}
 	return nil
 }
 
+// logEnd returns the end of the entry's log, or why it can't be read.
+func (e *Entry) logEnd() string {
+	content, err := os.ReadFile(e.LogFile())
+	if err != nil {
+		return err.Error()
+	}
+	return string(content[max(0, len(content)-logEndBytes):])
+}
+
 // Status returns the entry's status page.
 func (e *Entry) Status() (status.Report, error) {
 	var report status.Report
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -4,16 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/loopback"
 	"chestnutrouter.example/chestnutrouter/standin/backend"
 	standin "chestnutrouter.example/chestnutrouter/standin/logservice"
 )
@@ -128,21 +129,34 @@
 	args = append(args, "--platform", f.PlatformURL)
 	output, err := exec.CommandContext(ctx, f.binaries.Ctl, args...).CombinedOutput()
 	if err != nil {
-		return string(output), fmt.Errorf("chestnutctl %v: %w\n%s", args, err, output)
+		return string(output), fmt.Errorf("chestnutctl %v: %w\n%s%s", args, err, output, f.describeEnded())
 	}
 	return string(output), nil
 }
 
-// freeAddresses returns loopback addresses whose ports are free now.
+// describeEnded returns a line for each entry whose process ended without Stop or Kill,
+// with its exit code and the end of its log.
+func (f *Fleet) describeEnded() string {
+	var lines strings.Builder
+	for _, e := range f.Entries() {
+		select {
+		case <-e.ended:
+			fmt.Fprintf(&lines, "%s has ended with exit code %d: %s\n", e.VM.Name, e.ExitCode(), e.logEnd())
+		default:
+		}
+	}
+	return lines.String()
+}
+
+// freeAddresses returns loopback addresses that nobody else takes.
 func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	out := make([]string, n)
+	for i := range out {
+		address, err := loopback.Next()
 		if err != nil {
 			return nil, err
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		out[i] = address.String()
 	}
 	return out, nil
 }
