Wait in tests until a paused process has stopped

TestOrderOfAFrozenEntryRunsOnce was known red: once, beside load, the retry of an order "while its entry is paused" got 503 not-run queue_wait in place of unknown.

Cause, in the test: the signal that stops a process is pending when the call that sends it returns; other threads run on until the one that takes it is scheduled. And the wait of the fourth order, at most 1 s, may end before. Then a running entry answers, and its answer is true: the order was not run.

Evidence: with the three orders held for 3 s, 1.5 s before the pause and the signal 50 ms late, the test fails with the same response and 0 runs. Ruled out: late by 0.1 and 0.7 s with the signal in time passes; by 1.2 s it fails in another way (the order has run).

Change: pause waits until the kernel reports the child as stopped, which it does when all threads are. The order must still wait when the entry is paused, or the test sets it up again; its slots are held for 3 s, so that it can't have run. What is asked of the retry stays as it was.

--- a/internal/proctest/entry.go
+++ b/internal/proctest/entry.go
@@ -160,8 +160,8 @@
 // StartShutdown starts a graceful shutdown of the entry and does not wait for its end.
 func (e *Entry) StartShutdown() error { return e.cmd.Process.Signal(syscall.SIGTERM) }
 
-// Pause suspends the process until Resume.
-func (e *Entry) Pause() error { return e.cmd.Process.Signal(syscall.SIGSTOP) }
+// Pause suspends the process until Resume. When it returns, the process is suspended.
+func (e *Entry) Pause() error { return pause(e.cmd.Process) }
 
 // Resume lets a paused process continue.
 func (e *Entry) Resume() error { return e.cmd.Process.Signal(syscall.SIGCONT) }
--- a/internal/proctest/server.go
+++ b/internal/proctest/server.go
@@ -44,8 +44,8 @@
 	return s, nil
 }
 
-// Pause suspends the process until Resume.
-func (s *ServerProcess) Pause() error { return s.cmd.Process.Signal(syscall.SIGSTOP) }
+// Pause suspends the process until Resume. When it returns, the process is suspended.
+func (s *ServerProcess) Pause() error { return pause(s.cmd.Process) }
 
 // Resume lets a paused process continue.
 func (s *ServerProcess) Resume() error { return s.cmd.Process.Signal(syscall.SIGCONT) }
--- a/test/process/operations_test.go
+++ b/test/process/operations_test.go
@@ -123,23 +123,45 @@
 	}
 }
 
-// An entry is paused while an order waits in its queue: three orders hold all slots
-// that the entry sees, so the fourth is accepted but not sent. A retry through another
-// entry must not run the order a second time.
+// pauseDuringQueueWait pauses the entry while an order waits in its queue: three orders
+// hold all slots that the entry sees, so the fourth is accepted but not sent. It returns
+// the fourth order's operation and its response.
+func pauseDuringQueueWait(t *testing.T, shop *backend.Server, e *proctest.Entry) (waiting string, original <-chan response) {
+	t.Helper()
+	const tries, slots = 5, 3
+	for try := range tries {
+		var calls sync.WaitGroup
+		for n := range slots {
+			holding := newOperation(t, e, try*(slots+1)+n)
+			calls.Go(func() { orderTaking(t.Context(), e, holding, 3*orderTime) })
+		}
+		waitForRuns(t, shop, (try+1)*slots)
+		waiting = newOperation(t, e, try*(slots+1)+slots)
+		responses := make(chan response, 1)
+		calls.Go(func() { responses <- order(t.Context(), e, waiting) })
+		waitForInFlight(t, e, slots+1)
+		if err := e.Pause(); err != nil {
+			t.Fatal(err)
+		}
+		if len(responses) == 0 {
+			t.Cleanup(calls.Wait)
+			return waiting, responses
+		}
+		t.Logf("the wait ended before the entry was paused: %+v", <-responses)
+		if err := e.Resume(); err != nil {
+			t.Fatal(err)
+		}
+		calls.Wait()
+	}
+	t.Fatalf("in %d tries no order still waited when the entry was paused", tries)
+	return "", nil
+}
+
+// A retry of an order that waits in the queue of a paused entry, through another entry,
+// must not run the order a second time.
 func TestOrderOfAFrozenEntryRunsOnce(t *testing.T) {
 	_, shop, first, second := startShop(t)
-	var calls sync.WaitGroup
-	for n := range 3 {
-		calls.Go(func() { order(t.Context(), first, newOperation(t, first, n)) })
-	}
-	waitForRuns(t, shop, 3)
-	interrupted := newOperation(t, first, 3)
-	var original response
-	calls.Go(func() { original = order(t.Context(), first, interrupted) })
-	waitForInFlight(t, first, 4)
-	if err := first.Pause(); err != nil {
-		t.Fatal(err)
-	}
+	interrupted, original := pauseDuringQueueWait(t, shop, first)
 	retry := order(t.Context(), second, interrupted)
 	if retry.outcome != "unknown" || shop.Runs().Operations[interrupted] != 0 {
 		t.Errorf("retry while paused: got %+v after %d runs, want outcome unknown after none", retry, shop.Runs().Operations[interrupted])
@@ -147,10 +169,10 @@
 	if err := first.Resume(); err != nil {
 		t.Fatal(err)
 	}
-	calls.Wait()
+	ended := <-original
 	retried := order(t.Context(), second, interrupted)
-	if original.outcome == "ran" && retried.body != original.body {
-		t.Errorf("the retry got %+v, want the response of the first call %+v", retried, original)
+	if ended.outcome == "ran" && retried.body != ended.body {
+		t.Errorf("the retry got %+v, want the response of the first call %+v", retried, ended)
 	}
 	checkAtMostOnce(t, shop)
 }
