Let fallback readers go by the age of the reads of the configuration too

Cause: other members read in the place of the two readers when nobody has read the store for 1 s, and any read counted. A reader whose read of the configuration waits at the store, not woken by the append, goes on reading the servers each 0.45 or 1 s. If it loses the store just before its wait ends, up to 1.2 s after the append, another 1.1 s pass.

Change: the age in heartbeats is that of the older of both reads. In the calm a read of the configuration ends each 0.6 s, so nobody reads more than before. Beyond 200 members, where heartbeats of other zones may be 0.6 s old, members wait 0.3 s longer. The heartbeat's form is unchanged; members of the version before go by the age as they know it.

Ruled out: a shorter first delay alone (1.2 + 0.9 s is still too long); a shorter wait (more calls in the calm, which are priced).

Evidence: TestConfigurationWhileReadersThatWaitAreCutOff plays that at all moments of the wait, for each of the readers as the first: 2.11 s before, now 1.25 s.

--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -40,7 +40,8 @@
 	ServersVersion int64
 	// ServersHash is a hash of the servers in that version.
 	ServersHash uint32
-	// StoreReadAge is the time since the member itself last read the store.
+	// StoreReadAge is the time since the member itself last read the store: the servers or
+	// the configuration, whichever is longer ago.
 	StoreReadAge time.Duration
 }
 
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -137,7 +137,7 @@
 // with itself.
 func (n *Node) HeartbeatDue(status Status) bool {
 	n.intervals++
-	if !n.View().isSparse() || n.intervals%sparseEvery == 0 {
+	if !n.View().IsSparse() || n.intervals%sparseEvery == 0 {
 		return true
 	}
 	n.mu.Lock()
--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -56,8 +56,8 @@
 // usesRelays reports whether the cluster is too large for a full mesh.
 func (v *View) usesRelays() bool { return len(v.Live) > maxFullMesh }
 
-// isSparse reports whether members send only every sparseEvery-th heartbeat.
-func (v *View) isSparse() bool { return len(v.Live) > maxFrequent }
+// IsSparse reports whether members send only every sparseEvery-th heartbeat.
+func (v *View) IsSparse() bool { return len(v.Live) > maxFrequent }
 
 // relayTable holds addresses derived from a view. It is immutable and stays valid while
 // the live members and those that are leaving are the same.
@@ -133,7 +133,7 @@
 	switch {
 	case !n.isDirect(v, m):
 		return crossZoneTimeout
-	case v.isSparse():
+	case v.IsSparse():
 		return sparseTimeout
 	default:
 		return livenessTimeout
@@ -238,7 +238,7 @@
 	}
 	interval := smallBatchInterval
 	switch v := n.View(); {
-	case v.isSparse():
+	case v.IsSparse():
 		interval = sparseBatchInterval
 	case v.usesRelays():
 		interval = batchInterval
--- a/internal/storesync/configlife_test.go
+++ b/internal/storesync/configlife_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// An append does not wake the waiting reads of both readers, and each of them loses the store
+// before its read ends: the second one later, so that it goes on reading the servers until then.
+// The configuration was in force at the others only 1.1 s after that.
+func TestConfigurationWhileReadersThatWaitAreCutOff(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newConfigLives(t, 19)
+			defer c.stop()
+			c.log.unnotified = 1
+			var slowest time.Duration
+			for round := range rounds(96) {
+				c.cutReaders(0)
+				c.run(4*time.Second + time.Duration(round%12)*100*time.Millisecond)
+				began := time.Now()
+				c.publish()
+				c.cut(func(position int) bool { return position == first })
+				c.run(time.Duration(round/12) * 150 * time.Millisecond)
+				c.cutReaders(activeReaders)
+				slowest = max(slowest, c.await(began))
+			}
+			t.Logf("reader %d cut off first: in force everywhere else after %v", first, slowest)
+			if slowest > configBound {
+				t.Errorf("reader %d cut off first: in force everywhere else after %v, want %v", first, slowest, configBound)
+			}
+		})
+	}
+}
+
 // Both readers lose the store and reach it again, and a configuration is acknowledged soon
 // after. The responses that they waited for are lost, but nobody reads the store in their place
 // any more, as they do read the servers.
--- a/internal/storesync/configworld_test.go
+++ b/internal/storesync/configworld_test.go
@@ -424,9 +424,14 @@
 
 // cutReaders cuts the first readers off the store, and no other member.
 func (c *configLives) cutReaders(count int) {
+	c.cut(func(position int) bool { return position < count })
+}
+
+// cut cuts the members at these positions in the order of readers off the store, and no others.
+func (c *configLives) cut(isCut func(position int) bool) {
 	v := c.view()
 	for _, m := range c.running() {
-		m.setCut(v.ReaderPosition(m.name) < count)
+		m.setCut(isCut(v.ReaderPosition(m.name)))
 	}
 }
 
@@ -434,7 +439,11 @@
 // at all members that are not cut off.
 func (c *configLives) publishAndAwait() time.Duration {
 	c.publish()
-	began := time.Now()
+	return c.await(time.Now())
+}
+
+// await is publishAndAwait for a configuration that was published before.
+func (c *configLives) await(began time.Time) time.Duration {
 	late := func(m *livesMember) bool { return !m.isCut() && m.Revision() < c.revision }
 	for slices.ContainsFunc(c.running(), late) && time.Since(began) < 2*configBound {
 		c.heartbeat()
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
 
 const (
@@ -25,9 +26,13 @@
 	secondReadInterval = time.Second
 	// activeReaders is the number of members that read continuously.
 	activeReaders = 2
-	// fallbackAfter is the age of the newest successful read of any member above which
-	// the next members in the order read too. By then two reads of a reader have failed.
+	// fallbackAfter is the age of the newest successful reads of any member (see
+	// Syncer.StoreReadAge) above which the next members in the order read too. A reader's
+	// read of the configuration ends every half of configWait.
 	fallbackAfter = 1000 * time.Millisecond
+	// sparseFallbackDelay is added to it if heartbeats of other availability zones, which
+	// name that age, may be 600 ms old.
+	sparseFallbackDelay = 300 * time.Millisecond
 	// fallbackStep is the additional delay per position in the order of readers up to
 	// quickFallbacks, lateFallbackStep that of later positions. If as many members lose the
 	// store at the same time, a configuration still is in force in time at the others.
@@ -140,7 +145,11 @@
 	if s.hasNoServers() {
 		return true
 	}
-	return s.newestReadAge(now) > fallbackAfter+fallbackDelay(position)
+	limit := fallbackAfter + fallbackDelay(position)
+	if s.options.View().IsSparse() {
+		limit += sparseFallbackDelay
+	}
+	return s.newestReadAge(now) > limit
 }
 
 // fallbackDelay returns how much longer than the first one a member waits before it reads the
@@ -162,7 +171,7 @@
 // first.
 func (s *Syncer) readerPosition() int { return s.options.View().ReaderPosition(s.options.Self) }
 
-// newestReadAge returns the time since the newest successful read of any live member.
+// newestReadAge returns the lowest StoreReadAge of any live member.
 func (s *Syncer) newestReadAge(now time.Time) time.Duration {
 	newest := s.StoreReadAge(now)
 	for _, m := range s.options.View().Live {
@@ -252,7 +261,7 @@
 		s.options.Events.Warn("store epoch changed", "from", old, "to", epoch)
 	}
 	if s.lastContact.Load() != 0 {
-		s.deferred.onStoreReturn(now, s.StoreReadAge(now))
+		s.deferred.onStoreReturn(now, s.serversReadAge(now))
 	}
 	s.markContact(now)
 }
@@ -357,6 +366,7 @@
 		}
 		return false, refused
 	}
+	s.lastConfigRead.Store(steady.Nanos(time.Now()))
 	s.logUnreadable(s.options.ConfigStream, page)
 	s.applyConfig(page.Records, page.Next, "store")
 	s.applyMu.Lock()
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -66,9 +66,11 @@
 	pulls    chan cluster.LiveMember
 	started  time.Time
 
-	lastContact atomic.Int64 // Unix nanoseconds of the last successful read of the store, zero before it
-	epoch       atomic.Int64 // of the store, by the last read
-	revision    atomic.Int64
+	// lastContact and lastConfigRead are the times of the last successful reads of the
+	// servers and of the configuration from the store, in Unix nanoseconds, zero before them.
+	lastContact, lastConfigRead atomic.Int64
+	epoch                       atomic.Int64 // of the store, by the last read
+	revision                    atomic.Int64
 	// configReads are the waiting reads of the configuration.
 	configReads restartableRead
 	// comparison bounds how often all servers are pulled because hashes differ.
@@ -117,10 +119,20 @@
 // StoreEpoch returns the epoch of the store by this member's last read.
 func (s *Syncer) StoreEpoch() int64 { return s.epoch.Load() }
 
-// StoreReadAge returns the time since this member itself last read the store. Before
-// the first read it is the time since the start plus a minute.
+// StoreReadAge returns the time since this member itself last read the store: the servers
+// or the configuration, whichever is longer ago. Before the first reads it is the time
+// since the start plus a minute.
 func (s *Syncer) StoreReadAge(now time.Time) time.Duration {
-	at := s.lastContact.Load()
+	return max(s.readAge(&s.lastContact, now), s.readAge(&s.lastConfigRead, now))
+}
+
+// serversReadAge is StoreReadAge of the servers alone.
+func (s *Syncer) serversReadAge(now time.Time) time.Duration {
+	return s.readAge(&s.lastContact, now)
+}
+
+func (s *Syncer) readAge(last *atomic.Int64, now time.Time) time.Duration {
+	at := last.Load()
 	if at == 0 {
 		return now.Sub(s.started) + neverReadAge
 	}
@@ -257,9 +269,9 @@
 	}
 }
 
-// markContact records the time of a successful read of the store.
+// markContact records the time of a successful read of the servers.
 func (s *Syncer) markContact(now time.Time) {
-	if age := s.StoreReadAge(now); age > outageThreshold && s.lastContact.Load() != 0 {
+	if age := s.serversReadAge(now); age > outageThreshold && s.lastContact.Load() != 0 {
 		s.options.Events.Info("store regained", "age_ms", age.Milliseconds())
 	}
 	s.lastContact.Store(steady.Nanos(now))
