Hold removals at the first read of an entry that started in an outage

Callers got 503 no_server from all entries for requests to a live server, for up to the two seconds after which it registers again: an entry started while the store was unavailable, took its servers from another entry, and was the first to read the store when it was back. The registrations that had expired in the outage were removed at once, and the removals spread to entries that would have held them for 1.9 s.

Cause: a removal is held if the entry's own last read of the store is more than 1.5 s old, and an entry that had never read took that for "no outage". It can't know, so its first read now counts as the store's return, provided that it has servers.

TestLapseIsHeldByAMemberThatNeverRead failed before for both kinds of a first read, and at the other member.

What it costs: an entry that becomes a reader soon after its start removes a server up to 1.9 s later than before if its registration expired in that time. A server that leaves is not held.

--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -260,7 +260,8 @@
 	if old := s.epoch.Swap(epoch); old != epoch && s.lastContact.Load() != 0 {
 		s.options.Events.Warn("store epoch changed", "from", old, "to", epoch)
 	}
-	if s.lastContact.Load() != 0 {
+	// A member that has never read the store does not know whether it was unavailable.
+	if !s.hasNoServers() {
 		s.deferred.onStoreReturn(now, s.serversReadAge(now))
 	}
 	s.markContact(now)
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -288,6 +288,33 @@
 	}
 }
 
+// An entry that started during an outage has its servers from another one. Its first read of
+// the store must not remove, at all entries, the servers whose registrations expired meanwhile.
+func TestLapseIsHeldByAMemberThatNeverRead(t *testing.T) {
+	for name, firstRead := range map[string]func(*testSyncer){
+		"changes": func(*testSyncer) {},
+		"all":     func(s *testSyncer) { s.log.oldest = int64(len(s.log.records)) },
+	} {
+		reader, starting := newTestSyncer(), newTestSyncer()
+		starting.options.Log = reader.log
+		reader.log.put("a", "live 1")
+		reader.log.put("b", "live 1")
+		reader.readServers(t.Context())
+		pullAll(t, starting, reader)
+		reader.log.put("a", "")
+		firstRead(starting)
+		starting.readServers(t.Context())
+		pullAll(t, reader, starting)
+		if len(starting.servers) != 2 || len(reader.servers) != 2 {
+			t.Errorf("first read of %s: servers %v, and %v at another member, want a and b", name, starting.servers, reader.servers)
+		}
+		starting.applyDeferred(time.Now().Add(removalGrace + time.Millisecond))
+		if len(starting.servers) != 1 {
+			t.Errorf("first read of %s, after the grace period: servers %v, want only b", name, starting.servers)
+		}
+	}
+}
+
 // The first two members in the order of readers read continuously, the others only when
 // no member has reached the store for a while.
 func TestTurnsToRead(t *testing.T) {
