Find a server of a service by name in a map

Each entry gets the reports of all servers, some 9,700 a second from probes alone on that site, and on average passed half of the 652 servers for each of the shop's: the cost grew with the square of the servers.

Not the cause: the start of the process (8 ms of processor time).

--- a/internal/balancer/bench_test.go
+++ b/internal/balancer/bench_test.go
@@ -80,3 +80,47 @@
 		})
 	}
 }
+
+// addReports applies a newer report of each of the n servers, and returns the time that one takes.
+func addReports(b *Balancer, n int, at time.Time) time.Duration {
+	names := make([]string, n)
+	for i, be := range b.snapshot.Load().backends {
+		names[i] = be.vm.Name
+	}
+	began := time.Now()
+	for _, name := range names {
+		b.AddReport(name, at, Report{InFlight: 1, Slowdown: 100})
+	}
+	return time.Since(began) / time.Duration(n)
+}
+
+// BenchmarkAddReport applies reports of other entries.
+func BenchmarkAddReport(b *testing.B) {
+	for _, n := range []int{27, 652} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			balancer, at := reportedBalancer(n), start
+			for i := 0; i < b.N; i += n {
+				at = at.Add(time.Millisecond)
+				addReports(balancer, n, at)
+			}
+		})
+	}
+}
+
+// TestReportOfManyServers guards against reports whose cost grows with the servers of the
+// service: an entry receives some for each server, so the sum grew with their square.
+func TestReportOfManyServers(t *testing.T) {
+	const few, many, rounds = 16, 4096, 20
+	fastest := func(n int) time.Duration {
+		b, at, least := reportedBalancer(n), start, time.Hour
+		for range rounds {
+			at = at.Add(time.Millisecond)
+			least = min(least, addReports(b, n, at))
+		}
+		return least
+	}
+	small, large := fastest(few), fastest(many)
+	if large > 8*small {
+		t.Errorf("a report takes %v with %d servers and %v with %d, want about as long", large, many, small, few)
+	}
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
@@ -32,6 +33,7 @@
 // snapshot is an immutable set of servers with the service's limits.
 type snapshot struct {
 	backends []*backend
+	byName   map[string]*backend
 	// preferred are the servers that this entry tries first in a large service, so that
 	// its connections to them are used again; empty in a small one.
 	preferred    []*backend
@@ -54,15 +56,12 @@
 // next returns a snapshot of the given servers; the state of known servers is carried
 // over.
 func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, zone string, now int64) *snapshot {
-	known := make(map[string]*backend, len(s.backends))
-	for _, be := range s.backends {
-		known[be.vm.Name] = be
-	}
+	gone := maps.Clone(s.byName)
 	joinedAt := now
 	if len(s.backends) == 0 {
 		joinedAt = 0
 	}
-	n := &snapshot{slots: defaultSlots}
+	n := &snapshot{slots: defaultSlots, byName: make(map[string]*backend, len(servers))}
 	if svc.SlotsPerServer > 0 {
 		n.slots = svc.SlotsPerServer
 	}
@@ -70,7 +69,7 @@
 		if vm.State == fleet.Leaving {
 			continue
 		}
-		be := known[vm.Name]
+		be := s.byName[vm.Name]
 		cost := localityCost(zone, vm.Zone, svc.Regions, n.slots)
 		if be == nil || !sameServer(be.vm, vm) || be.localityCost != cost {
 			old := cmp.Or(be, s.departed[vm.Name])
@@ -79,10 +78,10 @@
 				be.requestLimit, be.notices = old.requestLimit, old.notices
 			}
 		}
-		delete(known, vm.Name)
-		n.backends = append(n.backends, be)
+		delete(gone, vm.Name)
+		n.backends, n.byName[vm.Name] = append(n.backends, be), be
 	}
-	n.departed = s.departedServers(known, n.backends, now)
+	n.departed = s.departedServers(gone, n.backends, now)
 	n.preferred = preferredBackends(n.backends)
 	return n
 }
@@ -134,14 +133,7 @@
 }
 
 // backend returns the backend with that name, or nil.
-func (s *snapshot) backend(name string) *backend {
-	for _, be := range s.backends {
-		if be.vm.Name == name {
-			return be
-		}
-	}
-	return nil
-}
+func (s *snapshot) backend(name string) *backend { return s.byName[name] }
 
 // goldenRatio64 is 2^64 divided by the golden ratio (Fibonacci hashing): its multiples
 // spread evenly over the range of a uint64.
