--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -21,10 +21,10 @@
 	next = firstPort
 )
 
-// IP returns a loopback address that no other running process gets from IP. The kernel
+// ownIP returns a loopback address that no other running process gets from it. The kernel
 // binds outgoing connections to 127.0.0.1, so they can't use its ports either. It is
 // 127.0.0.1 where the system has no other loopback address.
-var IP = sync.OnceValue(func() netip.Addr {
+var ownIP = sync.OnceValue(func() netip.Addr {
 	// Linux has at most 2^22 process ids.
 	pid := os.Getpid()
 	own := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
@@ -39,13 +39,14 @@
 // errNoPort is returned by Next when no port is left.
 var errNoPort = errors.New("loopback: no port is left for another address")
 
-// Next returns an address at IP whose port is free for TCP and UDP. It returns each
-// address at most once. It is safe for concurrent use.
+// Next returns an address that is free for TCP and UDP, and that no other process gets
+// from Next while this one runs. It returns each address at most once. It is safe for
+// concurrent use.
 func Next() (netip.AddrPort, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	for next < lastPort {
-		address := netip.AddrPortFrom(IP(), uint16(next))
+		address := netip.AddrPortFrom(ownIP(), uint16(next))
 		next++
 		if isFree(address) {
 			return address, nil
