--- a/review/deployment/deployment.go
+++ b/review/deployment/deployment.go
@@ -320,3 +320,6 @@
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
+
+// Pid is the id of the process.
+func (e *Entry) Pid() int { return e.cmd.Process.Pid }
