--- a/review/deployment/caller.go
+++ b/review/deployment/caller.go
@@ -129,15 +129,21 @@
 
 // Exchange sends the request on a connection and reads the answer.
 func (a *Attempt) Exchange(conn net.Conn, method, body string) {
-	defer func() { a.EndedAt = time.Now() }()
 	_ = conn.SetDeadline(a.Deadline)
 	a.Result = "cut"
 	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 		method, a.Path, Host, a.ID, time.Until(a.Deadline).Milliseconds(), len(body), body)
 	if err != nil {
+		a.EndedAt = time.Now()
 		return
 	}
-	a.SentAt = time.Now()
+	a.Read(conn, method)
+}
+
+// Read reads the answer to a request that has just been sent.
+func (a *Attempt) Read(conn net.Conn, method string) {
+	a.Result, a.SentAt = "cut", time.Now()
+	defer func() { a.EndedAt = time.Now() }()
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err == nil {
 		var data []byte
