--- a/review/deployment/caller.go
+++ b/review/deployment/caller.go
@@ -41,6 +41,8 @@
 	Status int
 	// Stamped is set if the answer has the stamp of a server.
 	Stamped bool
+	// Leaving is set if the answer says that its server leaves.
+	Leaving bool
 	// Body is the body of a complete answer.
 	Body string
 	// Result says how the request ended: "answer", "cut", "no connection" or "time budget".
@@ -156,6 +158,7 @@
 		a.Result = "time budget"
 	case err == nil:
 		a.Result, a.Status, a.Stamped = "answer", response.StatusCode, response.Header.Get("X-Server-Stamp") != ""
+		a.Leaving = response.Header.Get("Server-Leaving") == "1"
 		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 			a.RetryAfter = time.Duration(seconds * float64(time.Second))
 		}
