--- a/review/1/main.go
+++ b/review/1/main.go
@@ -22,7 +22,7 @@
 	// calm is how long the deployment runs before the traffic begins, stopAfter how long the
 	// traffic runs before the stop.
 	calm      = 4 * time.Second
-	stopAfter = time.Second
+	stopAfter = 500 * time.Millisecond
 	traffic   = stopAfter + deployment.StopGrace + time.Second
 	// Time budgets and timeouts are those of the larger sheet's lookups and orders.
 	lookupBudget = 2500 * time.Millisecond
