Refuse requests that a stopping entry can't complete

Cause: nothing compared the time that a request may take with the time until the connections are closed, and while callers hold the address a stop never finds the entry unused. Ruled out: idle connections closed over a request in the kernel's buffer, and a process that ends before its responses are sent: each lost request had been sent to a server, and no response written.

Change: package drain has the stop of both programs. A request that may not be completed is refused with 503 before it is sent, also while it waits in the queue or for a retry. The listener closes after such a refusal, so that callers use another entry, and before the connections.

--- a/bench/latency/request_path.go
+++ b/bench/latency/request_path.go
@@ -10,6 +10,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/frontend"
@@ -113,7 +114,7 @@
 		Operations: operation.New(operation.Options{}),
 		Limiter:    limiter,
 		Runner:     attempt.New(attempt.QueueAdmitter{Services: services}, forward.New(forward.Options{}), scope),
-		Drainer:    &frontend.Drainer{},
+		Drainer:    drain.New(),
 		Scope:      scope,
 	}), nil
 }
--- a/internal/admission/servicetime.go
+++ b/internal/admission/servicetime.go
@@ -115,6 +115,18 @@
 	return rq.estimateOf(r).at(now, rq.targetOf(r))
 }
 
+// ServiceTime returns the nominal service time of the request's class, zero before its first
+// sample.
+func (q *Queue) ServiceTime(r Request) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	rq := q.scheduler.queue(r.Rank)
+	if rq == nil || rq.estimateOf(&r).samples == 0 {
+		return 0
+	}
+	return rq.nominalServiceTime(&r, time.Now())
+}
+
 // updateServiceTime updates the nominal service time by the latency of a
 // request that began at a server at full speed.
 func (rq *rankQueue) updateServiceTime(r *Request, result balancer.Result, now time.Time) {
--- a/internal/attempt/admitter.go
+++ b/internal/attempt/admitter.go
@@ -35,6 +35,15 @@
 	return queueGrant{grant: grant, slowdown: grant.Reservation.SlowdownCheck()}, nil
 }
 
+// ServiceTime returns the service time that the service's queue has learned.
+func (q QueueAdmitter) ServiceTime(r Request) time.Duration {
+	runtime, ok := q.Services.Get(r.Service)
+	if !ok {
+		return 0
+	}
+	return runtime.Queue.ServiceTime(r.Request)
+}
+
 // HedgeDelay returns the delay of the service's queue if servers report their
 // slowdown, else that of its balancer.
 func (q QueueAdmitter) HedgeDelay(key, rank string, target time.Duration) (time.Duration, bool) {
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -110,10 +111,11 @@
 	waited time.Duration
 }
 
-// admit waits for a server until ctx ends and traces a refusal.
+// admit waits for a server until ctx ends, or until the entry stops too soon for the call, and
+// traces a refusal.
 func (c *call) admit(ctx context.Context, r Request) (*timedGrant, *outcome.Refusal) {
 	requested := time.Now()
-	grant, refusal := c.runner.admitter.Admit(ctx, r)
+	grant, refusal := c.admitUnlessStopping(ctx, r)
 	if refusal != nil {
 		c.trace.add(Step{Waited: time.Since(requested), Result: string(refusal.Reason)})
 		return nil, refusal
@@ -121,6 +123,27 @@
 	return &timedGrant{Grant: grant, waited: time.Since(requested)}, nil
 }
 
+func (c *call) admitUnlessStopping(ctx context.Context, r Request) (Grant, *outcome.Refusal) {
+	if refusal := c.stopRefusal(r); refusal != nil {
+		return nil, refusal
+	}
+	ctx, cancel := c.runner.drainer.LimitWait(ctx, r.Deadline)
+	defer cancel()
+	grant, refusal := c.runner.admitter.Admit(ctx, r)
+	if refusal != nil {
+		return nil, cmp.Or(c.runner.drainer.Refusal(ctx), refusal)
+	}
+	return grant, nil
+}
+
+// stopRefusal returns a refusal if the entry stops before an attempt that begins now could end.
+func (c *call) stopRefusal(r Request) *outcome.Refusal {
+	if !c.runner.drainer.Draining() {
+		return nil
+	}
+	return c.runner.drainer.Check(r.Deadline, c.runner.admitter.ServiceTime(r))
+}
+
 // send makes the attempt. It must not use a field of c that changes, as a hedge
 // runs concurrently with the first attempt.
 func (c *call) send(ctx context.Context, grant *timedGrant, body io.Reader, out *http.Request) result {
--- a/internal/attempt/hedge_test.go
+++ b/internal/attempt/hedge_test.go
@@ -36,6 +36,8 @@
 	return s, nil
 }
 
+func (s *slowServers) ServiceTime(Request) time.Duration { return 0 }
+
 func (s *slowServers) HedgeDelay(string, string, time.Duration) (time.Duration, bool) {
 	return 50 * time.Millisecond, true
 }
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -23,6 +23,7 @@
 	deniedBody          = "body_sent"
 	deniedBudget        = "budget"
 	deniedSuspect       = "suspect"
+	deniedStopping      = "stopping"
 )
 
 // retryReason returns why the attempt should be retried, or "" if it is final.
@@ -86,6 +87,8 @@
 		return deniedDeadline
 	case !c.replayable(res):
 		return deniedBody
+	case c.stopRefusal(c.admissionRequest(ctx)) != nil:
+		return deniedStopping
 	case res.failure != nil && res.failure.Outcome != outcome.NotRun && c.tracked.SuspectBeside(res.server):
 		return deniedSuspect
 	case uncounted == 0 && !c.budget.retries.take():
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -17,6 +17,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -56,6 +57,9 @@
 // Admitter queues a call by rank and grants a slot at a backend server.
 type Admitter interface {
 	Admit(ctx context.Context, r Request) (Grant, *outcome.Refusal)
+	// ServiceTime returns how long a server usually takes for the request, zero if that is
+	// not known.
+	ServiceTime(r Request) time.Duration
 	// HedgeDelay returns how long an idempotent attempt of the rank may remain
 	// unanswered before a second one is worth its cost, and false if none is.
 	HedgeDelay(service, rank string, target time.Duration) (time.Duration, bool)
@@ -73,6 +77,7 @@
 	scope    tally.Scope
 	budgets  budgets
 	guard    *quarantine.Guard
+	drainer  *drain.Drainer
 }
 
 // New returns a Runner that counts into scope.
@@ -87,6 +92,14 @@
 	return r
 }
 
+// WithDrainer makes the Runner refuse requests that can't be completed before the entry stops,
+// also while they wait for a server. It must be called before the first call, and returns the
+// Runner.
+func (r *Runner) WithDrainer(drainer *drain.Drainer) *Runner {
+	r.drainer = drainer
+	return r
+}
+
 // Do runs the call and returns the server's response or a refusal. The caller
 // of Do must close the response Body. The body of req is sent again only if
 // req.GetBody is set. ctx carries the deadline; cancelling it cancels the
--- a/internal/attempt/runner_test.go
+++ b/internal/attempt/runner_test.go
@@ -50,6 +50,8 @@
 	return fakeGrant{f, fleet.VM{Name: "server-" + string(rune('a'+len(f.sent)))}}, nil
 }
 
+func (f *fakes) ServiceTime(Request) time.Duration { return 0 }
+
 func (f *fakes) HedgeDelay(string, string, time.Duration) (time.Duration, bool) { return 0, false }
 
 func (f *fakes) Send(_ context.Context, server fleet.VM, _ tree.Match, r *http.Request, body io.Reader) (*forward.Response, *forward.SendError) {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -115,11 +115,11 @@
 	e.background.Go(func() { e.params.SealStore.Run(ctx, e.params.Platform) })
 }
 
-// serve runs one server until it is closed.
+// serve runs one server until it or its listener is closed.
 func (e *Entry) serve(side string, l net.Listener, run func(net.Listener) error) {
 	e.background.Go(func() {
 		err := run(l)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, peer.ErrServerClosed) {
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, peer.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			e.params.Logger.Error("server failed", "side", side, "error", err)
 		}
 	})
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -5,6 +5,7 @@
 	"go.uber.org/fx"
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/follow"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/frontend"
@@ -40,7 +41,7 @@
 	Prober     *probe.Prober
 	Forwarder  *forward.Forwarder
 	Handler    *frontend.Handler
-	Drainer    *frontend.Drainer
+	Drainer    *drain.Drainer
 }
 
 // Module provides an *Entry for the settings, with its lifecycle hooks.
@@ -69,7 +70,7 @@
 			newProber,
 			newForwarder,
 			newRunner,
-			newDrainer,
+			drain.New,
 			newHandler,
 			newEntry,
 		),
@@ -78,5 +79,3 @@
 		}),
 	)
 }
-
-func newDrainer() *frontend.Drainer { return &frontend.Drainer{} }
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -10,6 +10,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/follow"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
@@ -195,8 +196,8 @@
 	return forward.New(forward.Options{Entries: func() int { return len(m.View().Entries) }})
 }
 
-func newRunner(services *service.Set, f *forward.Forwarder, scope tally.Scope) *attempt.Runner {
-	return attempt.New(attempt.QueueAdmitter{Services: services}, f, scope)
+func newRunner(services *service.Set, f *forward.Forwarder, drainer *drain.Drainer, scope tally.Scope) *attempt.Runner {
+	return attempt.New(attempt.QueueAdmitter{Services: services}, f, scope).WithDrainer(drainer)
 }
 
 func newOwnerClient(client peer.Client, m *membership.Membership, seals *operation.SealStore) *operation.OwnerClient {
@@ -223,7 +224,7 @@
 func (s serverHosts) IsServerHost(ip string) bool { return s.members.View().IsServerHost(ip) }
 
 func newHandler(s *settings.Settings, f *follow.Follower, ops *operation.Table, ownerClient *operation.OwnerClient,
-	limiter *quota.Limiter, runner *attempt.Runner, drainer *frontend.Drainer, m *membership.Membership, scope tally.Scope,
+	limiter *quota.Limiter, runner *attempt.Runner, drainer *drain.Drainer, m *membership.Membership, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
 		VM:          s.VM,
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 )
@@ -22,17 +22,29 @@
 // requests in progress and publishes the seal. An error means that requests were
 // aborted.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.params.Logger.Info("leaving", "in_flight", e.params.Drainer.InFlight())
+	drainer := e.params.Drainer
+	e.params.Logger.Info("leaving", "in_flight", drainer.InFlight())
 	e.params.Membership.SetDraining()
-	e.params.Drainer.Start()
-	e.awaitCallers(ctx)
-	err := e.drainRequests(ctx)
+	drainer.Start(e.drainPlan())
+	cause := drainer.StopAccepting(ctx, e.sockets.caller)
+	e.params.Logger.Info("no longer accepting connections", "cause", string(cause), "in_flight", drainer.InFlight())
+	err := drainer.CloseConnections(ctx, e.caller, func() { e.params.Operations.Seal() })
+	if err != nil {
+		e.params.Logger.Error("requests were cut", "in_flight", drainer.InFlight(), "error", err)
+	}
 	e.releaseSeats()
 	e.publishSeal()
 	e.close()
 	return err
 }
 
+// drainPlan accepts connections until no caller has the entry's address any longer and idle
+// connections have been closed.
+func (e *Entry) drainPlan() drain.Plan {
+	accept := e.params.Settings.AddressTTL() + e.params.Settings.KeepAlive()
+	return drain.Plan{MinAccept: accept, MaxAccept: accept, CloseAfter: accept + e.params.Settings.DrainLimit()}
+}
+
 // releaseSeats lets other entries claim this entry's share of the global limits
 // before the VM list shows that its VM has left.
 func (e *Entry) releaseSeats() {
@@ -43,33 +55,6 @@
 	}
 }
 
-// awaitCallers waits until no caller uses this entry's address any longer and no idle
-// connection is left on which a request may be in transit.
-func (e *Entry) awaitCallers(ctx context.Context) {
-	select {
-	case <-time.After(e.params.Settings.AddressTTL() + e.params.Settings.KeepAlive()):
-	case <-ctx.Done():
-	}
-}
-
-// drainRequests waits for the requests in progress: first those of callers, then the
-// operations that other entries forwarded. Sealing the operation table in between
-// prevents further operations from starting.
-func (e *Entry) drainRequests(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, e.params.Settings.DrainLimit())
-	defer cancel()
-	err := e.caller.Shutdown(ctx)
-	e.params.Operations.Seal()
-	if err == nil {
-		err = e.params.Drainer.Wait(ctx)
-	}
-	if err != nil {
-		e.params.Logger.Error("requests were cut", "in_flight", e.params.Drainer.InFlight(), "error", err)
-		return errors.Join(err, e.caller.Close())
-	}
-	return nil
-}
-
 // publishSeal sends this entry's seal to the other entries and to the log.
 func (e *Entry) publishSeal() {
 	seal := e.params.Operations.Seal()
--- a/internal/frontend/forwarded.go
+++ b/internal/frontend/forwarded.go
@@ -23,8 +23,7 @@
 // RunForwarded implements operation.Runner: it runs an operation owned by this entry
 // that a caller sent to another entry.
 func (h *Handler) RunForwarded(ctx context.Context, _ string, r *http.Request, body []byte) (operation.Response, *outcome.Refusal) {
-	h.Drainer.enter()
-	defer h.Drainer.exit()
+	defer h.Drainer.EnterForwarded()()
 	t := h.Tree.Tree()
 	if t == nil {
 		return operation.Response{}, noConfiguration()
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/membership"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
@@ -75,8 +76,8 @@
 	AddressTTL time.Duration
 	// Servers identifies the backend servers, whose nested calls may raise their rank.
 	Servers ServerHosts
-	// Drainer counts requests in progress and reports whether the entry is draining.
-	Drainer *Drainer
+	// Drainer counts requests in progress and refuses those that come too late before a stop.
+	Drainer *drain.Drainer
 	// Scope is the metrics scope.
 	Scope tally.Scope
 	// BufferUploads reads uploads completely before they are sent, like other
@@ -111,8 +112,7 @@
 
 // ServeHTTP serves a call, or the endpoint list under wire.PathPrefix.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.Drainer.enter()
-	defer h.Drainer.exit()
+	defer h.Drainer.EnterCall()()
 	setLocalResponseDeadline(w, time.Now())
 	if h.Drainer.Draining() {
 		w.Header().Set("Connection", "close")
@@ -129,7 +129,7 @@
 	rec := newAccessRecord(r)
 	defer h.reportCallEnd(rec)
 	r = r.WithContext(attempt.WithTrace(r.Context(), &rec.Trace))
-	w = &statusRecorder{ResponseWriter: w, record: rec}
+	w = &statusRecorder{ResponseWriter: w, record: rec, drainer: h.Drainer}
 	t := h.Tree.Tree()
 	if t == nil {
 		h.refuse(w, h.settleEarlyRefusal(r, noConfiguration()))
@@ -147,6 +147,10 @@
 	h.applyRank(&c.match, r)
 	rec.setCall(t, c)
 	setCallDeadlines(w, c.deadline)
+	if refusal := h.Drainer.Check(c.deadline, 0); refusal != nil {
+		h.refuse(w, h.settleEarlyRefusal(r, refusal))
+		return
+	}
 	if !c.match.Route.Upload || h.BufferUploads {
 		if refusal := c.bufferBody(w, r); refusal != nil {
 			h.refuse(w, h.settleEarlyRefusal(r, refusal))
--- a/internal/frontend/handler_test.go
+++ b/internal/frontend/handler_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -174,7 +175,7 @@
 
 func TestLeavingEntryAsksCallersToCloseTheirConnections(t *testing.T) {
 	h := newHarness(t)
-	h.Drainer.Start()
+	h.Drainer.Start(drain.Plan{CloseAfter: time.Minute})
 	if w := h.send("GET", "/", ""); w.Header().Get("Connection") != "close" || w.Code != http.StatusOK {
 		t.Errorf("status %d, Connection %q, want 200, \"close\"", w.Code, w.Header().Get("Connection"))
 	}
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/operation"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -65,7 +66,7 @@
 		Limiter:     h,
 		Servers:     h,
 		Runner:      h,
-		Drainer:     &Drainer{},
+		Drainer:     drain.New(),
 		Scope:       h.scope,
 	})
 	return h
--- a/internal/frontend/record.go
+++ b/internal/frontend/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -50,12 +51,16 @@
 // statusRecorder records the status of the response.
 type statusRecorder struct {
 	http.ResponseWriter
-	record *AccessRecord
+	record  *AccessRecord
+	drainer *drain.Drainer
 }
 
-// WriteHeader records the status and sends it.
+// WriteHeader records the status and sends it. The drain may have begun after the request.
 func (w *statusRecorder) WriteHeader(status int) {
 	w.record.Status = status
+	if w.drainer.Draining() {
+		w.Header().Set("Connection", "close")
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
@@ -72,18 +73,19 @@
 	Forwarder *forward.Forwarder
 	Handler   *frontend.Handler
 	Guard     *quarantine.Guard
-	Drainer   *frontend.Drainer
+	Drainer   *drain.Drainer
 	Tree      *treeHolder
 }
 
 // Entry is one running process of the load balancer.
 type Entry struct {
 	params Params
-	// callers serves the callers' requests. The other servers are closed without a
-	// graceful shutdown when the entry stops.
-	callers *http.Server
-	others  []*http.Server
-	peers   *peer.Server
+	// callers serves the callers' requests. The other servers are closed after it, when
+	// the entry stops.
+	callers        *http.Server
+	callerListener net.Listener
+	others         []*http.Server
+	peers          *peer.Server
 
 	rounds     int // probe rounds so far
 	cancel     context.CancelFunc
@@ -202,9 +204,10 @@
 		return err
 	}
 	e.serve("peers", peers, e.peers.Serve)
-	if err := e.listenHTTP("callers", s.CallerAddress, e.callers); err != nil {
+	if e.callerListener, err = net.Listen("tcp", s.CallerAddress); err != nil {
 		return err
 	}
+	e.serve("callers", e.callerListener, e.callers.Serve)
 	for _, endpoint := range []struct {
 		side, address string
 		handler       http.Handler
@@ -249,11 +252,11 @@
 	return nil
 }
 
-// serve runs one server in the background until it is closed.
+// serve runs one server in the background until it or its listener is closed.
 func (e *Entry) serve(side string, l net.Listener, run func(net.Listener) error) {
 	e.background.Go(func() {
 		err := run(l)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, peer.ErrServerClosed) {
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, peer.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			e.params.Events.Warn("server failed", "side", side, "error", err)
 		}
 	})
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -16,6 +16,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
@@ -67,7 +68,7 @@
 			newStoreSync,
 			newForwarder,
 			newGuard,
-			newDrain,
+			drain.New,
 			newHandler,
 			newEntry,
 		),
@@ -106,8 +107,6 @@
 
 func newTreeHolder() *treeHolder { return &treeHolder{} }
 
-func newDrain() *frontend.Drainer { return &frontend.Drainer{} }
-
 // clusterCallbacks breaks the dependency cycle between cluster.Node, which delivers
 // heartbeats and view changes, and the components that handle these and use the node.
 // Its components are set as they are constructed.
@@ -321,13 +320,13 @@
 	return callbacks.guard
 }
 
-func newHandler(s *Settings, holder *treeHolder, storeSync *storesync.Syncer, services *service.Set, forwarder *forward.Forwarder, drainer *frontend.Drainer,
+func newHandler(s *Settings, holder *treeHolder, storeSync *storesync.Syncer, services *service.Set, forwarder *forward.Forwarder, drainer *drain.Drainer,
 	guard *quarantine.Guard, events *eventlog.Logger, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
 		VM:                   s.VM,
 		Tree:                 holder,
-		Runner:               attempt.New(attempt.QueueAdmitter{Services: services}, forwarder, scope).WithGuard(guard),
+		Runner:               attempt.New(attempt.QueueAdmitter{Services: services}, forwarder, scope).WithGuard(guard).WithDrainer(drainer),
 		Servers:              noServerHosts{},
 		Drainer:              drainer,
 		IsBehind:             storeSync.IsBehind,
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,68 +2,64 @@
 
 import (
 	"context"
+	"sync"
 	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 )
 
 const (
-	// minDrainTime is how long a stopping entry still accepts new connections, as
+	// minAcceptTime is how long a stopping entry at least accepts new connections, as
 	// callers cache the endpoint list, some of them beyond its TTL.
-	minDrainTime = 2500 * time.Millisecond
-	// forcedCloseMargin is the part of the grace period that is left when the remaining
-	// connections are closed, so that the process exits before it is killed.
-	forcedCloseMargin = 400 * time.Millisecond
-	// drainPollInterval is how often a stopping entry checks for requests in progress.
-	drainPollInterval = 20 * time.Millisecond
-	// drainIdleTime is how long no request must have been in progress before the entry
-	// stops. A request may still be in transit on an idle connection.
-	drainIdleTime = 300 * time.Millisecond
+	minAcceptTime = 2500 * time.Millisecond
+	// maxExitTime is the part of the grace period that is left when the last connections
+	// have been closed, so that the process exits before it is killed.
+	maxExitTime = 400 * time.Millisecond
+	// exitShare bounds the same as a part of the grace period.
+	exitShare = 8
+	// maxAcceptShare is the part of the drain, in percent, after which no new connection is
+	// accepted even if callers still open some.
+	maxAcceptShare = 90
+	// endpointListTimeout bounds the wait for requests to the other servers, which are
+	// answered at once.
+	endpointListTimeout = 100 * time.Millisecond
 )
 
 // Stop shuts the entry down gracefully. The entry first removes itself from the endpoint
-// list and asks callers to close their connections, and then serves the requests that
-// still arrive. It stops when none has been in progress for a while. Requests that are
-// still in progress shortly before the end of the grace period are aborted. Stop always
-// returns nil.
-func (e *Entry) Stop(context.Context) error {
-	began := time.Now()
-	e.params.Events.Info("leaving", "in_flight", e.params.Drainer.InFlight())
-	e.params.Drainer.Start()
-	deadline := began.Add(e.params.Settings.Grace - forcedCloseMargin)
-	e.awaitIdle(began.Add(min(minDrainTime, e.params.Settings.Grace/2)), deadline)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := e.callers.Shutdown(ctx); err != nil {
-		e.params.Events.Warn("connections closed with requests in progress", "in_flight", e.params.Drainer.InFlight(), "error", err)
-		_ = e.callers.Close()
+// list and asks callers to close their connections, and then serves the requests that still
+// arrive, as long as they can be completed in the grace period. It stops when none has been in
+// progress for a while. Requests that are still in progress shortly before the end of the grace
+// period are aborted. Stop always returns nil.
+func (e *Entry) Stop(ctx context.Context) error {
+	began, drainer, events := time.Now(), e.params.Drainer, e.params.Events
+	plan := drainPlan(e.params.Settings.Grace)
+	drainer.Start(plan)
+	events.Info("leaving", "in_flight", drainer.InFlight(), "closes_after_ms", plan.CloseAfter.Milliseconds())
+	cause := drainer.StopAccepting(ctx, e.callerListener)
+	events.Info("no longer accepting connections", "cause", string(cause), "in_flight", drainer.InFlight(), "took_ms", time.Since(began).Milliseconds())
+	if err := drainer.CloseConnections(ctx, e.callers, func() {}); err != nil {
+		events.Warn("connections closed with requests in progress", "in_flight", drainer.InFlight(), "error", err)
 	}
 	e.close()
-	e.params.Events.Info("stopped", "took_ms", time.Since(began).Milliseconds())
-	e.params.Events.Close()
+	events.Info("stopped", "took_ms", time.Since(began).Milliseconds())
+	events.Close()
 	return nil
 }
 
-// awaitIdle returns when no request has been in progress for drainIdleTime, but not
-// before earliest and shortly after latest at the latest.
-func (e *Entry) awaitIdle(earliest, latest time.Time) {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	idleSince := time.Now()
-	for now := range ticker.C {
-		if e.params.Drainer.InFlight() > 0 {
-			idleSince = now
-		}
-		if now.After(latest) || now.After(earliest) && now.Sub(idleSince) >= drainIdleTime {
-			return
-		}
+// drainPlan returns the plan of a stop within the grace period.
+func drainPlan(grace time.Duration) drain.Plan {
+	end := grace - min(maxExitTime, grace/exitShare)
+	return drain.Plan{
+		MinAccept:  min(minAcceptTime, end/2),
+		MaxAccept:  end * maxAcceptShare / 100,
+		CloseAfter: end,
 	}
 }
 
 // close stops all servers and background work and waits for the background work to end.
 func (e *Entry) close() {
 	e.cancel()
-	for _, server := range e.others {
-		_ = server.Close()
-	}
+	e.closeOthers()
 	e.peers.Close()
 	e.params.Pool.Close()
 	e.params.Forwarder.Close()
@@ -71,3 +67,19 @@
 	e.background.Wait()
 	_ = e.params.Registry.Close()
 }
+
+// closeOthers closes the servers of the endpoint list, the readiness checks and the metrics.
+// Requests in progress get their responses.
+func (e *Entry) closeOthers() {
+	ctx, cancel := context.WithTimeout(context.Background(), endpointListTimeout)
+	defer cancel()
+	var servers sync.WaitGroup
+	for _, server := range e.others {
+		servers.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close()
+			}
+		})
+	}
+	servers.Wait()
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -35,6 +35,7 @@
 	ReasonTooLarge            Reason = "too_large"
 	ReasonNoConfiguration     Reason = "no_configuration"
 	ReasonConfigurationBehind Reason = "configuration_behind"
+	ReasonStopping            Reason = "stopping"
 	ReasonOperationMismatch   Reason = "operation_mismatch"
 	ReasonOperationDropped    Reason = "operation_dropped"
 	ReasonOperationSealed     Reason = "operation_sealed"
--- a/test/atmostonce/entry_test.go
+++ b/test/atmostonce/entry_test.go
@@ -15,6 +15,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/frontend"
@@ -156,7 +157,7 @@
 		OwnerClient: operation.NewOwnerClient(operation.OwnerClientOptions{Client: p, Address: w.address, Seals: p.seals}),
 		Limiter:     w,
 		Runner:      attempt.New(p, p.forwarder, tally.NoopScope),
-		Drainer:     &frontend.Drainer{},
+		Drainer:     drain.New(),
 		Scope:       tally.NoopScope,
 	})
 	p.receiver = operation.NewReceiver(p.table, p.handler, p.seals)
@@ -202,6 +203,8 @@
 	return nil, outcome.NewNotRun(503, outcome.ReasonNoServer, "all servers were tried")
 }
 
+func (p *process) ServiceTime(attempt.Request) time.Duration { return 0 }
+
 func (p *process) HedgeDelay(string, string, time.Duration) (time.Duration, bool) {
 	return hedgeAfter, true
 }
