Remember what is known of a server when its service is gone

What callers and servers saw: a server said in its responses that it leaves.

Cause: leaving, pauses, request limits and ejections were kept in the service's balancer, which goes with the service. Ruled out: the store's record, still ready, as news: a balancer that stays remembers the notice of a server that is listed again (TestLeavingServerStaysOut).

Change: balancer.Memory holds the state of each start of a server for all services, for a minute after the last listing and as long as something is in force.

--- a/internal/balancer/backend.go
+++ b/internal/balancer/backend.go
@@ -35,23 +35,25 @@
 	report       reportState
 	localityCost float64 // cost of the network distance, in requests
 	meanLatency  ewma    // latency of responses, in nanoseconds
-	health       health
+	health       *health // of incarnation
 	speed        speed
 	shedShare    ewma // share of requests that the server shed
 	entryOrder   entryOrder
-	requestLimit *requestLimit
-	notices      *notices
+	requestLimit *requestLimit // of incarnation
+	notices      *notices      // of incarnation
+	incarnation  *incarnation
 	nameHash     uint64        // hash of vm.Name
-	joinedAt     int64         // nanoseconds since the Unix epoch; zero if it was in the first set of servers
 	probedAt     atomic.Int64  // nanoseconds since the Unix epoch
 	sent         atomic.Uint64 // requests sent by this entry
 	vm           fleet.VM
 	reservations [maxReservations]Reservation
 }
 
-func newBackend(vm fleet.VM, joinedAt int64, cost float64) *backend {
-	be := &backend{vm: vm, joinedAt: joinedAt, localityCost: cost, nameHash: xxhash.Sum64String(vm.Name), requestLimit: &requestLimit{}, notices: &notices{}}
-	be.health.penalizedUntil.Store(joinedAt + int64(slowStart))
+func newBackend(vm fleet.VM, cost float64, i *incarnation) *backend {
+	be := &backend{
+		vm: vm, localityCost: cost, nameHash: xxhash.Sum64String(vm.Name),
+		incarnation: i, health: &i.health, requestLimit: &i.requestLimit, notices: &i.notices,
+	}
 	for i := range be.reservations {
 		be.reservations[i].VM = vm
 		be.reservations[i].backend = be
@@ -184,6 +186,6 @@
 	if p.now < be.health.failedUntil.Load() {
 		return p.slots
 	}
-	age := min(p.now-be.joinedAt, int64(slowStart))
+	age := min(p.now-be.incarnation.joinedAt, int64(slowStart))
 	return p.slots * (1 - float64(age)/float64(slowStart))
 }
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -39,9 +39,6 @@
 	preferred    []*backend
 	slots        int
 	maxPerServer int // maximum requests of this entry in progress at one server
-	// departed are servers that named a request limit, asked for a pause or were leaving, and
-	// are no longer listed. A server may be listed again while that still holds.
-	departed map[string]*backend
 }
 
 // reservationLimit returns how many requests this entry may have in progress at one
@@ -53,15 +50,15 @@
 	return min(max(slots, 1), maxReservations)
 }
 
-// next returns a snapshot of the given servers; the state of known servers is carried
-// over.
-func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, zone string, now int64) *snapshot {
-	gone := maps.Clone(s.byName)
+// next returns a snapshot of the given servers and the backends that it no longer has. The
+// backends of known servers are kept, and other servers have their state from memory.
+func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, zone string, memory *Memory, now int64) (n *snapshot, gone []*backend) {
+	left := maps.Clone(s.byName)
 	joinedAt := now
 	if len(s.backends) == 0 {
 		joinedAt = 0
 	}
-	n := &snapshot{slots: defaultSlots, byName: make(map[string]*backend, len(servers))}
+	n = &snapshot{slots: defaultSlots, byName: make(map[string]*backend, len(servers))}
 	if svc.SlotsPerServer > 0 {
 		n.slots = svc.SlotsPerServer
 	}
@@ -72,36 +69,14 @@
 		be := s.byName[vm.Name]
 		cost := localityCost(zone, vm.Zone, svc.Regions, n.slots)
 		if be == nil || !sameServer(be.vm, vm) || be.localityCost != cost {
-			old := cmp.Or(be, s.departed[vm.Name])
-			be = newBackend(vm, joinedAt, cost)
-			if old != nil && sameServer(old.vm, vm) {
-				be.requestLimit, be.notices = old.requestLimit, old.notices
-			}
+			be = newBackend(vm, cost, memory.list(vm, joinedAt))
+		} else {
+			delete(left, vm.Name)
 		}
-		delete(gone, vm.Name)
 		n.backends, n.byName[vm.Name] = append(n.backends, be), be
 	}
-	n.departed = s.departedServers(gone, n.backends, now)
 	n.preferred = preferredBackends(n.backends)
-	return n
-}
-
-// departedServers returns the servers with a request limit or notices that are not listed now: those
-// in gone, and those of s.departed that are not listed again or forgotten.
-func (s *snapshot) departedServers(gone map[string]*backend, listed []*backend, now int64) map[string]*backend {
-	departed := map[string]*backend{}
-	for _, servers := range []map[string]*backend{s.departed, gone} {
-		for name, be := range servers {
-			named := be.requestLimit.named.Load()
-			if named != nil && now-named.observedAt < int64(forgetLimitAfter) || be.notices.inForce(now) {
-				departed[name] = be
-			}
-		}
-	}
-	for _, be := range listed {
-		delete(departed, be.vm.Name)
-	}
-	return departed
+	return n, slices.Collect(maps.Values(left))
 }
 
 const (
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -67,6 +67,7 @@
 	tree    *tree.Tree
 	servers Servers
 	order   EntryOrder
+	memory  *balancer.Memory // of all services, as servers move between them
 }
 
 // EntryOrder is this entry's position in the order of entries of each backend
@@ -103,7 +104,7 @@
 
 // NewSet returns a Set without services.
 func NewSet(options Options) *Set {
-	s := &Set{options: options}
+	s := &Set{options: options, memory: balancer.NewMemory()}
 	s.runtimes.Store(&map[string]*Runtime{})
 	return s
 }
@@ -117,8 +118,10 @@
 
 // IsDraining reports whether the server reported to any entry that it leaves.
 func (s *Set) IsDraining(server fleet.VM) bool {
-	r, ok := s.Get(server.Service)
-	return ok && r.Balancer.IsDraining(server.Name)
+	if r, ok := s.Get(server.Service); ok && r.Balancer.IsDraining(server.Name) {
+		return true
+	}
+	return s.memory.IsLeaving(server)
 }
 
 // LastReport returns when the server last reported its load to any entry, the zero time if it
@@ -132,7 +135,9 @@
 }
 
 // SetTree creates the services that are new in the tree and drops those that
-// are no longer in it. A service that remains keeps its measurements.
+// are no longer in it. A service that remains keeps its measurements. What is known of the
+// servers of a dropped one is remembered, as they may serve another service or this one
+// again.
 func (s *Set) SetTree(t *tree.Tree) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,6 +148,11 @@
 		next[svc.Key()] = s.runtimeFor(old[svc.Key()], svc)
 	}
 	s.runtimes.Store(&next)
+	for key, r := range old {
+		if next[key] == nil {
+			r.Balancer.Update(nil, &tree.Service{})
+		}
+	}
 }
 
 // SetServers updates the backend servers of each service.
@@ -174,6 +184,7 @@
 			OnDraining: s.options.OnDraining,
 			Entries:    s.options.Entries,
 			Observer:   s.options.Observer,
+			Memory:     s.memory,
 
 			OnRequestLimit: s.options.OnRequestLimit,
 			OnNotices:      s.options.OnNotices,
