Refuse requests that wait for a removed service or rank

What callers saw: a request that waited for a server when its service was taken out of the configuration went on waiting until its deadline, with the list of servers of that moment; one whose rank was removed got 404, which says that there is no route for it.

Cause: the queue of a dropped service was only forgotten by the table of services, and the refusal of an unknown rank was written for a request that names a wrong one. Requests are matched with ranks of the tree, so an unknown rank has been removed since.

Change: both get 503 at once with reason configuration_changed, as they have not run and the next configuration may have a route for them.

Evidence: TestWaitingRequestsOfARemovedServiceAreRefused fails without the change: the deadline after 10 s for a removed service, no_route for a removed rank.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -55,6 +55,10 @@
 	q.workers.schedule(q)
 }
 
+// Close refuses all waiting requests and those that still come: the service is no longer
+// configured.
+func (q *Queue) Close() { q.Update(&tree.Service{}) }
+
 // Grant is a slot at a backend server, reserved for one request.
 type Grant struct {
 	// Reservation holds the backend server and its slot.
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -22,8 +22,10 @@
 	return refuse(reason, detail).WithRetryAfter(max(wait, minRetryAfter))
 }
 
-func refuseUnknownRank() *outcome.Refusal {
-	return outcome.NewNotRun(http.StatusNotFound, outcome.ReasonNoRoute, "the service has no such rank")
+// RefuseRemoved refuses a request that was matched by a configuration whose service or rank has
+// been removed since. The next one may have a route for it.
+func RefuseRemoved() *outcome.Refusal {
+	return refuseBusy(outcome.ReasonConfigurationChanged, "the request's service or rank is no longer configured", 0)
 }
 
 func refuseDeadline() *outcome.Refusal {
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -50,7 +50,7 @@
 		}
 		rq.requeueLate()
 		for rq.items.Len() > 0 {
-			refused = append(refused, drop(rq, refuseUnknownRank()))
+			refused = append(refused, drop(rq, RefuseRemoved()))
 		}
 	}
 	return refused
@@ -95,7 +95,7 @@
 func (s *Scheduler) Enqueue(item *Item, now time.Time) *outcome.Refusal {
 	rq := s.queue(item.Rank)
 	if rq == nil {
-		return refuseUnknownRank()
+		return RefuseRemoved()
 	}
 	if refusal := s.checkAdmission(rq, item, now); refusal != nil {
 		return refusal
--- a/internal/attempt/admitter.go
+++ b/internal/attempt/admitter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
@@ -25,8 +24,7 @@
 func (q QueueAdmitter) Admit(ctx context.Context, r Request) (Grant, *outcome.Refusal) {
 	runtime, ok := q.Services.Get(r.Service)
 	if !ok {
-		return nil, outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonNoServer,
-			"the service is no longer configured")
+		return nil, admission.RefuseRemoved()
 	}
 	grant, refusal := runtime.Queue.Admit(ctx, r.Request)
 	if refusal != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -135,9 +135,9 @@
 }
 
 // SetTree creates the services that are new in the tree and drops those that
-// are no longer in it. A service that remains keeps its measurements. What is known of the
-// servers of a dropped one is remembered, as they may serve another service or this one
-// again.
+// are no longer in it. A service that remains keeps its measurements. Requests that
+// wait for a server of a dropped one are refused, and what is known of its servers is
+// remembered, as they may serve another service or this one again.
 func (s *Set) SetTree(t *tree.Tree) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,6 +150,7 @@
 	s.runtimes.Store(&next)
 	for key, r := range old {
 		if next[key] == nil {
+			r.Queue.Close()
 			r.Balancer.Update(nil, &tree.Service{})
 		}
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -1,6 +1,8 @@
 package service
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
@@ -74,3 +77,44 @@
 	}
 }
 
+// A request waits for a server as its service, or its rank, is taken out of the configuration. It
+// is refused at once, with a status that promises that it never runs, and so is one that was
+// matched just before.
+func TestWaitingRequestsOfARemovedServiceAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		next *tree.Tree
+	}{
+		{"service", &tree.Tree{}},
+		{"rank", &tree.Tree{Services: []*tree.Service{testService("shop", "urgent")}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestSet()
+			shop := testService("shop", "urgent", "batch")
+			s.SetTree(&tree.Tree{Services: []*tree.Service{shop}})
+			s.SetServers(serverList{shop.Key(): testServers(shop.Key())})
+			r, _ := s.Get(shop.Key())
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			request := admission.Request{Rank: "batch", Deadline: time.Now().Add(time.Minute)}
+			for {
+				if _, ok := r.Balancer.Pick(time.Now(), nil); !ok {
+					break
+				}
+			}
+			refusals := make(chan *outcome.Refusal, 1)
+			go func() {
+				_, refusal := r.Queue.Admit(ctx, request)
+				refusals <- refusal
+			}()
+			time.Sleep(50 * time.Millisecond)
+			s.SetTree(c.next)
+			_, late := r.Queue.Admit(ctx, request)
+			for _, refusal := range []*outcome.Refusal{<-refusals, late} {
+				if refusal == nil || refusal.Status != http.StatusServiceUnavailable || refusal.Reason != outcome.ReasonConfigurationChanged {
+					t.Errorf("got %v, want 503 as the configuration has changed", refusal)
+				}
+			}
+		})
+	}
+}
