Tell an outage of the store from a time without readers

Cause: an entry took the time since its own last read for an outage, and held removals for 1.9 s after its next read. Entries that are no readers never read, so each take-over was an outage to them. Ruled out: slow detection; the first read after the loss came within 0.55 s.

Change: an outage is a failed read of any member between two successful reads of any member, or 4.5 s in which nobody is known to have read. Heartbeats say whether the last attempt failed. All members hold removals from the first read after an outage on, whoever makes it.

Evidence: TestRemovalWhileReadersAreLost fails without the change (2.24 to 3.08 s with two or four readers lost in four ways, want 2 s) and passes with it (0.33 to 1.17 s).

--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -29,8 +29,9 @@
 )
 
 const (
-	flagReady   = 1
-	flagLeaving = 2
+	flagReady        = 1
+	flagLeaving      = 2
+	flagStoreFailing = 4
 )
 
 // ServerID identifies a backend server in heartbeats by a hash. With 40 servers, two
@@ -133,6 +134,9 @@
 	if hb.Leaving {
 		flags |= flagLeaving
 	}
+	if hb.StoreFailing {
+		flags |= flagStoreFailing
+	}
 	return flags
 }
 
@@ -227,7 +231,7 @@
 	hb := Heartbeat{Incarnation: binary.LittleEndian.Uint64(d.fixed(8)), Sequence: d.uvarint()}
 	hb.MembersHash = binary.LittleEndian.Uint32(d.fixed(4))
 	flags := d.fixed(1)[0]
-	hb.Ready, hb.Leaving = flags&flagReady != 0, flags&flagLeaving != 0
+	hb.Ready, hb.Leaving, hb.StoreFailing = flags&flagReady != 0, flags&flagLeaving != 0, flags&flagStoreFailing != 0
 	hb.Revision, hb.ServersVersion = int64(d.uvarint()), int64(d.uvarint())
 	hb.StoreReadAge = d.age()
 	for range d.count() {
--- a/internal/cluster/datagram_test.go
+++ b/internal/cluster/datagram_test.go
@@ -13,7 +13,7 @@
 	Incarnation: 1 << 60,
 	Sequence:    1 << 40,
 	MembersHash: 7,
-	Status:      Status{Ready: true, Leaving: true, Revision: 12, ServersVersion: 900, ServersHash: 1 << 30, StoreReadAge: 450 * time.Millisecond},
+	Status:      Status{Ready: true, Leaving: true, Revision: 12, ServersVersion: 900, ServersHash: 1 << 30, StoreReadAge: 450 * time.Millisecond, StoreFailing: true},
 	Reports: []LoadReport{
 		{Server: 1, InFlight: 3, Queue: 2, Slowdown: 500, Age: 4 * time.Millisecond},
 		{Server: 1 << 31, Draining: true},
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -43,12 +43,15 @@
 	// StoreReadAge is the time since the member itself last read the store: the servers or
 	// the configuration, whichever is longer ago.
 	StoreReadAge time.Duration
+	// StoreFailing is set if the member's last attempt to read the store failed. A member that
+	// has not tried for a while does not set it, however old its last read is.
+	StoreFailing bool
 }
 
 // sameAnnouncement reports whether both statuses say the same to other members, apart from
-// the age of the last read of the store.
+// the member's own reads of the store.
 func (s Status) sameAnnouncement(other Status) bool {
-	s.StoreReadAge = other.StoreReadAge
+	s.StoreReadAge, s.StoreFailing = other.StoreReadAge, other.StoreFailing
 	return s == other
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -311,6 +311,7 @@
 		ServersVersion: version,
 		ServersHash:    hash,
 		StoreReadAge:   e.params.StoreSync.StoreReadAge(now),
+		StoreFailing:   e.params.StoreSync.StoreFailing(),
 	}
 }
 
--- a/internal/storesync/configworld_test.go
+++ b/internal/storesync/configworld_test.go
@@ -42,8 +42,9 @@
 // memberLog is the store as one member reaches it.
 type memberLog struct {
 	*livesLog
-	cut  bool // guarded by fakeLog.mu, like cuts
-	cuts int  // how often the path was cut; the calls in progress are lost then
+	cut     bool // guarded by fakeLog.mu, like cuts and refused
+	cuts    int  // how often the path was cut; the calls in progress are lost then
+	refused bool // the store refuses calls of this member at once
 }
 
 // cutsSoFar returns how often the path was cut.
@@ -57,8 +58,12 @@
 // a call with that wait.
 func (l *memberLog) respond(ctx context.Context, began time.Time, cuts int, wait time.Duration) error {
 	l.mu.Lock()
-	lost, slow := l.cut || l.cuts != cuts, l.slow
+	lost, slow, refused := l.cut || l.cuts != cuts, l.slow, l.refused
 	l.mu.Unlock()
+	if refused {
+		sleep(ctx, storeAnswer)
+		return errDown
+	}
 	if lost {
 		sleep(ctx, time.Until(began.Add(storeTimeLimit+wait)))
 		return errDown
@@ -167,7 +172,7 @@
 		}
 		v.Live = append(v.Live, cluster.LiveMember{
 			Member: cluster.Member{VM: m.name, Zone: m.options.Zone, PeerAddress: m.name}, LastSeen: seen,
-			Status: cluster.Status{Revision: m.Revision(), ServersVersion: m.ServersVersion(), StoreReadAge: m.StoreReadAge(seen)},
+			Status: cluster.Status{Revision: m.Revision(), ServersVersion: m.ServersVersion(), StoreReadAge: m.StoreReadAge(seen), StoreFailing: m.StoreFailing()},
 		})
 	}
 	v.Known = len(v.Live)
@@ -352,10 +357,17 @@
 	m.log.cut = cut
 }
 
+func (m *livesMember) setRefused(refused bool) {
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
+	m.log.refused = refused
+}
+
+// isCut reports whether the member can't use the store.
 func (m *livesMember) isCut() bool {
 	m.log.mu.Lock()
 	defer m.log.mu.Unlock()
-	return m.log.cut
+	return m.log.cut || m.log.refused
 }
 
 // reader returns the member at that position in the order of the readers.
--- a/internal/storesync/deferred.go
+++ b/internal/storesync/deferred.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// outageThreshold is the gap between two successful reads above which the store
-	// counts as having been unavailable. It spans several failed reads in a row.
-	outageThreshold = 1500 * time.Millisecond
 	// removalGrace is how long after the store's return the removal of a server that
 	// was not leaving is deferred. Live servers register again within two seconds.
 	removalGrace = 1900 * time.Millisecond
@@ -36,15 +33,8 @@
 	held      []deferredRecord
 }
 
-// onStoreReturn starts the grace period if the gap since the last read was an outage.
-func (d *deferredRecords) onStoreReturn(now time.Time, gap time.Duration) {
-	if gap >= outageThreshold {
-		d.onRestore(now)
-	}
-}
-
-// onRestore starts the grace period.
-func (d *deferredRecords) onRestore(now time.Time) {
+// onStoreReturn starts the grace period: the store is back, or was restored from a copy.
+func (d *deferredRecords) onStoreReturn(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.holdUntil = now.Add(removalGrace)
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -182,11 +182,15 @@
 	return u
 }
 
-// ObservePeer schedules a pull from another member if its versions are newer. It does
-// not block.
+// ObservePeer evaluates the heartbeat of another member: what it knows of the store, and its
+// versions. If these are newer, it schedules a pull. It does not block.
 func (s *Syncer) ObservePeer(m cluster.LiveMember) {
+	now := time.Now()
+	if s.outages.observePeer(now, now.Add(-m.StoreReadAge), m.StoreFailing, s.lastServersRead()) {
+		s.onOutageEnd(now, m.VM)
+	}
 	if m.Revision > s.Revision() {
-		s.newerSeenAt.Store(steady.Nanos(time.Now()))
+		s.newerSeenAt.Store(steady.Nanos(now))
 	}
 	if !s.lacks(m) {
 		return
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -214,7 +214,7 @@
 			return true
 		}
 		if !isRefused(err) {
-			s.storeFailed("read servers", err)
+			s.serversReadFailed("read servers", err)
 			return false
 		}
 		s.logRefusedPosition(s.options.ServersStream, next, err)
@@ -226,7 +226,7 @@
 	s.count("reads_servers_newest")
 	page, err := s.options.Log.Newest(ctx, s.options.ServersStream)
 	if err != nil {
-		s.storeFailed("read all servers", err)
+		s.serversReadFailed("read all servers", err)
 		return false
 	}
 	s.onStoreResponse(page.Next.Epoch())
@@ -234,7 +234,7 @@
 	s.applyMu.Lock()
 	result := s.servers.reset(page, s.options.DecodeServer)
 	if result.restored {
-		s.deferred.onRestore(time.Now())
+		s.deferred.onStoreReturn(time.Now())
 	}
 	for _, r := range result.contradicted {
 		s.deferred.hold(r, time.Now().Add(revivalGrace))
@@ -260,13 +260,21 @@
 	if old := s.epoch.Swap(epoch); old != epoch && s.lastContact.Load() != 0 {
 		s.options.Events.Warn("store epoch changed", "from", old, "to", epoch)
 	}
-	// A member that has never read the store does not know whether it was unavailable.
-	if !s.hasNoServers() {
-		s.deferred.onStoreReturn(now, s.serversReadAge(now))
+	// A member without servers has none to remove.
+	if !s.hasNoServers() && s.outages.endsOutage(now, s.lastServersRead()) {
+		s.onOutageEnd(now, s.options.Self)
 	}
 	s.markContact(now)
 }
 
+// onOutageEnd begins to hold removals, as a member was the first one to read the store after an
+// outage.
+func (s *Syncer) onOutageEnd(now time.Time, reader string) {
+	s.count("outages")
+	s.options.Events.Info("store outage ended", "reader", reader)
+	s.deferred.onStoreReturn(now)
+}
+
 // deferRemovals returns the records without the removals that it defers: those of live
 // servers whose registrations may have expired only because of an outage.
 func (s *Syncer) deferRemovals(records []logservice.KeyedRecord) []logservice.KeyedRecord {
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -63,6 +63,7 @@
 	options  Options
 	servers  serverTable
 	deferred deferredRecords
+	outages  outageDetector
 	pulls    chan cluster.LiveMember
 	started  time.Time
 
@@ -70,6 +71,7 @@
 	// servers and of the configuration from the store, in Unix nanoseconds, zero before them.
 	lastContact, lastConfigRead atomic.Int64
 	epoch                       atomic.Int64 // of the store, by the last read
+	failing                     atomic.Bool  // the last read of the servers failed
 	revision                    atomic.Int64
 	// configReads are the waiting reads of the configuration.
 	configReads restartableRead
@@ -126,6 +128,19 @@
 	return max(s.readAge(&s.lastContact, now), s.readAge(&s.lastConfigRead, now))
 }
 
+// StoreFailing reports whether this member's last read of the servers failed.
+func (s *Syncer) StoreFailing() bool { return s.failing.Load() }
+
+// lastServersRead returns when this member last read the servers from the store, the zero time if
+// it never did.
+func (s *Syncer) lastServersRead() time.Time {
+	at := s.lastContact.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return steady.Time(at)
+}
+
 // serversReadAge is StoreReadAge of the servers alone.
 func (s *Syncer) serversReadAge(now time.Time) time.Duration {
 	return s.readAge(&s.lastContact, now)
@@ -275,6 +290,14 @@
 		s.options.Events.Info("store regained", "age_ms", age.Milliseconds())
 	}
 	s.lastContact.Store(steady.Nanos(now))
+	s.failing.Store(false)
+}
+
+// serversReadFailed records a failed read of the servers.
+func (s *Syncer) serversReadFailed(operation string, err error) {
+	s.failing.Store(true)
+	s.outages.observeFailure(time.Now())
+	s.storeFailed(operation, err)
 }
 
 func (s *Syncer) storeFailed(operation string, err error) {
