Soak: callers that stay, planned stops in series, connections that go silent

Now only a request that no process can have read is excused, or one that may take longer than the grace period. Callers keep the endpoint list for three times its TTL or until a connection fails, send bodies in chunks with pauses, and use a service that takes 350 ms; entries get SIGTERM in turn, twice and after SIGHUP.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +15,32 @@
 	"chestnutrouter.example/chestnutrouter/standin/usersplatform"
 )
 
-// callerTimeout is how long a caller waits for a response.
-const callerTimeout = 1200 * time.Millisecond
+const (
+	// callerSlack is how much longer than its deadline a caller waits for a response.
+	callerSlack = 300 * time.Millisecond
+	// longHold is how many times its TTL some callers keep the endpoint list. Others keep it
+	// until a connection fails.
+	longHold    = 3
+	endlessHold = 1000
+	// maxChunkPause bounds the pause between two chunks of a body.
+	maxChunkPause = 150 * time.Millisecond
+)
+
+// route is one kind of request.
+type route struct {
+	service    string
+	deadline   time.Duration
+	atMostOnce bool
+	chunked    bool // the body is sent in chunks with pauses
+}
+
+var routes = []route{
+	{service: "look", deadline: 900 * time.Millisecond},
+	{service: "once", deadline: 900 * time.Millisecond, atMostOnce: true},
+	{service: "once", deadline: 900 * time.Millisecond, atMostOnce: true, chunked: true},
+	{service: slowService, deadline: slowTimeout},
+	{service: slowService, deadline: slowTimeout, chunked: true},
+}
 
 // caller sends requests and reuses its connections until the entry closes them.
 type caller struct {
@@ -27,6 +50,7 @@
 	conns     map[string]*callerConn
 	addresses []string // last resolved addresses
 	expires   time.Time
+	hold      time.Duration // how many times its TTL a list is kept
 }
 
 type callerConn struct {
@@ -39,7 +63,13 @@
 func (w *world) runCallers(n int, seed uint64, stop <-chan struct{}) *sync.WaitGroup {
 	var group sync.WaitGroup
 	for i := range n {
-		c := &caller{world: w, number: i, rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[string]*callerConn{}}
+		c := &caller{world: w, number: i, rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[string]*callerConn{}, hold: 1}
+		switch i % 4 {
+		case 0:
+			c.hold = longHold
+		case 1:
+			c.hold = endlessHold
+		}
 		group.Go(func() { c.run(stop) })
 	}
 	return &group
@@ -74,9 +104,13 @@
 		c.world.checker.addViolation("directory: returned %s, which is not the address of an entry", address)
 		return
 	}
-	atMostOnce := c.rand.IntN(3) == 0
-	s := requestRecord{id: fmt.Sprintf("c%d-%d", c.number, requestNumber.Add(1)), atMostOnce: atMostOnce, entry: e, from: time.Now()}
-	s.status, s.sentInFull = c.exchange(address, s.id, atMostOnce)
+	// Most requests are the first two kinds, as the others take long.
+	kind := routes[c.rand.IntN(2)]
+	if c.rand.IntN(4) == 0 {
+		kind = routes[c.rand.IntN(len(routes))]
+	}
+	s := requestRecord{id: fmt.Sprintf("c%d-%d", c.number, requestNumber.Add(1)), atMostOnce: kind.atMostOnce, entry: e, from: time.Now()}
+	c.exchange(address, kind, &s)
 	s.to = time.Now()
 	c.world.checker.record(s)
 }
@@ -102,56 +136,74 @@
 		c.world.checker.addViolation("directory: returned the invalid ttl %q", got.TTL)
 		return
 	}
-	c.addresses, c.expires = got.Addresses, time.Now().Add(ttl)
+	c.addresses, c.expires = got.Addresses, time.Now().Add(ttl*max(c.hold, 1))
 }
 
-// exchange sends one request and returns the status, zero if there was no complete
-// response, and whether the whole request was sent to a process that accepted the
-// connection.
-func (c *caller) exchange(address, id string, atMostOnce bool) (status int, sentInFull bool) {
+// exchange sends one request and records the status, zero if there was no complete response,
+// and when the whole request was sent to a process that accepted the connection.
+func (c *caller) exchange(address string, kind route, s *requestRecord) {
 	conn := c.conns[address]
 	reused := conn != nil
 	if !reused {
 		raw, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
-			return 0, false
+			c.expires = time.Time{}
+			return
 		}
 		conn = &callerConn{raw, bufio.NewReader(raw)}
 	}
 	delete(c.conns, address)
-	_ = conn.SetDeadline(time.Now().Add(callerTimeout))
-	if _, err := io.WriteString(conn, request(id, atMostOnce)); err != nil {
+	_ = conn.SetDeadline(time.Now().Add(kind.deadline + callerSlack))
+	if err := c.send(conn, kind, s.id); err != nil {
 		conn.Close()
-		return 0, false
+		return
+	}
+	// On a reused connection the entry may have closed it before it read the request. Whether
+	// it ran tells then.
+	sent := time.Now()
+	if !reused {
+		s.sent = sent
 	}
 	response, err := http.ReadResponse(conn.reader, nil)
 	if err != nil {
 		conn.Close()
-		// On a reused connection the entry may have closed it before it read the
-		// request.
-		return 0, !reused
+		return
 	}
+	s.sent = sent
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		conn.Close()
-		return 0, true
+		return
 	}
-	c.check(id, response, string(body))
+	c.check(s.id, response, string(body))
 	if response.Close {
 		conn.Close()
 	} else {
 		c.conns[address] = conn
 	}
-	return response.StatusCode, true
+	s.status = response.StatusCode
 }
 
-func request(id string, atMostOnce bool) string {
-	path, method, body := "/look/x", "GET", ""
-	if atMostOnce {
-		path, method, body = "/once/x", "POST", "kit"
+// send writes the request, a chunked body with pauses.
+func (c *caller) send(conn net.Conn, kind route, id string) error {
+	method, parts, encoding := "GET", []string{""}, "Content-Length: 0"
+	if kind.atMostOnce {
+		method, parts, encoding = "POST", []string{"kit"}, "Content-Length: 3"
+	}
+	if kind.chunked {
+		parts, encoding = []string{"", "1\r\nk\r\n", "2\r\nit\r\n", "0\r\n\r\n"}, "Transfer-Encoding: chunked"
+	}
+	parts[0] = fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n\r\n%s",
+		method, kind.service, host, id, kind.deadline.Milliseconds(), encoding, parts[0])
+	for i, part := range parts {
+		if i > 0 {
+			time.Sleep(time.Duration(c.rand.Int64N(int64(maxChunkPause))))
+		}
+		if _, err := io.WriteString(conn, part); err != nil {
+			return err
+		}
 	}
-	return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 900\r\nContent-Length: " +
-		strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	return nil
 }
 
 // check checks one response on its own.
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -15,7 +15,26 @@
 	entry      *entry
 	from, to   time.Time
 	status     int // zero if there was no complete response
-	sentInFull bool
+	// sent is when the whole request was sent to a process that accepted the connection, zero if
+	// that is not certain.
+	sent time.Time
+}
+
+// lossSlack is how long after a request was sent a process that stops may still close its
+// connection without having read it.
+const lossSlack = 200 * time.Millisecond
+
+// isLost reports whether the entry lost the response of a request that ran that many times,
+// although no fault excuses that.
+func (s *requestRecord) isLost(runs int) bool {
+	if s.status != 0 || s.sent.IsZero() && runs == 0 || s.entry.wasDisrupted(s.from.Add(-time.Second), s.to.Add(time.Second)) {
+		return false
+	}
+	if !s.entry.wasStopping(s.from, s.to) {
+		return true
+	}
+	unread := runs == 0 && (s.sent.IsZero() || s.to.Sub(s.sent) <= lossSlack)
+	return !unread && !s.entry.mayCut(s.from, s.to)
 }
 
 // checker records the requests of all callers and the violations of guarantees.
@@ -72,8 +91,8 @@
 		if s.status == 200 && n == 0 {
 			c.addViolation("answer: %s got status 200, but never ran", s.id)
 		}
-		if s.status == 0 && s.sentInFull && !s.entry.wasDisrupted(s.from.Add(-time.Second), s.to.Add(time.Second)) {
-			c.addViolation("lost: %s at the undisturbed %s got no response from %s to %s", s.id, s.entry.name,
+		if s.isLost(n) {
+			c.addViolation("lost: %s at the undisturbed %s ran %d times and got no response from %s to %s", s.id, s.entry.name, n,
 				s.from.Format(time.StampMilli), s.to.Format(time.StampMilli))
 		}
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -29,9 +29,25 @@
 	}},
 	{"terminate", func(w *world, r *rand.Rand) {
 		e := w.randomEntry(r)
-		// During the graceful shutdown no request may be lost. After it, connections
-		// fail until the next process serves.
-		e.restart(func() { e.terminate(); e.markDisrupted(time.Now().Add(faultAftermath)) })
+		e.restart(e.terminate)
+	}},
+	{"terminate twice", func(w *world, r *rand.Rand) {
+		e, again := w.randomEntry(r), randomDuration(r, 1, 2500)
+		e.signal(syscall.SIGHUP)
+		e.restart(func() {
+			process := e.process()
+			// The process may have ended already.
+			timer := time.AfterFunc(again, func() { _ = process.Signal(syscall.SIGHUP); _ = process.Signal(syscall.SIGTERM) })
+			defer timer.Stop()
+			e.terminate()
+		})
+	}},
+	{"terminate in turn", func(w *world, r *rand.Rand) {
+		for range 2 + r.IntN(len(w.entries)-1) {
+			e := w.randomEntry(r)
+			e.restart(e.terminate)
+			time.Sleep(randomDuration(r, 1, 500))
+		}
 	}},
 	{"pause", func(w *world, r *rand.Rand) {
 		e, duration := w.randomEntry(r), randomDuration(r, 200, 2500)
@@ -77,6 +93,14 @@
 	}},
 	{"store forgets", func(w *world, _ *rand.Rand) { w.store.Expire("keyed.servers"); w.store.Expire("keyed.op") }},
 	{"store connections", func(w *world, r *rand.Rand) { w.injectConnFault(w.randomEntry(r).storeProxy, r) }},
+	{"connections go silent", func(w *world, r *rand.Rand) {
+		share := 0.2 + 0.8*r.Float64()
+		for _, p := range w.proxies() {
+			if r.Float64() < share {
+				p.silenceAll()
+			}
+		}
+	}},
 	{"configuration", func(w *world, r *rand.Rand) {
 		for range 1 + r.IntN(4) {
 			w.configure()
@@ -97,9 +121,9 @@
 	}},
 	{"server slow", func(w *world, r *rand.Rand) {
 		s := w.randomServer(r)
-		s.SetServiceTime(15*time.Millisecond, 500)
+		s.SetServiceTime(serviceTime(s.Service), 500)
 		time.Sleep(randomDuration(r, 100, 2000))
-		s.SetServiceTime(15*time.Millisecond, 100)
+		s.SetServiceTime(serviceTime(s.Service), 100)
 	}},
 	{"server connections", func(w *world, r *rand.Rand) { w.injectConnFault(w.randomServer(r).proxy, r) }},
 	{"server unwell", func(w *world, r *rand.Rand) {
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -18,6 +18,7 @@
 	mu            sync.Mutex   // guards the fields below
 	target        string
 	conns         map[net.Conn]bool
+	silent        map[net.Conn]bool // connections whose bytes are lost
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{address: l.Addr().String(), listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{address: l.Addr().String(), listener: l, target: target, conns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -71,6 +72,12 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		if p.isSilent(from) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		time.Sleep(time.Duration(p.delay.Load()))
 		for isHeld() && p.alive(from) {
 			time.Sleep(5 * time.Millisecond)
@@ -107,10 +114,27 @@
 	defer p.mu.Unlock()
 	for _, c := range conns {
 		delete(p.conns, c)
+		delete(p.silent, c)
 		c.Close()
 	}
 }
 
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
+// silenceAll makes all open connections silent for good: they stay open, and what is sent on
+// them is lost. New connections work.
+func (p *proxy) silenceAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silent[c] = true
+	}
+}
+
 func (p *proxy) alive(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,10 +13,11 @@
 )
 
 var (
-	firstSeed = flag.Uint64("soak.seed", 1, "the first seed")
-	seedCount = flag.Int("soak.seeds", 1, "how many seeds")
-	seconds   = flag.Int("soak.seconds", 6, "the length of the faults of one seed, in seconds")
-	keepLogs  = flag.String("soak.logs", "", "a folder that keeps the logs; else they go with the run")
+	firstSeed  = flag.Uint64("soak.seed", 1, "the first seed")
+	seedCount  = flag.Int("soak.seeds", 1, "how many seeds")
+	seconds    = flag.Int("soak.seconds", 6, "the length of the faults of one seed, in seconds")
+	entryCount = flag.Int("soak.entries", 5, "how many entries")
+	keepLogs   = flag.String("soak.logs", "", "a folder that keeps the logs; else they go with the run")
 )
 
 // regressions are seeds that failed in the past, with their duration and the cause.
@@ -26,8 +27,12 @@
 	cause   string
 }{}
 
-// callerCount is the number of callers in one run.
-const callerCount = 12
+const (
+	// callerCount is the number of callers in one run.
+	callerCount = 12
+	// maxListed is the most addresses that an endpoint list has.
+	maxListed = 64
+)
 
 func TestSoak(t *testing.T) {
 	binary := build(t)
@@ -104,7 +109,7 @@
 	c := &caller{world: w, number: -1, rand: rand.New(rand.NewPCG(0, 0)), conns: map[string]*callerConn{}}
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		c.resolve()
-		if len(c.addresses) == entryCount {
+		if len(c.addresses) == min(*entryCount, maxListed) {
 			return
 		}
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -16,11 +17,14 @@
 )
 
 const (
-	entryCount  = 5
 	serverCount = 3 // of each service
 	host        = "soak.example"
 	// grace is the time from SIGTERM to SIGKILL, also in the settings of the entries.
 	grace = 3 * time.Second
+	// slowService has servers that take slowServiceTime, and routes with slowTimeout.
+	slowService     = "slow"
+	slowServiceTime = 350 * time.Millisecond
+	slowTimeout     = 2500 * time.Millisecond
 )
 
 // world is the cluster of one run: entry processes, backend servers and the store.
@@ -57,6 +61,7 @@
 	ended       chan struct{}
 	starts      int
 	disruptions []interval
+	stops       []interval // from SIGTERM until the next process serves
 }
 
 // interval is a time in which a fault of the entry excuses lost responses.
@@ -79,7 +84,7 @@
 	portsPerEntry
 )
 
-func entryIP(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
+func entryIP(i int) string { return fmt.Sprintf("127.0.%d.%d", i/200, 10+i%200) }
 
 // freePorts returns the first of portsPerEntry consecutive ports that are free at the
 // addresses of all entries.
@@ -97,7 +102,7 @@
 }
 
 func allFree(first int) bool {
-	for i := range entryCount {
+	for i := range *entryCount {
 		for p := range portsPerEntry {
 			address := fmt.Sprintf("%s:%d", entryIP(i), first+p)
 			l, err := net.Listen("tcp", address)
@@ -118,14 +123,14 @@
 func newWorld(t *testing.T, binary, dir string) *world {
 	t.Helper()
 	w := &world{t: t, dir: dir, binary: binary, store: usersplatform.NewStore(), checker: newChecker()}
-	for _, service := range []string{"look", "once"} {
+	for _, service := range []string{"look", "once", slowService} {
 		for range serverCount {
 			w.addServer(service)
 		}
 	}
 	w.configure()
 	first := freePorts(t)
-	for i := range entryCount {
+	for i := range *entryCount {
 		w.entries = append(w.entries, w.newEntry(i, first))
 	}
 	for _, e := range w.entries {
@@ -165,7 +170,7 @@
 		w.t.Fatal(err)
 	}
 	p.setTarget(s.Listen)
-	s.SetServiceTime(15*time.Millisecond, 100)
+	s.SetServiceTime(serviceTime(service), 100)
 	added := &server{s, p}
 	w.mu.Lock()
 	w.servers = append(w.servers, added)
@@ -173,15 +178,48 @@
 	return added
 }
 
+// proxies returns the proxies of the store and of all servers.
+func (w *world) proxies() []*proxy {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []*proxy
+	for _, e := range w.entries {
+		all = append(all, e.storeProxy)
+	}
+	for _, s := range w.servers {
+		all = append(all, s.proxy)
+	}
+	return all
+}
+
 // configure publishes the next version of the configuration, which has a route of its own.
 func (w *world) configure() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version += 1 + w.version%3
-	w.store.PutJSON("keyed.op", "config", usersplatform.Config(w.version, host, "look", "once"))
+	w.store.PutJSON("keyed.op", "config", w.config())
 	return w.version
 }
 
+// config returns the configuration with the current version. w.mu must be held.
+func (w *world) config() map[string]any {
+	config := usersplatform.Config(w.version, host, "look", "once", slowService)
+	for _, r := range config["routes"].([]map[string]any) {
+		if r["service"] == slowService {
+			r["timeout"], r["targetLatency"] = fmt.Sprintf("%dms", slowTimeout.Milliseconds()), "1000ms"
+		}
+	}
+	return config
+}
+
+// serviceTime returns how long the servers of a service take.
+func serviceTime(service string) time.Duration {
+	if service == slowService {
+		return slowServiceTime
+	}
+	return 15 * time.Millisecond
+}
+
 func (w *world) newEntry(i, firstPort int) *entry {
 	name := fmt.Sprintf("entry-%d", i)
 	endpoint, err := w.store.NewEndpoint()
@@ -265,6 +303,12 @@
 	_ = e.cmd.Process.Signal(s)
 }
 
+func (e *entry) process() *os.Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cmd.Process
+}
+
 // kill ends the process immediately and waits for its end.
 func (e *entry) kill() {
 	e.signal(syscall.SIGCONT)
@@ -272,8 +316,15 @@
 	<-e.done()
 }
 
-// terminate stops the process as the platform does: SIGTERM, and SIGKILL after grace.
+// terminate stops the process as the platform does: SIGTERM, and SIGKILL after grace. No request
+// that it has read may be lost. After it, connections fail until the next process serves.
 func (e *entry) terminate() {
+	began := time.Now()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.stops = append(e.stops, interval{began, time.Now().Add(faultAftermath)})
+	}()
 	e.signal(syscall.SIGTERM)
 	select {
 	case <-e.done():
@@ -304,6 +355,23 @@
 	e.disruptions = append(e.disruptions, interval{time.Now(), until})
 }
 
+// wasStopping reports whether a planned stop of the entry overlaps the interval.
+func (e *entry) wasStopping(from, to time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.stops, func(s interval) bool { return s.from.Before(to) && s.until.After(from) })
+}
+
+// mayCut reports whether the entry may cut a request when its grace period ends: one that came in
+// the first half and was still in progress in the last sixth.
+func (e *entry) mayCut(from, to time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.stops, func(s interval) bool {
+		return from.Before(s.from.Add(grace/2)) && to.After(s.from.Add(grace*5/6))
+	})
+}
+
 // wasDisrupted reports whether a fault of the entry overlaps the interval.
 func (e *entry) wasDisrupted(from, to time.Time) bool {
 	e.mu.Lock()
