--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -25,7 +25,14 @@
 	seed    uint64
 	seconds int
 	cause   string
-}{}
+}{
+	{8002, 6, stopCutCause},
+	{8005, 6, stopCutCause},
+	{8010, 6, stopCutCause},
+	{8012, 6, stopCutCause},
+}
+
+const stopCutCause = "an entry that stopped as planned accepted requests that it could not complete, and cut them"
 
 const (
 	// callerCount is the number of callers in one run.
