--- a/internal/storesync/doc.go
+++ b/internal/storesync/doc.go
@@ -8,6 +8,10 @@
 // for a while, the next ones in the order read it as fallback, each a little later
 // than the one before.
 //
+// While the store is unavailable, registrations of servers expire that live. After an outage
+// all members therefore hold removals for a while. An outage is known by failed reads of any
+// member, which heartbeats announce, not by a time in which nobody read.
+//
 // Versions are positions in the streams. Whatever source data comes from, it is applied
 // only if it is newer, so a member never goes back to an older version.
 //
--- a/internal/storesync/outage.go
+++ b/internal/storesync/outage.go
@@ -76,3 +76,11 @@
 		gap >= outageThreshold && d.ownFailure.After(last) ||
 		gap >= peerOutageThreshold && d.peerFailure.After(last)
 }
+
+// onOutageEnd begins to hold removals, as a member was the first one to read the store after an
+// outage.
+func (s *Syncer) onOutageEnd(now time.Time, reader string) {
+	s.count("outages")
+	s.options.Events.Info("store outage ended", "reader", reader)
+	s.deferred.onStoreReturn(now)
+}
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -267,14 +267,6 @@
 	s.markContact(now)
 }
 
-// onOutageEnd begins to hold removals, as a member was the first one to read the store after an
-// outage.
-func (s *Syncer) onOutageEnd(now time.Time, reader string) {
-	s.count("outages")
-	s.options.Events.Info("store outage ended", "reader", reader)
-	s.deferred.onStoreReturn(now)
-}
-
 // deferRemovals returns the records without the removals that it defers: those of live
 // servers whose registrations may have expired only because of an outage.
 func (s *Syncer) deferRemovals(records []logservice.KeyedRecord) []logservice.KeyedRecord {
