--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -147,8 +147,8 @@
 	h.applyRank(&c.match, r)
 	rec.setCall(t, c)
 	setCallDeadlines(w, c.deadline)
-	if refusal := h.Drainer.Check(c.deadline, 0); refusal != nil {
-		h.refuse(w, h.settleEarlyRefusal(r, refusal))
+	if refusal := h.stopRefusal(c); refusal != nil {
+		h.refuse(w, refusal)
 		return
 	}
 	if !c.match.Route.Upload || h.BufferUploads {
@@ -162,6 +162,15 @@
 	h.stats.forMatch(c.match).observe(result, time.Since(start))
 }
 
+// stopRefusal returns a refusal if the entry stops before the call could end. An operation may
+// have run already, and is then answered without a server; the Runner refuses it otherwise.
+func (h *Handler) stopRefusal(c call) *outcome.Refusal {
+	if h.Operations != nil && !c.match.Route.Idempotent {
+		return nil
+	}
+	return h.Drainer.Check(c.deadline, 0)
+}
+
 // serveMatched serves a validated call and returns its outcome.
 func (h *Handler) serveMatched(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	if c.match.Route.Idempotent || h.Operations == nil {
--- a/internal/frontend/handler_test.go
+++ b/internal/frontend/handler_test.go
@@ -184,6 +184,21 @@
 	}
 }
 
+// A caller asks again for the result of an operation while its entry stops. It must get the result,
+// not a refusal, while a request that would have to run is refused.
+func TestStoppingEntryReturnsTheResultsOfOperations(t *testing.T) {
+	h := newHarness(t)
+	id := h.newID("1")
+	h.send("POST", "/orders", "kit", wire.HeaderOperation, id)
+	h.Drainer.Start(drain.Plan{})
+	if w := h.send("POST", "/orders", "kit", wire.HeaderOperation, id); w.Code != http.StatusOK || h.runs.Load() != 1 {
+		t.Errorf("asked again: status %d after %d runs, want 200 after 1", w.Code, h.runs.Load())
+	}
+	if w := h.send("GET", "/", ""); w.Code != http.StatusServiceUnavailable || h.refusals(outcome.ReasonStopping) != 1 || h.runs.Load() != 1 {
+		t.Errorf("new request: status %d after %d runs, want 503 after 1", w.Code, h.runs.Load())
+	}
+}
+
 // The HTTP server does not count operations forwarded by other entries, so the drain
 // must wait for them itself.
 func TestDrainWaitsForOperationsOfOtherEntries(t *testing.T) {
