--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -5,7 +5,7 @@
 // server; it allocates nothing and takes no lock, except that of a server that names a
 // request limit. Update and Done may run
 // concurrently with picks. Update takes the Balancer's mutex, which guards only the
-// construction of snapshots; only that of the Memory is taken under it.
+// construction of snapshots; only that of the Incarnations is taken under it.
 package balancer
 
 import (
@@ -47,9 +47,9 @@
 	// Observer, if not nil, is notified of each request. It is called on the
 	// request path.
 	Observer Observer
-	// Memory holds the states of servers that outlive a listing; nil means one of this
+	// Incarnations holds the states of servers that outlive a listing; nil means those of this
 	// Balancer alone.
-	Memory *Memory
+	Incarnations *Incarnations
 }
 
 // Observer is notified of the requests that this entry sends to backend servers and
@@ -105,8 +105,8 @@
 	if options.Observer == nil {
 		options.Observer = noopObserver{}
 	}
-	if options.Memory == nil {
-		options.Memory = NewMemory()
+	if options.Incarnations == nil {
+		options.Incarnations = NewIncarnations()
 	}
 	b := &Balancer{options: options, confidence: newReportConfidence(), latencies: newLatencyQuantiles()}
 	b.snapshot.Store(&snapshot{})
@@ -126,10 +126,10 @@
 func (b *Balancer) UpdateAt(now time.Time, servers []fleet.VM, svc *tree.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	next, gone := b.snapshot.Load().next(servers, svc, b.options.Zone, b.options.Memory, steady.Nanos(now))
+	next, gone := b.snapshot.Load().next(servers, svc, b.options.Zone, b.options.Incarnations, steady.Nanos(now))
 	next.maxPerServer = reservationLimit(next.slots, svc.ConnectionsPerServer, b.options.Entries())
 	b.snapshot.Store(next)
-	b.options.Memory.unlist(gone, steady.Nanos(now))
+	b.options.Incarnations.unlist(gone, steady.Nanos(now))
 }
 
 // Len returns the number of servers.
--- a/internal/balancer/memory.go
+++ b/internal/balancer/incarnations.go
@@ -34,11 +34,11 @@
 		i.notices.inForce(now) || now < i.health.ejectedUntil.Load()
 }
 
-// Memory holds the states of the servers of all balancers that share it. A state is kept when a
-// server's record disappears, its service is taken out of the configuration or it moves to
-// another service, for minRemembered and as long as it is in force. A Memory is safe for concurrent use; its lock is
-// a leaf.
-type Memory struct {
+// Incarnations holds the state of each start of a server for all balancers that share it. A state
+// is kept when the server's record disappears, its service is taken out of the configuration or it
+// moves to another service, for minRemembered and as long as it is in force. Its methods are safe
+// for concurrent use; its lock is a leaf.
+type Incarnations struct {
 	mu      sync.Mutex                   // guards the field below
 	servers map[string]*rememberedServer // by name
 }
@@ -51,26 +51,26 @@
 	unlistedAt  int64 // end of the last listing, in nanoseconds since the Unix epoch
 }
 
-// NewMemory returns a Memory without servers.
-func NewMemory() *Memory { return &Memory{servers: map[string]*rememberedServer{}} }
+// NewIncarnations returns one without servers.
+func NewIncarnations() *Incarnations { return &Incarnations{servers: map[string]*rememberedServer{}} }
 
 // IsLeaving reports whether that start of the server has said that it is leaving.
-func (m *Memory) IsLeaving(vm fleet.VM) bool {
-	m.mu.Lock()
+func (c *Incarnations) IsLeaving(vm fleet.VM) bool {
+	c.mu.Lock()
 	defer m.mu.Unlock()
-	r := m.servers[vm.Name]
+	r := c.servers[vm.Name]
 	return r != nil && sameServer(r.vm, vm) && r.incarnation.notices.leavingSince.Load() != 0
 }
 
 // list returns the state of a server that a balancer newly lists. A server that is not known
 // joins at joinedAt. unlist must be called once when the balancer no longer lists it.
-func (m *Memory) list(vm fleet.VM, joinedAt int64) *incarnation {
-	m.mu.Lock()
+func (c *Incarnations) list(vm fleet.VM, joinedAt int64) *incarnation {
+	c.mu.Lock()
 	defer m.mu.Unlock()
-	r := m.servers[vm.Name]
+	r := c.servers[vm.Name]
 	if r == nil || !sameServer(r.vm, vm) {
 		r = &rememberedServer{vm: vm, incarnation: newIncarnation(joinedAt)}
-		m.servers[vm.Name] = r
+		c.servers[vm.Name] = r
 	}
 	r.listings++
 	return r.incarnation
@@ -78,21 +78,21 @@
 
 // unlist ends the listing of these servers, and forgets all that no balancer has listed for
 // minRemembered and whose state is not in force any more.
-func (m *Memory) unlist(gone []*backend, now int64) {
+func (c *Incarnations) unlist(gone []*backend, now int64) {
 	if len(gone) == 0 {
 		return
 	}
-	m.mu.Lock()
+	c.mu.Lock()
 	defer m.mu.Unlock()
 	for _, be := range gone {
-		if r := m.servers[be.vm.Name]; r != nil && r.incarnation == be.incarnation {
+		if r := c.servers[be.vm.Name]; r != nil && r.incarnation == be.incarnation {
 			r.listings--
 			r.unlistedAt = now
 		}
 	}
-	for name, r := range m.servers {
+	for name, r := range c.servers {
 		if r.listings == 0 && now-r.unlistedAt > int64(minRemembered) && !r.incarnation.inForce(now) {
-			delete(m.servers, name)
+			delete(c.servers, name)
 		}
 	}
 }
--- a/internal/balancer/memory_test.go
+++ b/internal/balancer/incarnations_test.go
@@ -34,21 +34,21 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			memory, svc := NewMemory(), &tree.Service{}
-			first := New(Options{Memory: memory})
+			incarnations, svc := NewIncarnations(), &tree.Service{}
+			first := New(Options{Incarnations: incarnations})
 			first.UpdateAt(now, noticeServers(1, "a", "b", "c", "d"), svc)
 			c.learn(first)
 			if picks(first, now)["a"] {
 				t.Fatal("the server gets requests from the first service")
 			}
-			second := New(Options{Memory: memory})
+			second := New(Options{Incarnations: incarnations})
 			second.UpdateAt(now, noticeServers(1, "a", "b", "c", "d"), svc) // before the first drops it
 			first.UpdateAt(now, nil, svc)
 			if got := picks(second, now); got["a"] || !got["b"] {
 				t.Errorf("servers %v get requests from the second service, want all but a", got)
 			}
 			second.UpdateAt(now, nil, svc)
-			third := New(Options{Memory: memory})
+			third := New(Options{Incarnations: incarnations})
 			third.UpdateAt(now.Add(500*time.Millisecond), noticeServers(1, "a", "b", "c", "d"), svc)
 			if picks(third, now.Add(500*time.Millisecond))["a"] {
 				t.Error("the server gets requests from a service that lists it later")
@@ -63,8 +63,8 @@
 
 // A response that says that its server is leaving arrives when no service lists the server any more.
 func TestLeavingIsRememberedFromALateResponse(t *testing.T) {
-	now, memory, svc := time.Unix(1000, 0), NewMemory(), &tree.Service{}
-	b := New(Options{Memory: memory})
+	now, incarnations, svc := time.Unix(1000, 0), NewIncarnations(), &tree.Service{}
+	b := New(Options{Incarnations: incarnations})
 	b.UpdateAt(now, noticeServers(1, "a", "b"), svc)
 	r, ok := b.Pick(now, []string{"b"})
 	if !ok {
@@ -72,12 +72,12 @@
 	}
 	b.UpdateAt(now, nil, svc)
 	b.Done(r, now.Add(time.Second), Result{Kind: OK, Notices: Notices{Leaving: true}})
-	again := New(Options{Memory: memory})
+	again := New(Options{Incarnations: incarnations})
 	again.UpdateAt(now.Add(2*time.Second), noticeServers(1, "a", "b"), svc)
 	if picks(again, now.Add(2*time.Second))["a"] {
 		t.Error("the leaving server gets requests")
 	}
-	if !memory.IsLeaving(noticeServers(1, "a")[0]) || memory.IsLeaving(noticeServers(2, "a")[0]) {
+	if !incarnations.IsLeaving(noticeServers(1, "a")[0]) || incarnations.IsLeaving(noticeServers(2, "a")[0]) {
 		t.Error("the start that leaves is not told from the next one")
 	}
 }
@@ -85,10 +85,10 @@
 // Services that come and go by the hundred, each with servers of its own, must not fill the memory.
 func TestServersThatAreGoneAreForgotten(t *testing.T) {
 	const services, servers, interval = 500, 4, time.Second
-	now, memory, svc := time.Unix(1000, 0), NewMemory(), &tree.Service{}
+	now, incarnations, svc := time.Unix(1000, 0), NewIncarnations(), &tree.Service{}
 	most := 0
 	for n := range services {
-		b := New(Options{Memory: memory})
+		b := New(Options{Incarnations: incarnations})
 		var vms []fleet.VM
 		for i := range servers {
 			vms = append(vms, noticeServers(1, fmt.Sprintf("s-%d-%d", n, i))...)
@@ -96,7 +96,7 @@
 		b.UpdateAt(now, vms, svc)
 		b.UpdateAt(now.Add(interval/2), nil, svc)
 		now = now.Add(interval)
-		most = max(most, len(memory.servers))
+		most = max(most, len(incarnations.servers))
 	}
 	if limit := servers * (int(minRemembered/interval) + 2); most > limit {
 		t.Errorf("%d servers remembered, want at most the %d of a minute", most, limit)
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -51,8 +51,8 @@
 }
 
 // next returns a snapshot of the given servers and the backends that it no longer has. The
-// backends of known servers are kept, and other servers have their state from memory.
-func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, zone string, memory *Memory, now int64) (n *snapshot, gone []*backend) {
+// backends of known servers are kept, and other servers have their state from incarnations.
+func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, zone string, incarnations *Incarnations, now int64) (n *snapshot, gone []*backend) {
 	left := maps.Clone(s.byName)
 	joinedAt := now
 	if len(s.backends) == 0 {
@@ -69,7 +69,7 @@
 		be := s.byName[vm.Name]
 		cost := localityCost(zone, vm.Zone, svc.Regions, n.slots)
 		if be == nil || !sameServer(be.vm, vm) || be.localityCost != cost {
-			be = newBackend(vm, cost, memory.list(vm, joinedAt))
+			be = newBackend(vm, cost, incarnations.list(vm, joinedAt))
 		} else {
 			delete(left, vm.Name)
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -63,11 +63,11 @@
 	options  Options
 	runtimes atomic.Pointer[map[string]*Runtime]
 
-	mu      sync.Mutex
-	tree    *tree.Tree
-	servers Servers
-	order   EntryOrder
-	memory  *balancer.Memory // of all services, as servers move between them
+	mu           sync.Mutex
+	tree         *tree.Tree
+	servers      Servers
+	order        EntryOrder
+	incarnations *balancer.Incarnations // of all services, as servers move between them
 }
 
 // EntryOrder is this entry's position in the order of entries of each backend
@@ -104,7 +104,7 @@
 
 // NewSet returns a Set without services.
 func NewSet(options Options) *Set {
-	s := &Set{options: options, memory: balancer.NewMemory()}
+	s := &Set{options: options, incarnations: balancer.NewIncarnations()}
 	s.runtimes.Store(&map[string]*Runtime{})
 	return s
 }
@@ -121,7 +121,7 @@
 	if r, ok := s.Get(server.Service); ok && r.Balancer.IsDraining(server.Name) {
 		return true
 	}
-	return s.memory.IsLeaving(server)
+	return s.incarnations.IsLeaving(server)
 }
 
 // LastReport returns when the server last reported its load to any entry, the zero time if it
@@ -179,13 +179,13 @@
 func (s *Set) runtimeFor(r *Runtime, svc *tree.Service) *Runtime {
 	if r == nil {
 		b := balancer.New(balancer.Options{
-			Entry:      s.options.VM,
-			Zone:       s.options.Zone,
-			Scope:      s.options.Scope,
-			OnDraining: s.options.OnDraining,
-			Entries:    s.options.Entries,
-			Observer:   s.options.Observer,
-			Memory:     s.memory,
+			Entry:        s.options.VM,
+			Zone:         s.options.Zone,
+			Scope:        s.options.Scope,
+			OnDraining:   s.options.OnDraining,
+			Entries:      s.options.Entries,
+			Observer:     s.options.Observer,
+			Incarnations: s.incarnations,
 
 			OnRequestLimit: s.options.OnRequestLimit,
 			OnNotices:      s.options.OnNotices,
