--- a/internal/balancer/incarnations.go
+++ b/internal/balancer/incarnations.go
@@ -57,7 +57,7 @@
 // IsLeaving reports whether that start of the server has said that it is leaving.
 func (c *Incarnations) IsLeaving(vm fleet.VM) bool {
 	c.mu.Lock()
-	defer m.mu.Unlock()
+	defer c.mu.Unlock()
 	r := c.servers[vm.Name]
 	return r != nil && sameServer(r.vm, vm) && r.incarnation.notices.leavingSince.Load() != 0
 }
@@ -66,7 +66,7 @@
 // joins at joinedAt. unlist must be called once when the balancer no longer lists it.
 func (c *Incarnations) list(vm fleet.VM, joinedAt int64) *incarnation {
 	c.mu.Lock()
-	defer m.mu.Unlock()
+	defer c.mu.Unlock()
 	r := c.servers[vm.Name]
 	if r == nil || !sameServer(r.vm, vm) {
 		r = &rememberedServer{vm: vm, incarnation: newIncarnation(joinedAt)}
@@ -83,7 +83,7 @@
 		return
 	}
 	c.mu.Lock()
-	defer m.mu.Unlock()
+	defer c.mu.Unlock()
 	for _, be := range gone {
 		if r := c.servers[be.vm.Name]; r != nil && r.incarnation == be.incarnation {
 			r.listings--
