Show the attempt that lost a hedged call in the log

Cause: the test asked for exactly one run of each lookup, but a lookup may be hedged. In the log the request took longer than its only step (took_ms 14, step "took 3"): the step that is missing is the first attempt, cancelled when the hedge won. A call's log line named only attempts that had ended before it was written, so a second run had no visible cause.

The trace of a call now names the attempt that was abandoned, once (TestBothAttemptsOfAHedgedCallAreTraced, which fails before).

--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -111,6 +112,11 @@
 	waited time.Duration
 }
 
+// step returns the step of the attempt at the granted server.
+func (g *timedGrant) step(took time.Duration, result string) Step {
+	return Step{Server: g.Server().Name, Estimate: g.Estimate(), Waited: g.waited, Took: took, Result: result}
+}
+
 // admit waits for a server until ctx ends, or until the entry stops too soon for the call, and
 // traces a refusal.
 func (c *call) admit(ctx context.Context, r Request) (*timedGrant, *outcome.Refusal) {
@@ -148,18 +154,17 @@
 // runs concurrently with the first attempt.
 func (c *call) send(ctx context.Context, grant *timedGrant, body io.Reader, out *http.Request) result {
 	began := time.Now()
-	step := Step{Server: grant.Server().Name, Estimate: grant.Estimate(), Waited: grant.waited}
 	response, failure := c.runner.sender.Send(ctx, grant.Server(), c.match, out, body)
-	step.Took = time.Since(began)
+	took := time.Since(began)
 	if failure != nil {
-		step.Result = string(failure.Stage) + "_" + string(failure.Reason)
-		c.trace.add(step)
+		if !errors.Is(context.Cause(ctx), errAbandoned) {
+			c.trace.add(grant.step(took, string(failure.Stage)+"_"+string(failure.Reason)))
+		}
 		grant.Done(failureResult(failure, time.Since(began)))
 		c.reportFailure(grant.Server(), failure)
 		return result{failure: failure, server: grant.Server()}
 	}
-	step.Result = strconv.Itoa(response.Status)
-	c.trace.add(step)
+	c.trace.add(grant.step(took, strconv.Itoa(response.Status)))
 	response.Body = &releasingBody{body: response.Body, grant: grant, began: began, response: response, tracked: c.tracked}
 	return result{response: response}
 }
--- a/internal/attempt/hedge.go
+++ b/internal/attempt/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -42,9 +43,18 @@
 	return c.runner.admitter.HedgeDelay(c.match.Service.Key(), c.match.Rank.Name, c.match.Route.Target)
 }
 
+// errAbandoned is the cause with which the context of an attempt is cancelled if the other
+// attempt won. The attempt is traced when it is abandoned, not when it ends.
+var errAbandoned = errors.New("the other attempt has ended the call")
+
+// resultAbandoned is the result of an abandoned attempt in a Trace.
+const resultAbandoned = "abandoned"
+
 // asyncAttempt is an attempt that runs in its own goroutine.
 type asyncAttempt struct {
-	cancel context.CancelFunc
+	grant  *timedGrant
+	began  time.Time
+	cancel context.CancelCauseFunc
 	done   chan result
 }
 
@@ -56,8 +66,8 @@
 		grant.Done(balancer.Result{Kind: balancer.Cancelled})
 		return nil, &result{refusal: bodyRefusal(err)}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	a := &asyncAttempt{cancel: cancel, done: make(chan result, 1)}
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &asyncAttempt{grant: grant, began: time.Now(), cancel: cancel, done: make(chan result, 1)}
 	out := c.nextRequest(grant.Server().Name)
 	go func() { a.done <- c.send(ctx, grant, body, out) }()
 	return a, nil
@@ -158,13 +168,13 @@
 		winner, loser = second, first
 	}
 	if c.retryReason(res) == "" {
-		loser.abandon()
+		loser.abandon(c.trace)
 		c.maybeRan = true // the result of the other attempt is not awaited
 		return winner.bindContext(res)
 	}
 	other := <-loser.done
 	c.discard(res)
-	winner.cancel()
+	winner.cancel(nil)
 	return loser.bindContext(other)
 }
 
@@ -172,16 +182,17 @@
 // closed, or immediately if there is no response.
 func (a *asyncAttempt) bindContext(res result) result {
 	if res.response == nil {
-		a.cancel()
+		a.cancel(nil)
 		return res
 	}
-	res.response.Body = &cancelBody{ReadCloser: res.response.Body, cancel: a.cancel}
+	res.response.Body = &cancelBody{ReadCloser: res.response.Body, cancel: func() { a.cancel(nil) }}
 	return res
 }
 
-// abandon cancels the attempt and closes its response when it arrives.
-func (a *asyncAttempt) abandon() {
-	a.cancel()
+// abandon traces and cancels the attempt, and closes its response when it arrives.
+func (a *asyncAttempt) abandon(trace *Trace) {
+	trace.add(a.grant.step(time.Since(a.began), resultAbandoned))
+	a.cancel(errAbandoned)
 	go func() {
 		res := <-a.done
 		if res.response != nil {
--- a/internal/attempt/hedge_test.go
+++ b/internal/attempt/hedge_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -91,6 +93,33 @@
 	}
 }
 
+// Both servers that a hedged call was sent to are in its trace, so that the log accounts for
+// each run of a request. Without the attempt that lost, a second run of a lookup has no
+// visible cause.
+func TestBothAttemptsOfAHedgedCallAreTraced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowServers{}
+		s.slow.Store(true)
+		r := New(s, s, tally.NoopScope)
+		svc := &tree.Service{Budgets: tree.Budgets{RetryShare: 1, HedgeShare: 1, RetryBurst: 2}}
+		m := tree.Match{Service: svc, Route: &tree.Route{Idempotent: true, MaxAttempts: 2}}
+		trace := &Trace{}
+		response, refusal := r.Do(WithTrace(t.Context(), trace), m, httptest.NewRequest("GET", "/", nil))
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		synctest.Wait() // also the attempt that lost has ended
+		response.Body.Close()
+		var got []string
+		for _, s := range trace.Steps() {
+			got = append(got, fmt.Sprintf("%s %s %v", s.Server, s.Result, s.Took))
+		}
+		if want := []string{"server 200 0s", "server abandoned 50ms"}; !slices.Equal(got, want) {
+			t.Errorf("traced %q, want %q", got, want)
+		}
+	})
+}
+
 // If a server is reported slow after the request was sent, the second attempt
 // starts before the hedging delay.
 func TestHedgeWhenTheServerTurnsSlow(t *testing.T) {
--- a/internal/attempt/trace.go
+++ b/internal/attempt/trace.go
@@ -19,7 +19,8 @@
 	// Took is the time from dispatch to the response header or the failure.
 	Took time.Duration
 	// Result is how it ended: the HTTP status, the stage and reason of the
-	// failure, or the reason of the refusal.
+	// failure, the reason of the refusal, or "abandoned" if the other attempt of
+	// a hedged call won.
 	Result string
 }
 
