Compute the fingerprint of a suspect request without a copy of its body

The guard read the whole body again, into a growing piece, to tell whether a request is held: up to several times an upload beside the budget of bodies.

--- a/internal/operation/fingerprint.go
+++ b/internal/operation/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
+	"io"
 	"net/http"
 	"strconv"
 )
@@ -15,10 +16,24 @@
 // NewFingerprint returns the fingerprint of the method, host, path, query and
 // complete body.
 func NewFingerprint(r *http.Request, body []byte) Fingerprint {
+	bodyHash := sha256.Sum256(body)
+	return fingerprintOf(r, bodyHash[:])
+}
+
+// ReadFingerprint is NewFingerprint for a body that it reads to its end, without a copy of it. It
+// returns the error of body.
+func ReadFingerprint(r *http.Request, body io.Reader) (Fingerprint, error) {
+	bodyHash := sha256.New()
+	if _, err := io.Copy(bodyHash, body); err != nil {
+		return Fingerprint{}, err
+	}
+	return fingerprintOf(r, bodyHash.Sum(nil)), nil
+}
+
+func fingerprintOf(r *http.Request, bodyHash []byte) Fingerprint {
 	h := sha256.New()
 	writeTarget(h, r)
-	bodyHash := sha256.Sum256(body)
-	h.Write(bodyHash[:])
+	h.Write(bodyHash)
 	return truncate(h)
 }
 
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -172,19 +172,20 @@
 // id returns the identity of the request. It returns false if the body can't be read.
 func (q *Request) id() (cluster.RequestID, bool) {
 	q.identify.Do(func() {
-		var content []byte
+		body := io.ReadCloser(http.NoBody)
 		if q.request.GetBody != nil {
-			body, err := q.request.GetBody()
-			if err != nil {
-				return
-			}
-			defer body.Close()
-			if content, err = io.ReadAll(body); err != nil {
+			var err error
+			if body, err = q.request.GetBody(); err != nil {
 				return
 			}
 		}
+		defer body.Close()
+		fingerprint, err := operation.ReadFingerprint(q.request, body)
+		if err != nil {
+			return
+		}
 		q.readable = true
-		q.fingerprint = operation.NewFingerprint(q.request, content).Scoped(q.request.Header.Get(wire.HeaderCaller))
+		q.fingerprint = fingerprint.Scoped(q.request.Header.Get(wire.HeaderCaller))
 	})
 	return cluster.RequestID{Head: q.head, Fingerprint: q.fingerprint}, q.readable
 }
