Deliver a refusal to a caller that still sends its body

What callers saw: an upload that is refused before its end (no memory, stopping, no configuration, no route) ends with a connection reset.

Cause: net/http closes a connection whose body is unread after half a second; the bytes that come then reset it, and a caller that reads only after it has sent everything loses the response.

The refusal is sent at once, and then the rest of the body is read and dropped, until the deadline of the call, or 10 s where there is none.

--- a/internal/frontend/body_test.go
+++ b/internal/frontend/body_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/buffer"
+	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"chestnutrouter.example/chestnutrouter/internal/wire"
@@ -105,3 +106,35 @@
 		}
 	}
 }
+
+// A caller that sends its whole body before it reads gets the refusal. A closed connection would
+// leave open whether the request ran, so that the caller could not try again.
+func TestRefusalReachesACallerThatStillSends(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		refuse func(t *testing.T, h *harness, server *httptest.Server)
+		reason outcome.Reason
+		status int
+	}{
+		{"no memory", func(t *testing.T, h *harness, server *httptest.Server) {
+			h.Bodies = buffer.NewBudget(testUploadBytes*3/2, tally.NoopScope)
+			beginUpload(t, server, testUploadBytes-1)
+			waitForHeldBytes(t, h, testUploadBytes)
+		}, outcome.ReasonBodyMemory, http.StatusServiceUnavailable},
+		{"more than all memory", func(_ *testing.T, h *harness, _ *httptest.Server) {
+			h.Bodies = buffer.NewBudget(testUploadBytes, tally.NoopScope)
+		}, outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge},
+		{"no configuration", func(_ *testing.T, h *harness, _ *httptest.Server) { h.tree = nil }, outcome.ReasonNoConfiguration, http.StatusServiceUnavailable},
+		{"stopping", func(_ *testing.T, h *harness, _ *httptest.Server) { h.Drainer.Start(drain.Plan{}) }, outcome.ReasonStopping, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, server := newUploadServer(t)
+			c.refuse(t, h, server)
+			// net/http closes a connection with an unread body after half a second.
+			got := endUpload(t, beginUpload(t, server, 0), 0, 1500*time.Millisecond)
+			if got.StatusCode != c.status || got.Header.Get(wire.HeaderReason) != string(c.reason) || !got.Close {
+				t.Errorf("status %d, header %v, close %v, want %d %s and a closed connection", got.StatusCode, got.Header, got.Close, c.status, c.reason)
+			}
+		})
+	}
+}
--- a/internal/frontend/deadlines.go
+++ b/internal/frontend/deadlines.go
@@ -6,18 +6,19 @@
 )
 
 const (
-	// localResponseTimeout bounds the writing of a response to a request that is not
-	// a call.
+	// localResponseTimeout bounds the reading of a request that is not a call, and the
+	// writing of its response.
 	localResponseTimeout = 10 * time.Second
 	// callDeadlineGrace is how long after the deadline of a call its request may be
 	// read and its response written, so that a refusal still reaches the caller.
 	callDeadlineGrace = time.Second
 )
 
-// setLocalResponseDeadline bounds the writing of a response to a request without a
-// deadline of its own. Every request sets the deadlines again, as they persist on the
+// setLocalDeadlines bounds the reading of a request without a deadline of its own and the
+// writing of its response. Every request sets the deadlines again, as they persist on the
 // connection.
-func setLocalResponseDeadline(w http.ResponseWriter, now time.Time) {
+func setLocalDeadlines(w http.ResponseWriter, now time.Time) {
+	setReadDeadline(w, now.Add(localResponseTimeout))
 	setWriteDeadline(w, now.Add(localResponseTimeout))
 }
 
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -119,7 +120,7 @@
 // ServeHTTP serves a call, or the endpoint list under wire.PathPrefix.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer h.Drainer.EnterCall()()
-	setLocalResponseDeadline(w, time.Now())
+	setLocalDeadlines(w, time.Now())
 	if h.Drainer.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -133,41 +134,47 @@
 
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
 	rec := newAccessRecord(r)
+	if h.respond(w, r, rec) {
+		return
+	}
+	// The error is ignored: the caller has its response, and the connection is closed.
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// respond responds to the call. It returns false if the rest of the request is still to be read.
+func (h *Handler) respond(w http.ResponseWriter, r *http.Request, rec *AccessRecord) (complete bool) {
 	defer h.reportCallEnd(rec)
 	r = r.WithContext(attempt.WithTrace(r.Context(), &rec.Trace))
 	w = &statusRecorder{ResponseWriter: w, record: rec, drainer: h.Drainer}
 	t := h.Tree.Tree()
 	if t == nil {
-		h.refuse(w, h.settleEarlyRefusal(r, noConfiguration()))
-		return
+		return h.refuseUnread(w, r, h.settleEarlyRefusal(r, noConfiguration()))
 	}
 	c, refusal := newCall(t, r, time.Now())
 	if refusal != nil {
 		if refusal.Reason == outcome.ReasonNoRoute && h.IsBehind != nil && h.IsBehind() {
 			refusal = configurationBehind()
 		}
-		h.refuse(w, h.settleEarlyRefusal(r, refusal))
-		return
+		return h.refuseUnread(w, r, h.settleEarlyRefusal(r, refusal))
 	}
 	c.match = c.match.PickDestination(h.destinationCounter.Add(1))
 	h.applyRank(&c.match, r)
 	rec.setCall(t, c)
 	setCallDeadlines(w, c.deadline)
 	if refusal := h.stopRefusal(c); refusal != nil {
-		h.refuse(w, refusal)
-		return
+		return h.refuseUnread(w, r, refusal)
 	}
 	if !c.match.Route.Upload || h.BufferUploads {
 		body, refusal := h.bufferBody(w, r, &c)
 		if refusal != nil {
-			h.refuse(w, h.settleEarlyRefusal(r, refusal))
-			return
+			return h.refuseUnread(w, r, h.settleEarlyRefusal(r, refusal))
 		}
 		defer body.Release()
 	}
 	start := time.Now()
 	result := h.serveMatched(w, r, c)
 	h.stats.forMatch(c.match).observe(result, time.Since(start))
+	return true
 }
 
 // stopRefusal returns a refusal if the entry stops before the call could end. An operation may
