Match routes by the path as it was sent, with its escaped slashes

Cause: matching took URL.Path, in which an escaped slash can't be told from one that ends a segment. tree.PathOf keeps it; other escapes match as before, and what is forwarded does not change. The endpoint list is recognized the same way.

--- a/internal/frontend/call.go
+++ b/internal/frontend/call.go
@@ -32,7 +32,7 @@
 
 // newCall matches the route and validates a request, except for its body.
 func newCall(t *tree.Tree, r *http.Request, now time.Time) (call, *outcome.Refusal) {
-	m, ok := t.Match(r.Host, r.Method, r.URL.Path)
+	m, ok := t.Match(r.Host, r.Method, tree.PathOf(r.URL))
 	if !ok {
 		detail := fmt.Sprintf("no route for %s %s on host %q", r.Method, r.URL.Path, r.Host)
 		return call{}, outcome.NewNotRun(http.StatusNotFound, outcome.ReasonNoRoute, detail)
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -124,7 +124,7 @@
 	if h.Drainer.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	if h.endpoints != nil && strings.HasPrefix(r.URL.Path, wire.PathPrefix) {
+	if h.endpoints != nil && strings.HasPrefix(tree.PathOf(r.URL), wire.PathPrefix) {
 		h.endpoints.ServeHTTP(w, r)
 		return
 	}
--- a/internal/frontend/handler_test.go
+++ b/internal/frontend/handler_test.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// A request with an escaped slash is not run by the service of another prefix (review, case 5).
+func TestEscapedSlashSelectsNoOtherRoute(t *testing.T) {
+	for path, want := range map[string]string{"/orders/x": "payments", "/orders%2Fx": "lookups"} {
+		h := newHarness(t)
+		h.tree.Services[0].Routes[1].Methods = nil
+		h.send("POST", path, "", wire.HeaderOperation, h.newID("1"))
+		if h.lastRank != want {
+			t.Errorf("%s ran with rank %q, want %q", path, h.lastRank, want)
+		}
+	}
+}
+
 func TestRetryGetsTheStoredResponseAndDoesNotRun(t *testing.T) {
 	h := newHarness(t)
 	id := h.newID("1")
--- a/internal/tree/hostroute_test.go
+++ b/internal/tree/hostroute_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"strings"
 	"testing"
 
@@ -42,6 +43,35 @@
 	}
 }
 
+// An escaped slash does not end a segment, so that a request with one runs at the service of the
+// longest prefix that begins its path as it was sent (review, case 5). Other escapes are those of
+// the same path.
+func TestEscapedSlashBeginsNoSegment(t *testing.T) {
+	tr := hostRouteTree(1)
+	for _, c := range []struct {
+		sent, path, prefix string
+	}{
+		{"/a/b%2Fx", "/a/b%2Fx", "/a/"},
+		{"/a%2fb/x", "/a%2Fb/x", ""},
+		{"/a/b/x%2Fy", "/a/b/x%2Fy", "/a/b/"},
+		{"/%61/b/x", "/a/b/x", "/a/b/"},
+		{"/a/b/x%20y%2f%C3%A9", "/a/b/x y%2Fé", "/a/b/"},
+		{"/a/b/x", "/a/b/x", "/a/b/"},
+	} {
+		u, err := url.ParseRequestURI(c.sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := PathOf(u); got != c.path {
+			t.Errorf("%s: path %q, want %q", c.sent, got, c.path)
+		}
+		m, ok := tr.Match("shop.example", "GET", PathOf(u))
+		if ok != (c.prefix != "") || ok && m.Route.PathPrefix != c.prefix {
+			t.Errorf("%s: matched %v, route %+v, want prefix %q", c.sent, ok, m.Route, c.prefix)
+		}
+	}
+}
+
 // The share of each destination is close to its weight even over few calls.
 func TestPickDestinationKeepsTheWeights(t *testing.T) {
 	const calls = 300
--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/url"
 	"slices"
 	"strings"
 )
@@ -15,6 +16,21 @@
 	weighted *HostRoute // nil unless a HostRoute matched
 }
 
+// PathOf returns the path of a request as Match takes it: unescaped, but for escaped slashes, which
+// stay "%2F". A slash that is escaped is part of a segment and does not end it.
+func PathOf(u *url.URL) string {
+	if u.RawPath == "" {
+		return u.Path
+	}
+	segments := strings.Split(u.EscapedPath(), "/")
+	for i, s := range segments {
+		if plain, err := url.PathUnescape(s); err == nil {
+			segments[i] = strings.ReplaceAll(plain, "/", "%2F")
+		}
+	}
+	return strings.Join(segments, "/")
+}
+
 // Match returns the route of a request, or false if no route matches. The port of
 // the host is ignored.
 func (t *Tree) Match(host, method, path string) (Match, bool) {
