Admit small requests beside uploads that will not all fit

Found by reading the new budget: uploads that began together may be expected to exceed the memory for all bodies. Each other request was then refused with 503 body_memory as well, even one without a body, although there was memory for it.

Each kind of bodies is weighed only by what is expected of its own kind; the memory in use bounds both.

--- a/internal/buffer/body.go
+++ b/internal/buffer/body.go
@@ -116,6 +116,6 @@
 
 // Release returns the memory to the budget. It must be called once, when the request has ended.
 func (b *Body) Release() {
-	b.budget.release(b.held, b.remaining)
+	b.budget.release(b.held, b.remaining, b.upload)
 	b.held, b.remaining = 0, 0
 }
--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -27,10 +27,12 @@
 	gauge tally.Gauge
 
 	mu sync.Mutex // guards the fields below
-	// held is the memory of all bodies, expected the memory with a share of what is still to come,
-	// both in bytes.
-	held     int64
-	expected float64
+	// held is the memory of all bodies in bytes.
+	held int64
+	// expectedUploads and expectedOthers are the memory of the bodies of each kind with a share of
+	// what is still to come. They are apart because uploads that have begun may be expected to
+	// exceed their share, which is no reason to refuse others.
+	expectedUploads, expectedOthers float64
 }
 
 // NewBudget returns a budget of limit bytes; zero means no limit.
@@ -61,18 +63,27 @@
 }
 
 // admit counts the bytes still to come of a new body, or returns false if it is not expected to
-// fit beside those that are held or still to come.
+// fit beside those of its kind.
 func (b *Budget) admit(remaining int64, upload bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	expected := b.expected + remainingShare*float64(remaining)
-	if b.limit > 0 && expected > float64(b.MaxBytes(upload)) {
+	expected := b.expected(upload)
+	more := remainingShare * float64(remaining)
+	if b.limit > 0 && *expected+more > float64(b.MaxBytes(upload)) {
 		return false
 	}
-	b.expected = expected
+	*expected += more
 	return true
 }
 
+// expected returns the counter of a kind of bodies. b.mu must be held.
+func (b *Budget) expected(upload bool) *float64 {
+	if upload {
+		return &b.expectedUploads
+	}
+	return &b.expectedOthers
+}
+
 // grow takes n bytes, of which announced were counted by admit, or returns false if there is no
 // memory for them.
 func (b *Budget) grow(n, announced int64, upload bool) bool {
@@ -82,16 +93,16 @@
 		return false
 	}
 	b.held += n
-	b.expected += float64(n) - remainingShare*float64(announced)
+	*b.expected(upload) += float64(n) - remainingShare*float64(announced)
 	b.gauge.Update(float64(b.held))
 	return true
 }
 
 // release returns n bytes, and the count of those that did not come.
-func (b *Budget) release(n, remaining int64) {
+func (b *Budget) release(n, remaining int64, upload bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.held -= n
-	b.expected -= float64(n) + remainingShare*float64(remaining)
+	*b.expected(upload) -= float64(n) + remainingShare*float64(remaining)
 	b.gauge.Update(float64(b.held))
 }
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -14,6 +14,13 @@
 
 func newBudget(limit int64) *Budget { return NewBudget(limit, tally.NoopScope) }
 
+func checkEmpty(t *testing.T, b *Budget) {
+	t.Helper()
+	if b.held != 0 || b.expectedUploads != 0 || b.expectedOthers != 0 {
+		t.Errorf("%d bytes held, %v and %v expected after the end", b.held, b.expectedUploads, b.expectedOthers)
+	}
+}
+
 // A body comes out as it came in, whatever its size, and its memory is returned.
 func TestBodiesOfAllSizes(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
@@ -41,9 +48,7 @@
 			t.Errorf("%d bytes held for a body of %d", b.held, length)
 		}
 		body.Release()
-		if b.held != 0 || b.expected != 0 {
-			t.Errorf("%d bytes held and %v expected after the end", b.held, b.expected)
-		}
+		checkEmpty(t, b)
 	}
 }
 
@@ -83,9 +88,7 @@
 	for _, h := range append(held[1:], again) {
 		h.Release()
 	}
-	if b.held != 0 || b.expected != 0 {
-		t.Errorf("%d bytes held and %v expected after the end", b.held, b.expected)
-	}
+	checkEmpty(t, b)
 }
 
 // Bodies that have begun at the same time, and grow together beyond the budget, never take more
@@ -123,6 +126,36 @@
 	}
 }
 
+// Uploads that began together and will not all fit are no reason to refuse a request that fits, with
+// or without a body.
+func TestSmallBodiesBesideUploadsThatGrow(t *testing.T) {
+	const limit, size, count = 10 << 20, 1 << 20, 16
+	b := newBudget(limit)
+	var uploads [count]Body
+	for i := range uploads {
+		uploads[i] = Body{budget: b, upload: true, remaining: size}
+		if !b.admit(size, true) {
+			t.Fatalf("upload %d was not admitted", i)
+		}
+	}
+	for i := range uploads {
+		if err := uploads[i].readFrom(io.LimitReader(zeros{}, size/2), size/2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, content := range []string{"", "one jar kit"} {
+		body, err := b.Read(strings.NewReader(content), int64(len(content)), false)
+		if err != nil {
+			t.Fatalf("body of %d bytes: %v", len(content), err)
+		}
+		body.Release()
+	}
+	for i := range uploads {
+		uploads[i].Release()
+	}
+	checkEmpty(t, b)
+}
+
 // A body that ends before its announced length, or fails, is an error and keeps no memory.
 func TestBrokenBodies(t *testing.T) {
 	failed := errors.New("connection reset")
@@ -142,9 +175,7 @@
 		if _, err := b.Read(c.reader, c.length, false); !errors.Is(err, c.want) {
 			t.Errorf("%s: got error %v, want %v", c.name, err, c.want)
 		}
-		if b.held != 0 || b.expected != 0 {
-			t.Errorf("%s: %d bytes held and %v expected after the end", c.name, b.held, b.expected)
-		}
+		checkEmpty(t, b)
 	}
 }
 
