Deliver refusals of streamed uploads to callers that still send

The native program streams uploads. One that the Runner refused (queue full, no server) ended with a reset as well, if the caller read only after it had sent everything: only the refusals before the body was read went the new way.

Each refusal goes through the same step now, which knows whether the body may be unread. The case "streamed, queue full" of TestRefusalReachesACallerThatStillSends fails before ("broken pipe").

--- a/internal/frontend/body_test.go
+++ b/internal/frontend/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 
 	"chestnutrouter.example/chestnutrouter/internal/buffer"
 	"chestnutrouter.example/chestnutrouter/internal/drain"
+	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"chestnutrouter.example/chestnutrouter/internal/wire"
@@ -115,20 +117,28 @@
 		refuse func(t *testing.T, h *harness, server *httptest.Server)
 		reason outcome.Reason
 		status int
+		// streamed uploads are refused by the Runner, before their body is read.
+		streamed bool
 	}{
 		{"no memory", func(t *testing.T, h *harness, server *httptest.Server) {
 			h.Bodies = buffer.NewBudget(testUploadBytes*3/2, tally.NoopScope)
 			beginUpload(t, server, testUploadBytes-1)
 			waitForHeldBytes(t, h, testUploadBytes)
-		}, outcome.ReasonBodyMemory, http.StatusServiceUnavailable},
+		}, outcome.ReasonBodyMemory, http.StatusServiceUnavailable, false},
 		{"more than all memory", func(_ *testing.T, h *harness, _ *httptest.Server) {
 			h.Bodies = buffer.NewBudget(testUploadBytes, tally.NoopScope)
-		}, outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge},
-		{"no configuration", func(_ *testing.T, h *harness, _ *httptest.Server) { h.tree = nil }, outcome.ReasonNoConfiguration, http.StatusServiceUnavailable},
-		{"stopping", func(_ *testing.T, h *harness, _ *httptest.Server) { h.Drainer.Start(drain.Plan{}) }, outcome.ReasonStopping, http.StatusServiceUnavailable},
+		}, outcome.ReasonTooLarge, http.StatusRequestEntityTooLarge, false},
+		{"no configuration", func(_ *testing.T, h *harness, _ *httptest.Server) { h.tree = nil }, outcome.ReasonNoConfiguration, http.StatusServiceUnavailable, false},
+		{"stopping", func(_ *testing.T, h *harness, _ *httptest.Server) { h.Drainer.Start(drain.Plan{}) }, outcome.ReasonStopping, http.StatusServiceUnavailable, false},
+		{"streamed, queue full", func(_ *testing.T, h *harness, _ *httptest.Server) {
+			h.respond = func(context.Context, *http.Request) (*forward.Response, *outcome.Refusal) {
+				return nil, outcome.NewNotRun(http.StatusServiceUnavailable, outcome.ReasonQueueFull, "the queue is full")
+			}
+		}, outcome.ReasonQueueFull, http.StatusServiceUnavailable, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h, server := newUploadServer(t)
+			h.BufferUploads = !c.streamed
 			c.refuse(t, h, server)
 			// net/http closes a connection with an unread body after half a second.
 			got := endUpload(t, beginUpload(t, server, 0), 0, 1500*time.Millisecond)
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -134,47 +134,50 @@
 
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
 	rec := newAccessRecord(r)
-	if h.respond(w, r, rec) {
-		return
+	recorder := &statusRecorder{ResponseWriter: w, record: rec, drainer: h.Drainer, unread: isLarge(r)}
+	h.respond(recorder, r, rec)
+	if recorder.unread && rec.Refusal != nil {
+		// The error is ignored: the caller has its response, and the connection is closed.
+		_, _ = io.Copy(io.Discard, r.Body)
 	}
-	// The error is ignored: the caller has its response, and the connection is closed.
-	_, _ = io.Copy(io.Discard, r.Body)
 }
 
-// respond responds to the call. It returns false if the rest of the request is still to be read.
-func (h *Handler) respond(w http.ResponseWriter, r *http.Request, rec *AccessRecord) (complete bool) {
+func (h *Handler) respond(w *statusRecorder, r *http.Request, rec *AccessRecord) {
 	defer h.reportCallEnd(rec)
 	r = r.WithContext(attempt.WithTrace(r.Context(), &rec.Trace))
-	w = &statusRecorder{ResponseWriter: w, record: rec, drainer: h.Drainer}
 	t := h.Tree.Tree()
 	if t == nil {
-		return h.refuseUnread(w, r, h.settleEarlyRefusal(r, noConfiguration()))
+		h.refuse(w, h.settleEarlyRefusal(r, noConfiguration()))
+		return
 	}
 	c, refusal := newCall(t, r, time.Now())
 	if refusal != nil {
 		if refusal.Reason == outcome.ReasonNoRoute && h.IsBehind != nil && h.IsBehind() {
 			refusal = configurationBehind()
 		}
-		return h.refuseUnread(w, r, h.settleEarlyRefusal(r, refusal))
+		h.refuse(w, h.settleEarlyRefusal(r, refusal))
+		return
 	}
 	c.match = c.match.PickDestination(h.destinationCounter.Add(1))
 	h.applyRank(&c.match, r)
 	rec.setCall(t, c)
 	setCallDeadlines(w, c.deadline)
 	if refusal := h.stopRefusal(c); refusal != nil {
-		return h.refuseUnread(w, r, refusal)
+		h.refuse(w, refusal)
+		return
 	}
 	if !c.match.Route.Upload || h.BufferUploads {
 		body, refusal := h.bufferBody(w, r, &c)
 		if refusal != nil {
-			return h.refuseUnread(w, r, h.settleEarlyRefusal(r, refusal))
+			h.refuse(w, h.settleEarlyRefusal(r, refusal))
+			return
 		}
 		defer body.Release()
+		w.unread = false
 	}
 	start := time.Now()
 	result := h.serveMatched(w, r, c)
 	h.stats.forMatch(c.match).observe(result, time.Since(start))
-	return true
 }
 
 // stopRefusal returns a refusal if the entry stops before the call could end. An operation may
--- a/internal/frontend/record.go
+++ b/internal/frontend/record.go
@@ -53,6 +53,9 @@
 	http.ResponseWriter
 	record  *AccessRecord
 	drainer *drain.Drainer
+	// unread reports whether more of the request's body may be unread than net/http reads by
+	// itself before it closes the connection.
+	unread bool
 }
 
 // WriteHeader records the status and sends it. The drain may have begun after the request.
@@ -67,8 +70,31 @@
 // Unwrap lets http.ResponseController reach the connection.
 func (w *statusRecorder) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-func recordRefusal(w http.ResponseWriter, refusal *outcome.Refusal) {
-	if r, ok := w.(*statusRecorder); ok {
-		r.record.Refusal = refusal
+// recordRefusal records why the entry responds itself, before it does. The returned function must be
+// called after the response has been written.
+//
+// If the body is unread, the response is sent at once and the rest of the body is read after it. If
+// the connection were closed, a caller that reads only after it has sent everything would lose the
+// response, and with it the promise that its request did not run.
+func recordRefusal(w http.ResponseWriter, refusal *outcome.Refusal) (flush func()) {
+	r, ok := w.(*statusRecorder)
+	if !ok {
+		return func() {}
 	}
+	r.record.Refusal = refusal
+	controller := http.NewResponseController(r.ResponseWriter)
+	if !r.unread || controller.EnableFullDuplex() != nil {
+		return func() {}
+	}
+	r.Header().Set("Connection", "close")
+	// An error of Flush shows again when the rest of the body is read.
+	return func() { _ = controller.Flush() }
+}
+
+// maxUnreadBytes is the rest of a body that net/http reads by itself before it responds.
+const maxUnreadBytes = 256 << 10
+
+// isLarge reports whether the request's body may have more than maxUnreadBytes.
+func isLarge(r *http.Request) bool {
+	return r.ContentLength < 0 || r.ContentLength > maxUnreadBytes
 }
--- a/internal/frontend/refusal.go
+++ b/internal/frontend/refusal.go
@@ -29,35 +29,15 @@
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", h.formatRetryAfter(r.RetryAfter))
 	}
-	recordRefusal(w, r)
+	flush := recordRefusal(w, r)
 	w.WriteHeader(r.Status)
 	// The error is ignored: a caller that hung up only misses the text, and the
 	// refusal is counted.
 	_ = json.NewEncoder(w).Encode(refusalBody{r.Outcome, r.Reason, r.Detail})
+	flush()
 	return r.Outcome
 }
 
-// maxUnreadBytes is the rest of a body that net/http reads by itself before it responds.
-const maxUnreadBytes = 256 << 10
-
-// refuseUnread refuses a request whose body has not been read to its end. It returns false if the
-// response has been sent and the rest of the body is still to be read: if the connection were
-// closed, a caller that reads only after it has sent everything would lose the response, and with it
-// the promise that its request did not run.
-func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, refusal *outcome.Refusal) (complete bool) {
-	controller := http.NewResponseController(w)
-	isSmall := r.ContentLength >= 0 && r.ContentLength <= maxUnreadBytes
-	if isSmall || controller.EnableFullDuplex() != nil {
-		h.refuse(w, refusal)
-		return true
-	}
-	w.Header().Set("Connection", "close")
-	h.refuse(w, refusal)
-	// An error shows again when the rest is read.
-	_ = controller.Flush()
-	return false
-}
-
 // formatRetryAfter returns the header's value: whole seconds, rounded up, unless
 // FractionalRetryAfter is set.
 func (h *Handler) formatRetryAfter(wait time.Duration) string {
