End a refusal that is sent before the rest of its request is read

A refusal to a caller that still sends was written without a length, so its last chunk came only after the rest of the request had been read: a caller that stops sending, or waits for 100 Continue, had the status at once and the end of the response at its deadline.

Refusals carry a Content-Length, so the response is whole at once.

--- a/internal/frontend/body_test.go
+++ b/internal/frontend/body_test.go
@@ -148,3 +148,28 @@
 		})
 	}
 }
+
+// A caller that waits for 100 Continue before it sends its body gets the refusal in its place.
+func TestRefusalInPlaceOf100Continue(t *testing.T) {
+	h, server := newUploadServer(t)
+	h.Drainer.Start(drain.Plan{})
+	conn := dialAndSend(t, server, fmt.Sprintf("POST /uploads/scan HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n", testHost, testUploadBytes))
+	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503 at once", response.StatusCode)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Error(err)
+	}
+	conn.(*net.TCPConn).CloseWrite()
+	if rest, err := io.ReadAll(reader); err != nil || len(rest) > 0 {
+		t.Errorf("after the response: %q, error %v, want the end of the connection", rest, err)
+	}
+}
--- a/internal/frontend/refusal.go
+++ b/internal/frontend/refusal.go
@@ -29,11 +29,16 @@
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", h.formatRetryAfter(r.RetryAfter))
 	}
+	// Strings always have an encoding.
+	body, _ := json.Marshal(refusalBody{r.Outcome, r.Reason, r.Detail})
+	body = append(body, '\n')
+	// The length ends the response for a caller whose request is still to be read.
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	flush := recordRefusal(w, r)
 	w.WriteHeader(r.Status)
 	// The error is ignored: a caller that hung up only misses the text, and the
 	// refusal is counted.
-	_ = json.NewEncoder(w).Encode(refusalBody{r.Outcome, r.Reason, r.Detail})
+	_, _ = w.Write(body)
 	flush()
 	return r.Outcome
 }
