Join the body of an operation before it is first read

The native program joins the blocks of a body for its fingerprint. A reader that was made before kept the blocks, so such a body took twice its memory until it was sent.

--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -38,10 +38,10 @@
 		return nil, outcome.NewNotRun(http.StatusBadRequest, outcome.ReasonMalformed, detail)
 	}
 	clearReadDeadline(w)
-	setBody(r, body)
 	if h.Operations != nil {
 		c.body = body.Bytes()
 	}
+	setBody(r, body)
 	return body, nil
 }
 
