Unescape prefixes of routes as paths are unescaped

Related to the escaped slash: a prefix with an escape in it was compared as it stands with an unescaped path, so it matched no request and its route answered 404. Prefixes and paths go through the same function now. TestPrefixWithEscapes fails before for /jars%20and%20kits/ and /gr%C3%B6%C3%9Fe/.

--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -16,13 +16,19 @@
 	weighted *HostRoute // nil unless a HostRoute matched
 }
 
-// PathOf returns the path of a request as Match takes it: unescaped, but for escaped slashes, which
-// stay "%2F". A slash that is escaped is part of a segment and does not end it.
+// PathOf returns the path of a request as Match takes it.
 func PathOf(u *url.URL) string {
 	if u.RawPath == "" {
 		return u.Path
 	}
-	segments := strings.Split(u.EscapedPath(), "/")
+	return UnescapePath(u.EscapedPath())
+}
+
+// UnescapePath returns the path unescaped, but for escaped slashes, which stay "%2F": a slash that
+// is escaped is part of a segment and does not end it. A segment without valid escapes stays as it
+// is.
+func UnescapePath(escaped string) string {
+	segments := strings.Split(escaped, "/")
 	for i, s := range segments {
 		if plain, err := url.PathUnescape(s); err == nil {
 			segments[i] = strings.ReplaceAll(plain, "/", "%2F")
