--- a/internal/frontend/body_test.go
+++ b/internal/frontend/body_test.go
@@ -168,7 +168,9 @@
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		t.Error(err)
 	}
-	conn.(*net.TCPConn).CloseWrite()
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
 	if rest, err := io.ReadAll(reader); err != nil || len(rest) > 0 {
 		t.Errorf("after the response: %q, error %v, want the end of the connection", rest, err)
 	}
