--- a/internal/frontend/body_test.go
+++ b/internal/frontend/body_test.go
@@ -98,11 +98,12 @@
 	if got := endUpload(t, beginUpload(t, server, 0), 0, 0); got.StatusCode != http.StatusOK {
 		t.Errorf("upload after the others: status %d, want 200", got.StatusCode)
 	}
+	waitForHeldBytes(t, h, 0)
 }
 
 func waitForHeldBytes(t *testing.T, h *harness, want int64) {
 	t.Helper()
-	for deadline := time.Now().Add(testTimeout); h.Bodies.Held() < want; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(testTimeout); h.Bodies.Held() != want; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%d bytes held, want %d", h.Bodies.Held(), want)
 		}
