Never refuse a request without a body for the lack of memory

Large bodies that grow together may be expected to exceed the budget; a lookup was then refused with 503 body_memory although it needs none. TestRequestWithoutABodyIsAlwaysAdmitted fails before.

--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -63,13 +63,14 @@
 }
 
 // admit counts the bytes still to come of a new body, or returns false if it is not expected to
-// fit beside those of its kind.
+// fit beside those of its kind. A request without a body, or with one of unknown length, is always
+// admitted.
 func (b *Budget) admit(remaining int64, upload bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	expected := b.expected(upload)
 	more := remainingShare * float64(remaining)
-	if b.limit > 0 && *expected+more > float64(b.MaxBytes(upload)) {
+	if b.limit > 0 && more > 0 && *expected+more > float64(b.MaxBytes(upload)) {
 		return false
 	}
 	*expected += more
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -52,8 +53,8 @@
 	}
 }
 
-// More bodies than fit are refused before the memory of the machine is exceeded, those that have
-// begun last, and what was refused returns its memory (review, case 2).
+// Of more bodies than fit, those that begin last are refused before the memory of the VM is
+// exceeded, and what was refused returns its memory (review, case 2).
 func TestBodiesBeyondTheBudgetAreRefused(t *testing.T) {
 	const limit, size = 10 << 20, 1 << 20
 	b := newBudget(limit)
@@ -156,6 +157,17 @@
 	checkEmpty(t, b)
 }
 
+// A request without a body needs no memory, so it is never refused for the lack of it.
+func TestRequestWithoutABodyIsAlwaysAdmitted(t *testing.T) {
+	for _, upload := range []bool{false, true} {
+		b := newBudget(1 << 20)
+		b.expectedUploads, b.expectedOthers = 2<<20, 2<<20
+		if _, err := b.Read(http.NoBody, 0, upload); err != nil {
+			t.Errorf("upload %v: %v", upload, err)
+		}
+	}
+}
+
 // A body that ends before its announced length, or fails, is an error and keeps no memory.
 func TestBrokenBodies(t *testing.T) {
 	failed := errors.New("connection reset")
