--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -142,6 +142,7 @@
 	}
 }
 
+// respond writes the response to the call.
 func (h *Handler) respond(w *statusRecorder, r *http.Request, rec *AccessRecord) {
 	defer h.reportCallEnd(rec)
 	r = r.WithContext(attempt.WithTrace(r.Context(), &rec.Trace))
