--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -16,6 +16,9 @@
 	// length (2 bytes) and the heartbeat.
 	kindRelay = 0xB3
 	kindBatch = 0xB4
+	// kindQuestion and kindAnswer carry a query: the topic, an id (8 bytes) and the payload.
+	kindQuestion = 0xB5
+	kindAnswer   = 0xB6
 )
 
 const (
@@ -92,6 +95,9 @@
 
 var errMalformedHeartbeat = errors.New("malformed heartbeat")
 
+// ErrQueryTooLarge is returned for a question that does not fit into one datagram.
+var ErrQueryTooLarge = errors.New("the question of a query is too large")
+
 // append appends the encoded heartbeat to out.
 func (hb *Heartbeat) append(out []byte) []byte {
 	out = append(out, kindHeartbeat)
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -80,6 +80,7 @@
 	relayCounter atomic.Uint64 // rotates over the relays of other zones
 	// relayAddresses is derived from view, nil before its first use; see relayTable.
 	relayAddresses atomic.Pointer[relayTable]
+	queries        queries
 
 	mu      sync.Mutex // guards the fields below
 	members map[netip.AddrPort]*memberState
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -48,6 +48,10 @@
 		n.relay(from, data[1:])
 	case kindBatch:
 		n.handleBatch(from, data[1:])
+	case kindQuestion:
+		n.handleQuestion(from, data[1:])
+	case kindAnswer:
+		n.handleAnswer(from, data[1:])
 	default:
 		n.count("malformed")
 	}
--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -12,6 +12,8 @@
 	Service *Service
 	Route   *Route
 	Rank    Rank
+	// Tenant is the tenant of an authenticated request, otherwise nil.
+	Tenant *Tenant
 
 	weighted *HostRoute // nil unless a HostRoute matched
 }
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -32,6 +32,9 @@
 	// not matched against the routes of the services. See IndexHostRoutes.
 	HostRoutes map[string][]*HostRoute
 
+	// Tenants are the customers whose callers send keys; if there are none, requests carry none.
+	Tenants []*Tenant
+
 	hostIndex map[string]map[string]*HostRoute // HostRoutes by host and prefix
 }
 
@@ -98,6 +101,8 @@
 	// MaxAttempts is the maximum number of backend servers that one call is sent to;
 	// zero uses the default of package attempt.
 	MaxAttempts int
+	// Public calls need no key in a tree with tenants.
+	Public bool
 }
 
 // Rank is the effective policy of one rank (priority class) of a service.
