--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -30,7 +30,8 @@
 
 func refuseDeadline() *outcome.Refusal {
 	const detail = "the deadline passed before the request was sent to a backend server"
-	return outcome.NewNotRun(http.StatusGatewayTimeout, outcome.ReasonDeadline, detail)
+	// Not 504, which does not say that the request was not run.
+	return refuseBusy(outcome.ReasonDeadline, detail, 0)
 }
 
 func refuseGone() *outcome.Refusal {
--- a/internal/admission/refusal_test.go
+++ b/internal/admission/refusal_test.go
@@ -63,8 +63,8 @@
 			request: Request{Rank: "lookups"}, retryAfter: true,
 		},
 		{reason: outcome.ReasonQueueWait, request: Request{Rank: "lookups"}, timeout: time.Minute, retryAfter: true},
-		{reason: outcome.ReasonDeadline, request: Request{Rank: "lookups", Deadline: time.Unix(1, 0)}},
-		{reason: outcome.ReasonDeadline, request: Request{Rank: "lookups"}, timeout: shortWait},
+		{reason: outcome.ReasonDeadline, request: Request{Rank: "lookups", Deadline: time.Unix(1, 0)}, retryAfter: true},
+		{reason: outcome.ReasonDeadline, request: Request{Rank: "lookups"}, timeout: shortWait, retryAfter: true},
 		{
 			reason:  outcome.ReasonCallerGone,
 			request: Request{Rank: "lookups"},
--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -107,7 +107,7 @@
 }
 
 func failureRefusal(f *forward.SendError) *outcome.Refusal {
-	if f.Reason == outcome.ReasonDeadline {
+	if f.Reason == outcome.ReasonDeadline && f.Outcome != outcome.NotRun {
 		return &outcome.Refusal{
 			Outcome: f.Outcome, Reason: f.Reason, Status: http.StatusGatewayTimeout,
 			Detail: "the deadline passed at backend server " + f.Server,
