A listener that is closed twice is no error of a planned stop

http.Server.Shutdown closes the listener again if Serve has not returned since StopAccepting closed it, and returns "use of closed network connection". The daemon then logged that requests were cut and ended with status 1, with none in progress. TestListenerThatIsClosedTwiceIsNoError failed before.

--- a/internal/drain/close.go
+++ b/internal/drain/close.go
@@ -87,6 +87,10 @@
 	ctx, cancel := context.WithDeadline(ctx, d.schedule.Load().closeAt)
 	defer cancel()
 	err := server.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		// Serve has not returned since StopAccepting closed the listener. The connections are closed.
+		err = nil
+	}
 	seal()
 	if err == nil {
 		err = d.Wait(ctx)
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -182,3 +182,44 @@
 		t.Errorf("got error %v with a request in progress at the end, want %v", err, context.DeadlineExceeded)
 	}
 }
+
+// lateListener is a closed listener whose Accept has not returned yet, as that of a server whose
+// goroutine was not scheduled since.
+type lateListener struct {
+	net.Listener
+	accepting, closed chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	close(l.accepting)
+	<-l.closed
+	return l.Listener.Accept()
+}
+
+func (l *lateListener) Close() error {
+	defer close(l.closed)
+	return l.Listener.Close()
+}
+
+// The server closes its listener once more if Serve has not returned since StopAccepting closed it.
+// No request is cut by that, so the stop must not end with an error.
+func TestListenerThatIsClosedTwiceIsNoError(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &lateListener{Listener: inner, accepting: make(chan struct{}), closed: make(chan struct{})}
+	server, served := &http.Server{}, make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(l)
+	}()
+	<-l.accepting
+	d := New()
+	d.Start(Plan{MaxAccept: time.Millisecond, CloseAfter: 10 * time.Second})
+	d.StopAccepting(t.Context(), inner)
+	if err := d.CloseConnections(t.Context(), server, func() {}); err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+	<-served
+}
--- a/test/process/members_test.go
+++ b/test/process/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -111,6 +112,7 @@
 	}
 	e.Stop()
 	if e.ExitCode() != 0 {
-		t.Errorf("got exit code %d, want 0", e.ExitCode())
+		log, err := os.ReadFile(e.LogFile())
+		t.Errorf("got exit code %d, want 0; log (%v):\n%s", e.ExitCode(), err, log)
 	}
 }
