Authenticate requests by the keys of tenants

Where the configuration has tenants, a request carries a tenant's key, unless its route is public. A key of two tenants makes a configuration unusable; tenants beyond the routes' priorities add ranks.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -132,7 +132,10 @@
 	if body != nil && body != http.NoBody && r.ContentLength != 0 {
 		a.body = &requestBody{reader: body}
 		out.Body = a.body
-		out.Trailer = r.Trailer
+		if !a.match.HasTenants {
+			// A trailer could name a tenant that the entry has not authenticated.
+			out.Trailer = r.Trailer
+		}
 		if !a.opts.DisableExpectContinue && wantsContinue(a.match.Route, r.ContentLength) {
 			out.Header.Set("Expect", "100-continue")
 			// Without Close the transport sends the body even after the server has
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -93,6 +93,9 @@
 	// exist; nil means never. A request without a route is then refused for the moment,
 	// as its route may be new.
 	IsBehind func() bool
+	// IsProven reports whether the tree is proven to have been the newest one recently enough to
+	// accept keys; nil means always.
+	IsProven func(*tree.Tree) bool
 	// OnCallEnd is called at the end of each call; it may be nil.
 	OnCallEnd func(*AccessRecord)
 }
@@ -153,13 +156,22 @@
 	}
 	c, refusal := newCall(t, r, time.Now())
 	if refusal != nil {
-		if refusal.Reason == outcome.ReasonNoRoute && h.IsBehind != nil && h.IsBehind() {
+		if refusal.Reason == outcome.ReasonNoRoute && h.isBehind() {
 			refusal = configurationBehind()
 		}
 		h.refuse(w, h.settleEarlyRefusal(r, refusal))
 		return
 	}
+	tenant, refusal := h.authenticate(t, c.match.Route, r)
+	if refusal != nil {
+		rec.setCall(t, c)
+		h.refuse(w, h.settleEarlyRefusal(r, refusal))
+		return
+	}
 	c.match = c.match.PickDestination(h.destinationCounter.Add(1))
+	if tenant != nil {
+		c.match = c.match.WithTenant(tenant)
+	}
 	h.applyRank(&c.match, r)
 	rec.setCall(t, c)
 	setCallDeadlines(w, c.deadline)
--- a/internal/frontend/record.go
+++ b/internal/frontend/record.go
@@ -18,6 +18,8 @@
 	Request *http.Request
 	// Service and Rank are empty if no route matched.
 	Service, Rank string
+	// Tenant is the name of the authenticated tenant, empty if there is none.
+	Tenant string
 	// Revision is the revision of the configuration that the call was matched with.
 	Revision int64
 	// Budget is the time from Began to the call's deadline.
@@ -38,11 +40,17 @@
 func (rec *AccessRecord) setCall(t *tree.Tree, c call) {
 	rec.Service = c.match.Service.Key()
 	rec.Rank = c.match.Rank.Name
+	if c.match.Tenant != nil {
+		rec.Tenant = c.match.Tenant.Name
+	}
 	rec.Revision = t.Revision
 	rec.Budget = c.deadline.Sub(rec.Began)
 }
 
 func (h *Handler) reportCallEnd(rec *AccessRecord) {
+	if rec.Tenant != "" {
+		h.stats.countTenantCall(rec)
+	}
 	if h.OnCallEnd != nil {
 		h.OnCallEnd(rec)
 	}
--- a/internal/frontend/stats.go
+++ b/internal/frontend/stats.go
@@ -18,6 +18,8 @@
 type stats struct {
 	scope tally.Scope
 	ranks sync.Map // rankKey -> *rankStats
+
+	tenants tenantCounters
 }
 
 type rankKey struct{ service, rank string }
--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -25,6 +25,9 @@
 		"status", rec.Status,
 		"steps", formatSteps(rec.Trace.Steps()),
 	}
+	if rec.Tenant != "" {
+		fields = append(fields, "tenant", rec.Tenant)
+	}
 	if rec.Refusal == nil {
 		l.events.Info("call", fields...)
 		return
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -273,7 +273,10 @@
 		Zone:           s.Zone,
 		Bootstrap:      s.Bootstrap,
 		View:           node.View,
-		OnTree:         a.setTree,
+		OnTree: func(t *tree.Tree) {
+			a.setTree(t)
+			logWarnings(events, t)
+		},
 		OnServers:      func(vms []fleet.VM) { a.setServers(vms) },
 		Events:         events,
 		Scope:          scope,
@@ -282,6 +285,19 @@
 	return storeSync
 }
 
+// maxLoggedWarnings bounds the log lines about one configuration.
+const maxLoggedWarnings = 16
+
+// logWarnings logs which values of an active configuration are not used.
+func logWarnings(events *eventlog.Logger, t *tree.Tree) {
+	for _, warning := range t.Warnings[:min(len(t.Warnings), maxLoggedWarnings)] {
+		events.Warn("configuration value not used", "revision", t.Revision, "value", warning)
+	}
+	if more := len(t.Warnings) - maxLoggedWarnings; more > 0 {
+		events.Warn("further configuration values not used", "revision", t.Revision, "values", more)
+	}
+}
+
 // apply sets this entry's share of the budget in each service of a tree that is not
 // active yet.
 func (b RetryBudget) apply(t *tree.Tree, entries int) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -21,6 +21,8 @@
 	// Refusals counts responses that the entry generates in place of a backend
 	// server.
 	Refusals = "refusals"
+	// TenantCalls counts the calls of each tenant by result.
+	TenantCalls = "tenant_calls"
 	// QueueRefusals counts requests and attempts that the rank queue refused.
 	QueueRefusals = "queue_refusals"
 	// Retries counts attempts that retry an earlier one.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -32,6 +32,8 @@
 	ReasonOperationMissing     Reason = "operation_missing"
 	ReasonOperationInvalid     Reason = "operation_invalid"
 	ReasonNoRoute              Reason = "no_route"
+	ReasonUnauthenticated      Reason = "unauthenticated"
+	ReasonUnproven             Reason = "configuration_unproven"
 	ReasonTooLarge             Reason = "too_large"
 	ReasonBodyMemory           Reason = "body_memory"
 	ReasonNoConfiguration      Reason = "no_configuration"
--- a/internal/tree/hostroute.go
+++ b/internal/tree/hostroute.go
@@ -57,7 +57,8 @@
 // uint64.
 const fibonacciMultiplier = 0x9e3779b97f4a7c15
 
-// PickDestination returns the match for the destination of a sequence number.
+// PickDestination returns the match for the destination of a sequence number, with the rank
+// of its route and no tenant.
 // Over consecutive numbers, the shares of the destinations follow the weights more
 // closely than with a random choice.
 func (m Match) PickDestination(sequence uint64) Match {
@@ -73,6 +74,7 @@
 		point -= d.Weight
 		if point < 0 {
 			if picked, ok := m.weighted.matchService(d.Service); ok {
+				picked.HasTenants = m.HasTenants
 				return picked
 			}
 			return m
--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -14,6 +14,9 @@
 	Rank    Rank
 	// Tenant is the tenant of an authenticated request, otherwise nil.
 	Tenant *Tenant
+	// HasTenants is set if the tree has tenants, so that the headers by which callers and
+	// entries name a tenant must not be forwarded as the caller sent them.
+	HasTenants bool
 
 	weighted *HostRoute // nil unless a HostRoute matched
 }
@@ -42,6 +45,12 @@
 // Match returns the route of a request, or false if no route matches. The port of
 // the host is ignored.
 func (t *Tree) Match(host, method, path string) (Match, bool) {
+	m, ok := t.match(host, method, path)
+	m.HasTenants = t.HasTenants()
+	return m, ok
+}
+
+func (t *Tree) match(host, method, path string) (Match, bool) {
 	name := hostName(host)
 	if byPrefix, ok := t.hostIndex[name]; ok {
 		return matchHostRoute(byPrefix, path)
--- a/internal/tree/tenant.go
+++ b/internal/tree/tenant.go
@@ -1,5 +1,11 @@
 package tree
 
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"strings"
+)
+
 // Tenant is a customer of the operator, known by the keys of its callers.
 type Tenant struct {
 	// Name is unique within the tree.
@@ -12,6 +18,63 @@
 	PerSecond, Burst float64
 }
 
+// KeyConflictError reports a key of two tenants. It does not contain the key.
+type KeyConflictError struct {
+	// Tenants are the names of the two tenants.
+	Tenants [2]string
+}
+
+// Error names the tenants.
+func (e *KeyConflictError) Error() string {
+	return "the tenants " + strings.Join(e.Tenants[:], " and ") + " have a key in common"
+}
+
+// keyHash is the hash of a tenant's key.
+type keyHash [sha256.Size]byte
+
+// hashSecret keys the hashes of this process, so that the time of a lookup says nothing about
+// the keys. It fills a block of the hash function.
+var hashSecret = func() (secret [sha256.BlockSize]byte) {
+	_, _ = rand.Read(secret[:]) // never fails
+	return secret
+}()
+
+// usualKeyBytes is the length of a key up to which its hash is computed without an allocation.
+const usualKeyBytes = 128
+
+// hashKey returns the keyed hash of a tenant's key. The hashes never leave the process.
+func hashKey(key string) keyHash {
+	var buffer [sha256.BlockSize + usualKeyBytes]byte
+	input := append(buffer[:0], hashSecret[:]...)
+	return sha256.Sum256(append(input, key...))
+}
+
+// AddTenant adds a tenant with its keys. It returns a *KeyConflictError if one of the keys is
+// another tenant's. It must not be called once the tree is in use.
+func (t *Tree) AddTenant(tenant *Tenant, keys ...string) error {
+	if t.tenantsByKey == nil {
+		t.tenantsByKey = map[keyHash]*Tenant{}
+	}
+	for _, key := range keys {
+		hash := hashKey(key)
+		if other := t.tenantsByKey[hash]; other != nil && other != tenant {
+			return &KeyConflictError{Tenants: [2]string{other.Name, tenant.Name}}
+		}
+		t.tenantsByKey[hash] = tenant
+	}
+	t.Tenants = append(t.Tenants, tenant)
+	return nil
+}
+
+// HasTenants reports whether requests must carry a tenant's key, unless their route is public.
+func (t *Tree) HasTenants() bool { return len(t.Tenants) > 0 }
+
+// TenantOf returns the tenant of a key.
+func (t *Tree) TenantOf(key string) (*Tenant, bool) {
+	tenant, ok := t.tenantsByKey[hashKey(key)]
+	return tenant, ok
+}
+
 // WithTenant returns the match for a request of the tenant, with the rank of the tenant if it
 // has one.
 func (m Match) WithTenant(tenant *Tenant) Match {
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -33,9 +33,15 @@
 	HostRoutes map[string][]*HostRoute
 
 	// Tenants are the customers whose callers send keys; if there are none, requests carry none.
+	// See AddTenant.
 	Tenants []*Tenant
+	// Digest identifies the content of the tree among those of the same revision.
+	Digest uint64
+	// Warnings say which values of the configuration are not used as they are written.
+	Warnings []string
 
-	hostIndex map[string]map[string]*HostRoute // HostRoutes by host and prefix
+	hostIndex    map[string]map[string]*HostRoute // HostRoutes by host and prefix
+	tenantsByKey map[keyHash]*Tenant
 }
 
 // Service is one service of a member after inheritance.
