Prove that the configuration was the newest one before keys are accepted

Where revocation is strict, an entry accepts keys only while it can prove that its configuration was the newest one within the bound. Each reader makes as many reads of the configuration as before, with shorter waits, so that evidence is younger.

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	stdlog "log"
 	"math/rand/v2"
 	"net"
@@ -27,6 +28,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 	"chestnutrouter.example/chestnutrouter/internal/service"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 	"chestnutrouter.example/chestnutrouter/internal/storesync"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -277,14 +279,32 @@
 			a.setTree(t)
 			logWarnings(events, t)
 		},
-		OnServers:      func(vms []fleet.VM) { a.setServers(vms) },
-		Events:         events,
-		Scope:          scope,
+		OnServers: func(vms []fleet.VM) { a.setServers(vms) },
+		Proof:     s.proof(node),
+		Events:    events,
+		Scope:     scope,
 	})
 	callbacks.storeSync = storeSync
+	if s.StrictRevocation {
+		node.HandleQueries(cluster.TopicFreshness, storeSync.AnswerProofQuery)
+	}
 	return storeSync
 }
 
+// proof returns the options of the proof that the configuration is the newest one.
+func (s *Settings) proof(node *cluster.Node) storesync.ProofOptions {
+	if !s.StrictRevocation {
+		return storesync.ProofOptions{}
+	}
+	return storesync.ProofOptions{
+		Bound: s.RevocationBound,
+		Query: func(ctx context.Context, to cluster.LiveMember, question []byte) ([]byte, error) {
+			return node.Query(ctx, to, cluster.TopicFreshness, question)
+		},
+		Clock: steady.SinceBoot,
+	}
+}
+
 // maxLoggedWarnings bounds the log lines about one configuration.
 const maxLoggedWarnings = 16
 
@@ -347,6 +367,7 @@
 		Servers:              noServerHosts{},
 		Drainer:              drainer,
 		IsBehind:             storeSync.IsBehind,
+		IsProven:             storeSync.IsProven,
 		Scope:                scope,
 		Bodies:               buffer.NewBudgetFor(s.softMemoryLimit(), scope),
 		BufferUploads:        true,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -42,6 +42,13 @@
 	Log io.Writer
 	// Retry bounds the second attempts over all entries.
 	Retry RetryBudget
+	// StrictRevocation asks for proof, before a key is accepted, that the configuration was the
+	// newest one within RevocationBound.
+	StrictRevocation bool
+	// RevocationBound is the time after a configuration without a key was acknowledged by the
+	// store from which on the key must not be accepted. It is above zero if StrictRevocation is
+	// set.
+	RevocationBound time.Duration
 }
 
 // RetryBudget bounds the second attempts of a service over all entries.
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/freshness"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
 	"chestnutrouter.example/chestnutrouter/internal/steady"
 )
@@ -71,6 +72,8 @@
 	// Size is the size of the encoded update in bytes, and Chunk the part at the offset.
 	Size  int
 	Chunk []byte
+	// Evidence is about the member's configuration, the zero value if it has none.
+	Evidence freshness.Evidence
 }
 
 // Receiver serves the RPCs of other members.
@@ -99,6 +102,7 @@
 // Since replies with the configuration and the servers that changed since the caller's
 // versions, one chunk a call.
 func (r *Receiver) Since(args SinceArgs, reply *SinceReply) error {
+	reply.Evidence, _ = r.syncer.proof.evidence()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u, err := r.encoded(args)
@@ -191,6 +195,7 @@
 	}
 	if m.Revision > s.Revision() {
 		s.newerSeenAt.Store(steady.Nanos(now))
+		s.proof.observeNewer(m.Revision)
 	}
 	if !s.lacks(m) {
 		return
@@ -347,8 +352,12 @@
 		var reply SinceReply
 		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 		args.Offset = len(data)
+		sent := s.proof.now()
 		err := s.options.Client.Call(callCtx, m.PeerAddress, methodSince, args, &reply)
 		cancel()
+		if err == nil {
+			s.proof.observe(reply.Evidence, sent)
+		}
 		switch {
 		case err != nil:
 			return nil, err
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -297,11 +297,15 @@
 	for ctx.Err() == nil {
 		if position := s.readerPosition(); position < activeReaders {
 			readCtx, restarted := s.configReads.begin(ctx)
-			ok, refused := s.readConfig(readCtx, staggeredWait(position, time.Now()))
+			wait, following := s.configReadTimes(position, time.Now())
+			ok, refused := s.readConfig(readCtx, wait)
 			again := refused && refusedBefore
 			refusedBefore = refused
 			// A read without a wait at the store must not be repeated without a pause.
 			if (ok || restarted()) && !again {
+				if ok {
+					sleep(ctx, time.Until(following))
+				}
 				continue
 			}
 		}
@@ -360,6 +364,7 @@
 	s.applyMu.Lock()
 	next, known := s.configNext, s.configRead
 	s.applyMu.Unlock()
+	sent := s.proof.now()
 	page, refused, err := s.readConfigPage(ctx, next, known, wait)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -370,6 +375,9 @@
 	s.lastConfigRead.Store(steady.Nanos(time.Now()))
 	s.logUnreadable(s.options.ConfigStream, page)
 	s.applyConfig(page.Records, page.Next, "store")
+	if isComplete(page, next, known, refused) {
+		s.proof.observeRead(sent)
+	}
 	s.applyMu.Lock()
 	s.configNext, s.configRead = max(s.configNext, page.Next), true
 	s.applyMu.Unlock()
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
@@ -49,6 +50,8 @@
 	// OnServers applies a newer list of backend servers. Calls are serialized and may
 	// repeat a list.
 	OnServers func([]fleet.VM)
+	// Proof asks for proof that the active configuration is the newest one.
+	Proof ProofOptions
 	// Events receives the log lines.
 	Events *eventlog.Logger
 	// Scope receives the counters. If it is nil, nothing is counted.
@@ -80,6 +83,7 @@
 	// newerSeenAt is when a member last announced a newer revision than the active one,
 	// appliedAt when a configuration was last applied, in Unix nanoseconds.
 	newerSeenAt, appliedAt atomic.Int64
+	proof                  *configProof // nil if none is asked for
 
 	applyMu sync.Mutex // serializes OnTree and OnServers, and guards the fields below
 	// config is the record of the active configuration.
@@ -98,7 +102,7 @@
 		return contain(func(value []byte) (fleet.VM, error) { return decodeServer(key, value) })(value)
 	}
 	options.DecodeTree, options.DecodeRevision = contain(options.DecodeTree), contain(options.DecodeRevision)
-	return &Syncer{options: options, pulls: make(chan cluster.LiveMember, 1), started: time.Now()}
+	return &Syncer{options: options, pulls: make(chan cluster.LiveMember, 1), started: time.Now(), proof: newConfigProof(options.Proof)}
 }
 
 // Revision returns the revision of the active configuration, zero if there is none yet.
@@ -163,6 +167,7 @@
 	group.Go(func() { s.followServers(ctx) })
 	group.Go(func() { s.followConfig(ctx) })
 	group.Go(func() { s.pullFromPeers(ctx) })
+	group.Go(func() { s.followProof(ctx) })
 	group.Wait()
 }
 
@@ -218,11 +223,13 @@
 		s.options.Events.Warn("configuration ignored", "position", r.Position.String(), "source", source, "error", err)
 		return false
 	}
-	if t.Revision <= s.revision.Load() {
+	t.Digest = xxhash.Sum64(r.Value)
+	if t.Revision <= s.revision.Load() && !s.isRewritten(t, r) {
 		return true
 	}
 	s.config = r
 	s.options.OnTree(t)
+	s.proof.setActive(t)
 	s.revision.Store(t.Revision)
 	now := time.Now()
 	s.appliedAt.Store(steady.Nanos(now))
