--- a/internal/freshness/planner.go
+++ b/internal/freshness/planner.go
@@ -12,8 +12,8 @@
 // evidence is never older than 0.4 while a member reaches the source.
 const (
 	readerShare = 0.18
-	helperShare = 0.24
-	otherShare  = 0.34
+	helperShare = 0.2
+	otherShare  = 0.36
 	// repeatShare is the time after which a question without an answer, or with one that did not
 	// help, is asked again elsewhere. Without proof it is idleShare, as others have none either.
 	repeatShare = 0.03
@@ -37,6 +37,8 @@
 	// membersPerHelper is the number of members for which there is one helper: a member that
 	// others ask besides the readers, which may be small.
 	membersPerHelper = 16
+	// maxSpread is the limit of Planner.spread.
+	maxSpread = 100
 	// maxOpen bounds the open questions of one entry.
 	maxOpen = 4
 	// triesBeforeAll is the number of questions in a row that did not help after which every
@@ -75,7 +77,10 @@
 	asked     bool
 	open      int
 	fruitless int // questions in a row that did not help
-	members   map[string]*history
+	// spread is the part of the share, in thousandths, by which the next question is earlier, so
+	// that entries do not ask at the same time.
+	spread  int
+	members map[string]*history
 }
 
 // history is what is known of a member from its answers.
@@ -124,6 +129,7 @@
 // bound if there is none.
 func (p *Planner) Due(now, age time.Duration, role Role) bool {
 	limit := map[Role]float64{Reader: readerShare, Helper: helperShare, Other: otherShare}[role]
+	limit *= 1 - float64(p.spread)/1000
 	if age <= p.share(limit) || p.open >= maxOpen {
 		return false
 	}
@@ -143,23 +149,31 @@
 	chosen := p.choose(now, p.candidates(now, role, others, helpers))
 	p.lastAsked, p.asked = now, true
 	p.open++
+	p.spread = p.random(maxSpread)
 	return chosen, true
 }
 
-// candidates returns the members among which one is chosen.
+// candidates returns the members among which one is chosen: helpers first, then helpers and
+// readers, then now and then any member.
 func (p *Planner) candidates(now time.Duration, role Role, others []Member, helpers map[string]bool) []Member {
-	var usable, sources []Member
+	var usable, sources, helping []Member
 	for _, m := range others {
 		if h := p.members[m.VM]; h != nil && now < h.silentUntil {
 			continue
 		}
 		usable = append(usable, m)
-		if m.ReadAge <= p.share(readShare) || role == Other && helpers[m.VM] {
+		switch {
+		case role == Other && helpers[m.VM]:
+			helping = append(helping, m)
+			sources = append(sources, m)
+		case m.ReadAge <= p.share(readShare):
 			sources = append(sources, m)
 		}
 	}
 	anyone := p.fruitless >= triesBeforeAll && p.fruitless%2 == 0
 	switch {
+	case len(helping) > 0 && p.fruitless == 0:
+		return helping
 	case len(sources) > 0 && !anyone:
 		return sources
 	case len(usable) > 0:
@@ -178,14 +192,15 @@
 	return a
 }
 
-// expectedAge returns the age that the member's evidence has at most if it has got none since what
-// is known of it. Members of which nothing young is known are equal.
+// expectedAge returns the age that the member's evidence has at most if it has got none since its
+// last answer, or since it last read the source. Members that have not answered yet count as those
+// with young evidence, and all of these as equal, so that the questions are spread over them.
 func (p *Planner) expectedAge(now time.Duration, m Member) time.Duration {
-	age := m.ReadAge
-	if h := p.members[m.VM]; h != nil && h.known {
-		age = min(age, now-h.at)
+	h := p.members[m.VM]
+	if h == nil || !h.known {
+		return p.share(readShare)
 	}
-	return min(max(age, p.share(otherShare)), p.bound)
+	return max(min(m.ReadAge, now-h.at), p.share(readShare))
 }
 
 // Answered records the answer of a member: the moment of its evidence, if it has any, and whether
