--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -64,6 +66,9 @@
 	Body                     int
 	DeadlineMs               int
 	At                       time.Time
+	// Tenant and Authorization are the values of X-Tenant and Authorization, nil if the request
+	// has none. Trailer are the names of its trailers.
+	Tenant, Authorization, Trailer []string
 }
 
 // Server is a backend server. It is safe for concurrent use.
@@ -356,6 +361,8 @@
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, Run{
 		ID: id, Server: s.Name, Method: r.Method, Path: r.URL.RequestURI(), Body: body, DeadlineMs: deadline, At: time.Now(),
+		Tenant: r.Header.Values("X-Tenant"), Authorization: r.Header.Values("Authorization"),
+		Trailer: slices.Sorted(maps.Keys(r.Trailer)),
 	})
 }
 
