--- a/internal/frontend/authenticate.go
+++ b/internal/frontend/authenticate.go
@@ -30,26 +30,17 @@
 	}
 	proven := h.IsProven == nil || h.IsProven(t)
 	switch {
-	case route.Public && proven:
-		return tenant, nil
-	case route.Public:
+	case route.Public && !proven:
 		return nil, nil
-	case !sent:
-		// No configuration accepts a request without a key, but a newer one may have
-		// made its route public.
-		if h.isBehind() {
-			return nil, configurationBehind()
-		}
-		if !proven {
-			return nil, configurationUnproven()
-		}
-		return nil, unauthenticated("this route needs the header Authorization: Token KEY")
-	case !proven:
-		return nil, configurationUnproven()
-	case tenant != nil:
+	case route.Public, tenant != nil && proven:
 		return tenant, nil
 	case h.isBehind():
+		// The newest configuration may have the key, or a public route.
 		return nil, configurationBehind()
+	case !proven, h.IsCurrent != nil && !h.IsCurrent(t):
+		return nil, configurationUnproven()
+	case !sent:
+		return nil, unauthenticated("this route needs the header Authorization: Token KEY")
 	default:
 		return nil, unauthenticated("the key is not a tenant's")
 	}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -96,6 +96,9 @@
 	// IsProven reports whether the tree is proven to have been the newest one recently enough to
 	// accept keys; nil means always.
 	IsProven func(*tree.Tree) bool
+	// IsCurrent is like IsProven, recently enough to say that a key is not a tenant's: any newer
+	// tree would have to be in force by now.
+	IsCurrent func(*tree.Tree) bool
 	// OnCallEnd is called at the end of each call; it may be nil.
 	OnCallEnd func(*AccessRecord)
 }
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -297,7 +297,8 @@
 		return storesync.ProofOptions{}
 	}
 	return storesync.ProofOptions{
-		Bound: s.RevocationBound,
+		Bound:   s.RevocationBound,
+		Current: min(s.ConfigBound, s.RevocationBound),
 		Query: func(ctx context.Context, to cluster.LiveMember, question []byte) ([]byte, error) {
 			return node.Query(ctx, to, cluster.TopicFreshness, question)
 		},
@@ -368,6 +369,7 @@
 		Drainer:              drainer,
 		IsBehind:             storeSync.IsBehind,
 		IsProven:             storeSync.IsProven,
+		IsCurrent:            storeSync.IsCurrent,
 		Scope:                scope,
 		Bodies:               buffer.NewBudgetFor(s.softMemoryLimit(), scope),
 		BufferUploads:        true,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -49,6 +49,8 @@
 	// store from which on the key must not be accepted. It is above zero if StrictRevocation is
 	// set.
 	RevocationBound time.Duration
+	// ConfigBound is the time in which a new configuration must be in force.
+	ConfigBound time.Duration
 }
 
 // RetryBudget bounds the second attempts of a service over all entries.
--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -19,6 +19,9 @@
 type ProofOptions struct {
 	// Bound is the age up to which a proof counts; zero asks for none.
 	Bound time.Duration
+	// Current is the age up to which a proof also tells that there is no newer configuration that
+	// must be in force by now.
+	Current time.Duration
 	// Query sends a question to another member and returns its answer.
 	Query func(ctx context.Context, to cluster.LiveMember, question []byte) ([]byte, error)
 	// Clock returns the time since the VM's boot, including the time for which it was
@@ -149,6 +152,16 @@
 	return s.proof == nil || s.proof.tracker.IsProven(versionOf(t))
 }
 
+// IsCurrent reports whether the tree is proven to have been the newest one within
+// ProofOptions.Current, or needs no proof.
+func (s *Syncer) IsCurrent(t *tree.Tree) bool {
+	if s.proof == nil {
+		return true
+	}
+	e, ok := s.proof.tracker.Newest(versionOf(t))
+	return ok && e.Age <= s.proof.options.Current
+}
+
 // AnswerProofQuery answers another member's question for evidence, with nil if there is none. It
 // does not block.
 func (s *Syncer) AnswerProofQuery([]byte) []byte {
