--- a/internal/frontend/authenticate.go
+++ b/internal/frontend/authenticate.go
@@ -15,7 +15,7 @@
 )
 
 // authenticate returns the tenant of a request, nil if its route is public and no tenant is
-// known, or if there are no tenants. It must be called after the request's header has been
+// known, or if there are no tenants. With a refusal, it returns the tenant that the key had last. It must be called after the request's header has been
 // read: a proof that holds now covers the time at which the caller sent the request.
 //
 // A key that the entry cannot prove to be valid makes a public request no tenant's.
@@ -36,9 +36,9 @@
 		return tenant, nil
 	case h.isBehind():
 		// The newest configuration may have the key, or a public route.
-		return nil, configurationBehind()
+		return tenant, configurationBehind()
 	case !proven, h.IsCurrent != nil && !h.IsCurrent(t):
-		return nil, configurationUnproven()
+		return tenant, configurationUnproven()
 	case !sent:
 		return nil, unauthenticated("this route needs the header Authorization: Token KEY")
 	default:
--- a/internal/frontend/authenticate_test.go
+++ b/internal/frontend/authenticate_test.go
@@ -80,6 +80,9 @@
 			if rec.Refusal != nil && rec.Refusal.Outcome != outcome.NotRun || strings.Contains(w.Body.String(), key) && key != "" {
 				t.Errorf("%s: refusal %v, body %s, want a certain not-run without the key", name, rec.Refusal, w.Body)
 			}
+			if tenant := map[string]string{"good": "acme"}[key]; rec.Tenant != tenant {
+				t.Errorf("%s: the record has the tenant %q, want %q", name, rec.Tenant, tenant)
+			}
 			if again := w.Header().Get("Retry-After") != ""; again != (w.Code == http.StatusServiceUnavailable) {
 				t.Errorf("%s: status %d, Retry-After %v", name, w.Code, again)
 			}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -168,6 +168,7 @@
 	tenant, refusal := h.authenticate(t, c.match.Route, r)
 	if refusal != nil {
 		rec.setCall(t, c)
+		rec.setTenant(tenant)
 		h.refuse(w, h.settleEarlyRefusal(r, refusal))
 		return
 	}
--- a/internal/frontend/record.go
+++ b/internal/frontend/record.go
@@ -18,7 +18,7 @@
 	Request *http.Request
 	// Service and Rank are empty if no route matched.
 	Service, Rank string
-	// Tenant is the name of the authenticated tenant, empty if there is none.
+	// Tenant is the name of the tenant of the request's key, empty if none is known.
 	Tenant string
 	// Revision is the revision of the configuration that the call was matched with.
 	Revision int64
@@ -40,13 +40,17 @@
 func (rec *AccessRecord) setCall(t *tree.Tree, c call) {
 	rec.Service = c.match.Service.Key()
 	rec.Rank = c.match.Rank.Name
-	if c.match.Tenant != nil {
-		rec.Tenant = c.match.Tenant.Name
-	}
+	rec.setTenant(c.match.Tenant)
 	rec.Revision = t.Revision
 	rec.Budget = c.deadline.Sub(rec.Began)
 }
 
+func (rec *AccessRecord) setTenant(tenant *tree.Tenant) {
+	if tenant != nil {
+		rec.Tenant = tenant.Name
+	}
+}
+
 func (h *Handler) reportCallEnd(rec *AccessRecord) {
 	if rec.Tenant != "" {
 		h.stats.countTenantCall(rec)
--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -35,6 +36,9 @@
 	fields = append(fields, "outcome", rec.Refusal.Outcome, "reason", rec.Refusal.Reason,
 		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds(),
 		"caller", rec.Request.RemoteAddr, "method", rec.Request.Method, "path", cut(rec.Request.URL.Path, maxLoggedPathBytes))
+	if rec.Refusal.Status == http.StatusUnauthorized {
+		fields = append(fields, "detail", rec.Refusal.Detail)
+	}
 	l.events.Warn("call refused", fields...)
 }
 
--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -339,9 +339,11 @@
 // have kept the evidence young.
 func (s *Syncer) readIfUnproven(ctx context.Context, age time.Duration) {
 	p := s.proof
-	now := p.tracker.Now()
+	if p.tracker.Now() < p.nextRead || !p.planner.ReadDue(age, 0, 1) {
+		return // without the pass over all members that finds the position
+	}
 	position := s.readerPosition()
-	if position < activeReaders || now < p.nextRead || !p.planner.ReadDue(age, position, len(s.options.View().Live)) {
+	if position < activeReaders || !p.planner.ReadDue(age, position, len(s.options.View().Live)) {
 		return
 	}
 	s.count("proof_reads")
