--- a/internal/freshness/planner.go
+++ b/internal/freshness/planner.go
@@ -113,7 +113,7 @@
 func Helpers(entries []Member) map[string]bool {
 	n := len(entries) / membersPerHelper
 	if n == 0 {
-		return nil
+		return map[string]bool{}
 	}
 	order := slices.SortedFunc(slices.Values(entries), func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Hash, b.Hash), cmp.Compare(a.VM, b.VM))
--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -43,6 +43,9 @@
 	refetchShare = 0.1
 )
 
+// roleShare is the time, in bounds, after which a member finds its role and the helpers anew.
+const roleShare = 0.1
+
 // configProof is what a member knows about how recently its configuration was the newest one. A nil
 // *configProof needs no proof.
 type configProof struct {
@@ -56,11 +59,15 @@
 	fetching  atomic.Bool
 	lastFetch atomic.Int64 // time of the clock in nanoseconds
 
-	// The fields below are used by followProof alone: the failed reads of the store in a row, the
+	// The fields below are used by followProof alone. They are the failed reads in a row, the
 	// time before which it does not read again, and what it logged last.
 	failedReads       int
 	nextRead          time.Duration
 	logged, wasProven bool
+	// role and helpers are those of the time roleAt.
+	role    freshness.Role
+	helpers map[string]bool
+	roleAt  time.Duration
 }
 
 // activeConfig is the active configuration as far as its proof goes.
@@ -261,46 +268,62 @@
 // chooseToAsk returns the member to ask now, or false if none is due.
 func (s *Syncer) chooseToAsk(age time.Duration) (cluster.LiveMember, bool) {
 	p := s.proof
-	// A member whose evidence is young enough for any role asks nobody; its role takes a pass
-	// over all members to find.
+	s.updateRole()
 	p.mu.Lock()
-	due := p.planner.Due(p.tracker.Now(), age, freshness.Reader)
+	due := p.planner.Due(p.tracker.Now(), age, p.role)
 	p.mu.Unlock()
 	if !due {
 		return cluster.LiveMember{}, false
 	}
 	live := s.options.View().Live
 	now := time.Now()
-	entries := make([]freshness.Member, 0, len(live))
 	others := make([]freshness.Member, 0, len(live))
-	byVM := make(map[string]cluster.LiveMember, len(live))
-	for _, m := range live {
-		entry := freshness.Member{
-			VM: m.VM, ReadAge: m.StoreReadAge + max(now.Sub(m.LastSeen), 0),
-			Weight: m.Weight, Hash: xxhash.Sum64String(m.VM),
-		}
-		entries = append(entries, entry)
-		if m.VM != s.options.Self {
-			others = append(others, entry)
-			byVM[m.VM] = m
+	indexes := make(map[string]int, len(live))
+	for i := range live {
+		if live[i].VM != s.options.Self {
+			others = append(others, proofMemberOf(&live[i], now))
+			indexes[live[i].VM] = i
 		}
 	}
-	helpers := freshness.Helpers(entries)
-	role := freshness.Other
-	switch {
-	case s.readerPosition() < activeReaders:
-		role = freshness.Reader
-	case helpers[s.options.Self]:
-		role = freshness.Helper
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.planner.Forget(others)
-	if !p.planner.Due(p.tracker.Now(), age, role) {
+	chosen, ok := p.planner.Choose(p.tracker.Now(), p.role, others, p.helpers)
+	if !ok {
 		return cluster.LiveMember{}, false
 	}
-	chosen, ok := p.planner.Choose(p.tracker.Now(), role, others, helpers)
-	return byVM[chosen.VM], ok
+	return live[indexes[chosen.VM]], true
+}
+
+// updateRole finds the helpers and the role of this member anew if that was done some time ago.
+func (s *Syncer) updateRole() {
+	p := s.proof
+	now := p.tracker.Now()
+	if p.helpers != nil && now-p.roleAt < time.Duration(roleShare*float64(p.options.Bound)) {
+		return
+	}
+	live := s.options.View().Live
+	entries := make([]freshness.Member, len(live))
+	for i := range live {
+		entries[i] = proofMemberOf(&live[i], time.Now())
+	}
+	p.helpers, p.roleAt = freshness.Helpers(entries), now
+	switch {
+	case s.readerPosition() < activeReaders:
+		p.role = freshness.Reader
+	case p.helpers[s.options.Self]:
+		p.role = freshness.Helper
+	default:
+		p.role = freshness.Other
+	}
+}
+
+// proofMemberOf returns a member as it can be asked.
+func proofMemberOf(m *cluster.LiveMember, now time.Time) freshness.Member {
+	return freshness.Member{
+		VM: m.VM, ReadAge: m.StoreReadAge + max(now.Sub(m.LastSeen), 0),
+		Weight: m.Weight, Hash: xxhash.Sum64String(m.VM),
+	}
 }
 
 // fetchIfOther fetches the configuration of a member whose evidence does not count here, as it is
