--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	stdlog "log"
 	"math/rand/v2"
 	"net"
@@ -27,6 +28,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/peer"
 	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 	"chestnutrouter.example/chestnutrouter/internal/service"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
 	"chestnutrouter.example/chestnutrouter/internal/storesync"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
@@ -273,15 +275,50 @@
 		Zone:           s.Zone,
 		Bootstrap:      s.Bootstrap,
 		View:           node.View,
-		OnTree:         a.setTree,
-		OnServers:      func(vms []fleet.VM) { a.setServers(vms) },
-		Events:         events,
-		Scope:          scope,
+		OnTree: func(t *tree.Tree) {
+			a.setTree(t)
+			logWarnings(events, t)
+		},
+		OnServers: func(vms []fleet.VM) { a.setServers(vms) },
+		Proof:     s.proof(node),
+		Events:    events,
+		Scope:     scope,
 	})
 	callbacks.storeSync = storeSync
+	if s.StrictRevocation {
+		node.HandleQueries(cluster.TopicFreshness, storeSync.AnswerProofQuery)
+	}
 	return storeSync
 }
 
+// proof returns the options of the proof that the configuration is the newest one.
+func (s *Settings) proof(node *cluster.Node) storesync.ProofOptions {
+	if !s.StrictRevocation {
+		return storesync.ProofOptions{}
+	}
+	return storesync.ProofOptions{
+		Bound:   s.RevocationBound,
+		Current: min(s.ConfigBound, s.RevocationBound),
+		Query: func(ctx context.Context, to cluster.LiveMember, question []byte) ([]byte, error) {
+			return node.Query(ctx, to, cluster.TopicFreshness, question)
+		},
+		Clock: steady.SinceBoot,
+	}
+}
+
+// maxLoggedWarnings bounds the log lines about one configuration.
+const maxLoggedWarnings = 16
+
+// logWarnings logs which values of an active configuration are not used.
+func logWarnings(events *eventlog.Logger, t *tree.Tree) {
+	for _, warning := range t.Warnings[:min(len(t.Warnings), maxLoggedWarnings)] {
+		events.Warn("configuration value not used", "revision", t.Revision, "value", warning)
+	}
+	if more := len(t.Warnings) - maxLoggedWarnings; more > 0 {
+		events.Warn("further configuration values not used", "revision", t.Revision, "values", more)
+	}
+}
+
 // apply sets this entry's share of the budget in each service of a tree that is not
 // active yet.
 func (b RetryBudget) apply(t *tree.Tree, entries int) {
@@ -331,6 +368,8 @@
 		Servers:              noServerHosts{},
 		Drainer:              drainer,
 		IsBehind:             storeSync.IsBehind,
+		IsProven:             storeSync.IsProven,
+		IsCurrent:            storeSync.IsCurrent,
 		Scope:                scope,
 		Bodies:               buffer.NewBudgetFor(s.softMemoryLimit(), scope),
 		BufferUploads:        true,
