--- /dev/null
+++ b/internal/allowance/client.go
@@ -0,0 +1,411 @@
+package allowance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/eventlog"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+const (
+	// queryTimeout is how long a client waits for an answer before it queries another shard. An
+	// owner on a small VM answers within milliseconds.
+	queryTimeout = 55 * time.Millisecond
+	// minSkip and maxSkip bound the time for which a silent member is not queried. It doubles
+	// with each query without an answer; a single lost datagram should cost little.
+	minSkip, maxSkip = 100 * time.Millisecond, 3200 * time.Millisecond
+	// notOwnerSkip is how long a shard is not queried whose owner says that it is another one:
+	// the time in which views agree again.
+	notOwnerSkip = 100 * time.Millisecond
+	// maxHold is the longest time for which a request waits while no owner can be queried.
+	maxHold = 500 * time.Millisecond
+	// maxUnitsPerQuery bounds the units of one question, whose number is a byte.
+	maxUnitsPerQuery = 255
+	// idleTenantTime is how long the state of a tenant without requests is kept.
+	idleTenantTime = 30 * time.Second
+)
+
+// Node queries members; *cluster.Node implements it.
+type Node interface {
+	View() *cluster.View
+	Query(ctx context.Context, to cluster.LiveMember, topic byte, question []byte) ([]byte, error)
+}
+
+var _ Node = (*cluster.Node)(nil)
+
+// Grant is one unit of a tenant's allowance.
+type Grant interface {
+	// Return gives the unit back if it is younger than 250 ms. It may be called if no server
+	// has received the request, and does not block.
+	Return()
+	// Utilization returns how much of its allowance the tenant has used recently, over all
+	// entries, as a part of its rate. Where few requests leave it uncertain, it is an estimate
+	// that is rather too low.
+	Utilization() float64
+}
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	// Node queries the owners.
+	Node Node
+	// Now is a clock that does not jump and includes the time for which the VM is suspended.
+	Now func() time.Duration
+	// Events receives the log lines; Scope the counters, or nil.
+	Events *eventlog.Logger
+	Scope  tally.Scope
+}
+
+// Client acquires units for the requests of this entry. It is safe for concurrent use.
+type Client struct {
+	options ClientOptions
+
+	mu         sync.Mutex // guards the fields below
+	tenants    map[string]*tenantState
+	silent     map[netip.AddrPort]silence
+	assignment *cluster.Assignment
+	swept      time.Duration
+}
+
+// silence is the state of a member that did not answer.
+type silence struct{ until, skip time.Duration }
+
+// tenantState is what a client keeps of one tenant.
+type tenantState struct {
+	name     string
+	limit    Limit
+	waiting  []*waiter
+	querying bool // a goroutine queries for those that wait
+	shards   [shardCount]shardState
+	next     int // index of the shard to query first, in rotation
+	lastUsed time.Duration
+	refused  int // refusals since loggedAt
+	loggedAt time.Duration
+}
+
+// shardState is what the client knows of one shard.
+type shardState struct {
+	assignment *cluster.Assignment // by which owner was found
+	owner      *cluster.Assignee   // nil if there is none
+	// deniedUntil is when the shard may have a unit for this entry; reduced is set if the unit
+	// was denied because members are missing. deniedAt is when it was denied.
+	deniedUntil, deniedAt time.Duration
+	reduced               bool
+	// skipUntil is when the shard may be queried again after an answer that decided nothing.
+	skipUntil time.Duration
+	// used is the recent use that the owner stated at usedAt; usedAt is zero if it did not.
+	used   float64
+	usedAt time.Duration
+}
+
+// waiter is a request that waits for a unit.
+type waiter struct {
+	decided chan decision
+	holdEnd time.Duration
+	gone    bool // its context has ended
+}
+
+// decision ends the wait of a request: exactly one of grant and refusal is set.
+type decision struct {
+	grant   *unit
+	refusal *outcome.Refusal
+}
+
+// NewClient returns a Client.
+func NewClient(options ClientOptions) *Client {
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	return &Client{options: options, tenants: map[string]*tenantState{}, silent: map[netip.AddrPort]silence{}, swept: options.Now()}
+}
+
+// Acquire takes one unit of the tenant's allowance. The refusal has status 429 if the owners of
+// all shards denied it, and 503 if one could not be queried. The outcome is always not-run.
+func (c *Client) Acquire(ctx context.Context, tenant *tree.Tenant) (Grant, *outcome.Refusal) {
+	if tenant.PerSecond <= 0 {
+		return noGrant{}, nil
+	}
+	now := c.options.Now()
+	c.mu.Lock()
+	c.sweep(now)
+	t := c.tenant(tenant, now)
+	if wait, denied := t.denial(now); denied {
+		refusal := c.refuse(t, refuseBeyond(wait), now)
+		c.mu.Unlock()
+		return nil, refusal
+	}
+	w := &waiter{decided: make(chan decision, 1), holdEnd: now + maxHold}
+	t.waiting = append(t.waiting, w)
+	if !t.querying {
+		t.querying = true
+		go c.serve(t)
+	}
+	c.mu.Unlock()
+	select {
+	case d := <-w.decided:
+		return d.result()
+	case <-ctx.Done():
+		return c.cancel(w)
+	}
+}
+
+func (d decision) result() (Grant, *outcome.Refusal) {
+	if d.refusal != nil {
+		return nil, d.refusal
+	}
+	return d.grant, nil
+}
+
+// cancel ends the wait of a request whose caller has gone or whose deadline has passed.
+func (c *Client) cancel(w *waiter) (Grant, *outcome.Refusal) {
+	c.mu.Lock()
+	w.gone = true
+	c.mu.Unlock()
+	select {
+	case d := <-w.decided:
+		if d.grant != nil {
+			d.grant.Return()
+		}
+	default:
+	}
+	return nil, refuseUnavailable("the request ended before the owners of the tenant's allowance answered")
+}
+
+// tenant returns the state of the tenant, with its current limit. The caller holds c.mu.
+func (c *Client) tenant(tenant *tree.Tenant, now time.Duration) *tenantState {
+	t := c.tenants[tenant.Name]
+	limit := Limit{PerSecond: tenant.PerSecond, Burst: tenant.Burst}
+	if t == nil {
+		t = &tenantState{name: tenant.Name, limit: limit, next: rand.IntN(shardCount), loggedAt: now - logInterval}
+		c.tenants[tenant.Name] = t
+	}
+	if t.limit != limit {
+		t.limit = limit
+		for i := range t.shards {
+			t.shards[i].deniedUntil = now
+		}
+	}
+	t.lastUsed = now
+	return t
+}
+
+// sweep drops the state of idle tenants and of members that answer. The caller holds c.mu.
+func (c *Client) sweep(now time.Duration) {
+	if now-c.swept < sweepInterval {
+		return
+	}
+	c.swept = now
+	for name, t := range c.tenants {
+		if !t.querying && now-t.lastUsed > idleTenantTime {
+			delete(c.tenants, name)
+		}
+	}
+	for address, s := range c.silent {
+		if now-s.until > maxSkip {
+			delete(c.silent, address)
+		}
+	}
+}
+
+// denial returns the time until the first shard may have a unit, and false unless all shards
+// have denied one for the time being because the tenant is beyond its allowance.
+func (t *tenantState) denial(now time.Duration) (time.Duration, bool) {
+	wait := maxDenial
+	for i := range t.shards {
+		s := &t.shards[i]
+		if now >= s.deniedUntil || s.reduced {
+			return 0, false
+		}
+		wait = min(wait, s.deniedUntil-now)
+	}
+	return wait, true
+}
+
+// serve queries the shards until no request of the tenant waits.
+func (c *Client) serve(t *tenantState) {
+	for {
+		c.mu.Lock()
+		now := c.options.Now()
+		t.dropGone()
+		if len(t.waiting) == 0 {
+			t.querying = false
+			c.mu.Unlock()
+			return
+		}
+		c.updateOwners(t, now)
+		shard, wait := c.choose(t, now)
+		if shard < 0 {
+			c.refuseWaiting(t, now)
+			idle := len(t.waiting) == 0
+			c.mu.Unlock()
+			if !idle {
+				time.Sleep(wait)
+			}
+			continue
+		}
+		owner := t.shards[shard].owner
+		q := question{
+			op: opAcquire, shard: byte(shard), units: byte(min(len(t.waiting), maxUnitsPerQuery)),
+			limit: t.limit, tenant: t.name,
+		}
+		c.mu.Unlock()
+		a, ok := c.query(owner, &q)
+		c.mu.Lock()
+		c.apply(t, shard, owner, a, ok)
+		c.mu.Unlock()
+	}
+}
+
+// dropGone removes the requests that no longer wait.
+func (t *tenantState) dropGone() {
+	kept := t.waiting[:0]
+	for _, w := range t.waiting {
+		if !w.gone {
+			kept = append(kept, w)
+		}
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+}
+
+// updateOwners finds the owners of the shards if the assignment has changed. A shard with another
+// owner may be queried at once. The caller holds c.mu.
+func (c *Client) updateOwners(t *tenantState, now time.Duration) {
+	if view := c.options.Node.View(); c.assignment == nil || !c.assignment.Matches(view) {
+		c.assignment = view.Assignment()
+	}
+	for i := range t.shards {
+		s := &t.shards[i]
+		if s.assignment == c.assignment {
+			continue
+		}
+		owner, _ := c.assignment.Owner(cluster.AssignmentKey(t.name, i))
+		if owner == nil || s.owner == nil || owner.VM != s.owner.VM {
+			s.deniedUntil, s.skipUntil, s.usedAt = now, now, 0
+		}
+		s.assignment, s.owner = c.assignment, owner
+	}
+}
+
+// choose returns the shard to query next. If it is -1, none can be queried now, and one may be
+// after the returned time. The caller holds c.mu.
+func (c *Client) choose(t *tenantState, now time.Duration) (int, time.Duration) {
+	wait := minSkip
+	for i := range t.shards {
+		shard := (t.next + i) % shardCount
+		s := &t.shards[shard]
+		if s.owner == nil {
+			continue
+		}
+		until := max(s.deniedUntil, s.skipUntil, c.silent[s.owner.Address].until)
+		if now >= until {
+			t.next = (shard + 1) % shardCount
+			return shard, 0
+		}
+		wait = min(wait, until-now)
+	}
+	return -1, max(wait, time.Millisecond)
+}
+
+// refuseWaiting refuses the requests that wait if an owner has denied them, and otherwise those
+// that have waited for maxHold. The caller holds c.mu.
+func (c *Client) refuseWaiting(t *tenantState, now time.Duration) {
+	if wait, denied := t.denial(now); denied {
+		for _, w := range t.waiting {
+			w.decided <- decision{refusal: c.refuse(t, refuseBeyond(wait), now)}
+		}
+		t.waiting = nil
+		return
+	}
+	anyDenied := false
+	for i := range t.shards {
+		anyDenied = anyDenied || now < t.shards[i].deniedUntil
+	}
+	kept := t.waiting[:0]
+	for _, w := range t.waiting {
+		if !anyDenied && now < w.holdEnd {
+			kept = append(kept, w)
+			continue
+		}
+		w.decided <- decision{refusal: c.refuse(t, refuseUnavailable("not all owners of the tenant's allowance could be asked"), now)}
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+}
+
+// query asks an owner. It returns false if there was no answer.
+func (c *Client) query(owner *cluster.Assignee, q *question) (answer, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	c.count("queries")
+	data, err := c.options.Node.Query(ctx, owner.LiveMember(), cluster.TopicAllowance, q.encode())
+	if err != nil {
+		c.count("query_timeouts")
+		return answer{}, false
+	}
+	a, ok := decodeAnswer(data)
+	if !ok {
+		c.count("malformed")
+	}
+	return a, ok
+}
+
+// apply records the owner's answer and hands out the units in it. The caller holds c.mu.
+func (c *Client) apply(t *tenantState, shard int, owner *cluster.Assignee, a answer, ok bool) {
+	now := c.options.Now()
+	s := &t.shards[shard]
+	if !ok {
+		silence := c.silent[owner.Address]
+		silence.skip = min(max(2*silence.skip, minSkip), maxSkip)
+		silence.until = now + silence.skip
+		c.silent[owner.Address] = silence
+		return
+	}
+	delete(c.silent, owner.Address)
+	switch a.status {
+	case statusNotReady:
+		s.skipUntil = now + min(a.wait, maxDenial)
+	case statusNotOwner:
+		s.skipUntil = now + notOwnerSkip
+	default:
+		s.used, s.usedAt = a.used, now
+		// A denial comes with the time until the next unit; a full grant with none.
+		s.deniedUntil, s.deniedAt, s.reduced = now+min(a.wait, maxDenial), now, a.status == statusReduced
+		utilization := t.utilization(now)
+		for range a.granted {
+			c.handOut(t, &unit{client: c, owner: owner, shard: byte(shard), tenant: t.name, limit: t.limit, grantedAt: now, utilization: utilization})
+		}
+	}
+}
+
+// handOut gives a unit to the first request that still waits, or returns it. The caller holds
+// c.mu.
+func (c *Client) handOut(t *tenantState, u *unit) {
+	for len(t.waiting) > 0 {
+		w := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		if !w.gone {
+			w.decided <- decision{grant: u}
+			return
+		}
+	}
+	u.Return()
+}
+
+func (c *Client) count(name string) { c.options.Scope.Counter("allowance_" + name).Inc(1) }
+
+// sendReturn sends the question that returns a unit, and waits for no answer.
+func (c *Client) sendReturn(owner *cluster.Assignee, q *question) {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	if _, err := c.options.Node.Query(ctx, owner.LiveMember(), cluster.TopicAllowance, q.encode()); err != nil {
+		c.count("returns_unanswered")
+	}
+}
--- /dev/null
+++ b/internal/allowance/message.go
@@ -0,0 +1,106 @@
+package allowance
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+)
+
+// Operations of a question.
+const (
+	opAcquire byte = 1
+	opReturn  byte = 2
+)
+
+// status is the result in an answer.
+type status byte
+
+const (
+	// statusDecided means that the owner granted the units in the answer and denied the others.
+	statusDecided status = 1
+	// statusReduced is like statusDecided; the units would have been granted if no member were
+	// missing.
+	statusReduced status = 2
+	// statusNotReady means that the member has become the owner only now and does not grant yet.
+	statusNotReady status = 3
+	// statusNotOwner means that the shard is assigned to another member in the view of the one
+	// that was asked.
+	statusNotOwner status = 4
+)
+
+// maxNameBytes bounds the name of a tenant in a question; the rest of a longer one is cut off.
+const maxNameBytes = 1000
+
+// question asks the owner of a shard for units, or returns one.
+type question struct {
+	op    byte
+	shard byte
+	units byte
+	// id distinguishes the questions that return a unit, as a datagram may arrive twice.
+	id uint64
+	// limit is that of the asking entry's configuration.
+	limit  Limit
+	tenant string
+}
+
+const questionHeaderBytes = 3 + 8 + 8 + 8
+
+func (q *question) encode() []byte {
+	out := make([]byte, 0, questionHeaderBytes+len(q.tenant))
+	out = append(out, q.op, q.shard, q.units)
+	out = binary.LittleEndian.AppendUint64(out, q.id)
+	out = appendFloat(out, q.limit.PerSecond)
+	out = appendFloat(out, q.limit.Burst)
+	return append(out, q.tenant[:min(len(q.tenant), maxNameBytes)]...)
+}
+
+func decodeQuestion(data []byte) (question, bool) {
+	if len(data) < questionHeaderBytes {
+		return question{}, false
+	}
+	q := question{
+		op: data[0], shard: data[1], units: data[2], id: binary.LittleEndian.Uint64(data[3:]),
+		limit:  Limit{PerSecond: floatAt(data[11:]), Burst: floatAt(data[19:])},
+		tenant: string(data[questionHeaderBytes:]),
+	}
+	valid := q.shard < shardCount && q.limit.PerSecond >= 0 && !math.IsInf(q.limit.PerSecond, 0) &&
+		q.limit.Burst >= 0 && !math.IsInf(q.limit.Burst, 0)
+	return q, valid
+}
+
+// answer is the reply to an acquiring question.
+type answer struct {
+	status  status
+	granted byte
+	// wait is the time until it is worth while to ask again: until the asking entry's turn for
+	// a unit, or until the owner grants.
+	wait time.Duration
+	// used is the number of units granted recently, decayed with useWindow.
+	used float64
+}
+
+const answerBytes = 2 + 4 + 8
+
+func (a *answer) encode() []byte {
+	out := make([]byte, 0, answerBytes)
+	out = append(out, byte(a.status), a.granted)
+	out = binary.LittleEndian.AppendUint32(out, uint32(a.wait/time.Microsecond))
+	return appendFloat(out, a.used)
+}
+
+func decodeAnswer(data []byte) (answer, bool) {
+	if len(data) < answerBytes {
+		return answer{}, false
+	}
+	a := answer{
+		status: status(data[0]), granted: data[1],
+		wait: time.Duration(binary.LittleEndian.Uint32(data[2:])) * time.Microsecond, used: floatAt(data[6:]),
+	}
+	return a, a.status >= statusDecided && a.status <= statusNotOwner && a.used >= 0 && !math.IsInf(a.used, 0)
+}
+
+func appendFloat(out []byte, f float64) []byte {
+	return binary.LittleEndian.AppendUint64(out, math.Float64bits(f))
+}
+
+func floatAt(data []byte) float64 { return math.Float64frombits(binary.LittleEndian.Uint64(data)) }
--- /dev/null
+++ b/internal/allowance/owner.go
@@ -0,0 +1,305 @@
+package allowance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/eventlog"
+)
+
+const (
+	// maxPeriods bounds the history of an owner.
+	maxPeriods = 32
+	// idleTime is how long a full bucket is not asked before it is dropped.
+	idleTime = 10 * time.Second
+	// sweepInterval is the time between two searches for what can be dropped.
+	sweepInterval = 5 * time.Second
+	// logInterval is the minimum time between two log lines of one bucket or tenant.
+	logInterval = time.Second
+)
+
+// OwnerOptions configure an Owner.
+type OwnerOptions struct {
+	// Self is the name of this VM.
+	Self string
+	// View returns the cluster as this member sees it.
+	View func() *cluster.View
+	// Limit returns the limit of a tenant by the active configuration, or false if it has none.
+	Limit func(tenant string) (Limit, bool)
+	// HasPeers is set if the cluster should have other members.
+	HasPeers bool
+	// Now is a clock that does not jump and includes the time for which the VM is suspended.
+	Now func() time.Duration
+	// Events receives the log lines; Scope the counters, or nil.
+	Events *eventlog.Logger
+	Scope  tally.Scope
+}
+
+// period is a time in which the assignment and the scale were the same. It ends with the next.
+type period struct {
+	since      time.Duration
+	assignment *cluster.Assignment
+	// scale is the part of the rate that is granted: that of the members that are not missing.
+	scale float64
+	// alone is set if the member does not know whether it has peers; it owns nothing then.
+	alone bool
+}
+
+// Owner grants the units of the shards that are assigned to this member. It is safe for
+// concurrent use.
+type Owner struct {
+	options OwnerOptions
+
+	mu       sync.Mutex // guards the fields below
+	started  time.Duration
+	observed time.Duration // of the last call of observe
+	swept    time.Duration
+	periods  []period // the current one last
+	buckets  map[bucketKey]*bucket
+}
+
+// NewOwner returns an Owner. Tick must be called regularly.
+func NewOwner(options OwnerOptions) *Owner {
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	now := options.Now()
+	o := &Owner{options: options, started: now, observed: now, swept: now, buckets: map[bucketKey]*bucket{}}
+	o.observe(now)
+	return o
+}
+
+// Tick follows the view of the cluster and notices pauses of this process. It must be called
+// several times within maxPause.
+func (o *Owner) Tick() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.options.Now()
+	o.observe(now)
+	o.sweep(now)
+}
+
+// Answer answers a question of cluster.TopicAllowance. It returns nil if there is no answer.
+func (o *Owner) Answer(data []byte) []byte {
+	q, ok := decodeQuestion(data)
+	if !ok {
+		o.count("malformed")
+		return nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.options.Now()
+	o.observe(now)
+	switch q.op {
+	case opAcquire:
+		a := o.acquire(&q, now)
+		return a.encode()
+	case opReturn:
+		o.giveBack(&q, now)
+		return []byte{}
+	default:
+		o.count("malformed")
+		return nil
+	}
+}
+
+// observe begins a new period if the assignment or the scale has changed, and forgets all that
+// was granted after a pause, as another member may have granted meanwhile. The caller holds o.mu.
+func (o *Owner) observe(now time.Duration) {
+	view := o.options.View()
+	if pause := now - o.observed; pause > maxPause {
+		o.options.Events.Warn("allowances taken over anew after a pause", "pause_ms", pause.Milliseconds(), "buckets", len(o.buckets))
+		o.count("pauses")
+		o.periods = nil
+		clear(o.buckets)
+	}
+	o.observed = now
+	alone := o.options.HasPeers && view.Known == 1 && now-o.started < aloneTime
+	scale := float64(len(view.Live)) / float64(len(view.Live)+view.Missing)
+	if current := o.current(); current != nil {
+		same := current.assignment.Matches(view)
+		if same && current.scale == scale && current.alone == alone {
+			return
+		}
+		o.fillAll(now)
+		next := period{since: now, assignment: current.assignment, scale: scale, alone: alone}
+		if !same {
+			next.assignment = view.Assignment()
+		}
+		o.begin(next)
+		return
+	}
+	o.begin(period{since: now, assignment: view.Assignment(), scale: scale, alone: alone})
+}
+
+// begin makes the period the current one and drops the buckets of shards that the member does
+// not own in it. The caller holds o.mu.
+func (o *Owner) begin(next period) {
+	if len(o.periods) == maxPeriods {
+		o.periods = append(o.periods[:0], o.periods[1:]...)
+	}
+	o.periods = append(o.periods, next)
+	for key := range o.buckets {
+		if !o.owns(&next, key) {
+			delete(o.buckets, key)
+		}
+	}
+}
+
+// current returns the current period, nil if there is none yet.
+func (o *Owner) current() *period {
+	if len(o.periods) == 0 {
+		return nil
+	}
+	return &o.periods[len(o.periods)-1]
+}
+
+// owns reports whether the shard is assigned to this member in the period.
+func (o *Owner) owns(p *period, key bucketKey) bool {
+	if p.alone {
+		return false
+	}
+	owner, ok := p.assignment.Owner(cluster.AssignmentKey(key.tenant, int(key.shard)))
+	return ok && owner.VM == o.options.Self
+}
+
+// limitOf returns the limit of the question's tenant: that of this member's configuration, or
+// that of the asking entry if this member does not know the tenant.
+func (o *Owner) limitOf(q *question) Limit {
+	if l, ok := o.options.Limit(q.tenant); ok {
+		return l
+	}
+	return q.limit
+}
+
+// fillAll fills the buckets by the current scale, before it changes. The caller holds o.mu.
+func (o *Owner) fillAll(now time.Duration) {
+	scale := o.current().scale
+	for key, b := range o.buckets {
+		if l, ok := o.options.Limit(key.tenant); ok {
+			b.fill(l, scale, now)
+		}
+	}
+}
+
+// acquire grants units of the question's shard. The caller holds o.mu.
+func (o *Owner) acquire(q *question, now time.Duration) answer {
+	key := bucketKey{tenant: q.tenant, shard: q.shard}
+	limit, current := o.limitOf(q), o.current()
+	b := o.buckets[key]
+	if b == nil {
+		readyAt, owned := o.ownedSince(key)
+		switch {
+		case current.alone:
+			o.count("not_ready")
+			return answer{status: statusNotReady, wait: maxDenial}
+		case !owned:
+			o.count("not_owner")
+			return answer{status: statusNotOwner}
+		case now < readyAt:
+			o.count("not_ready")
+			return answer{status: statusNotReady, wait: readyAt - now}
+		}
+		b = o.newBucket(limit, readyAt, now)
+		o.buckets[key] = b
+	}
+	b.lastAsked = now
+	b.fill(limit, current.scale, now)
+	a := answer{status: statusDecided, granted: byte(b.take(int(q.units), now)), used: b.usedSince(now)}
+	o.options.Scope.Counter("allowance_granted").Inc(int64(a.granted))
+	if a.granted < q.units {
+		if b.isReduced() {
+			a.status = statusReduced
+		}
+		a.wait = b.turn(limit, current.scale, now)
+		o.noteDenial(key, b, limit, int(q.units-a.granted), now)
+	}
+	return a
+}
+
+// ownedSince returns the time from which this member grants units of the shard, and false if it
+// does not own it now. The caller holds o.mu.
+func (o *Owner) ownedSince(key bucketKey) (time.Duration, bool) {
+	owned := false
+	var since time.Duration
+	for i := len(o.periods) - 1; i >= 0; i-- {
+		if !o.owns(&o.periods[i], key) {
+			break
+		}
+		since, owned = o.periods[i].since, true
+	}
+	return since + takeoverDelay, owned
+}
+
+// newBucket returns a bucket as if it had existed since the member began to grant. The caller
+// holds o.mu.
+func (o *Owner) newBucket(l Limit, readyAt, now time.Duration) *bucket {
+	scale := o.current().scale
+	b := &bucket{
+		units: min(initialUnits, l.shardBurst()*scale), unreduced: min(initialUnits, l.shardBurst()),
+		filled: readyAt, usedAt: now, loggedAt: now - logInterval,
+	}
+	for i := range o.periods {
+		end := now
+		if i+1 < len(o.periods) {
+			end = o.periods[i+1].since
+		}
+		if end > readyAt {
+			b.fill(l, o.periods[i].scale, end)
+		}
+	}
+	return b
+}
+
+// giveBack takes back a unit that was not used. The caller holds o.mu.
+func (o *Owner) giveBack(q *question, now time.Duration) {
+	b := o.buckets[bucketKey{tenant: q.tenant, shard: q.shard}]
+	if b == nil {
+		return
+	}
+	limit, scale := o.limitOf(q), o.current().scale
+	b.fill(limit, scale, now)
+	if b.giveBack(limit, scale, q.id) {
+		o.count("returned")
+	}
+}
+
+// noteDenial counts denied units and logs them, at most one line per logInterval for a shard.
+func (o *Owner) noteDenial(key bucketKey, b *bucket, l Limit, denied int, now time.Duration) {
+	o.options.Scope.Counter("allowance_denied").Inc(int64(denied))
+	b.denied += denied
+	if now-b.loggedAt < logInterval {
+		return
+	}
+	since, _ := o.ownedSince(key)
+	o.options.Events.Info("allowance denied", "tenant", key.tenant, "shard", key.shard, "denied", b.denied,
+		"per_second", l.PerSecond, "burst", l.Burst, "scale", o.current().scale,
+		"used_per_second", b.usedSince(now)/useWindow.Seconds(), "owned_ms", (now - since).Milliseconds())
+	b.denied, b.loggedAt = 0, now
+}
+
+// sweep drops buckets that are full and idle. The caller holds o.mu.
+func (o *Owner) sweep(now time.Duration) {
+	if now-o.swept < sweepInterval {
+		return
+	}
+	o.swept = now
+	scale := o.current().scale
+	for key, b := range o.buckets {
+		if now-b.lastAsked < idleTime {
+			continue
+		}
+		l, ok := o.options.Limit(key.tenant)
+		if ok {
+			b.fill(l, scale, now)
+		}
+		if !ok || b.isFull(l, scale) {
+			delete(o.buckets, key)
+		}
+	}
+}
+
+func (o *Owner) count(name string) { o.options.Scope.Counter("allowance_" + name).Inc(1) }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -46,6 +46,8 @@
 	ReasonOperationTableFull   Reason = "operation_table_full"
 	ReasonLimitRate            Reason = "limit_rate"
 	ReasonLimitConcurrent      Reason = "limit_concurrent"
+	ReasonAllowance            Reason = "allowance"
+	ReasonAllowanceUnavailable Reason = "allowance_unavailable"
 	ReasonQueueFull            Reason = "queue_full"
 	ReasonQueueBytes           Reason = "queue_bytes"
 	ReasonQueueWait            Reason = "queue_wait"
