--- a/internal/allowance/client.go
+++ b/internal/allowance/client.go
@@ -233,7 +233,7 @@
 	for {
 		c.mu.Lock()
 		now := c.options.Now()
-		t.dropGone()
+		c.dropEnded(t, now)
 		if len(t.waiting) == 0 {
 			t.querying = false
 			c.mu.Unlock()
@@ -263,11 +263,16 @@
 	}
 }
 
-// dropGone removes the requests that no longer wait.
-func (t *tenantState) dropGone() {
+// dropEnded removes the requests that no longer wait, and refuses those that have waited for
+// maxHold. The caller holds c.mu.
+func (c *Client) dropEnded(t *tenantState, now time.Duration) {
 	kept := t.waiting[:0]
 	for _, w := range t.waiting {
-		if !w.gone {
+		switch {
+		case w.gone:
+		case now >= w.holdEnd:
+			w.decided <- decision{refusal: c.refuse(t, refuseUnavailable(detailNotAsked), now)}
+		default:
 			kept = append(kept, w)
 		}
 	}
@@ -314,30 +319,25 @@
 	return -1, max(wait, time.Millisecond)
 }
 
-// refuseWaiting refuses the requests that wait if an owner has denied them, and otherwise those
-// that have waited for maxHold. The caller holds c.mu.
+// refuseWaiting refuses the requests that wait if an owner has denied them; otherwise they wait
+// until an owner can be asked, but not longer than maxHold. The caller holds c.mu.
 func (c *Client) refuseWaiting(t *tenantState, now time.Duration) {
-	if wait, denied := t.denial(now); denied {
-		for _, w := range t.waiting {
-			w.decided <- decision{refusal: c.refuse(t, refuseBeyond(wait), now)}
-		}
-		t.waiting = nil
-		return
-	}
+	wait, beyond := t.denial(now)
 	anyDenied := false
 	for i := range t.shards {
 		anyDenied = anyDenied || now < t.shards[i].deniedUntil
 	}
-	kept := t.waiting[:0]
+	if !anyDenied {
+		return
+	}
 	for _, w := range t.waiting {
-		if !anyDenied && now < w.holdEnd {
-			kept = append(kept, w)
-			continue
+		refusal := refuseUnavailable(detailNotAsked)
+		if beyond {
+			refusal = refuseBeyond(wait)
 		}
-		w.decided <- decision{refusal: c.refuse(t, refuseUnavailable("not all owners of the tenant's allowance could be asked"), now)}
+		w.decided <- decision{refusal: c.refuse(t, refusal, now)}
 	}
-	clear(t.waiting[len(kept):])
-	t.waiting = kept
+	t.waiting = nil
 }
 
 // query asks an owner. It returns false if there was no answer.
--- a/internal/allowance/refusal.go
+++ b/internal/allowance/refusal.go
@@ -17,6 +17,9 @@
 	unavailableSpread = 400 * time.Millisecond
 )
 
+// detailNotAsked is the detail of a refusal where an owner could not be asked.
+const detailNotAsked = "not all owners of the tenant's allowance could be asked, or the entries that are cut off hold a part of it"
+
 // refuseBeyond refuses a request beyond its tenant's allowance, of which the next unit is due
 // after that time.
 func refuseBeyond(wait time.Duration) *outcome.Refusal {
--- a/internal/attempt/trace.go
+++ b/internal/attempt/trace.go
@@ -58,3 +58,16 @@
 	t, _ := ctx.Value(traceKey{}).(*Trace)
 	return t
 }
+
+type utilizationKey struct{}
+
+// WithUtilization returns a context for a call whose tenant has recently used that part of its
+// allowance.
+func WithUtilization(ctx context.Context, utilization float64) context.Context {
+	return context.WithValue(ctx, utilizationKey{}, utilization)
+}
+
+func utilizationOf(ctx context.Context) float64 {
+	utilization, _ := ctx.Value(utilizationKey{}).(float64)
+	return utilization
+}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -70,6 +70,8 @@
 	OwnerClient OwnerClient
 	// Limiter enforces the global limits; nil means no limits.
 	Limiter Limiter
+	// Allowances bounds the requests of tenants; nil means no limits.
+	Allowances Allowances
 	// Runner sends calls to backend servers.
 	Runner Runner
 	// Addresses holds the live entries; nil disables the endpoint list.
@@ -176,8 +178,14 @@
 		defer body.Release()
 		w.unread = false
 	}
+	grant, refusal := h.acquireAllowance(r.Context(), c)
+	if refusal != nil {
+		h.refuse(w, h.settleEarlyRefusal(r, refusal))
+		return
+	}
 	start := time.Now()
-	result := h.serveMatched(w, r, c)
+	result := h.serveMatched(w, withUtilization(r, grant), c)
+	returnUnused(grant, rec)
 	h.stats.forMatch(c.match).observe(result, time.Since(start))
 }
 
--- a/internal/frontend/record.go
+++ b/internal/frontend/record.go
@@ -18,6 +18,8 @@
 	Request *http.Request
 	// Service and Rank are empty if no route matched.
 	Service, Rank string
+	// Tenant is the name of the call's tenant, empty if it has none.
+	Tenant string
 	// Revision is the revision of the configuration that the call was matched with.
 	Revision int64
 	// Budget is the time from Began to the call's deadline.
@@ -39,6 +41,9 @@
 	rec.Service = c.match.Service.Key()
 	rec.Rank = c.match.Rank.Name
 	rec.Revision = t.Revision
+	if c.match.Tenant != nil {
+		rec.Tenant = c.match.Tenant.Name
+	}
 	rec.Budget = c.deadline.Sub(rec.Began)
 }
 
--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -25,12 +25,15 @@
 		"status", rec.Status,
 		"steps", formatSteps(rec.Trace.Steps()),
 	}
+	if rec.Tenant != "" {
+		fields = append(fields, "tenant", rec.Tenant)
+	}
 	if rec.Refusal == nil {
 		l.events.Info("call", fields...)
 		return
 	}
 	fields = append(fields, "outcome", rec.Refusal.Outcome, "reason", rec.Refusal.Reason,
-		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds(),
+		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds(), "detail", rec.Refusal.Detail,
 		"caller", rec.Request.RemoteAddr, "method", rec.Request.Method, "path", cut(rec.Request.URL.Path, maxLoggedPathBytes))
 	l.events.Warn("call refused", fields...)
 }
--- /dev/null
+++ b/internal/gateway/allowances.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/allowance"
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/eventlog"
+	"chestnutrouter.example/chestnutrouter/internal/steady"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
+)
+
+// tenantLimits finds the limits of tenants by name in the active tree.
+type tenantLimits struct {
+	tree  func() *tree.Tree
+	index atomic.Pointer[limitIndex]
+}
+
+// limitIndex holds the limits of one tree. It is immutable.
+type limitIndex struct {
+	tree   *tree.Tree
+	limits map[string]allowance.Limit // of tenants that have one
+}
+
+// limit returns the tenant's limit, or false if it has none.
+func (l *tenantLimits) limit(tenant string) (allowance.Limit, bool) {
+	t := l.tree()
+	if t == nil {
+		return allowance.Limit{}, false
+	}
+	index := l.index.Load()
+	if index == nil || index.tree != t {
+		index = &limitIndex{tree: t, limits: make(map[string]allowance.Limit, len(t.Tenants))}
+		for _, tenant := range t.Tenants {
+			if tenant.PerSecond > 0 {
+				index.limits[tenant.Name] = allowance.Limit{PerSecond: tenant.PerSecond, Burst: tenant.Burst}
+			}
+		}
+		l.index.Store(index)
+	}
+	limit, ok := index.limits[tenant]
+	return limit, ok
+}
+
+// newAllowances returns the owner of this entry's shards and the client that acquires units of
+// all shards.
+func newAllowances(s *Settings, node *cluster.Node, holder *treeHolder, events *eventlog.Logger, scope tally.Scope) (*allowance.Owner, *allowance.Client) {
+	limits := &tenantLimits{tree: holder.Tree}
+	owner := allowance.NewOwner(allowance.OwnerOptions{
+		Self:     s.VM,
+		View:     node.View,
+		Limit:    limits.limit,
+		HasPeers: hasPeers(s),
+		Now:      steady.SinceBoot,
+		Events:   events,
+		Scope:    scope,
+	})
+	node.HandleQueries(cluster.TopicAllowance, owner.Answer)
+	client := allowance.NewClient(allowance.ClientOptions{Node: node, Now: steady.SinceBoot, Events: events, Scope: scope})
+	return owner, client
+}
+
+// hasPeers reports whether the settings name the datagram address of another entry.
+func hasPeers(s *Settings) bool {
+	for _, seed := range s.Seeds {
+		if seed != s.DatagramAddress {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/allowance"
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
@@ -75,6 +76,7 @@
 	Guard     *quarantine.Guard
 	Drainer   *drain.Drainer
 	Tree      *treeHolder
+	Owner     *allowance.Owner
 }
 
 // Entry is one running process of the load balancer.
@@ -237,6 +239,7 @@
 		VM: e.params.Settings.VM, Zone: e.params.Settings.Zone,
 		Tree: e.params.Tree.Tree, Services: e.params.Services,
 	}.Handler())
+	mux.Handle(allowance.Path, e.params.Owner.Handler())
 	return mux
 }
 
@@ -290,6 +293,7 @@
 // the regular heartbeat after every heartbeatRounds-th round.
 func (e *Entry) probeRound(ctx context.Context, now time.Time) {
 	e.params.Callbacks.applyMembers(now)
+	e.params.Owner.Tick()
 	e.params.LoadSync.Round(ctx, now)
 	e.rounds++
 	if e.rounds%heartbeatRounds != 0 {
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
+	"chestnutrouter.example/chestnutrouter/internal/allowance"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/buffer"
@@ -69,6 +70,7 @@
 			newStoreSync,
 			newForwarder,
 			newGuard,
+			newAllowances,
 			drain.New,
 			newHandler,
 			newEntry,
@@ -322,11 +324,12 @@
 }
 
 func newHandler(s *Settings, holder *treeHolder, storeSync *storesync.Syncer, services *service.Set, forwarder *forward.Forwarder, drainer *drain.Drainer,
-	guard *quarantine.Guard, events *eventlog.Logger, scope tally.Scope,
+	guard *quarantine.Guard, allowances *allowance.Client, events *eventlog.Logger, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
 		VM:                   s.VM,
 		Tree:                 holder,
+		Allowances:           allowances,
 		Runner:               attempt.New(attempt.QueueAdmitter{Services: services}, forwarder, scope).WithGuard(guard).WithDrainer(drainer),
 		Servers:              noServerHosts{},
 		Drainer:              drainer,
