--- a/internal/allowance/client.go
+++ b/internal/allowance/client.go
@@ -258,7 +258,7 @@
 		c.mu.Unlock()
 		a, ok := c.query(owner, &q)
 		c.mu.Lock()
-		c.apply(t, shard, owner, a, ok)
+		c.apply(t, shard, int(q.units), owner, a, ok)
 		c.mu.Unlock()
 	}
 }
@@ -357,8 +357,11 @@
 	return a, ok
 }
 
-// apply records the owner's answer and hands out the units in it. The caller holds c.mu.
-func (c *Client) apply(t *tenantState, shard int, owner *cluster.Assignee, a answer, ok bool) {
+// clampWait returns the time for which an answer is taken to hold.
+func clampWait(wait time.Duration) time.Duration { return min(max(wait, minDenial), maxDenial) }
+
+// apply records the owner's answer to a question for that many units and hands out the units in it. The caller holds c.mu.
+func (c *Client) apply(t *tenantState, shard, asked int, owner *cluster.Assignee, a answer, ok bool) {
 	now := c.options.Now()
 	s := &t.shards[shard]
 	if !ok {
@@ -371,13 +374,15 @@
 	delete(c.silent, owner.Address)
 	switch a.status {
 	case statusNotReady:
-		s.skipUntil = now + min(a.wait, maxDenial)
+		s.skipUntil = now + clampWait(a.wait)
 	case statusNotOwner:
 		s.skipUntil = now + notOwnerSkip
 	default:
 		s.used, s.usedAt = a.used, now
-		// A denial comes with the time until the next unit; a full grant with none.
-		s.deniedUntil, s.deniedAt, s.reduced = now+min(a.wait, maxDenial), now, a.status == statusReduced
+		s.deniedUntil, s.reduced = now, a.status == statusReduced
+		if int(a.granted) < asked {
+			s.deniedUntil, s.deniedAt = now+clampWait(a.wait), now
+		}
 		utilization := t.utilization(now)
 		for range a.granted {
 			c.handOut(t, &unit{client: c, owner: owner, shard: byte(shard), tenant: t.name, limit: t.limit, grantedAt: now, utilization: utilization})
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -33,8 +33,8 @@
 	aloneTime = 2 * time.Minute
 	// useWindow is the time constant of the recent use of a tenant.
 	useWindow = 3 * time.Second
-	// maxDenial bounds the time for which a client takes a denial to hold.
-	maxDenial = 500 * time.Millisecond
+	// minDenial and maxDenial bound the time for which a client takes a denial to hold.
+	minDenial, maxDenial = time.Millisecond, 500 * time.Millisecond
 	// maxReturnAge is the age up to which an unused unit is returned.
 	maxReturnAge = 250 * time.Millisecond
 )
--- a/internal/allowance/scenario_test.go
+++ b/internal/allowance/scenario_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
@@ -93,3 +94,114 @@
 		}
 	})
 }
+
+// failureTenants are a hot tenant with a high rate, for which overlaps count most, and two of
+// usual demand: one with a low rate, for which single units count most.
+func failureTenants() []*tree.Tenant {
+	return []*tree.Tenant{
+		{Name: "hot", PerSecond: 200, Burst: 100},
+		{Name: "small", PerSecond: 3, Burst: 3},
+		{Name: "medium", PerSecond: 30, Burst: 15},
+	}
+}
+
+// owners returns the entries that own the shards of the tenant's allowance.
+func (w *world) owners(tenant *tree.Tenant) []*entry {
+	assignment := w.entries[0].View().Assignment()
+	var owners []*entry
+	for shard := range shardCount {
+		owner, _ := assignment.Owner(cluster.AssignmentKey(tenant.Name, shard))
+		owners = append(owners, w.find(owner.VM))
+	}
+	return owners
+}
+
+// Load: 30 entries in three zones; a tenant sends 5 times its allowance of 200/s, two others their
+// usual demand, while entries fail. The bound must hold throughout, and no request of the tenants
+// that stay within their allowance may be refused with 429 while an owner can be queried.
+func TestBoundHoldsThroughFailures(t *testing.T) {
+	for name, script := range map[string]func(*world, []*tree.Tenant){
+		"owners killed and restarted in turn": func(w *world, tenants []*tree.Tenant) {
+			for _, owner := range w.owners(tenants[0]) {
+				time.Sleep(time.Second)
+				w.kill(owner)
+				time.Sleep(700 * time.Millisecond)
+				w.start(owner)
+			}
+		},
+		"owners killed at the same time, for long": func(w *world, tenants []*tree.Tenant) {
+			owners := w.owners(tenants[0])
+			time.Sleep(2 * time.Second)
+			for _, owner := range owners {
+				w.kill(owner)
+			}
+			time.Sleep(6 * time.Second)
+			for _, owner := range owners {
+				w.start(owner)
+			}
+		},
+		"owners paused and continued": func(w *world, tenants []*tree.Tenant) {
+			for _, length := range []time.Duration{400 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
+				time.Sleep(500 * time.Millisecond)
+				owners := w.owners(tenants[0])
+				for _, owner := range owners {
+					w.pause(owner, true)
+				}
+				time.Sleep(length)
+				for _, owner := range owners {
+					w.pause(owner, false)
+				}
+			}
+		},
+		"an owner cut off, outgoing only": func(w *world, tenants []*tree.Tenant) {
+			time.Sleep(time.Second)
+			off := w.owners(tenants[0])[0]
+			w.setCut(func(from, _ *entry) bool { return from == off })
+			time.Sleep(6 * time.Second)
+			w.setCut(func(_, _ *entry) bool { return false })
+		},
+		"an owner cut off, incoming only": func(w *world, tenants []*tree.Tenant) {
+			time.Sleep(time.Second)
+			off := w.owners(tenants[0])[0]
+			w.setCut(func(_, to *entry) bool { return to == off })
+			time.Sleep(6 * time.Second)
+			w.setCut(func(_, _ *entry) bool { return false })
+		},
+		"a zone cut off from the others": func(w *world, _ []*tree.Tenant) {
+			time.Sleep(time.Second)
+			w.setCut(func(from, to *entry) bool { return from.zone != to.zone && (from.zone == "zone-1" || to.zone == "zone-1") })
+			time.Sleep(8 * time.Second)
+			w.setCut(func(_, _ *entry) bool { return false })
+		},
+		"all restarted at once": func(w *world, _ []*tree.Tenant) {
+			time.Sleep(3 * time.Second)
+			for _, e := range w.entries {
+				w.kill(e)
+			}
+			for i, e := range w.entries {
+				time.Sleep(time.Duration(i%3) * 30 * time.Millisecond)
+				w.start(e)
+			}
+		},
+		"all restarted in turn": func(w *world, _ []*tree.Tenant) {
+			for _, e := range w.entries {
+				w.kill(e)
+				time.Sleep(300 * time.Millisecond)
+				w.start(e)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tenants := failureTenants()
+				w := newWorld(t, 30, tenants...)
+				play(t, w, tenants, 5, 15*time.Second, func() { script(w, tenants) })
+				checkNotRefused(t, w, tenants[1:], http.StatusTooManyRequests)
+				for _, tenant := range tenants {
+					granted, unavailable := w.count(tenant, http.StatusServiceUnavailable)
+					t.Logf("%s: %d granted, %d refused with 503, at most %d of %.0f in a window", tenant.Name, granted, unavailable, w.most(tenant), bound(tenant))
+				}
+			})
+		})
+	}
+}
