--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -45,6 +45,11 @@
 
 // Next decides one waiting item. It returns false if none can be decided now.
 func (s *Scheduler) Next(now time.Time) (Decision, bool) {
+	if n := len(s.evicted); n > 0 {
+		d := s.evicted[n-1]
+		s.evicted = s.evicted[:n-1]
+		return d, true
+	}
 	if picker := s.predictive(); picker != nil {
 		return s.nextPredictive(picker, now)
 	}
@@ -76,25 +81,36 @@
 	return Decision{}, false
 }
 
-// expire refuses one item whose deadline or maximum wait has passed.
+// expire refuses one item whose deadline or maximum wait has passed. Without tenants the first
+// item of each queue is the oldest.
 func (s *Scheduler) expire(now time.Time) (Decision, bool) {
 	for _, rq := range s.queues {
-		front := rq.items.Front()
-		if front == nil {
-			continue
-		}
-		item := front.Value.(*Item)
-		if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
-			return drop(rq, refuseDeadline()), true
-		}
-		if now.Sub(item.enqueued) > s.maxWait(rq, item, item.enqueued) {
-			const detail = "the wait exceeded the target or the deadline"
-			return drop(rq, refuseBusy(outcome.ReasonQueueWait, detail, rq.expectedWait(now))), true
+		for element := rq.items.Front(); element != nil; element = element.Next() {
+			item := element.Value.(*Item)
+			if refusal := s.expired(rq, item, now); refusal != nil {
+				rq.remove(item)
+				return Decision{Item: item, Refusal: spread(&item.Request, refusal, rq.expectedWait(now))}, true
+			}
+			if !rq.turns.mixed {
+				break
+			}
 		}
 	}
 	return Decision{}, false
 }
 
+// expired returns the refusal of a waiting item whose deadline or maximum wait has passed.
+func (s *Scheduler) expired(rq *rankQueue, item *Item, now time.Time) *outcome.Refusal {
+	if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
+		return refuseDeadline()
+	}
+	if now.Sub(item.enqueued) > s.maxWait(rq, item, item.enqueued) {
+		const detail = "the wait exceeded the target or the deadline"
+		return refuseBusy(outcome.ReasonQueueWait, detail, rq.expectedWait(now))
+	}
+	return nil
+}
+
 // maxLookahead bounds how many items at the head of a queue one dispatch tries,
 // as each may exclude other servers.
 const maxLookahead = 4
--- a/internal/admission/predictive.go
+++ b/internal/admission/predictive.go
@@ -82,7 +82,7 @@
 		}
 		return nil
 	}
-	if wait := rq.expectedWait(now); wait > slack {
+	if wait := rq.expectedWaitAt(rq.turns.orderOf(&item.Request), now); wait > slack {
 		return refuseBusy(outcome.ReasonQueueWait, "the wait would exceed the target", wait-slack)
 	}
 	return nil
@@ -127,7 +127,7 @@
 			}
 			rq.items.Remove(element)
 			item.late = true
-			item.element = rq.late.PushBack(item)
+			item.element = insertLate(&rq.late, item)
 		}
 	}
 }
@@ -153,7 +153,7 @@
 				continue
 			}
 			rq.remove(item)
-			refusal := refuseBusy(outcome.ReasonQueueWait, "no server could answer before the deadline", 0)
+			refusal := spread(&item.Request, refuseBusy(outcome.ReasonQueueWait, "no server could answer before the deadline", 0), rq.expectedWait(now))
 			return Decision{Item: item, Refusal: refusal}, true
 		}
 	}
--- a/internal/admission/rankqueue.go
+++ b/internal/admission/rankqueue.go
@@ -10,7 +10,8 @@
 // intervalWeight is the weight of the newest sample in the mean dispatch interval.
 const intervalWeight = 0.1
 
-// rankQueue holds the waiting requests of one rank, oldest first.
+// rankQueue holds the waiting requests of one rank, those first that are dispatched first: the
+// oldest, or by the turns of tenants.
 type rankQueue struct {
 	rank    tree.Rank
 	items   list.List
@@ -19,6 +20,7 @@
 	streams int // uploads in progress
 	granted int // requests in progress
 	window  window
+	turns   turns
 	share   float64 // share of the recent dispatches of all ranks
 
 	serviceTimes map[serviceClass]*serviceTime // see estimate
@@ -29,7 +31,9 @@
 
 func (rq *rankQueue) push(item *Item) {
 	item.queue = rq
-	item.element = rq.items.PushBack(item)
+	item.order = rq.turns.orderOf(&item.Request)
+	rq.turns.queued(&item.Request, item.order)
+	item.element = insert(&rq.items, item)
 	rq.bytes += item.Bytes
 	if rq.lastDispatch.IsZero() {
 		rq.lastDispatch = item.enqueued
@@ -46,12 +50,14 @@
 	rq.bytes -= item.Bytes
 	if rq.items.Len()+rq.late.Len() == 0 {
 		rq.lastDispatch = time.Time{}
+		rq.turns.reset()
 	}
 }
 
 // dispatched records the dispatch of an item of this queue.
 func (rq *rankQueue) dispatched(item *Item, now time.Time) {
 	rq.updateInterval(now)
+	rq.turns.dispatched(item.order, rq.items.Len()+rq.late.Len())
 	rq.remove(item)
 	rq.granted++
 	if item.Upload {
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -24,6 +24,13 @@
 	// Exclude lists the servers that must not get the request, such as those
 	// already tried.
 	Exclude []string
+	// Tenant is the name of the request's tenant, empty if it has none.
+	Tenant string
+	// TenantRate is the rate of the tenant's allowance in requests per second, zero if it has
+	// none. Tenants take turns in proportion to it.
+	TenantRate float64
+	// Utilization is the part of its allowance that the tenant has used recently.
+	Utilization float64
 }
 
 // Item is a request queued in a Scheduler.
@@ -33,6 +40,7 @@
 	queue    *rankQueue
 	element  *list.Element // nil when not waiting
 	late     bool          // in the queue's list of late items
+	order    order
 	ready    chan Decision
 }
 
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -26,6 +26,7 @@
 type Scheduler struct {
 	servers Picker
 	queues  []*rankQueue // highest priority first
+	evicted []Decision   // refusals of dropped items that Next has not returned yet
 }
 
 // NewScheduler returns a scheduler without ranks.
@@ -98,8 +99,9 @@
 		return RefuseRemoved()
 	}
 	if refusal := s.checkAdmission(rq, item, now); refusal != nil {
-		return refusal
+		return spread(&item.Request, refusal, rq.expectedWait(now))
 	}
+	s.evict(rq, item, now)
 	item.enqueued = now
 	rq.push(item)
 	return nil
@@ -109,17 +111,18 @@
 // does not fit in the queue, or would wait beyond its target or deadline. It
 // returns nil if the item can be queued.
 func (s *Scheduler) checkAdmission(rq *rankQueue, item *Item, now time.Time) *outcome.Refusal {
-	wait := rq.expectedWait(now)
+	wait := rq.expectedWaitAt(rq.turns.orderOf(&item.Request), now)
 	if s.servers.Len() <= len(item.Exclude) {
 		return refuseBusy(outcome.ReasonNoServer, "no backend server is left to try", 0)
 	}
-	if rq.items.Len()+rq.late.Len() >= rq.rank.QueueLength {
+	_, fits := rq.victims(item)
+	if !fits && rq.items.Len()+rq.late.Len() >= rq.rank.QueueLength {
 		if rq.streamsUsedUp(item) {
 			return refuseBusy(outcome.ReasonStreams, "all upload streams of the rank are in use", wait)
 		}
 		return refuseBusy(outcome.ReasonQueueFull, "the rank's queue is full", wait)
 	}
-	if rq.bytes+item.Bytes > rq.rank.QueueBytes {
+	if !fits {
 		return refuseBusy(outcome.ReasonQueueBytes, "the rank's queue holds too many bytes", wait)
 	}
 	if !item.Deadline.IsZero() && !now.Before(item.Deadline) {
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -205,6 +205,10 @@
 // admissionRequest returns the request for a server that was not tried yet.
 func (c *call) admissionRequest(ctx context.Context) Request {
 	deadline, _ := ctx.Deadline()
+	tenant, rate := "", 0.0
+	if c.match.Tenant != nil {
+		tenant, rate = c.match.Tenant.Name, c.match.Tenant.PerSecond
+	}
 	return Request{
 		Service: c.match.Service.Key(),
 		Request: admission.Request{
@@ -214,6 +218,10 @@
 			Target:   c.match.Route.Target,
 			Upload:   c.match.Route.Upload,
 			Exclude:  c.tried,
+
+			Tenant:      tenant,
+			TenantRate:  rate,
+			Utilization: utilizationOf(ctx),
 		},
 	}
 }
