--- a/internal/admission/rankqueue.go
+++ b/internal/admission/rankqueue.go
@@ -47,17 +47,17 @@
 		rq.items.Remove(item.element)
 	}
 	item.element = nil
+	rq.turns.removed(item.order)
 	rq.bytes -= item.Bytes
 	if rq.items.Len()+rq.late.Len() == 0 {
 		rq.lastDispatch = time.Time{}
-		rq.turns.reset()
 	}
 }
 
 // dispatched records the dispatch of an item of this queue.
 func (rq *rankQueue) dispatched(item *Item, now time.Time) {
 	rq.updateInterval(now)
-	rq.turns.dispatched(item.order, rq.items.Len()+rq.late.Len())
+	rq.turns.dispatched(item.order)
 	rq.remove(item)
 	rq.granted++
 	if item.Upload {
--- a/internal/admission/tenants.go
+++ b/internal/admission/tenants.go
@@ -22,9 +22,9 @@
 	// surgeUtilization is the part of its rate above which a tenant has an excess. The usual
 	// demand oscillates, so it is somewhat above usualUtilization.
 	surgeUtilization = 1.2 * usualUtilization
-	// defaultTenantRate is the rate by which requests without a limit take turns, in requests
-	// per second. It is about that of a tenant of middle size.
-	defaultTenantRate = 20.0
+	// baseTurnRate is added to the rate of each tenant, in requests per second, so that two or
+	// three requests that a small tenant happens to send together do not wait for long.
+	baseTurnRate = 20.0
 	// maxIdleTenants is the number of tenants without a waiting request that a queue remembers.
 	maxIdleTenants = 64
 )
@@ -47,6 +47,8 @@
 type turnClock struct {
 	now    float64            // the start of the last dispatched item
 	finish map[string]float64 // by tenant, when its next item starts at the earliest
+
+	waiting int // items of the class; the clock starts anew when there are none
 }
 
 // next returns the start of the next item of the tenant.
@@ -57,15 +59,21 @@
 	if c.finish == nil {
 		c.finish = map[string]float64{}
 	}
-	if rate <= 0 {
-		rate = defaultTenantRate
+	c.finish[tenant] = start + 1/(max(rate, 0)+baseTurnRate)
+	c.waiting++
+}
+
+// removed records that an item no longer waits.
+func (c *turnClock) removed() {
+	if c.waiting--; c.waiting == 0 {
+		c.now = 0
+		clear(c.finish)
 	}
-	c.finish[tenant] = start + 1/rate
 }
 
 // prune forgets tenants whose next item would start now anyway.
-func (c *turnClock) prune(waiting int) {
-	if len(c.finish) <= maxIdleTenants+waiting {
+func (c *turnClock) prune() {
+	if len(c.finish) <= maxIdleTenants+c.waiting {
 		return
 	}
 	for tenant, finish := range c.finish {
@@ -118,16 +126,16 @@
 }
 
 // dispatched advances the clock of the item's class.
-func (t *turns) dispatched(at order, waiting int) {
+func (t *turns) dispatched(at order) {
 	clock := t.clock(at.excess)
 	clock.now = max(clock.now, at.start)
-	clock.prune(waiting)
+	clock.prune()
 }
 
-// reset forgets the turns when the queue is empty.
-func (t *turns) reset() {
-	t.usual, t.excess = turnClock{}, turnClock{}
-	t.mixed = false
+// removed records that an item no longer waits.
+func (t *turns) removed(at order) {
+	t.clock(at.excess).removed()
+	t.mixed = t.mixed && t.usual.waiting+t.excess.waiting > 0
 }
 
 // insert adds the item to the list at its position. Items of the same position stay in the order
