--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -296,7 +296,12 @@
 func (w *world) most(tenant *tree.Tenant) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	times := slices.Clone(w.grants[tenant.Name])
+	return mostInWindow(w.grants[tenant.Name])
+}
+
+// mostInWindow returns the largest number of the times that lie in one window.
+func mostInWindow(unsorted []time.Duration) int {
+	times := slices.Clone(unsorted)
 	slices.Sort(times)
 	most, first := 0, 0
 	for i := range times {
