--- a/internal/frontend/allowance.go
+++ b/internal/frontend/allowance.go
@@ -17,6 +17,18 @@
 	Acquire(ctx context.Context, tenant *tree.Tenant) (allowance.Grant, *outcome.Refusal)
 }
 
+// serveWithinAllowance serves a validated call if its tenant has a unit left for it, and returns
+// its outcome.
+func (h *Handler) serveWithinAllowance(w http.ResponseWriter, r *http.Request, c call, rec *AccessRecord) outcome.Outcome {
+	grant, refusal := h.acquireAllowance(r.Context(), c)
+	if refusal != nil {
+		return h.refuse(w, h.settleEarlyRefusal(r, refusal))
+	}
+	result := h.serveMatched(w, withUtilization(r, grant), c)
+	returnUnused(grant, rec)
+	return result
+}
+
 // acquireAllowance takes a unit for the call. The grant is nil if the call needs none.
 func (h *Handler) acquireAllowance(ctx context.Context, c call) (allowance.Grant, *outcome.Refusal) {
 	tenant := c.match.Tenant
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -178,14 +178,8 @@
 		defer body.Release()
 		w.unread = false
 	}
-	grant, refusal := h.acquireAllowance(r.Context(), c)
-	if refusal != nil {
-		h.refuse(w, h.settleEarlyRefusal(r, refusal))
-		return
-	}
 	start := time.Now()
-	result := h.serveMatched(w, withUtilization(r, grant), c)
-	returnUnused(grant, rec)
+	result := h.serveWithinAllowance(w, r, c, rec)
 	h.stats.forMatch(c.match).observe(result, time.Since(start))
 }
 
