--- a/internal/allowance/message.go
+++ b/internal/allowance/message.go
@@ -72,7 +72,7 @@
 	}
 	q := question{
 		op: data[0], shard: data[1], units: data[2], id: binary.LittleEndian.Uint64(data[3:]),
-		limit:  Limit{PerSecond: floatAt(data[11:]), Burst: floatAt(data[19:])},
+		limit: Limit{PerSecond: floatAt(data[11:]), Burst: floatAt(data[19:])},
 	}
 	rest := data[questionHeaderBytes:]
 	if q.op == opClaim {
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -62,7 +62,7 @@
 	observed time.Duration // of the last call of observe
 	swept    time.Duration
 	claimed  time.Duration // when claims were last sent
-	periods  []period // the current one last
+	periods  []period      // the current one last
 	buckets  map[bucketKey]*bucket
 }
 
--- a/internal/allowance/scenario_test.go
+++ b/internal/allowance/scenario_test.go
@@ -175,7 +175,9 @@
 		},
 		"a zone cut off from the others": func(w *world, _ []*tree.Tenant) {
 			time.Sleep(time.Second)
-			w.setCut(func(from, to *entry) bool { return from.zone != to.zone && (from.zone == "zone-1" || to.zone == "zone-1") })
+			w.setCut(func(from, to *entry) bool {
+				return from.zone != to.zone && (from.zone == "zone-1" || to.zone == "zone-1")
+			})
 			time.Sleep(8 * time.Second)
 			w.setCut(func(_, _ *entry) bool { return false })
 		},
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -71,7 +71,7 @@
 	w := &world{
 		t: t, began: time.Now(), tenants: map[string]*tree.Tenant{}, grants: map[string][]time.Duration{},
 		refused: map[string]map[int]int{},
-		cut: func(_, _ *entry) bool { return false },
+		cut:     func(_, _ *entry) bool { return false },
 	}
 	for _, tenant := range tenants {
 		w.tenants[tenant.Name] = tenant
