--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -70,6 +70,8 @@
 	OwnerClient OwnerClient
 	// Limiter enforces the global limits; nil means no limits.
 	Limiter Limiter
+	// Allowances bounds the requests of tenants; nil means no limits.
+	Allowances Allowances
 	// Runner sends calls to backend servers.
 	Runner Runner
 	// Addresses holds the live entries; nil disables the endpoint list.
@@ -193,7 +195,7 @@
 		w.unread = false
 	}
 	start := time.Now()
-	result := h.serveMatched(w, r, c)
+	result := h.serveWithinAllowance(w, r, c, rec)
 	h.stats.forMatch(c.match).observe(result, time.Since(start))
 }
 
--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -34,7 +34,7 @@
 		return
 	}
 	fields = append(fields, "outcome", rec.Refusal.Outcome, "reason", rec.Refusal.Reason,
-		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds(),
+		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds(), "detail", rec.Refusal.Detail,
 		"caller", rec.Request.RemoteAddr, "method", rec.Request.Method, "path", cut(rec.Request.URL.Path, maxLoggedPathBytes))
 	if rec.Refusal.Status == http.StatusUnauthorized {
 		fields = append(fields, "detail", rec.Refusal.Detail)
