Evacuate availability zones by records of the configuration's stream

Members that read the stream keep the newest record of each key evacuate/ZONE, others pull them by a version and a hash in heartbeats. The gateway marks the servers of evacuated zones, and the balancer keeps their state but sends them nothing.

--- a/internal/balancer/entryorder.go
+++ b/internal/balancer/entryorder.go
@@ -51,7 +51,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	next := *b.snapshot.Load()
-	for _, be := range next.backends {
+	for _, be := range next.byName {
 		be.entryOrder.set(position(be.vm.Name), entries)
 	}
 	next.preferred = preferredBackends(next.backends)
--- a/internal/balancer/limitshare.go
+++ b/internal/balancer/limitshare.go
@@ -124,7 +124,7 @@
 func (b *Balancer) SetSenderOrder(order SenderOrder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, be := range b.snapshot.Load().backends {
+	for _, be := range b.snapshot.Load().byName {
 		be.requestLimit.position.Store(int32(order.Position(be.vm.Name, be.vm.Zone)))
 	}
 	live := max(order.Live, 1)
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -33,7 +33,10 @@
 // snapshot is an immutable set of servers with the service's limits.
 type snapshot struct {
 	backends []*backend
-	byName   map[string]*backend
+	// evacuated are the servers that get no requests as their availability zone is evacuated.
+	// They are kept, as they come back.
+	evacuated []*backend
+	byName    map[string]*backend // of both
 	// preferred are the servers that this entry tries first in a large service, so that
 	// its connections to them are used again; empty in a small one.
 	preferred    []*backend
@@ -55,7 +58,7 @@
 func (s *snapshot) next(servers []fleet.VM, svc *tree.Service, zone string, incarnations *Incarnations, now int64) (n *snapshot, gone []*backend) {
 	left := maps.Clone(s.byName)
 	joinedAt := now
-	if len(s.backends) == 0 {
+	if len(s.byName) == 0 {
 		joinedAt = 0
 	}
 	n = &snapshot{slots: defaultSlots, byName: make(map[string]*backend, len(servers))}
@@ -73,7 +76,12 @@
 		} else {
 			delete(left, vm.Name)
 		}
-		n.backends, n.byName[vm.Name] = append(n.backends, be), be
+		n.byName[vm.Name] = be
+		if vm.State == fleet.Evacuated {
+			n.evacuated = append(n.evacuated, be)
+		} else {
+			n.backends = append(n.backends, be)
+		}
 	}
 	n.preferred = preferredBackends(n.backends)
 	return n, slices.Collect(maps.Values(left))
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -25,6 +25,8 @@
 	StateDraining ServerState = "draining"
 	// StateEjected failed too many requests.
 	StateEjected ServerState = "ejected"
+	// StateEvacuated is in an availability zone that the operator evacuates.
+	StateEvacuated ServerState = "evacuated"
 	// StateProbation gets one request at a time after an ejection.
 	StateProbation ServerState = "probation"
 )
@@ -69,12 +71,17 @@
 	for _, be := range s.preferred {
 		preferred[be] = true
 	}
-	statuses := make([]ServerStatus, 0, len(s.backends))
+	statuses := make([]ServerStatus, 0, len(s.byName))
 	for _, be := range s.backends {
 		status := be.status(&p)
 		status.Preferred = preferred[be]
 		statuses = append(statuses, status)
 	}
+	for _, be := range s.evacuated {
+		status := be.status(&p)
+		status.State = StateEvacuated
+		statuses = append(statuses, status)
+	}
 	return statuses
 }
 
--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -122,16 +122,23 @@
 		out = l.append(out)
 	}
 	out = binary.LittleEndian.AppendUint32(out, hb.ServersHash)
-	if len(hb.CrashReports) == 0 {
+	if len(hb.CrashReports) == 0 && !hb.hasEvacuations() {
 		return out
 	}
 	out = binary.AppendUvarint(out, uint64(len(hb.CrashReports)))
 	for _, r := range hb.CrashReports {
 		out = r.append(out)
 	}
-	return out
+	if !hb.hasEvacuations() {
+		return out
+	}
+	out = binary.AppendUvarint(out, uint64(hb.EvacuationsVersion))
+	return binary.LittleEndian.AppendUint32(out, hb.EvacuationsHash)
 }
 
+// hasEvacuations reports whether the heartbeat ends with the version of the evacuated zones.
+func (hb *Heartbeat) hasEvacuations() bool { return hb.EvacuationsVersion != 0 }
+
 func (hb *Heartbeat) flags() byte {
 	var flags byte
 	if hb.Ready {
@@ -257,6 +264,10 @@
 			hb.CrashReports = append(hb.CrashReports, d.crashReport())
 		}
 	}
+	if !d.failed && len(d.data) > 0 {
+		hb.EvacuationsVersion = int64(d.uvarint())
+		hb.EvacuationsHash = binary.LittleEndian.Uint32(d.fixed(4))
+	}
 	if d.failed {
 		return Heartbeat{}, errMalformedHeartbeat
 	}
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -40,6 +40,11 @@
 	ServersVersion int64
 	// ServersHash is a hash of the servers in that version.
 	ServersHash uint32
+	// EvacuationsVersion is the version of what the member knows of evacuated availability
+	// zones, zero if it knows no record of one. EvacuationsHash is a hash of the zones that are
+	// evacuated in that version.
+	EvacuationsVersion int64
+	EvacuationsHash    uint32
 	// StoreReadAge is the time since the member itself last read the store: the servers or
 	// the configuration, whichever is longer ago.
 	StoreReadAge time.Duration
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,9 @@
 	Live State = "live"
 	// Leaving marks a VM that finishes its work and takes no new work.
 	Leaving State = "leaving"
+	// Evacuated marks a live VM whose availability zone is evacuated: it gets only liveness
+	// checks until the zone is taken back.
+	Evacuated State = "evacuated"
 )
 
 // EntryService is the service name of entry VMs in the VM list.
--- a/internal/gateway/adapter.go
+++ b/internal/gateway/adapter.go
@@ -24,6 +24,9 @@
 	DecodeServer func(key string, value []byte) (fleet.VM, error)
 	// DecodeRevision decodes only the revision of a configuration.
 	DecodeRevision func(value []byte) (int64, error)
+	// DecodeEvacuation returns the availability zone that a key of ConfigStream evacuates; see
+	// storesync.Options.
+	DecodeEvacuation func(key string) (zone string, ok bool)
 	// Dialect adapts requests to backend servers and their responses, Prober sends
 	// probes to backend servers.
 	Dialect forward.Dialect
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
 	"chestnutrouter.example/chestnutrouter/internal/admission"
@@ -96,14 +97,17 @@
 type treeHolder struct {
 	tree atomic.Pointer[tree.Tree]
 
-	mu      sync.Mutex // serializes changes of either; guards servers
-	servers []fleet.VM
+	mu         sync.Mutex // serializes changes of all; guards the fields below
+	listed     []fleet.VM // the servers as the store lists them
+	servers    []fleet.VM // those of evacuated zones are marked
+	evacuation zoneEvacuation
 }
 
 // Tree returns the active tree, nil if there is none yet.
 func (t *treeHolder) Tree() *tree.Tree { return t.tree.Load() }
 
-// isInUse reports whether the store lists that start of the server as live.
+// isInUse reports whether the store lists that start of the server as live, in a zone that is not
+// evacuated.
 func (t *treeHolder) isInUse(vm fleet.VM) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -131,6 +135,8 @@
 	holder   *treeHolder
 	services *service.Set
 	loadSync *loadsync.Syncer
+	events   *eventlog.Logger
+	scope    tally.Scope
 }
 
 // setTree applies a tree. The services are updated before the tree becomes visible, so
@@ -146,10 +152,26 @@
 func (a applier) setServers(vms []fleet.VM) {
 	a.holder.mu.Lock()
 	defer a.holder.mu.Unlock()
-	a.holder.servers = vms
-	a.services.SetServers(newServerList(vms))
+	a.holder.listed = vms
+	a.applyServers()
+}
+
+// setEvacuations applies the list of evacuated availability zones.
+func (a applier) setEvacuations(zones []string) {
+	a.holder.mu.Lock()
+	defer a.holder.mu.Unlock()
+	a.logEvacuations(zones)
+	a.holder.evacuation.set(zones)
+	a.applyServers()
+}
+
+// applyServers applies the listed servers, those of evacuated zones marked. holder.mu must be held.
+func (a applier) applyServers() {
+	a.holder.servers = a.holder.evacuation.mark(a.holder.listed)
+	a.warnOfUnknownZones()
+	a.services.SetServers(newServerList(a.holder.servers))
 	if t := a.holder.Tree(); t != nil {
-		a.loadSync.Update(t, a.services, vms)
+		a.loadSync.Update(t, a.services, a.holder.servers)
 	}
 }
 
@@ -304,6 +326,7 @@
 // status returns what this entry announces about itself.
 func (e *Entry) status(now time.Time) cluster.Status {
 	version, hash := e.params.StoreSync.ServersVersionAndHash()
+	evacuationsVersion, evacuationsHash := e.params.StoreSync.EvacuationsVersionAndHash()
 	return cluster.Status{
 		Ready:          e.Ready(),
 		Leaving:        e.params.Drainer.Draining(),
@@ -312,6 +335,9 @@
 		ServersHash:    hash,
 		StoreReadAge:   e.params.StoreSync.StoreReadAge(now),
 		StoreFailing:   e.params.StoreSync.StoreFailing(),
+
+		EvacuationsVersion: evacuationsVersion,
+		EvacuationsHash:    evacuationsHash,
 	}
 }
 
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -253,7 +253,7 @@
 func newStoreSync(s *Settings, adapter *Adapter, node *cluster.Node, callbacks *clusterCallbacks, pool *peer.Pool, events *eventlog.Logger,
 	scope tally.Scope, holder *treeHolder, services *service.Set, loadSync *loadsync.Syncer,
 ) *storesync.Syncer {
-	a := applier{holder: holder, services: services, loadSync: loadSync}
+	a := applier{holder: holder, services: services, loadSync: loadSync, events: events, scope: scope}
 	storeSync := storesync.New(storesync.Options{
 		Log:           adapter.Log,
 		ConfigStream:  adapter.ConfigStream,
@@ -277,6 +277,9 @@
 		OnServers:      func(vms []fleet.VM) { a.setServers(vms) },
 		Events:         events,
 		Scope:          scope,
+
+		DecodeEvacuation: adapter.DecodeEvacuation,
+		OnEvacuations:    a.setEvacuations,
 	})
 	callbacks.storeSync = storeSync
 	return storeSync
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,8 @@
 	RequestLimits = "request_limits"
 	// Notices counts what backend servers newly say about further requests.
 	Notices = "server_notices"
+	// ZoneEvacuations counts the availability zones that are evacuated and taken back.
+	ZoneEvacuations = "zone_evacuations"
 	// Probes counts active load probes, the used part of the probe budget.
 	Probes = "probes"
 )
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -88,6 +88,7 @@
 	fromRevision      int64
 	fromServers       int64
 	revision, servers int64
+	evacuations       evacuationVersion
 	data              []byte
 }
 
@@ -147,7 +148,7 @@
 	s := r.syncer
 	last := r.last
 	if last.data != nil && last.fromRevision == args.Revision && last.fromServers == args.Servers &&
-		last.revision == s.Revision() && last.servers == s.ServersVersion() {
+		last.revision == s.Revision() && last.servers == s.ServersVersion() && last.evacuations == s.evacuations.currentVersion() {
 		return &last, nil
 	}
 	u := s.updateSince(args)
@@ -158,7 +159,7 @@
 	next := encodedUpdate{
 		id: xxhash.Sum64(data), data: data,
 		fromRevision: args.Revision, fromServers: args.Servers,
-		revision: s.Revision(), servers: int64(u.ServersVersion),
+		revision: s.Revision(), servers: int64(u.ServersVersion), evacuations: u.Evacuations.version(),
 	}
 	if len(data) > largeUpdateBytes {
 		r.last = next
@@ -169,7 +170,7 @@
 func (s *Syncer) updateSince(args SinceArgs) *update {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
-	u := &update{ConfigNext: s.configNext}
+	u := &update{ConfigNext: s.configNext, Evacuations: s.evacuations.state()}
 	if s.revision.Load() > args.Revision {
 		u.Config = s.config
 	}
@@ -201,10 +202,10 @@
 	}
 }
 
-// lacks reports whether the member has newer data than this one, or other servers in the same
-// version of the list.
+// lacks reports whether the member has newer data than this one, or other servers or evacuated
+// zones in the same version.
 func (s *Syncer) lacks(m cluster.LiveMember) bool {
-	return m.Revision > s.Revision() || m.ServersVersion > s.ServersVersion() || s.differs(m)
+	return m.Revision > s.Revision() || m.ServersVersion > s.ServersVersion() || s.differs(m) || s.lacksEvacuations(m)
 }
 
 // differs reports whether the member has other servers in the same version of the list, as far
@@ -372,7 +373,8 @@
 }
 
 func (s *Syncer) applyUpdate(u *update, source string) {
-	s.applyConfig([]logservice.KeyedRecord{u.Config}, u.ConfigNext, source)
+	s.applyPeerEvacuations(u, source)
+	s.applyConfig([]logservice.KeyedRecord{u.Config}, u.configNext(), source)
 	s.applyPeerServers(u, source)
 	s.servers.adoptNumbers(u.RemovedNumbers)
 	s.servers.adoptVersion(u.ServersVersion)
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -368,7 +368,8 @@
 		return false, refused
 	}
 	s.lastConfigRead.Store(steady.Nanos(time.Now()))
-	s.logUnreadable(s.options.ConfigStream, page)
+	s.logUnreadable(s.options.ConfigStream, page.KeyedPage)
+	s.applyEvacuations(page, "store")
 	s.applyConfig(page.Records, page.Next, "store")
 	s.applyMu.Lock()
 	s.configNext, s.configRead = max(s.configNext, page.Next), true
@@ -379,10 +380,10 @@
 // readConfigPage reads the records from next on. If next is not known or refused, it reads the
 // newest record, and all retained ones if that one can't be read, or if the store was restored
 // since: the newest record may not have the highest revision then.
-func (s *Syncer) readConfigPage(ctx context.Context, next logservice.Position, known bool, wait time.Duration) (page logservice.KeyedPage, refused bool, err error) {
+func (s *Syncer) readConfigPage(ctx context.Context, next logservice.Position, known bool, wait time.Duration) (page configPage, refused bool, err error) {
 	if known {
 		s.count("reads_config")
-		page, err = s.options.Log.ReadKeyed(ctx, s.options.ConfigStream, next, wait)
+		page.KeyedPage, err = s.options.Log.ReadKeyed(ctx, s.options.ConfigStream, next, wait)
 		if !isRefused(err) {
 			return page, false, err
 		}
@@ -391,12 +392,13 @@
 		if epoch := presentEpoch(err); epoch > next.Epoch() {
 			history, complete, historyErr := s.readConfigHistory(ctx, epoch)
 			if historyErr == nil && complete {
-				return history, true, nil
+				return configPage{KeyedPage: history, newest: newestInHistory(history)}, true, nil
 			}
 		}
 	}
 	s.count("reads_config_newest")
-	page, err = s.options.Log.Newest(ctx, s.options.ConfigStream)
+	newest, err := s.options.Log.Newest(ctx, s.options.ConfigStream)
+	page = configPage{KeyedPage: newest, newest: &newest}
 	epoch := page.Next.Epoch()
 	restored := epoch > 0 && (!known || epoch > next.Epoch())
 	if err != nil || !restored && s.isReadable(page.Records) {
@@ -453,7 +455,8 @@
 			return logservice.KeyedPage{}, false, err
 		}
 		history.Records = append(history.Records, page.Records...)
-		history.Next = page.Next
+		history.Unreadable += page.Unreadable
+		history.Next, history.End = page.Next, page.End
 		if page.Next >= page.End {
 			break
 		}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -46,6 +46,13 @@
 	View func() *cluster.View
 	// OnTree applies a newer tree. Calls are serialized.
 	OnTree func(*tree.Tree)
+	// DecodeEvacuation returns the availability zone that a record of ConfigStream with this key
+	// evacuates, and false if the key is not one of an evacuation. The zone is empty if the key
+	// can't be read. If the function is nil, no zone is ever evacuated.
+	DecodeEvacuation func(key string) (zone string, ok bool)
+	// OnEvacuations applies the sorted list of evacuated availability zones whenever it has
+	// changed. Calls are serialized with those of OnTree and OnServers.
+	OnEvacuations func(zones []string)
 	// OnServers applies a newer list of backend servers. Calls are serialized and may
 	// repeat a list.
 	OnServers func([]fleet.VM)
@@ -63,9 +70,11 @@
 	options  Options
 	servers  serverTable
 	deferred deferredRecords
-	outages  outageDetector
-	pulls    chan cluster.LiveMember
-	started  time.Time
+	// evacuations has a lock that is a leaf; it changes only while applyMu is held.
+	evacuations evacuationTable
+	outages     outageDetector
+	pulls       chan cluster.LiveMember
+	started     time.Time
 
 	// lastContact and lastConfigRead are the times of the last successful reads of the
 	// servers and of the configuration from the store, in Unix nanoseconds, zero before them.
@@ -77,6 +86,8 @@
 	configReads restartableRead
 	// comparison bounds how often all servers are pulled because hashes differ.
 	comparison comparison
+	// evacuationComparison is the same for evacuated zones.
+	evacuationComparison comparison
 	// newerSeenAt is when a member last announced a newer revision than the active one,
 	// appliedAt when a configuration was last applied, in Unix nanoseconds.
 	newerSeenAt, appliedAt atomic.Int64
@@ -93,6 +104,9 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
+	if options.DecodeEvacuation == nil {
+		options.DecodeEvacuation = func(string) (string, bool) { return "", false }
+	}
 	decodeServer := options.DecodeServer
 	options.DecodeServer = func(key string, value []byte) (fleet.VM, error) {
 		return contain(func(value []byte) (fleet.VM, error) { return decodeServer(key, value) })(value)
--- a/internal/storesync/update.go
+++ b/internal/storesync/update.go
@@ -19,6 +19,9 @@
 	Config logservice.KeyedRecord
 	// ConfigNext is the position from which to continue reading the configuration.
 	ConfigNext logservice.Position
+	// Evacuations is what the sender knows of evacuated availability zones. It is nil from
+	// programs that know nothing of them.
+	Evacuations *evacuationState
 	// Servers are the records that changed.
 	Servers []logservice.KeyedRecord
 	// ServersComplete is set if Servers are all records: any server without one whose
@@ -33,6 +36,15 @@
 	ServersNext logservice.Position
 }
 
+// configNext returns the position from which the receiver continues to read the configuration's
+// stream, zero if the sender knows nothing of the evacuations before it.
+func (u *update) configNext() logservice.Position {
+	if u.Evacuations == nil {
+		return 0
+	}
+	return u.ConfigNext
+}
+
 // UpdateError reports an update from another member that cannot be used.
 type UpdateError struct {
 	// Cause says what is wrong with it.
