Test evacuations and keep those that a restored store never had

An evacuation that the present epoch of the store never had was taken back by a member whose first read of the store ended after it had pulled it: absence of its key showed a removal. It does only for records of that epoch.

--- a/internal/cluster/datagram_test.go
+++ b/internal/cluster/datagram_test.go
@@ -13,7 +13,7 @@
 	Incarnation: 1 << 60,
 	Sequence:    1 << 40,
 	MembersHash: 7,
-	Status:      Status{Ready: true, Leaving: true, Revision: 12, ServersVersion: 900, ServersHash: 1 << 30, StoreReadAge: 450 * time.Millisecond, StoreFailing: true},
+	Status:      Status{Ready: true, Leaving: true, Revision: 12, ServersVersion: 900, ServersHash: 1 << 30, StoreReadAge: 450 * time.Millisecond, StoreFailing: true, EvacuationsVersion: 1 << 50, EvacuationsHash: 1 << 31},
 	Reports: []LoadReport{
 		{Server: 1, InFlight: 3, Queue: 2, Slowdown: 500, Age: 4 * time.Millisecond},
 		{Server: 1 << 31, Draining: true},
@@ -38,6 +38,7 @@
 func TestHeartbeatWithoutLimitsIsAsBefore(t *testing.T) {
 	with, without := sampleHeartbeat, sampleHeartbeat
 	without.RequestLimits, without.ServersHash, without.CrashReports = nil, 0, nil
+	without.EvacuationsVersion, without.EvacuationsHash = 0, 0
 	const lengthOfRest = 1 + 4 // the number of limits and the hash
 	earlier := without.append(nil)
 	earlier = earlier[:len(earlier)-lengthOfRest]
@@ -53,6 +54,7 @@
 func TestHeartbeatWithoutCrashReportsIsAsBefore(t *testing.T) {
 	without := sampleHeartbeat
 	without.CrashReports = nil
+	without.EvacuationsVersion, without.EvacuationsHash = 0, 0
 	earlier := without.append(nil)
 	if got, err := decodeHeartbeat(earlier[1:]); err != nil || !reflect.DeepEqual(got, without) {
 		t.Errorf("decoded %+v, %v, want the heartbeat without crash reports", got, err)
@@ -62,6 +64,28 @@
 	}
 }
 
+// The version of the evacuated zones follows what versions without it read, and takes no byte
+// where no zone was ever evacuated. Crash reports need not be there.
+func TestHeartbeatWithoutEvacuationsIsAsBefore(t *testing.T) {
+	for _, reports := range [][]CrashReport{nil, sampleHeartbeat.CrashReports} {
+		with := sampleHeartbeat
+		with.CrashReports = reports
+		without := with
+		without.EvacuationsVersion, without.EvacuationsHash = 0, 0
+		earlier := without.append(nil)
+		if got, err := decodeHeartbeat(earlier[1:]); err != nil || !reflect.DeepEqual(got, without) {
+			t.Errorf("decoded %+v, %v, want the heartbeat without evacuations", got, err)
+		}
+		data := with.append(nil)
+		if !bytes.HasPrefix(data, earlier) {
+			t.Error("evacuations change what earlier versions read, want them after it")
+		}
+		if got, err := decodeHeartbeat(data[1:]); err != nil || !reflect.DeepEqual(got, with) {
+			t.Errorf("decoded %+v, %v, want the heartbeat with evacuations", got, err)
+		}
+	}
+}
+
 // Many crash reports are split into parts that fit into a packet, and none is lost.
 func TestCrashReportsAreSplitIntoParts(t *testing.T) {
 	n := &Node{}
--- a/internal/storesync/configworld_test.go
+++ b/internal/storesync/configworld_test.go
@@ -115,6 +115,8 @@
 	since   time.Time // of its start, or the end of its last fault
 	ended   time.Time // zero while it runs
 	dark    bool      // its VM does not respond any more
+	zones   []string  // evacuated ones, guarded by configLives.mu
+	apart   bool      // out of contact with the members that are not, guarded by configLives.mu
 }
 
 // configLives plays members that read the configuration from a store with several lives.
@@ -170,9 +172,13 @@
 		if now.Sub(seen) > livenessTimeout {
 			continue
 		}
+		evacuations, evacuationsHash := m.EvacuationsVersionAndHash()
 		v.Live = append(v.Live, cluster.LiveMember{
 			Member: cluster.Member{VM: m.name, Zone: m.options.Zone, PeerAddress: m.name}, LastSeen: seen,
-			Status: cluster.Status{Revision: m.Revision(), ServersVersion: m.ServersVersion(), StoreReadAge: m.StoreReadAge(seen), StoreFailing: m.StoreFailing()},
+			Status: cluster.Status{
+				Revision: m.Revision(), ServersVersion: m.ServersVersion(), StoreReadAge: m.StoreReadAge(seen), StoreFailing: m.StoreFailing(),
+				EvacuationsVersion: evacuations, EvacuationsHash: evacuationsHash,
+			},
 		})
 	}
 	v.Known = len(v.Live)
@@ -186,6 +192,13 @@
 	m := &livesMember{testSyncer: newTestSyncer(), name: fmt.Sprintf("vm-%d", c.started), log: &memberLog{livesLog: c.log}, since: time.Now()}
 	m.options.Log, m.options.Client, m.options.Self, m.options.View = m.log, c, m.name, c.view
 	m.options.Zone = fmt.Sprint(c.started % 3)
+	m.options.DecodeEvacuation = decodeEvacuation
+	m.options.OnEvacuations = func(zones []string) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		m.zones = zones
+		c.noteLocked("%s evacuates %v", m.name, zones)
+	}
 	m.options.OnTree = func(t *tree.Tree) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -238,9 +251,9 @@
 func (c *configLives) heartbeat() {
 	running := c.running()
 	for _, announced := range c.view().Live {
-		sends := slices.ContainsFunc(running, func(m *livesMember) bool { return m.name == announced.VM })
+		sender := slices.IndexFunc(running, func(m *livesMember) bool { return m.name == announced.VM })
 		for _, m := range running {
-			if sends && m.name != announced.VM {
+			if sender >= 0 && m.name != announced.VM && running[sender].apart == m.apart {
 				m.ObservePeer(announced)
 			}
 		}
--- a/internal/storesync/evacuations.go
+++ b/internal/storesync/evacuations.go
@@ -200,12 +200,12 @@
 
 // showsRemoval reports whether the key of a record has been removed if the source has no record
 // of it. A position that is none of a record is that of an evacuation that the present epoch of
-// the store may lack, so other members may not know it.
+// the store may never have had, so its absence there says nothing.
 func (s evacuationSource) showsRemoval(r evacuationRecord) bool {
-	if !r.Evacuated || r.Position >= s.next || r.Position.Epoch() != s.next.Epoch() {
+	if !r.Evacuated || !r.Position.IsRecord() || r.Position >= s.next || r.Position.Epoch() != s.next.Epoch() {
 		return false
 	}
-	return s.all && !s.unreadable || s.peer && r.Position.IsRecord()
+	return s.all && !s.unreadable || s.peer
 }
 
 // survivesRestore reports whether the record, of an earlier epoch than the source, still holds
