Limit requests to cold servers

A server that is warming up has the request limit warmupPerS of its service, divided over the entries like a limit that it names; the lower one holds. Its record, probes, responses and other entries' heartbeats tell how long it is cold.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -41,6 +41,13 @@
 	// OnNotices, if not nil, is called when a server first says that it is leaving, and when a
 	// pause begins. It may be called on the request path.
 	OnNotices func(server string, news Notices)
+	// OnWarmUp, if not nil, is called when a warm-up of a server is news. It may be called on
+	// the request path.
+	OnWarmUp func(WarmUpChange)
+	// SettledAt is when this entry has had the time to get to know the others after its start.
+	// Until then it sends nothing to servers that warm up, as its share of their limits would be
+	// too large. The zero time is that of an entry that knows them.
+	SettledAt time.Time
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -65,6 +72,9 @@
 	// LimitNamed is called with the request limit in a response to this entry that arrived
 	// at that time, also when a limit has ended. changed is set if it is news to this entry.
 	LimitNamed(server string, limit NamedLimit, at time.Time, changed bool)
+	// WarmingUp is called with the time for which a server still is cold by a response to this
+	// entry that arrived at that time. news is set if this entry did not know it.
+	WarmingUp(server string, left time.Duration, at time.Time, news bool)
 }
 
 // noopObserver is an Observer that does nothing.
@@ -76,6 +86,8 @@
 
 func (noopObserver) LimitNamed(string, NamedLimit, time.Time, bool) {}
 
+func (noopObserver) WarmingUp(string, time.Duration, time.Time, bool) {}
+
 // Balancer chooses among the backend servers of one service.
 type Balancer struct {
 	options          Options
@@ -127,6 +139,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	next, gone := b.snapshot.Load().next(servers, svc, b.options.Zone, b.options.Incarnations, steady.Nanos(now))
+	next.warmUp = warmUpSettingsOf(svc)
+	for _, vm := range servers {
+		if be := next.backend(vm.Name); be != nil {
+			b.observeRecord(be, vm, next.warmUp, now)
+		}
+	}
 	next.maxPerServer = reservationLimit(next.slots, svc.ConnectionsPerServer, b.options.Entries())
 	b.snapshot.Store(next)
 	b.options.Incarnations.unlist(gone, steady.Nanos(now))
@@ -211,6 +229,8 @@
 		crossZoneCost:    crossZoneTimeCost,
 		maxStretch:       math.Inf(1),
 		limits:           b.limits.Load(),
+		warmUpPerSecond:  s.warmUp.perSecond,
+		settled:          !now.Before(b.options.SettledAt),
 	}
 }
 
--- a/internal/balancer/done.go
+++ b/internal/balancer/done.go
@@ -20,6 +20,7 @@
 	}
 	b.observeResponse(reservation.backend, r, now)
 	b.observeNotices(reservation.backend, r.Notices, now)
+	b.observeWarmUp(reservation.backend, b.snapshot.Load().warmUp, r.Notices.WarmUp, now, LimitFromResponse)
 	switch r.Kind {
 	case OK:
 		b.updateShed(reservation.backend, 0)
--- a/internal/balancer/incarnations.go
+++ b/internal/balancer/incarnations.go
@@ -31,7 +31,7 @@
 func (i *incarnation) inForce(now int64) bool {
 	named := i.requestLimit.named.Load()
 	return named != nil && now-named.observedAt < int64(forgetLimitAfter) ||
-		i.notices.inForce(now) || now < i.health.ejectedUntil.Load()
+		i.requestLimit.warmUp.left(now) > 0 || i.notices.inForce(now) || now < i.health.ejectedUntil.Load()
 }
 
 // Incarnations holds the state of each start of a server for all balancers that share it. A state
--- a/internal/balancer/limitshare.go
+++ b/internal/balancer/limitshare.go
@@ -40,8 +40,12 @@
 )
 
 // shareAt returns this entry's share of a limit in requests a second.
-func (l *requestLimit) shareAt(perSecond float64, o *limitOrder) float64 {
-	total, entries := perSecond*o.present, max(o.entries(), 1)
+func (l *requestLimit) shareAt(limit limitInForce, p *pickParams) float64 {
+	if limit.cold && !p.settled {
+		return 0
+	}
+	o := p.limits
+	total, entries := limit.perSecond*o.present, max(o.entries(), 1)
 	if !o.ordered {
 		return total / float64(entries)
 	}
@@ -70,36 +74,40 @@
 	l.share = share
 }
 
-// trialDue reports whether a request must be sent to learn whether the limit still holds.
-// l.mu must be held.
-func (l *requestLimit) trialDue(named *namedLimit, now int64, o *limitOrder) bool {
+// trialDue reports whether a request must be sent to learn whether the limit still holds. A
+// warm-up ends by itself. l.mu must be held.
+func (l *requestLimit) trialDue(limit limitInForce, now int64, o *limitOrder) bool {
+	named := limit.named
+	if named == nil || limit.cold {
+		return false
+	}
 	wait := trialAfter + time.Duration(min(l.position.Load(), maxTrialSteps))*trialStep
 	return now-max(named.observedAt, l.lastSent) > int64(float64(wait)/o.present)
 }
 
 // blocks reports whether the limit keeps this entry from sending a request now.
 func (l *requestLimit) blocks(p *pickParams) bool {
-	named, perSecond := l.inForce(p.now)
-	if named == nil {
+	limit, limited := l.inForce(p)
+	if !limited {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setShare(l.shareAt(perSecond, p.limits), p.now)
-	return l.limiter.TokensAt(steady.Time(p.now)) < 1 && !l.trialDue(named, p.now, p.limits)
+	l.setShare(l.shareAt(limit, p), p.now)
+	return l.limiter.TokensAt(steady.Time(p.now)) < 1 && !l.trialDue(limit, p.now, p.limits)
 }
 
 // take counts a request against this entry's share. It returns false if the share is used
 // up.
 func (l *requestLimit) take(p *pickParams) bool {
-	named, perSecond := l.inForce(p.now)
-	if named == nil {
+	limit, limited := l.inForce(p)
+	if !limited {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setShare(l.shareAt(perSecond, p.limits), p.now)
-	if !l.limiter.AllowN(steady.Time(p.now), 1) && !l.trialDue(named, p.now, p.limits) {
+	l.setShare(l.shareAt(limit, p), p.now)
+	if !l.limiter.AllowN(steady.Time(p.now), 1) && !l.trialDue(limit, p.now, p.limits) {
 		return false
 	}
 	l.lastSent = p.now
@@ -158,7 +166,7 @@
 			continue
 		}
 		if p.limits == nil {
-			p = pickParams{now: steady.Nanos(now), limits: b.limits.Load()}
+			p = pickParams{now: steady.Nanos(now), limits: b.limits.Load(), warmUpPerSecond: s.warmUp.perSecond, settled: !now.Before(b.options.SettledAt)}
 		}
 		if be.notices.blocks(p.now) {
 			blocked = true
@@ -171,16 +179,16 @@
 			continue
 		}
 		l := be.requestLimit
-		if l.named.Load() == nil {
-			return LimitWait{}, false
-		}
 		blocked = true
-		named, perSecond := l.inForce(p.now)
-		if named == nil || !l.blocks(&p) {
+		limit, limited := l.inForce(&p)
+		if !limited || !l.blocks(&p) {
 			return LimitWait{}, false
 		}
-		total += perSecond
+		total += limit.perSecond
 		own, wait := l.nextToken(p.now)
+		if left := l.warmUp.left(p.now); left > 0 {
+			wait = min(wait, left.Seconds()) // its share is larger then
+		}
 		share, next = share+own, min(next, wait)
 	}
 	if !blocked {
--- a/internal/balancer/notices.go
+++ b/internal/balancer/notices.go
@@ -12,6 +12,9 @@
 // the last time: its record may be back, as after an outage of the store.
 const forgetLeavingAfter = 10 * time.Minute
 
+// MaxWarmUp bounds the time for which a server can say that it is cold.
+const MaxWarmUp = 10 * time.Minute
+
 // MaxPause bounds the time for which a server can ask for no requests.
 const MaxPause = 24 * time.Hour
 
@@ -21,6 +24,8 @@
 	Leaving bool
 	// Pause is how long the server wants nothing from this entry, zero if it does not say so.
 	Pause time.Duration
+	// WarmUp is how long the server still is cold, zero if it does not say that it is.
+	WarmUp time.Duration
 }
 
 // notices holds the notices of one start of a server. Other than a load report they are not
--- a/internal/balancer/requestlimit.go
+++ b/internal/balancer/requestlimit.go
@@ -103,17 +103,24 @@
 	if !l.hasEnded() {
 		return l.perSecond, true
 	}
-	step := max(now-l.endedAt, 0) / int64(rampStep)
+	return rampLimit(l.perSecond, max(now-l.endedAt, 0))
+}
+
+// rampLimit returns the limit that holds that many nanoseconds after the end of another one, and
+// false if none does any more.
+func rampLimit(perSecond float64, sinceEnd int64) (limit float64, limited bool) {
+	step := sinceEnd / int64(rampStep)
 	if step >= rampSteps {
 		return 0, false
 	}
-	return max(l.perSecond, minRampLimit) * math.Exp2(float64(step+1)), true
+	return max(perSecond, minRampLimit) * math.Exp2(float64(step+1)), true
 }
 
 // requestLimit is the request limit of one server.
 type requestLimit struct {
 	named    atomic.Pointer[namedLimit] // nil if the server has named none
-	position atomic.Int32               // of this entry in the order of the server's senders
+	warmUp   warmUpState
+	position atomic.Int32 // of this entry in the order of the server's senders
 
 	mu       sync.Mutex // guards the fields below
 	limiter  *rate.Limiter
@@ -121,17 +128,30 @@
 	lastSent int64   // nanoseconds since the Unix epoch
 }
 
-// inForce returns the limit that holds at that time, nil if none does.
-func (l *requestLimit) inForce(now int64) (named *namedLimit, perSecond float64) {
-	named = l.named.Load()
-	if named == nil {
-		return nil, 0
+// limitInForce is the limit of a server that holds at a time.
+type limitInForce struct {
+	perSecond float64
+	// named is the limit that the server named, nil if none holds. cold is set if one holds
+	// because the server warms up or has just done so.
+	named *namedLimit
+	cold  bool
+}
+
+// inForce returns the lowest limit that holds at that time, and false if none does.
+func (l *requestLimit) inForce(p *pickParams) (limit limitInForce, limited bool) {
+	if named := l.named.Load(); named != nil {
+		if limit.perSecond, limited = named.at(p.now); limited {
+			limit.named = named
+		}
 	}
-	perSecond, limited := named.at(now)
-	if !limited {
-		return nil, 0
+	perSecond, cold := l.warmUp.limitAt(p.warmUpPerSecond, p.now)
+	if cold {
+		limit.cold = true
+		if !limited || perSecond < limit.perSecond {
+			limit.perSecond = perSecond
+		}
 	}
-	return named, perSecond
+	return limit, limited || cold
 }
 
 // reportedChange is the relative difference from which a limit counts as changed. Servers
@@ -185,6 +205,7 @@
 		return
 	}
 	b.observeNotices(be, r.Notices, now)
+	b.observeWarmUp(be, b.snapshot.Load().warmUp, r.Notices.WarmUp, now, LimitFromProbe)
 	if r.RequestLimit != "" {
 		b.observeRawLimit(be, r.RequestLimit, now, LimitFromProbe)
 	}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -28,6 +28,8 @@
 	targetStretch    float64 // PickSpare: greatest stretch that meets the target; otherwise zero
 	maxStretch       float64 // greatest stretch allowed for the request
 	limits           *limitOrder
+	warmUpPerSecond  float64 // limit of a server that warms up, zero if there is none
+	settled          bool    // see Options.SettledAt
 }
 
 // snapshot is an immutable set of servers with the service's limits.
@@ -41,6 +43,7 @@
 	// its connections to them are used again; empty in a small one.
 	preferred    []*backend
 	slots        int
+	warmUp       warmUpSettings
 	maxPerServer int // maximum requests of this entry in progress at one server
 }
 
--- a/internal/balancer/speed.go
+++ b/internal/balancer/speed.go
@@ -236,7 +236,7 @@
 const warmUpFactor = 2
 
 func (be *backend) warmUp(now int64) float64 {
-	if be.vm.WarmUntil > now/int64(time.Millisecond) {
+	if be.vm.WarmUntil > now/int64(time.Millisecond) || be.requestLimit.warmUp.left(now) > 0 {
 		return warmUpFactor
 	}
 	return 1
--- a/internal/balancer/speed_test.go
+++ b/internal/balancer/speed_test.go
@@ -378,4 +378,6 @@
 
 func (observerFunc) LimitNamed(string, NamedLimit, time.Time, bool) {}
 
+func (observerFunc) WarmingUp(string, time.Duration, time.Time, bool) {}
+
 func (observerFunc) Ended(string, Result, bool, time.Time) {}
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -19,6 +19,8 @@
 	StateFull ServerState = "full"
 	// StateLimited names a request limit, and this entry's share of it is used up.
 	StateLimited ServerState = "limited"
+	// StateCold is warming up and takes no more than its limit for that.
+	StateCold ServerState = "cold"
 	// StatePaused asked this entry to send nothing for a while.
 	StatePaused ServerState = "paused"
 	// StateDraining accepts no new requests, by its own report or a failed health check.
@@ -61,6 +63,8 @@
 	// response that named it, in milliseconds.
 	RequestLimit *float64 `json:"request_limit,omitempty"`
 	LimitAgeMs   int64    `json:"limit_age_ms,omitempty"`
+	// WarmUpLeftMs is how long the server still is cold, in milliseconds, zero if it is not.
+	WarmUpLeftMs int64 `json:"warm_up_left_ms,omitempty"`
 }
 
 // Status returns the status of each server.
@@ -102,6 +106,7 @@
 		status.RequestLimit = &limit.perSecond
 		status.LimitAgeMs = max(p.now-limit.observedAt, 0) / int64(time.Millisecond)
 	}
+	status.WarmUpLeftMs = be.requestLimit.warmUp.left(p.now).Milliseconds()
 	return status
 }
 
@@ -116,6 +121,8 @@
 		return StateEjected
 	case be.health.halfOpen.Load():
 		return StateProbation
+	case be.requestLimit.warmUp.left(p.now) > 0:
+		return StateCold
 	case be.requestLimit.blocks(p):
 		return StateLimited
 	case be.slotsTaken(reservationMask, p):
--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -78,6 +78,15 @@
 	Age time.Duration
 }
 
+// WarmUp tells that a backend server is warming up.
+type WarmUp struct {
+	Server ServerID
+	// Left is how long its warm-up still lasted when it said so.
+	Left time.Duration
+	// Age is how long ago that was at the time the heartbeat was sent.
+	Age time.Duration
+}
+
 // Heartbeat is the message that members send to each other periodically.
 type Heartbeat struct {
 	// Incarnation is the incarnation of the sender.
@@ -91,6 +100,7 @@
 	RequestCounts []RequestCounts
 	RequestLimits []RequestLimit
 	CrashReports  []CrashReport
+	WarmUps       []WarmUp
 }
 
 var errMalformedHeartbeat = errors.New("malformed heartbeat")
@@ -122,22 +132,36 @@
 		out = l.append(out)
 	}
 	out = binary.LittleEndian.AppendUint32(out, hb.ServersHash)
-	if len(hb.CrashReports) == 0 && !hb.hasEvacuations() {
+	if len(hb.CrashReports) == 0 && !hb.hasZones() {
 		return out
 	}
 	out = binary.AppendUvarint(out, uint64(len(hb.CrashReports)))
 	for _, r := range hb.CrashReports {
 		out = r.append(out)
 	}
-	if !hb.hasEvacuations() {
+	if !hb.hasZones() {
 		return out
 	}
 	out = binary.AppendUvarint(out, uint64(hb.EvacuationsVersion))
-	return binary.LittleEndian.AppendUint32(out, hb.EvacuationsHash)
+	out = binary.LittleEndian.AppendUint32(out, hb.EvacuationsHash)
+	if len(hb.WarmUps) == 0 {
+		return out
+	}
+	out = binary.AppendUvarint(out, uint64(len(hb.WarmUps)))
+	for _, w := range hb.WarmUps {
+		out = w.append(out)
+	}
+	return out
 }
 
-// hasEvacuations reports whether the heartbeat ends with the version of the evacuated zones.
-func (hb *Heartbeat) hasEvacuations() bool { return hb.EvacuationsVersion != 0 }
+// hasZones reports whether the heartbeat has the version of the evacuated zones, or what follows it.
+func (hb *Heartbeat) hasZones() bool { return hb.EvacuationsVersion != 0 || len(hb.WarmUps) > 0 }
+
+func (w WarmUp) append(out []byte) []byte {
+	out = binary.LittleEndian.AppendUint32(out, uint32(w.Server))
+	out = binary.AppendUvarint(out, uint64(max(w.Left, 0)/ageUnit))
+	return binary.AppendUvarint(out, uint64(max(w.Age, 0)/ageUnit))
+}
 
 func (hb *Heartbeat) flags() byte {
 	var flags byte
@@ -268,6 +292,11 @@
 		hb.EvacuationsVersion = int64(d.uvarint())
 		hb.EvacuationsHash = binary.LittleEndian.Uint32(d.fixed(4))
 	}
+	if !d.failed && len(d.data) > 0 {
+		for range d.count() {
+			hb.WarmUps = append(hb.WarmUps, WarmUp{Server: ServerID(binary.LittleEndian.Uint32(d.fixed(4))), Left: d.age(), Age: d.age()})
+		}
+	}
 	if d.failed {
 		return Heartbeat{}, errMalformedHeartbeat
 	}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -164,7 +164,7 @@
 // encode returns the encoded heartbeat, split into parts that fit into one packet each.
 func (n *Node) encode(hb *Heartbeat) [][]byte {
 	const encodedReportBytes = 12 // approximate size of a LoadReport, RequestCounts or RequestLimit
-	const crashReportSize = 3     // of a CrashReport, in encodedReportBytes
+	const crashReportSize = 3     // of a CrashReport, in encodedReportBytes; a WarmUp counts as one
 	const maxPerPart = maxHeartbeatBytes / encodedReportBytes
 	var parts [][]byte
 	rest := *hb
@@ -180,12 +180,15 @@
 		part.RequestLimits = rest.RequestLimits[:min(remaining, len(rest.RequestLimits))]
 		remaining -= len(part.RequestLimits)
 		part.CrashReports = rest.CrashReports[:min(remaining/crashReportSize, len(rest.CrashReports))]
+		remaining -= crashReportSize * len(part.CrashReports)
+		part.WarmUps = rest.WarmUps[:min(remaining, len(rest.WarmUps))]
 		parts = append(parts, part.append(nil))
 		rest.Reports = rest.Reports[len(part.Reports):]
 		rest.RequestCounts = rest.RequestCounts[len(part.RequestCounts):]
 		rest.RequestLimits = rest.RequestLimits[len(part.RequestLimits):]
 		rest.CrashReports = rest.CrashReports[len(part.CrashReports):]
-		if len(rest.Reports)+len(rest.RequestCounts)+len(rest.RequestLimits)+len(rest.CrashReports) == 0 {
+		rest.WarmUps = rest.WarmUps[len(part.WarmUps):]
+		if len(rest.Reports)+len(rest.RequestCounts)+len(rest.RequestLimits)+len(rest.CrashReports)+len(rest.WarmUps) == 0 {
 			return parts
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,9 @@
 	// Slots is how many requests the VM runs concurrently; zero if only the
 	// service's configuration defines it.
 	Slots int `json:"slots,omitempty"`
+	// StartedAt is when the process started by the VM's own clock, in Unix milliseconds; zero
+	// if the platform does not report it.
+	StartedAt int64 `json:"-"`
 	// WarmUntil is when a VM that has just started reaches full speed, in Unix
 	// milliseconds; zero if it already has.
 	WarmUntil int64 `json:"warm_until,omitempty"`
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -82,6 +82,7 @@
 	h.Del(loadReportHeader)
 	h.Del(wire.HeaderRequestLimit)
 	h.Del(wire.HeaderLeaving)
+	h.Del(wire.HeaderWarmUp)
 }
 
 func headerName(name, defaultName string) string {
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -13,7 +13,20 @@
 // noticesOf returns what a response that the Dialect has translated says about further requests.
 // pause is that of the response as it was received, see pauseOf.
 func noticesOf(resp *http.Response, pause time.Duration) balancer.Notices {
-	return balancer.Notices{Leaving: resp.Header.Get(wire.HeaderLeaving) != "", Pause: pause}
+	return balancer.Notices{
+		Leaving: resp.Header.Get(wire.HeaderLeaving) != "", Pause: pause,
+		WarmUp: ParseWarmUp(resp.Header.Get(wire.HeaderWarmUp)),
+	}
+}
+
+// ParseWarmUp parses the time for which a server still is cold, in whole milliseconds. It returns
+// zero for any other value.
+func ParseWarmUp(value string) time.Duration {
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return time.Duration(min(ms, balancer.MaxWarmUp.Milliseconds())) * time.Millisecond
 }
 
 // pauseOf returns for how long a server that turned a request away wants none, zero if it does not
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -47,6 +47,9 @@
 	// takes a few milliseconds if the server is up, and after a timeout there is still
 	// time to try another server.
 	serverDialTimeout = 200 * time.Millisecond
+	// settleTime is how long an entry sends nothing to servers that warm up after its start. Entries
+	// that start together know each other by then, so that their shares of a limit add up to it.
+	settleTime = 2 * time.Second
 	// unackedTimeout closes a connection whose other side acknowledges nothing.
 	unackedTimeout = time.Second
 )
@@ -152,6 +155,12 @@
 	c.events.Info("server limit named", append(fields, "per_second", change.PerSecond)...)
 }
 
+// logWarmUp logs a warm-up of a backend server.
+func (c *clusterCallbacks) logWarmUp(change balancer.WarmUpChange) {
+	c.events.Info("server warming up", "server", change.Server, "left_ms", change.Left.Milliseconds(),
+		"per_second", change.PerSecond, "source", change.Source, "age_ms", change.Age.Milliseconds())
+}
+
 // logNotices logs what a backend server newly says about further requests.
 func (c *clusterCallbacks) logNotices(server string, news balancer.Notices) {
 	if news.Leaving {
@@ -245,6 +254,8 @@
 
 		OnRequestLimit: callbacks.logRequestLimit,
 		OnNotices:      callbacks.logNotices,
+		OnWarmUp:       callbacks.logWarmUp,
+		SettledAt:      time.Now().Add(settleTime),
 	})
 	callbacks.services = set
 	return set
--- a/internal/loadsync/exchange.go
+++ b/internal/loadsync/exchange.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// WarmingUp records how long the warm-up of a server lasts by a response, for the next heartbeats.
+// News is sent immediately.
+func (s *Syncer) WarmingUp(server string, left time.Duration, at time.Time, news bool) {
+	s.mu.Lock()
+	if t := s.byName[server]; t != nil {
+		p := s.pendingFor(t.id)
+		p.warmUp, p.warmUpAt = cluster.WarmUp{Server: t.id, Left: left}, at
+	}
+	s.mu.Unlock()
+	if news {
+		s.options.Flush()
+	}
+}
+
 // recordResult adds the result of a request to the pending counts.
 func (s *Syncer) recordResult(server string, r balancer.Result, now time.Time) {
 	s.mu.Lock()
@@ -94,6 +108,13 @@
 				p.limitAt = time.Time{}
 			}
 		}
+		if !p.warmUpAt.IsZero() {
+			p.warmUp.Age = now.Sub(p.warmUpAt)
+			heartbeat.WarmUps = append(heartbeat.WarmUps, p.warmUp)
+			if p.warmUp.Age >= limitRepeatTime {
+				p.warmUpAt = time.Time{}
+			}
+		}
 	}
 }
 
@@ -101,6 +122,11 @@
 // servers are ignored.
 func (s *Syncer) Receive(heartbeat *cluster.Heartbeat, now time.Time) {
 	s.receiveLimits(heartbeat.RequestLimits, now)
+	for _, w := range heartbeat.WarmUps {
+		if t := s.target(w.Server); t != nil {
+			t.balancer.AddPeerWarmUp(t.vm.Name, now.Add(-w.Age), w.Left)
+		}
+	}
 	for _, r := range heartbeat.Reports {
 		t := s.target(r.Server)
 		if t == nil {
--- a/internal/loadsync/syncer.go
+++ b/internal/loadsync/syncer.go
@@ -80,14 +80,16 @@
 	afterChange bool
 }
 
-// pending holds the report, the counts and the request limit of a server to send with the
-// next heartbeat.
+// pending holds the report, the counts, the request limit and the warm-up of a server to send
+// with the next heartbeat.
 type pending struct {
 	report       cluster.LoadReport
 	reportAt     time.Time // time of report, zero if there is none
 	counts       cluster.RequestCounts
 	limit        cluster.RequestLimit
 	limitAt      time.Time // arrival of the response with limit, zero if there is none
+	warmUp       cluster.WarmUp
+	warmUpAt     time.Time // arrival of the response with warmUp, zero if there is none
 	lastSentAt   time.Time // when the last request in counts was sent
 	lastReportAt time.Time // time of the last report, of this or another entry
 }
@@ -275,6 +277,7 @@
 	switch {
 	case errors.Is(err, probe.ErrNoLoad):
 		metrics.Count(s.options.Scope, metrics.Probes, "no_load")
+		t.balancer.ObserveProbe(t.vm.Name, now, balancer.Report{Notices: report.Notices})
 	case err != nil:
 		metrics.Count(s.options.Scope, metrics.Probes, "failed")
 		t.balancer.ProbeFailed(t.vm.Name, now)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -51,6 +51,10 @@
 	// OnNotices is called when a backend server first says that it is leaving, and when a
 	// pause begins. It may be nil.
 	OnNotices func(server string, news balancer.Notices)
+	// OnWarmUp is called when a warm-up of a backend server is news. It may be nil.
+	OnWarmUp func(balancer.WarmUpChange)
+	// SettledAt is when this entry knows the others; see balancer.Options.
+	SettledAt time.Time
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -189,6 +193,8 @@
 
 			OnRequestLimit: s.options.OnRequestLimit,
 			OnNotices:      s.options.OnNotices,
+			OnWarmUp:       s.options.OnWarmUp,
+			SettledAt:      s.options.SettledAt,
 		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Runtime{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
--- a/internal/storesync/servers.go
+++ b/internal/storesync/servers.go
@@ -67,6 +67,8 @@
 	// peer is set if another member sent it, version is that member's version then.
 	peer    bool
 	version logservice.Position
+	// first is set if no server was known before.
+	first bool
 }
 
 // apply applies a record if it is newer than the known one of its key, and reports
@@ -96,6 +98,7 @@
 	}
 	if next.usable {
 		next.incarnation, next.sequence = next.vm.Incarnation, next.vm.Sequence
+		next.vm = next.knownWarmUp(old, from)
 	}
 	t.rows[r.Key] = next
 	if old != nil {
@@ -286,6 +289,7 @@
 	if t.next == 0 {
 		t.base = page.Next
 	}
+	known := t.version > 0
 	result := resetResult{restored: t.next > 0 && page.Next.Epoch() > t.next.Epoch()}
 	records := slices.SortedFunc(slices.Values(page.Records), func(a, b logservice.KeyedRecord) int {
 		return cmp.Compare(a.Position, b.Position)
@@ -297,7 +301,7 @@
 			result.contradicted = append(result.contradicted, r)
 			continue
 		}
-		recordChanged, err := t.applyLocked(r, serverSource{}, decode)
+		recordChanged, err := t.applyLocked(r, serverSource{first: !known}, decode)
 		result.changed = result.changed || recordChanged
 		if err != nil {
 			result.errs = append(result.errs, err)
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -257,7 +257,7 @@
 	if u.ServersComplete > 0 {
 		records = append(slices.Clone(records), s.servers.absent(records, u.ServersComplete)...)
 	}
-	s.applyServersFrom(records, serverSource{peer: true, version: u.ServersVersion}, source)
+	s.applyServersFrom(records, serverSource{peer: true, version: u.ServersVersion, first: s.ServersVersion() == 0}, source)
 }
 
 func (s *Syncer) applyServersFrom(records []logservice.KeyedRecord, from serverSource, source string) {
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -63,6 +63,11 @@
 	// LoadReportHeader and LoadShedHeader are the header names in which the service's
 	// servers report their load and that they shed a request.
 	LoadReportHeader, LoadShedHeader string
+	// WarmUp is how long a backend server is cold after its start, zero if that is not known.
+	WarmUp time.Duration
+	// WarmUpPerSecond is the number of requests a second that a cold server takes from all
+	// entries together, zero if it is not limited.
+	WarmUpPerSecond float64
 	// HealthPath is the path of a backend server's liveness check.
 	HealthPath string
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,6 +39,8 @@
 	HeaderRequestLimit = "Request-Limit"
 	// HeaderLeaving is on each response of a server that is shutting down.
 	HeaderLeaving = "Leaving"
+	// HeaderWarmUp carries the milliseconds for which the server still is cold.
+	HeaderWarmUp = "Warm-Up-Ms"
 	// HeaderUnidentified is set on the response to a request that was not run if it does not
 	// say which request that is.
 	HeaderUnidentified = "Unidentified"
