--- a/internal/loadsync/requestlimit_test.go
+++ b/internal/loadsync/requestlimit_test.go
@@ -16,6 +16,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
 	"chestnutrouter.example/chestnutrouter/internal/service"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 // limitFleet simulates entries and backend servers without a network, in virtual time: the
@@ -30,6 +31,11 @@
 	servers map[string]*fleetServer
 	// perSecond is the rate of requests, lost the share of heartbeats that are lost.
 	perSecond, lost float64
+	tree            *tree.Tree
+	// settledAt is when entries that start have a share of the limits of cold servers, and
+	// crossZone how much later heartbeats reach the entries of other zones.
+	settledAt time.Time
+	crossZone time.Duration
 
 	running   []*running
 	inTransit []*delivery
@@ -45,12 +51,14 @@
 	flush    bool
 	isolated bool // its heartbeats reach nobody, and it gets none
 	silent   bool // it gets no requests
+	zone     string
 }
 
 type fleetServer struct {
-	limit    string // the limit that it names, empty for none
-	arrivals []arrival
-	told     map[string]time.Time // when each entry first passed on the current limit
+	limit     string // the limit that it names, empty for none
+	coldUntil time.Time
+	arrivals  []arrival
+	told      map[string]time.Time // when each entry first passed on the current limit
 }
 
 type arrival struct {
@@ -68,6 +76,7 @@
 	from      *fleetEntry
 	heartbeat *cluster.Heartbeat
 	at        time.Time
+	zone      string // empty for all but that of from
 }
 
 const (
@@ -87,8 +96,13 @@
 var fleetZones = []string{"a", "b", "c", "d"}
 
 func newLimitFleet(t *testing.T, seed uint64, entries, servers int, perSecond float64) *limitFleet {
+	return newFleetOf(t, testTree, seed, entries, servers, perSecond)
+}
+
+func newFleetOf(t *testing.T, settings *tree.Tree, seed uint64, entries, servers int, perSecond float64) *limitFleet {
 	f := &limitFleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), view: &cluster.View{Known: entries},
+		tree: settings,
+		t:    t, rng: rand.New(rand.NewPCG(seed, 1)), view: &cluster.View{Known: entries},
 		servers: map[string]*fleetServer{}, perSecond: perSecond,
 	}
 	for i := range servers {
@@ -109,16 +123,16 @@
 }
 
 func (f *limitFleet) newEntry(m cluster.LiveMember) *fleetEntry {
-	e := &fleetEntry{name: m.VM}
+	e := &fleetEntry{name: m.VM, zone: m.Zone}
 	e.syncer = New(Options{VM: m.VM, View: func() *cluster.View { return f.view }, Sender: &sender{}, Flush: func() { e.flush = true }})
 	e.services = service.NewSet(service.Options{
 		VM: m.VM, Zone: m.Zone, Scope: tally.NoopScope, Workers: admission.NewWorkers(),
-		Entries: func() int { return len(f.view.Live) }, Observer: e.syncer,
+		Entries: func() int { return len(f.view.Live) }, Observer: e.syncer, SettledAt: f.settledAt,
 	})
-	e.services.SetTree(testTree)
+	e.services.SetTree(f.tree)
 	e.services.SetServers(serverList(f.vms))
 	e.setView(f.view)
-	e.syncer.Update(testTree, e.services, f.vms)
+	e.syncer.Update(f.tree, e.services, f.vms)
 	r, _ := e.services.Get("m/s")
 	e.balancer = r.Balancer
 	return e
@@ -189,6 +203,7 @@
 		r.entry.balancer.Done(r.reservation, now, balancer.Result{
 			Kind: balancer.OK, Latency: fleetServiceTime, RequestLimit: server.limit,
 			HasReport: true, Report: balancer.Report{InFlight: inFlight, Slots: 3, Slowdown: 100},
+			Notices: balancer.Notices{WarmUp: max(server.coldUntil.Sub(now), 0)},
 		})
 		return true
 	})
@@ -198,7 +213,8 @@
 	heartbeat := &cluster.Heartbeat{}
 	e.syncer.Collect(heartbeat, now)
 	if !e.isolated && f.rng.Float64() >= f.lost {
-		f.inTransit = append(f.inTransit, &delivery{e, heartbeat, now.Add(fleetDelay)})
+		f.inTransit = append(f.inTransit, &delivery{from: e, heartbeat: heartbeat, at: now.Add(fleetDelay), zone: e.zone},
+			&delivery{from: e, heartbeat: heartbeat, at: now.Add(fleetDelay + f.crossZone)})
 	}
 }
 
@@ -208,7 +224,7 @@
 			return false
 		}
 		for _, e := range f.entries {
-			if e != d.from && !e.isolated {
+			if e != d.from && !e.isolated && (e.zone == d.from.zone) == (d.zone != "") {
 				e.syncer.Receive(d.heartbeat, now)
 			}
 		}
