--- a/internal/cluster/datagram_test.go
+++ b/internal/cluster/datagram_test.go
@@ -24,6 +24,7 @@
 		{Request: RequestID{Head: 5, Fingerprint: [16]byte{1, 15: 2}}, Server: 9, Age: 26 * time.Hour},
 		{Request: RequestID{Head: 6}, Cleared: true},
 	},
+	WarmUps: []WarmUp{{Server: 7, Left: 2900 * time.Millisecond, Age: 30 * time.Millisecond}, {Server: 1 << 31, Left: time.Millisecond}},
 }
 
 func TestHeartbeatRoundTrip(t *testing.T) {
@@ -37,7 +38,7 @@
 // their heartbeats read each other's.
 func TestHeartbeatWithoutLimitsIsAsBefore(t *testing.T) {
 	with, without := sampleHeartbeat, sampleHeartbeat
-	without.RequestLimits, without.ServersHash, without.CrashReports = nil, 0, nil
+	without.RequestLimits, without.ServersHash, without.CrashReports, without.WarmUps = nil, 0, nil, nil
 	without.EvacuationsVersion, without.EvacuationsHash = 0, 0
 	const lengthOfRest = 1 + 4 // the number of limits and the hash
 	earlier := without.append(nil)
@@ -53,7 +54,7 @@
 // Crash reports follow what versions without them read, and take no byte where there are none.
 func TestHeartbeatWithoutCrashReportsIsAsBefore(t *testing.T) {
 	without := sampleHeartbeat
-	without.CrashReports = nil
+	without.CrashReports, without.WarmUps = nil, nil
 	without.EvacuationsVersion, without.EvacuationsHash = 0, 0
 	earlier := without.append(nil)
 	if got, err := decodeHeartbeat(earlier[1:]); err != nil || !reflect.DeepEqual(got, without) {
@@ -64,14 +65,23 @@
 	}
 }
 
-// The version of the evacuated zones follows what versions without it read, and takes no byte
-// where no zone was ever evacuated. Crash reports need not be there.
+// The version of the evacuated zones and warm-ups follow what versions without them read, and take
+// no byte where there are none. Crash reports need not be there.
 func TestHeartbeatWithoutEvacuationsIsAsBefore(t *testing.T) {
-	for _, reports := range [][]CrashReport{nil, sampleHeartbeat.CrashReports} {
+	for _, c := range []struct {
+		reports []CrashReport
+		warmUps []WarmUp
+		version int64
+	}{
+		{nil, nil, 1},
+		{sampleHeartbeat.CrashReports, nil, 1},
+		{nil, sampleHeartbeat.WarmUps, 0},
+		{sampleHeartbeat.CrashReports, sampleHeartbeat.WarmUps, 1},
+	} {
 		with := sampleHeartbeat
-		with.CrashReports = reports
+		with.CrashReports, with.WarmUps, with.EvacuationsVersion, with.EvacuationsHash = c.reports, c.warmUps, c.version, uint32(c.version)
 		without := with
-		without.EvacuationsVersion, without.EvacuationsHash = 0, 0
+		without.EvacuationsVersion, without.EvacuationsHash, without.WarmUps = 0, 0, nil
 		earlier := without.append(nil)
 		if got, err := decodeHeartbeat(earlier[1:]); err != nil || !reflect.DeepEqual(got, without) {
 			t.Errorf("decoded %+v, %v, want the heartbeat without evacuations", got, err)
@@ -86,15 +96,16 @@
 	}
 }
 
-// Many crash reports are split into parts that fit into a packet, and none is lost.
+// Many crash reports and warm-ups are split into parts that fit into a packet, and none is lost.
 func TestCrashReportsAreSplitIntoParts(t *testing.T) {
 	n := &Node{}
 	n.view.Store(&View{})
 	hb := sampleHeartbeat
 	for i := range 200 {
 		hb.CrashReports = append(hb.CrashReports, CrashReport{Request: RequestID{Head: uint32(i)}})
+		hb.WarmUps = append(hb.WarmUps, WarmUp{Server: ServerID(i), Left: time.Hour, Age: time.Hour})
 	}
-	got := 0
+	got, warmUps := 0, 0
 	for _, part := range n.encode(&hb) {
 		if len(part) > maxHeartbeatBytes+100 {
 			t.Errorf("a part has %d B, want about %d at most", len(part), maxHeartbeatBytes)
@@ -104,6 +115,10 @@
 			t.Fatal(err)
 		}
 		got += len(decoded.CrashReports)
+		warmUps += len(decoded.WarmUps)
+	}
+	if warmUps != len(hb.WarmUps) {
+		t.Errorf("%d warm-ups in all parts, want %d", warmUps, len(hb.WarmUps))
 	}
 	if got != len(hb.CrashReports) {
 		t.Errorf("%d crash reports in all parts, want %d", got, len(hb.CrashReports))
@@ -140,6 +155,11 @@
 				t.Errorf("limit %+v is no number from 0 on, or has a negative age", l)
 			}
 		}
+		for _, w := range hb.WarmUps {
+			if w.Left < 0 || w.Age < 0 {
+				t.Errorf("warm-up %+v has a negative time", w)
+			}
+		}
 		for _, r := range hb.Reports {
 			if r.Age < 0 || r.InFlight < 0 || r.Queue < 0 {
 				t.Errorf("report %+v has a negative number", r)
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -17,3 +17,15 @@
 		}
 	}
 }
+
+// A server's word of its warm-up counts only if it is a number of milliseconds, up to a bound.
+func TestParseWarmUp(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"1500": 1500 * time.Millisecond, "": 0, "0": 0, "-1": 0, "3s": 0, "2.5": 0,
+		"9223372036854775807": balancer.MaxWarmUp, "99999999999999999999": 0,
+	} {
+		if got := ParseWarmUp(value); got != want {
+			t.Errorf("warm-up %q: got %v, want %v", value, got, want)
+		}
+	}
+}
--- a/internal/loadsync/coldserver_test.go
+++ b/internal/loadsync/coldserver_test.go
@@ -224,7 +224,7 @@
 	})
 }
 
-// All entries lose power and start at once, and servers too: each entry knows only itself at first,
+// All entries and all servers lose power and start at once: each entry knows only itself at first,
 // so that it would take the whole limit for its share.
 func TestColdServersAtAStartOfAllEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -232,12 +232,18 @@
 		f.runProbed(time.Second)
 		began := time.Now()
 		f.settledAt = began.Add(2 * time.Second)
+		var cold []string
+		for i := range f.vms {
+			f.vms[i].Incarnation, f.vms[i].WarmUntil = 2, steady.Millis(began.Add(warmUp))
+			f.servers[f.vms[i].Name].coldUntil = began.Add(warmUp)
+			cold = append(cold, f.vms[i].Name)
+		}
 		for i, e := range f.entries {
 			f.entries[i] = f.newEntry(f.view.Live[i])
 			f.entries[i].setView(&cluster.View{Known: 1, Live: f.view.Live[i : i+1]})
 			f.entries[i].zone = e.zone
 		}
-		cold := f.startCold(25, "a")
+		f.running = nil // the power loss ended them
 		f.runProbed(600 * time.Millisecond)
 		for _, e := range f.entries {
 			e.setView(f.view)
--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -85,6 +85,7 @@
 	slowdown     int
 	requestLimit string // of Server-Limit, empty if it names none
 	leaving      bool   // responses carry Server-Leaving
+	coldUntil    time.Time
 	retryAfter   string // of responses by which it turns a request away, empty if it names none
 	running      int
 	probes       int
@@ -114,6 +115,15 @@
 // StartServerAdvertising starts a server that registers the given address in place
 // of its own, such as that of a proxy. An empty address means its own.
 func StartServerAdvertising(store *Store, address, name, service, zone string) (*Server, error) {
+	return startServer(store, address, 0, name, service, zone)
+}
+
+// StartColdServer starts a server that is cold for that long.
+func StartColdServer(store *Store, cold time.Duration, name, service, zone string) (*Server, error) {
+	return startServer(store, "", cold, name, service, zone)
+}
+
+func startServer(store *Store, address string, cold time.Duration, name, service, zone string) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -122,6 +132,7 @@
 		Name: name, Address: cmp.Or(address, l.Addr().String()), Listen: l.Addr().String(), Service: service, Zone: zone,
 		listener: l, store: store, startedAtMs: time.Now().UnixMilli(), stop: make(chan struct{}),
 		behaviourFor: func(*http.Request) Behaviour { return Serve }, serviceTime: 2 * time.Millisecond, slowdown: 100, state: "ready",
+		coldUntil: time.Now().Add(cold),
 	}
 	s.server = &http.Server{Handler: s}
 	s.goroutines.Go(func() { _ = s.server.Serve(l) })
@@ -158,6 +169,26 @@
 	s.requestLimit = perSecond
 }
 
+// SetCold makes the server say in all responses, and in its next record, that it is cold for that
+// long.
+func (s *Server) SetCold(left time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(left)
+}
+
+// warmUpLeft returns how long the server still is cold. The caller holds mu.
+func (s *Server) warmUpLeft() time.Duration {
+	return max(time.Until(s.coldUntil).Truncate(time.Millisecond), 0)
+}
+
+// setWarmUp sets the header of a cold server. The caller holds mu.
+func (s *Server) setWarmUp(h http.Header) {
+	if left := s.warmUpLeft(); left > 0 {
+		h.Set("X-Warmup-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
+}
+
 // SetLeaving makes all responses say that the server is leaving. It does not change its record.
 func (s *Server) SetLeaving() {
 	s.mu.Lock()
@@ -251,7 +282,7 @@
 		"address": s.Address,
 		"born":    s.startedAtMs,
 		"info":    map[string]any{"service": s.Service, "zone": s.Zone, "version": "v1", "slots": slots},
-		"status":  map[string]any{"state": s.state, "sequence": s.sequence, "warmupLeft": "0ms"},
+		"status":  map[string]any{"state": s.state, "sequence": s.sequence, "warmupLeft": s.warmUpLeft().String()},
 	})
 	if err != nil {
 		panic(err)
@@ -279,6 +310,7 @@
 	}
 	s.mu.Lock()
 	behaviour := s.behaviourFor(r)
+	s.setWarmUp(w.Header())
 	if s.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -340,6 +372,7 @@
 	s.probes++
 	w.Header().Set("X-Instance-Id", s.Name)
 	w.Header().Set("X-Instance-Load", s.loadHeader())
+	s.setWarmUp(w.Header())
 	if s.unhealthy || s.state != "ready" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
