--- a/internal/storesync/evacuations.go
+++ b/internal/storesync/evacuations.go
@@ -234,10 +234,15 @@
 // same version. The latter is so if they read a restored store at different times.
 func (s *Syncer) lacksEvacuations(m cluster.LiveMember) bool {
 	own, other := s.evacuations.currentVersion(), logservice.Position(m.EvacuationsVersion)
-	if other != own.version {
-		return other > own.version
-	}
-	return other > 0 && m.EvacuationsHash != own.hash && s.evacuationComparison.due(time.Now())
+	return other > own.version || other == own.version && other > 0 && m.EvacuationsHash != own.hash
+}
+
+// comparesTooSoon reports whether all that the member has is other evacuations in the same version,
+// and they were pulled for that reason just before.
+func (s *Syncer) comparesTooSoon(m cluster.LiveMember) bool {
+	lacksMore := m.Revision > s.Revision() || m.ServersVersion > s.ServersVersion() || s.differs(m) ||
+		logservice.Position(m.EvacuationsVersion) > s.evacuations.currentVersion().version
+	return !lacksMore && !s.evacuationComparison.due(time.Now())
 }
 
 // applyEvacuations applies the records of evacuations in a read of the configuration's stream.
--- a/internal/storesync/evacuations_test.go
+++ b/internal/storesync/evacuations_test.go
@@ -427,3 +427,26 @@
 		start(s)
 	}
 }
+
+// Two members came to the same version in different ways: one of them keeps an evacuation that the
+// other one found removed. They agree after each has heard the other's heartbeat.
+func TestEvacuationsOfOneVersionConverge(t *testing.T) {
+	log := &fakeLog{}
+	kept, removed := newEvacuationSyncer(log), newEvacuationSyncer(log)
+	next := position(1, 9)
+	kept.mergeEvacuations(map[string]evacuationRecord{"evacuate/a": {Zone: "a", Evacuated: true, Position: next.Preceding(2)}}, evacuationSource{next: next}, "test")
+	removed.mergeEvacuations(map[string]evacuationRecord{"evacuate/a": {Zone: "a", Position: next.Preceding(1)}}, evacuationSource{next: next}, "test")
+	for _, pair := range [][2]*evacuationSyncer{{kept, removed}, {removed, kept}} {
+		s, other := pair[0], pair[1]
+		s.options.Client = receiverClient{other.Receiver()}
+		var m cluster.LiveMember
+		m.EvacuationsVersion, m.EvacuationsHash = other.EvacuationsVersionAndHash()
+		s.ObservePeer(m)
+		select {
+		case m := <-s.pulls:
+			s.Syncer.pull(t.Context(), m)
+		default:
+		}
+		s.check(t, "after the other's heartbeat")
+	}
+}
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -304,7 +304,7 @@
 // pull fetches and applies the changes that a member announced. It returns false if the
 // member was busy.
 func (s *Syncer) pull(ctx context.Context, m cluster.LiveMember) bool {
-	if !s.lacks(m) {
+	if !s.lacks(m) || s.comparesTooSoon(m) {
 		return true
 	}
 	args := SinceArgs{Caller: s.options.Self, Revision: s.Revision(), Servers: s.ServersVersion()}
