--- a/internal/storesync/doc.go
+++ b/internal/storesync/doc.go
@@ -1,7 +1,7 @@
-// Package storesync keeps the configuration and the list of backend servers in sync
-// with the store.
+// Package storesync keeps the configuration, the evacuated availability zones and the list of
+// backend servers in sync with the store.
 //
-// Both are in keyed streams of the store. Each call to the store is charged for, so few
+// All are in keyed streams of the store. Each call to the store is charged for, so few
 // members read it: the first two in the cluster's order of readers. Every member
 // reports the versions of its data in its heartbeats, and a member that receives a
 // newer version pulls the changes from its sender. If no member has read the store
@@ -26,6 +26,10 @@
 // A member that read all servers at once knows which there are, but no removals before
 // that. It sends members with an earlier version all of its records instead of the changes.
 //
+// Records of evacuated zones are in the stream of the configuration, and are known before the
+// configuration and the servers that a member begins to serve with. What a member knows of them
+// is merged by position; see docs/design/evacuation.md.
+//
 // A version does not say which servers a list has: members that read a restored store at
 // different times, or did not know the epoch before, may reach the same version in different
 // ways. Heartbeats therefore carry a hash of the servers as well.
