--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,9 @@
 	Live State = "live"
 	// Leaving marks a VM that finishes its work and takes no new work.
 	Leaving State = "leaving"
+	// Evacuated marks a live VM whose availability zone is evacuated: it gets only liveness
+	// checks until the zone is taken back.
+	Evacuated State = "evacuated"
 )
 
 // EntryService is the service name of entry VMs in the VM list.
@@ -40,6 +43,9 @@
 	// Slots is how many requests the VM runs concurrently; zero if only the
 	// service's configuration defines it.
 	Slots int `json:"slots,omitempty"`
+	// StartedAt is when the process started by the VM's own clock, in Unix milliseconds; zero
+	// if the platform does not report it.
+	StartedAt int64 `json:"-"`
 	// WarmUntil is when a VM that has just started reaches full speed, in Unix
 	// milliseconds; zero if it already has.
 	WarmUntil int64 `json:"warm_until,omitempty"`
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -50,6 +50,9 @@
 	// takes a few milliseconds if the server is up, and after a timeout there is still
 	// time to try another server.
 	serverDialTimeout = 200 * time.Millisecond
+	// settleTime is how long an entry sends nothing to servers that warm up after its start. Entries
+	// that start together know each other by then, so that their shares of a limit add up to it.
+	settleTime = 2 * time.Second
 	// unackedTimeout closes a connection whose other side acknowledges nothing.
 	unackedTimeout = time.Second
 )
@@ -156,6 +159,12 @@
 	c.events.Info("server limit named", append(fields, "per_second", change.PerSecond)...)
 }
 
+// logWarmUp logs a warm-up of a backend server.
+func (c *clusterCallbacks) logWarmUp(change balancer.WarmUpChange) {
+	c.events.Info("server warming up", "server", change.Server, "left_ms", change.Left.Milliseconds(),
+		"per_second", change.PerSecond, "source", change.Source, "age_ms", change.Age.Milliseconds())
+}
+
 // logNotices logs what a backend server newly says about further requests.
 func (c *clusterCallbacks) logNotices(server string, news balancer.Notices) {
 	if news.Leaving {
@@ -249,6 +258,8 @@
 
 		OnRequestLimit: callbacks.logRequestLimit,
 		OnNotices:      callbacks.logNotices,
+		OnWarmUp:       callbacks.logWarmUp,
+		SettledAt:      time.Now().Add(settleTime),
 	})
 	callbacks.services = set
 	return set
@@ -257,7 +268,7 @@
 func newStoreSync(s *Settings, adapter *Adapter, node *cluster.Node, callbacks *clusterCallbacks, pool *peer.Pool, events *eventlog.Logger,
 	scope tally.Scope, holder *treeHolder, services *service.Set, loadSync *loadsync.Syncer,
 ) *storesync.Syncer {
-	a := applier{holder: holder, services: services, loadSync: loadSync}
+	a := applier{holder: holder, services: services, loadSync: loadSync, events: events, scope: scope}
 	storeSync := storesync.New(storesync.Options{
 		Log:           adapter.Log,
 		ConfigStream:  adapter.ConfigStream,
@@ -285,6 +296,9 @@
 		Proof:     s.proof(node),
 		Events:    events,
 		Scope:     scope,
+
+		DecodeEvacuation: adapter.DecodeEvacuation,
+		OnEvacuations:    a.setEvacuations,
 	})
 	callbacks.storeSync = storeSync
 	if s.StrictRevocation {
