--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -59,15 +59,12 @@
 	fetching  atomic.Bool
 	lastFetch atomic.Int64 // time of the clock in nanoseconds
 
-	// The fields below are used by followProof alone. They are the failed reads in a row, the
-	// time before which it does not read again, and what it logged last.
-	failedReads       int
-	nextRead          time.Duration
+	// The fields below are used by followProof alone: what it logged last, and the role and the
+	// helpers of the time roleAt.
 	logged, wasProven bool
-	// role and helpers are those of the time roleAt.
-	role    freshness.Role
-	helpers map[string]bool
-	roleAt  time.Duration
+	role              freshness.Role
+	helpers           map[string]bool
+	roleAt            time.Duration
 }
 
 // activeConfig is the active configuration as far as its proof goes.
@@ -97,6 +94,9 @@
 	return p.tracker.Now()
 }
 
+// poll returns the time between two checks of the age of the evidence.
+func (p *configProof) poll() time.Duration { return min(proofPoll, p.options.Bound/100) }
+
 // versionOf returns the version of a tree.
 func versionOf(t *tree.Tree) freshness.Version {
 	return freshness.Version{Revision: t.Revision, Digest: t.Digest}
@@ -205,16 +205,17 @@
 	if p == nil {
 		return
 	}
-	ticker := time.NewTicker(min(proofPoll, p.options.Bound/100))
-	defer ticker.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
+	// A read that the store does not answer must not hold up the questions.
+	group.Go(func() { s.readWhileUnproven(ctx) })
+	ticker := time.NewTicker(p.poll())
+	defer ticker.Stop()
 	for {
 		if p.isNeeded() {
 			age := s.proofAge()
 			s.logProof()
 			s.askIfDue(ctx, &group, age)
-			s.readIfUnproven(ctx, age)
 		}
 		select {
 		case <-ctx.Done():
@@ -335,7 +336,8 @@
 	}
 	if e.Version.Revision > s.Revision() {
 		m.Revision = max(m.Revision, e.Version.Revision)
-		s.ObservePeer(m)
+		s.observeNewer(m.Revision)
+		s.schedulePull(m)
 		return
 	}
 	now := int64(p.tracker.Now())
@@ -358,25 +360,37 @@
 	}
 }
 
-// readIfUnproven reads the configuration from the store if neither the readers nor other members
-// have kept the evidence young.
-func (s *Syncer) readIfUnproven(ctx context.Context, age time.Duration) {
-	p := s.proof
-	if p.tracker.Now() < p.nextRead || !p.planner.ReadDue(age, 0, 1) {
-		return // without the pass over all members that finds the position
+// readWhileUnproven reads the configuration from the store while neither the readers nor other
+// members keep the evidence young, until ctx is done.
+func (s *Syncer) readWhileUnproven(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		if !s.ownReadDue() {
+			sleep(ctx, s.proof.poll())
+			continue
+		}
+		s.count("proof_reads")
+		if ok, _ := s.readConfig(ctx, 0); ok {
+			failures = 0
+		} else {
+			failures++
+		}
+		pause := min(readInterval<<min(failures, maxDoublings), maxBackoff)
+		sleep(ctx, pause/2+rand.N(pause/2))
 	}
-	position := s.readerPosition()
-	if position < activeReaders || !p.planner.ReadDue(age, position, len(s.options.View().Live)) {
-		return
+}
+
+// ownReadDue reports whether this member must read the configuration although it is no reader.
+func (s *Syncer) ownReadDue() bool {
+	if !s.proof.isNeeded() {
+		return false
 	}
-	s.count("proof_reads")
-	if ok, _ := s.readConfig(ctx, 0); ok {
-		p.failedReads = 0
-	} else {
-		p.failedReads++
+	age := s.proofAge()
+	if !s.proof.planner.ReadDue(age, 0, 1) {
+		return false // without the pass over all members that finds the position
 	}
-	pause := min(readInterval<<min(p.failedReads, maxDoublings), maxBackoff)
-	p.nextRead = p.tracker.Now() + pause/2 + rand.N(pause/2)
+	position := s.readerPosition()
+	return position >= activeReaders && s.proof.planner.ReadDue(age, position, len(s.options.View().Live))
 }
 
 // logProof logs when the active configuration is no longer proven, and when it is again.
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -193,13 +193,22 @@
 	if s.outages.observePeer(now, now.Add(-m.StoreReadAge), m.StoreFailing, s.lastServersRead()) {
 		s.onOutageEnd(now, m.VM)
 	}
-	if m.Revision > s.Revision() {
-		s.newerSeenAt.Store(steady.Nanos(now))
-		s.proof.observeNewer(m.Revision)
+	s.observeNewer(m.Revision)
+	if s.lacks(m) {
+		s.schedulePull(m)
 	}
-	if !s.lacks(m) {
-		return
+}
+
+// observeNewer records the revision that another member has, if it is newer than the active one.
+func (s *Syncer) observeNewer(revision int64) {
+	if revision > s.Revision() {
+		s.newerSeenAt.Store(steady.Nanos(time.Now()))
+		s.proof.observeNewer(revision)
 	}
+}
+
+// schedulePull schedules a pull from the member. It does not block.
+func (s *Syncer) schedulePull(m cluster.LiveMember) {
 	select {
 	case s.pulls <- m:
 	default: // a pull is already pending
