--- /dev/null
+++ b/internal/allowance/owner_test.go
@@ -0,0 +1,141 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
+)
+
+// ownerClock drives an Owner that is the only member.
+type ownerClock struct {
+	*Owner
+	now   time.Duration
+	view  *cluster.View
+	limit Limit
+}
+
+func newOwnerClock(limit Limit) *ownerClock {
+	c := &ownerClock{limit: limit, now: time.Hour, view: cluster.NewView([]cluster.LiveMember{{Member: cluster.Member{VM: "a"}}}, 0)}
+	c.Owner = NewOwner(OwnerOptions{
+		Self: "a", View: func() *cluster.View { return c.view }, Now: func() time.Duration { return c.now },
+		Limit: func(string) (Limit, bool) { return c.limit, true },
+	})
+	return c
+}
+
+// run lets that much time pass, with a tick every 50 ms.
+func (c *ownerClock) run(length time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := c.now + length; c.now < end; {
+		c.now += step
+		c.Tick()
+	}
+}
+
+// ask asks for units of shard 0.
+func (c *ownerClock) ask(units byte) answer {
+	q := question{op: opAcquire, units: units, limit: c.limit, tenant: "t"}
+	a, _ := decodeAnswer(c.Answer(q.encode()))
+	return a
+}
+
+// A member that has become the owner only now must not grant at once: the former owner may still
+// do so. After takeoverDelay it has the first unit and what accrues from then on, not a full
+// bucket.
+func TestNewOwnerStartsEmpty(t *testing.T) {
+	c := newOwnerClock(Limit{PerSecond: 40, Burst: 400})
+	c.run(takeoverDelay - 100*time.Millisecond)
+	if a := c.ask(10); a.status != statusNotReady || a.granted != 0 {
+		t.Errorf("got %+v before the takeover was over", a)
+	}
+	c.run(100 * time.Millisecond)
+	if a := c.ask(200); a.granted != initialUnits {
+		t.Errorf("%d units granted at the end of the takeover, want %v", a.granted, initialUnits)
+	}
+	c.run(time.Second)
+	if a := c.ask(200); a.granted != 10 {
+		t.Errorf("%d units granted a second later, want a quarter of 40", a.granted)
+	}
+}
+
+// After a pause of its process, an owner must not grant what accrued meanwhile, as another member
+// has granted it: it starts anew. A pause too short for a takeover changes nothing.
+func TestOwnerStartsAnewAfterAPause(t *testing.T) {
+	for _, pause := range []time.Duration{maxPause - 10*time.Millisecond, maxPause + 10*time.Millisecond, time.Minute} {
+		c := newOwnerClock(Limit{PerSecond: 40, Burst: 400})
+		c.run(time.Minute)
+		c.ask(255)
+		c.now += pause
+		switch a := c.ask(200); {
+		case pause > maxPause && (a.status != statusNotReady || a.granted != 0):
+			t.Errorf("got %+v after a pause of %v, want no grant", a, pause)
+		case pause <= maxPause && a.granted == 0:
+			t.Errorf("got %+v after a pause of %v, want a grant", a, pause)
+		}
+		if pause <= maxPause {
+			continue
+		}
+		c.run(takeoverDelay)
+		if a := c.ask(200); a.granted != initialUnits {
+			t.Errorf("%d units granted a second after the pause, want %v", a.granted, initialUnits)
+		}
+	}
+}
+
+// While members are missing, an owner grants only its part, and what it denies for that reason it
+// must say so, as the request may be within the allowance.
+func TestOwnerGrantsItsPartWhileMembersAreMissing(t *testing.T) {
+	c := newOwnerClock(Limit{PerSecond: 40, Burst: 32})
+	c.run(time.Minute)
+	c.view = cluster.NewView(c.view.Live, 3)
+	c.run(time.Second)
+	if a := c.ask(10); a.granted != 2 || a.status != statusReduced {
+		t.Errorf("got %+v, want a quarter of a bucket of 10 and that it is reduced", a)
+	}
+	c.run(2 * time.Second)
+	if a := c.ask(10); a.granted != 2 {
+		t.Errorf("%d units granted after 2 s, want no more than the smaller bucket holds", a.granted)
+	}
+}
+
+// A bucket that was dropped while it was idle must be made again as it would be.
+func TestBucketIsMadeAgainAsItWas(t *testing.T) {
+	c := newOwnerClock(Limit{PerSecond: 40, Burst: 32})
+	c.run(time.Minute)
+	c.ask(1)
+	c.run(time.Minute)
+	if len(c.buckets) != 0 {
+		t.Fatalf("%d idle buckets remain", len(c.buckets))
+	}
+	if a := c.ask(200); a.granted != 10 {
+		t.Errorf("%d units granted from a bucket made again, want 10", a.granted)
+	}
+}
+
+// Units granted to a question without an answer must be available again, once.
+func TestCancelledQuestionUsesNothing(t *testing.T) {
+	c := newOwnerClock(Limit{PerSecond: 0.001, Burst: 32})
+	c.run(3 * time.Second)
+	c.buckets[bucketKey{tenant: "t"}] = &bucket{units: 10, unreduced: 10, filled: c.now}
+	q := question{op: opAcquire, units: 4, id: 7, limit: c.limit, tenant: "t"}
+	c.Answer(q.encode())
+	q.op = opCancel
+	for range 3 {
+		c.Answer(q.encode())
+	}
+	if a := c.ask(20); a.granted != 10 {
+		t.Errorf("%d units granted after the cancelled question, want all 10", a.granted)
+	}
+}
+
+// Malformed questions must be ignored and not end the process.
+func TestMalformedQuestions(t *testing.T) {
+	c := newOwnerClock(Limit{PerSecond: 1})
+	claim := question{op: opClaim, part: 0.5, from: "b", tenant: "t"}
+	for _, data := range [][]byte{nil, {opAcquire}, make([]byte, questionHeaderBytes), append([]byte{opAcquire, shardCount, 1}, make([]byte, 30)...), claim.encode()[:30]} {
+		if answer := c.Answer(data); answer != nil {
+			t.Errorf("%v was answered", data)
+		}
+	}
+}
--- a/internal/allowance/scenario_test.go
+++ b/internal/allowance/scenario_test.go
@@ -122,6 +122,36 @@
 	return owners
 }
 
+// Load: 30 entries in three zones; a tenant whose shards are all owned in two of them sends 5 times
+// its allowance. The third zone stops hearing the others, which still hear it, so that it takes all
+// shards over and the others see nobody missing. The sum of both must stay within the bound.
+func TestZoneThatHearsNobodyClaimsItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 30)
+		tenant := &tree.Tenant{PerSecond: 200}
+		for i := 0; ; i++ {
+			tenant.Name = fmt.Sprintf("hot-%d", i)
+			inThird := false
+			all := w.everyone().Assignment()
+			for shard := range shardCount {
+				owner, _ := all.Owner(cluster.AssignmentKey(tenant.Name, shard))
+				inThird = inThird || w.find(owner.VM).zone == "zone-2"
+			}
+			if !inThird {
+				break
+			}
+		}
+		w.tenants[tenant.Name], w.refused[tenant.Name] = tenant, map[int]int{}
+		play(t, w, []*tree.Tenant{tenant}, 5, 15*time.Second, func() {
+			time.Sleep(time.Second)
+			w.setCut(func(from, to *entry) bool { return to.zone == "zone-2" && from.zone != "zone-2" })
+			time.Sleep(13 * time.Second)
+		})
+		checkBounds(w, []*tree.Tenant{tenant})
+		t.Logf("at most %d of %.0f in a window", w.most(tenant), bound(tenant))
+	})
+}
+
 // Load: 30 entries in three zones; a tenant sends 5 times its allowance of 200/s, two others their
 // usual demand, while entries fail. The bound must hold throughout, and no request of the tenants
 // that stay within their allowance may be refused with 429 while an owner can be queried.
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -27,6 +27,9 @@
 	// heartbeatStep is the time between two heartbeats in the world, and viewStep that between two
 	// ticks of an entry.
 	heartbeatStep, viewStep = 200 * time.Millisecond, 50 * time.Millisecond
+	// maxIntroduction is the longest time after which two members know each other when one of them
+	// has started. It differs from pair to pair.
+	maxIntroduction = 900 * time.Millisecond
 )
 
 // world is a cluster of entries in virtual time. Members hear each other by heartbeats; links
@@ -107,13 +110,20 @@
 			continue
 		}
 		for _, from := range w.entries {
-			if from != to && from.incarnation != 0 && !from.paused && !w.cut(from, to) {
+			if from != to && from.incarnation != 0 && !from.paused && !w.cut(from, to) && introduced(from, to, now) {
 				to.heard[from] = heartbeat{now, from.incarnation}
 			}
 		}
 	}
 }
 
+// introduced reports whether the members have known each other since one of them started.
+func introduced(from, to *entry, now time.Duration) bool {
+	started := max(from.incarnation, to.incarnation)
+	pair := rand.New(rand.NewPCG(from.incarnation<<16^uint64(from.address.Addr().As4()[3]), to.incarnation<<16^uint64(to.address.Addr().As4()[3])))
+	return now-time.Duration(started) >= time.Duration(pair.Int64N(int64(maxIntroduction)))
+}
+
 // start starts the entry's process.
 func (w *world) start(e *entry) {
 	w.mu.Lock()
@@ -340,3 +350,12 @@
 	defer w.mu.Unlock()
 	return len(w.grants[tenant.Name]), w.refused[tenant.Name][status]
 }
+
+// everyone returns a view of all entries.
+func (w *world) everyone() *cluster.View {
+	var live []cluster.LiveMember
+	for _, e := range w.entries {
+		live = append(live, cluster.LiveMember{Member: cluster.Member{VM: e.vm, DatagramAddress: e.address, Weight: e.weight}})
+	}
+	return cluster.NewView(live, 0)
+}
