--- a/internal/storesync/evacuations_test.go
+++ b/internal/storesync/evacuations_test.go
@@ -346,7 +346,7 @@
 		}
 		c.mu.Unlock()
 		for _, m := range c.running() {
-			m.setCut(m.apart)
+			m.log.setCut(m.apart)
 		}
 		c.run(time.Second)
 		c.write(false)
