Order evacuations of before a restore by where they were then

A member that missed a removal, or read the restored store later than the others, gave its evacuation a position in the present epoch above the others' removal and so brought it back at them.

--- a/internal/storesync/evacuations.go
+++ b/internal/storesync/evacuations.go
@@ -46,6 +46,36 @@
 	Zone      string
 	Evacuated bool
 	Position  logservice.Position
+	// Origin is where the record was in an earlier epoch of the store, if it holds in a later one
+	// that may never have had it; otherwise zero. Position is then in the later epoch.
+	Origin logservice.Position
+}
+
+// origin returns the position at which the record was in the store.
+func (r evacuationRecord) origin() logservice.Position { return cmp.Or(r.Origin, r.Position) }
+
+// isNewerThan reports whether the record is later than another one of its key. Two that were both
+// written before a restore are compared by where they were then.
+func (r evacuationRecord) isNewerThan(other evacuationRecord) bool {
+	epoch := max(r.Position.Epoch(), other.Position.Epoch())
+	if (r.Origin != 0 || other.Origin != 0) && max(r.origin(), other.origin()).Epoch() < epoch {
+		return r.origin() > other.origin()
+	}
+	return r.Position > other.Position
+}
+
+// supersedes reports whether the record is later than the other one, which was written before a
+// restore, because the member that holds it knew the records of that time up to before.
+func (r evacuationRecord) supersedes(other evacuationRecord, before logservice.Position) bool {
+	return other.Origin != 0 && r.origin().Epoch() > other.Origin.Epoch() && before >= other.Origin
+}
+
+// raisedTo returns the record with at least that position.
+func (r evacuationRecord) raisedTo(position logservice.Position) evacuationRecord {
+	if position > r.Position {
+		r.Origin, r.Position = r.origin(), position
+	}
+	return r
 }
 
 // evacuationState is what a member knows of evacuations, in an update.
@@ -149,15 +179,17 @@
 	for key, old := range t.known.Records {
 		r, found := records[key]
 		switch {
-		case found && r.Position <= old.Position, !found && old.Position >= from.next:
+		case !found && old.Position >= from.next:
+		case found && r.supersedes(old, from.before):
+			t.known.Records[key] = r.raisedTo(old.Position)
+		case found && (old.supersedes(r, t.known.Before) || !r.isNewerThan(old)):
+			t.known.Records[key] = old.raisedTo(r.Position)
 		case old.survivesRestore(r, found, from):
 			// Other members take it as newer than the records of the copy.
-			t.known.Before = max(t.known.Before, old.Position)
-			old.Position = max(from.next.Preceding(2), r.Position)
-			t.known.Records[key] = old
+			t.known.Records[key] = old.raisedTo(max(from.next.Preceding(2), r.Position))
 			change.kept = append(change.kept, old.Zone)
 		case found:
-			t.known.Records[key] = r
+			t.known.Records[key] = r.raisedTo(old.Position)
 		case from.showsRemoval(old):
 			t.known.Records[key] = evacuationRecord{Zone: old.Zone, Position: from.next.Preceding(1)}
 		}
@@ -183,7 +215,7 @@
 		switch {
 		case !from.peer:
 		case r.survivesRestore(evacuationRecord{}, false, own):
-			r.Position = own.next.Preceding(2)
+			r = r.raisedTo(own.next.Preceding(2))
 		case own.showsRemoval(r):
 			r.Evacuated, r.Position = false, own.next.Preceding(1)
 		}
--- a/internal/storesync/evacuations_test.go
+++ b/internal/storesync/evacuations_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -386,6 +387,64 @@
 	second.pull(t, "from the one that pulled", first, "a", "b")
 }
 
+// A member is out of contact while an evacuation is removed, and the store then loses both. It
+// keeps the evacuation until it is in touch, but must not bring it back at the others, whoever of
+// them pulls first.
+func TestLostRemovalIsNotUndoneByAMemberThatMissedIt(t *testing.T) {
+	for _, missedPullsFirst := range []bool{false, true} {
+		log := &fakeLog{}
+		s, missed, starting := newEvacuationSyncer(log), newEvacuationSyncer(log), newEvacuationSyncer(log)
+		log.put("config", "1")
+		log.put("evacuate/a", "{}")
+		s.read(t, "before", "a")
+		missed.read(t, "before", "a")
+		log.put("evacuate/a", "")
+		s.read(t, "removed")
+		log.restore(1)
+		s.read(t, "restored")
+		log.put("config", "2")
+		missed.read(t, "restored, at the member that missed the removal", "a")
+		if missedPullsFirst {
+			missed.pull(t, "from one that knows the removal", s, "a") // it announces nothing newer
+		}
+		s.pull(t, "from the member that missed the removal", missed)
+		missed.pull(t, "from one that knows the removal", s)
+		starting.pull(t, "at a member that starts", s)
+		log.put("evacuate/a", "{}")
+		s.read(t, "evacuated anew", "a")
+		missed.pull(t, "evacuated anew, pulled", s, "a")
+	}
+}
+
+// The operator removes a lost evacuation again once the entries have read the restored store. One
+// that was out of contact until then can't tell the removal from one of the copy, but must not
+// bring the evacuation back at the others.
+func TestRemovalAfterARestoreIsNotUndoneByALateReader(t *testing.T) {
+	for _, latePullsFirst := range []bool{false, true} {
+		log := &fakeLog{}
+		s, late, starting := newEvacuationSyncer(log), newEvacuationSyncer(log), newEvacuationSyncer(log)
+		for revision := range 5 {
+			log.put("config", strconv.Itoa(revision+1))
+		}
+		log.put("evacuate/a", "{}")
+		s.read(t, "before", "a")
+		late.read(t, "before", "a")
+		log.restore(1)
+		s.read(t, "restored", "a")
+		log.put("evacuate/a", "")
+		s.read(t, "removed")
+		starting.read(t, "a member that starts")
+		log.put("config", "6")
+		late.read(t, "at the late reader", "a")
+		if latePullsFirst {
+			late.pull(t, "from one that knows the removal", s, "a") // it announces nothing newer
+		}
+		s.pull(t, "from the late reader", late)
+		late.pull(t, "from one that knows the removal", s)
+		starting.pull(t, "at a member that starts", s)
+	}
+}
+
 // A removal that the operator wrote after the restore, at an offset beyond that of the
 // evacuation, is no removal of the copy.
 func TestRemovalAfterARestoreIsKnownByItsOffset(t *testing.T) {
