Grant allowances soon after a start of all entries

After a loss of power of all VMs every owner of a shard was a new one and granted nothing for its first second: in a play of 104 entries the first members knew each other 0.55 s after their start, and requests with a key were refused with allowance_unavailable until 1.5 s after it. An owner that sees only members that have just started grants as soon as no more have joined for 0.2 s. TestOwnersGrantSoonAfterAStartOfAll failed before.

--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -24,6 +24,14 @@
 	// grant. By then the former owner knows of it, or does not grant as it is paused or has
 	// ended, or grants less as it sees members missing.
 	takeoverDelay = time.Second
+	// startDelay takes the place of takeoverDelay after a start of all members: no earlier owner is
+	// left that could still grant, so a new one only waits until it sees no more members joining.
+	startDelay = 200 * time.Millisecond
+	// startSpan is how far apart the starts of members may be to count as one start of all. It is
+	// shorter than a restart of the members one after the other takes.
+	startSpan = time.Second
+	// startPhase is how long after its own start a member takes the others for starting.
+	startPhase = 3 * time.Second
 	// maxPause is the longest time without a sign of progress of its own process after which an
 	// owner goes on as before. Nobody can have granted in its place by then: members take
 	// another one for live for 500 ms at least, and a new owner waits for takeoverDelay.
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -31,6 +31,9 @@
 	Limit func(tenant string) (Limit, bool)
 	// HasPeers is set if the cluster should have other members.
 	HasPeers bool
+	// StartedAt returns when a member's process started, by the time of day of its VM since any
+	// moment. If it is nil, a start of all members is not recognized.
+	StartedAt func(cluster.Member) time.Duration
 	// Send sends a question of cluster.TopicAllowance and waits for no answer. It must not block.
 	Send func(to *cluster.Assignee, question []byte)
 	// Now is a clock that does not jump and includes the time for which the VM is suspended.
@@ -48,6 +51,8 @@
 	scale float64
 	// alone is set if the member does not know whether it has peers; it owns nothing then.
 	alone bool
+	// allStarted is when the last member started if all have just started, otherwise zero.
+	allStarted time.Duration
 	// withSilent is the assignment if the silent members were live, nil if there are none.
 	withSilent *cluster.Assignment
 }
@@ -134,14 +139,43 @@
 			return
 		}
 		o.fillAll(now)
-		next := period{since: now, assignment: current.assignment, scale: scale, alone: alone, withSilent: view.AssignmentWithSilent()}
+		next := period{
+			since: now, assignment: current.assignment, scale: scale, alone: alone,
+			allStarted: o.allStarted(view, now), withSilent: view.AssignmentWithSilent(),
+		}
 		if !same {
 			next.assignment = view.Assignment()
 		}
 		o.begin(next)
 		return
 	}
-	o.begin(period{since: now, assignment: view.Assignment(), scale: scale, alone: alone, withSilent: view.AssignmentWithSilent()})
+	o.begin(period{
+		since: now, assignment: view.Assignment(), scale: scale, alone: alone,
+		allStarted: o.allStarted(view, now), withSilent: view.AssignmentWithSilent(),
+	})
+}
+
+// allStarted returns when the last member of the view started, by this member's clock, if all
+// have just started at about the same time, otherwise zero. The caller holds o.mu.
+func (o *Owner) allStarted(view *cluster.View, now time.Duration) time.Duration {
+	if o.options.StartedAt == nil || now-o.started > startPhase || view.Missing > 0 {
+		return 0
+	}
+	var own, first, last time.Duration
+	for i, m := range view.Live {
+		at := o.options.StartedAt(m.Member)
+		if i == 0 {
+			first, last = at, at
+		}
+		first, last = min(first, at), max(last, at)
+		if m.VM == o.options.Self {
+			own = at
+		}
+	}
+	if last-first > startSpan {
+		return 0
+	}
+	return min(o.started+last-own, now)
 }
 
 // begin makes the period the current one and drops the buckets of shards that the member does
@@ -201,7 +235,8 @@
 	if b := o.buckets[key]; b != nil {
 		return b, nil
 	}
-	readyAt, owned := o.ownedSince(key)
+	since, owned := o.ownedSince(key)
+	readyAt, filledFrom := o.grantsFrom(since)
 	switch {
 	case o.current().alone:
 		o.count("not_ready")
@@ -213,7 +248,7 @@
 		o.count("not_ready")
 		return nil, &answer{status: statusNotReady, wait: readyAt - now}
 	}
-	b := o.newBucket(o.limitOf(q), readyAt, now)
+	b := o.newBucket(o.limitOf(q), filledFrom, now)
 	o.buckets[key] = b
 	return b, nil
 }
@@ -241,8 +276,8 @@
 	return a
 }
 
-// ownedSince returns the time from which this member grants units of the shard, and false if it
-// does not own it now. The caller holds o.mu.
+// ownedSince returns the time from which the shard has been assigned to this member, and false if
+// it is not assigned to it now. The caller holds o.mu.
 func (o *Owner) ownedSince(key bucketKey) (time.Duration, bool) {
 	owned := false
 	var since time.Duration
@@ -252,23 +287,33 @@
 		}
 		since, owned = o.periods[i].since, true
 	}
-	return since + takeoverDelay, owned
+	return since, owned
+}
+
+// grantsFrom returns the time from which this member grants units of a shard that has been
+// assigned to it since then, and the time from which units accrue. The caller holds o.mu.
+func (o *Owner) grantsFrom(since time.Duration) (readyAt, filledFrom time.Duration) {
+	readyAt, filledFrom = since+takeoverDelay, since+takeoverDelay
+	if p := o.current(); p.allStarted > 0 && p.since+startDelay < readyAt {
+		// The owners before the start have ended by then, and nobody has granted since.
+		return p.since + startDelay, p.since
+	}
+	return readyAt, filledFrom
 }
 
-// newBucket returns a bucket as if it had existed since the member began to grant. The caller
-// holds o.mu.
-func (o *Owner) newBucket(l Limit, readyAt, now time.Duration) *bucket {
+// newBucket returns a bucket as if it had existed since that time. The caller holds o.mu.
+func (o *Owner) newBucket(l Limit, filledFrom, now time.Duration) *bucket {
 	scale := o.current().scale
 	b := &bucket{
 		units: min(initialUnits, l.shardBurst()*scale), unreduced: l.shardBurst(),
-		filled: readyAt, usedAt: now, loggedAt: now - logInterval,
+		filled: filledFrom, usedAt: now, loggedAt: now - logInterval,
 	}
 	for i := range o.periods {
 		end := now
 		if i+1 < len(o.periods) {
 			end = o.periods[i+1].since
 		}
-		if end > readyAt {
+		if end > filledFrom {
 			b.fill(l, o.periods[i].scale, end)
 		}
 	}
--- a/internal/allowance/owner_test.go
+++ b/internal/allowance/owner_test.go
@@ -59,6 +59,43 @@
 	}
 }
 
+// After a loss of power of all VMs nobody grants until the new owners do, and callers are waiting. An
+// owner that sees all members start must not take as long as one that another member may precede.
+func TestOwnersGrantSoonAfterAStartOfAll(t *testing.T) {
+	for name, c := range map[string]struct {
+		started time.Duration // of the other member
+		soon    bool
+	}{
+		"the other started as well": {time.Hour - 300*time.Millisecond, true},
+		"the other is older":        {time.Hour - 2*time.Second, false},
+		"one after the other":       {time.Hour - 1100*time.Millisecond, false},
+	} {
+		live := []cluster.LiveMember{{Member: cluster.Member{VM: "a", Weight: 100}}, {Member: cluster.Member{VM: "b", Weight: 1e-6}}}
+		o := &ownerClock{limit: Limit{PerSecond: 40, Burst: 400}, now: time.Hour, view: cluster.NewView(live, 0)}
+		o.Owner = NewOwner(OwnerOptions{
+			Self: "a", View: func() *cluster.View { return o.view }, Now: func() time.Duration { return o.now },
+			Limit: func(string) (Limit, bool) { return o.limit, true },
+			StartedAt: func(m cluster.Member) time.Duration {
+				if m.VM == "a" {
+					return time.Hour
+				}
+				return c.started
+			},
+		})
+		if a := o.ask(10); a.granted != 0 {
+			t.Errorf("%s: %d units granted at the start", name, a.granted)
+		}
+		o.run(startDelay)
+		if a := o.ask(10); (a.granted > 0) != c.soon {
+			t.Errorf("%s: %d units granted after %v, want some: %v", name, a.granted, startDelay, c.soon)
+		}
+		o.run(takeoverDelay)
+		if a := o.ask(10); a.granted == 0 {
+			t.Errorf("%s: nothing granted after %v", name, takeoverDelay)
+		}
+	}
+}
+
 // After a pause of its process, an owner must not grant what accrued meanwhile, as another member
 // has granted it: it starts anew. A pause too short for a takeover changes nothing.
 func TestOwnerStartsAnewAfterAPause(t *testing.T) {
--- a/internal/allowance/world_test.go
+++ b/internal/allowance/world_test.go
@@ -130,7 +130,7 @@
 	e.incarnation = uint64(w.now()) + 1
 	e.heard = map[*entry]heartbeat{}
 	w.updateView(e)
-	e.owner = NewOwner(OwnerOptions{Self: e.vm, View: e.View, Limit: e.limit, HasPeers: len(w.entries) > 1, Send: e.send, Now: w.now})
+	e.owner = NewOwner(OwnerOptions{Self: e.vm, View: e.View, Limit: e.limit, HasPeers: len(w.entries) > 1, Send: e.send, Now: w.now, StartedAt: startedAt})
 	e.client = NewClient(ClientOptions{Node: e, Now: w.now})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
@@ -149,6 +149,9 @@
 	})
 }
 
+// startedAt returns when a member of a world started.
+func startedAt(m cluster.Member) time.Duration { return time.Duration(m.Incarnation) }
+
 // kill ends the entry's process.
 func (w *world) kill(e *entry) {
 	w.mu.Lock()
--- a/internal/gateway/allowances.go
+++ b/internal/gateway/allowances.go
@@ -61,9 +61,10 @@
 		Send: func(to *cluster.Assignee, question []byte) {
 			go sendQuestion(node, to, question)
 		},
-		Now:    steady.SinceBoot,
-		Events: events,
-		Scope:  scope,
+		StartedAt: startedAt,
+		Now:       steady.SinceBoot,
+		Events:    events,
+		Scope:     scope,
 	})
 	node.HandleQueries(cluster.TopicAllowance, owner.Answer)
 	client := allowance.NewClient(allowance.ClientOptions{Node: node, Now: steady.SinceBoot, Events: events, Scope: scope})
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -229,11 +229,18 @@
 	return node, callbacks, nil
 }
 
-// incarnation returns a number that grows with the time of the start. Random low bits
-// distinguish starts within the same millisecond, also after the clock was set back.
+// incarnationRandomBits is the number of low bits of an incarnation that distinguish starts within
+// the same millisecond, also after the clock was set back.
+const incarnationRandomBits = 16
+
+// incarnation returns a number that grows with the time of the start.
 func incarnation(now time.Time) uint64 {
-	const randomBits = 16
-	return uint64(now.UnixMilli())<<randomBits | rand.Uint64N(1<<randomBits)
+	return uint64(now.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
+}
+
+// startedAt returns when a member started, since the Unix epoch by the time of day of its VM.
+func startedAt(m cluster.Member) time.Duration {
+	return time.Duration(m.Incarnation>>incarnationRandomBits) * time.Millisecond
 }
 
 func newLoadSync(s *Settings, adapter *Adapter, node *cluster.Node, callbacks *clusterCallbacks, scope tally.Scope) *loadsync.Syncer {
