--- a/internal/freshness/planner.go
+++ b/internal/freshness/planner.go
@@ -27,10 +27,11 @@
 	silenceShare    = 0.1
 	maxSilenceShare = 0.4
 	// ownReadShare is the age of the evidence above which an entry reads the source itself.
-	// ownReadSpread is added for the last one in the order of readers: readers that have ended
-	// are replaced before that, and not all entries must read at once.
-	ownReadShare  = 0.5
-	ownReadSpread = 0.15
+	// ownReadSpread is added for the last one in the order of readers, so that not all entries
+	// read at once when readers have ended. An entry that gets no answers reads at silentReadShare.
+	ownReadShare    = 0.4
+	ownReadSpread   = 0.1
+	silentReadShare = 0.38
 )
 
 const (
@@ -41,6 +42,9 @@
 	maxSpread = 100
 	// maxOpen bounds the open questions of one entry.
 	maxOpen = 4
+	// unanswered is the number of questions in a row without an answer after which an entry takes
+	// itself to be cut off from the others.
+	unanswered = 2
 	// triesBeforeAll is the number of questions in a row that did not help after which every
 	// second one is asked at any member.
 	triesBeforeAll = 2
@@ -77,6 +81,7 @@
 	asked     bool
 	open      int
 	fruitless int // questions in a row that did not help
+	silent    int // questions in a row without an answer
 	// spread is the part of the share, in thousandths, by which the next question is earlier, so
 	// that entries do not ask at the same time.
 	spread  int
@@ -105,6 +110,9 @@
 // ReadDue reports whether an entry whose evidence has that age must read the source itself. Its
 // position in the order of readers is that of all entries.
 func (p *Planner) ReadDue(age time.Duration, position, entries int) bool {
+	if p.silent >= unanswered {
+		return age > p.share(silentReadShare)
+	}
 	spread := ownReadSpread * float64(position) / float64(max(entries, 1))
 	return age > p.share(ownReadShare+min(spread, ownReadSpread))
 }
@@ -207,6 +215,7 @@
 // that is younger than what was known.
 func (p *Planner) Answered(vm string, at time.Duration, known, younger bool) {
 	p.open--
+	p.silent = 0
 	p.members[vm] = &history{at: at, known: known}
 	if younger {
 		p.fruitless = 0
@@ -219,6 +228,7 @@
 func (p *Planner) Silent(now time.Duration, vm string) {
 	p.open--
 	p.fruitless++
+	p.silent++
 	h := p.members[vm]
 	if h == nil {
 		h = &history{}
