--- a/internal/storesync/evacuations_test.go
+++ b/internal/storesync/evacuations_test.go
@@ -509,3 +509,83 @@
 		s.check(t, "after the other's heartbeat")
 	}
 }
+
+// playEvacuationLives plays three minutes in which the operator evacuates a zone and takes it back while
+// readers end, members lose the store, and the store forgets its history or is restored. What a
+// restore loses is expected as it was known to the members, where they agree on it.
+func playEvacuationLives(t *testing.T, seed uint64) {
+	c := &evacuationLives{configLives: newConfigLives(t, 8)}
+	c.rng = rand.New(rand.NewPCG(seed, 31))
+	defer c.stop()
+	certain, restored := true, time.Now()
+	c.written, c.faultEnded = time.Now(), time.Now()
+	for i := range int(3 * time.Minute / heartbeatPause) {
+		c.heartbeat()
+		time.Sleep(heartbeatPause)
+		members := c.running()
+		switch c.rng.IntN(160) {
+		case 0:
+			if time.Since(restored) > touchTime {
+				c.write(c.rng.IntN(2) == 0)
+				certain = true
+			}
+		case 1:
+			c.publish()
+		case 2, 3:
+			if time.Since(restored) > 2*evacuationBound {
+				c.log.mu.Lock()
+				kept := max(1, len(c.log.records)-c.rng.IntN(4))
+				lost := slices.ContainsFunc(c.log.records[kept:], func(r logservice.KeyedRecord) bool { return r.Key == "evacuate/a" })
+				inCopy := false
+				for _, r := range c.log.records[:kept] {
+					inCopy = r.Key == "evacuate/a" && !r.IsTombstone() || inCopy && r.Key != "evacuate/a"
+				}
+				c.log.mu.Unlock()
+				if lost {
+					// Known to all members in touch by now, or to some of them.
+					certain = certain && time.Since(c.written) > evacuationBound
+					c.evacuated = c.evacuated || inCopy
+				}
+				c.log.restore(kept)
+				c.note("the store is restored, %d records kept, evacuated %v, certain %v", kept, c.evacuated, certain)
+				restored, c.faultEnded, c.written = time.Now(), time.Now(), time.Now()
+			}
+		case 4, 5:
+			if reader := c.reader(c.rng.IntN(3)); reader != nil {
+				c.end(reader, c.rng.IntN(2) == 0)
+				c.start()
+			}
+		case 6:
+			m := members[c.rng.IntN(len(members))]
+			m.setCut(true)
+			c.note("%s is cut off", m.name)
+		case 7, 8, 9, 10:
+			for _, m := range members {
+				if m.isCut() {
+					m.setCut(false)
+					m.since = time.Now()
+				}
+			}
+		case 11:
+			c.compact()
+		}
+		due := certain && time.Since(c.written) > evacuationBound && time.Since(c.faultEnded) > evacuationBound
+		touched := func(m *livesMember) bool { return !m.isCut() && time.Since(m.since) > touchTime }
+		if names := c.wrong(touched); due && len(names) > 0 {
+			c.fail("round %d: %v have another state than evacuated=%v, %v after it was written", i, names, c.evacuated, time.Since(c.written))
+		}
+	}
+}
+
+// Whatever happens to readers, members and the store, the operator's state is in force within the
+// bound at every member in touch, and no member in touch leaves it after that.
+func TestEvacuationThroughStoreLives(t *testing.T) {
+	for seed := range uint64(rounds(evacuationSeeds)) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playEvacuationLives(t, seed) })
+		})
+	}
+}
+
+// evacuationSeeds is the number of seeds that are played without the race detector.
+const evacuationSeeds = 12
