--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -49,7 +49,7 @@
 	serverDialTimeout = 200 * time.Millisecond
 	// settleTime is how long an entry sends nothing to servers that warm up after its start. Entries
 	// that start together know each other by then, so that their shares of a limit add up to it.
-	settleTime = 2 * time.Second
+	settleTime = time.Second
 	// unackedTimeout closes a connection whose other side acknowledges nothing.
 	unackedTimeout = time.Second
 )
