--- a/internal/storesync/evacuations_test.go
+++ b/internal/storesync/evacuations_test.go
@@ -557,12 +557,12 @@
 			}
 		case 6:
 			m := members[c.rng.IntN(len(members))]
-			m.setCut(true)
+			m.log.setCut(true)
 			c.note("%s is cut off", m.name)
 		case 7, 8, 9, 10:
 			for _, m := range members {
 				if m.isCut() {
-					m.setCut(false)
+					m.log.setCut(false)
 					m.since = time.Now()
 				}
 			}
