Forward: connections are kept as long as servers announce; one pool with two ages

Connections were kept for 4 s, those of non-idempotent calls for 1 s in a pool of their own, while servers announce 10 s. Now the announced time less a margin holds; a non-idempotent call replaces a connection that was idle for 200 ms or more, and a closed or too old connection is replaced before anything is written, without a retry.

Balancer: prefer as many servers as the request rate supports

An entry prefers 3 to 12 servers by its own request rate, from its start on the ring of its zone's servers, and adds the next ones of the ring when none of them has a low score.

--- a/bench/simulator/call.go
+++ b/bench/simulator/call.go
@@ -51,6 +51,7 @@
 	a.call.attempts = append(a.call.attempts, a)
 	a.call.tried = append(a.call.tried, a.server.vm.Name)
 	a.server.inTransit++
+	a.call.entry.run.sent(a)
 	c.after(oneWayDelay(a.call.entry, a.server), func() { a.server.arrive(a) })
 }
 
@@ -64,6 +65,7 @@
 // cancel cancels the attempt after another attempt of the call has finished.
 func (a *attempt) cancel() {
 	a.ended = true
+	a.call.entry.pool.put(a.call.entry.run, a, false)
 	a.call.entry.run.clock.after(oneWayDelay(a.call.entry, a.server), func() { a.server.cancel(a) })
 	a.call.entry.dispatcher.done(a, balancer.Cancelled)
 }
--- a/bench/simulator/entry.go
+++ b/bench/simulator/entry.go
@@ -26,6 +26,7 @@
 	zone       int
 	rng        *rand.Rand
 	dispatcher dispatcher
+	pool       connectionPool
 }
 
 // scheduleArrivals schedules Poisson arrivals of calls of a rank, at a rate per
@@ -39,7 +40,7 @@
 		if e.run.clock.now >= until {
 			return
 		}
-		e.arrive(rank)
+		e.run.entryFor(e, e.rng).arrive(rank)
 		e.scheduleArrivals(rank, rate, until)
 	})
 }
@@ -66,6 +67,7 @@
 		return
 	}
 	a.ended = true
+	e.pool.put(e.run, a, kind != balancer.Error)
 	e.run.result.Bytes += e.run.reportBytes()
 	e.dispatcher.done(a, kind)
 	c := a.call
--- a/bench/simulator/product.go
+++ b/bench/simulator/product.go
@@ -46,6 +46,7 @@
 	d.balancer.UpdateAt(d.entry.run.clock.time(), vms, d.entry.run.service)
 	if d.entry.run.scenario.Policy == ProductShared {
 		d.balancer.SetEntryOrder(d.staggerPosition, d.entry.run.scenario.Entries)
+		d.balancer.SetZoneRank(d.zoneRank())
 	}
 }
 
--- a/bench/simulator/result.go
+++ b/bench/simulator/result.go
@@ -62,12 +62,20 @@
 	// in the measured time.
 	Bytes int64
 
+	// Connections counts the connections of all entries.
+	Connections ConnectionFigures
+	// Servers holds the attempts sent to each server in the measured time.
+	Servers map[string]int64
+	// Zones holds the attempts by the zones of their entries and servers, in each second of
+	// the measured time.
+	Zones []map[ZonePair]int64
+
 	scenario *Scenario
 	recovery recovery
 }
 
 func newResult(s *Scenario) *Result {
-	r := &Result{scenario: s}
+	r := &Result{scenario: s, Servers: make(map[string]int64)}
 	for p := range r.Ranks {
 		r.Ranks[p] = make(map[string]*RankFigures)
 		for _, rank := range []string{Payments, Lookups, Uploads} {
--- a/bench/simulator/run.go
+++ b/bench/simulator/run.go
@@ -19,6 +19,7 @@
 	entries        []*entry
 	result         *Result
 	serversCreated int
+	moved          []Event // that have happened
 }
 
 // Run simulates a scenario and returns its figures.
@@ -32,7 +33,11 @@
 		r.scheduleFlood(e)
 	}
 	r.scheduleRestart()
+	r.scheduleEvents()
 	r.clock.run(end + callerTimeout)
+	for _, e := range r.entries {
+		r.result.Connections.Kept += e.pool.kept(r.clock.now, s.Connections.Idle)
+	}
 	return r.result
 }
 
@@ -46,7 +51,7 @@
 		r.addServer()
 	}
 	for i := range s.Entries {
-		e := &entry{run: r, index: i, zone: i % s.Zones}
+		e := &entry{run: r, index: i, zone: zoneOf(i, s.Zones, s.ZoneEntries), pool: make(connectionPool)}
 		e.rng = rand.New(rand.NewPCG(s.Seed, uint64(1_000_000+i)))
 		e.dispatcher = newDispatcher(e)
 		r.entries = append(r.entries, e)
@@ -70,12 +75,24 @@
 	return &baselineDispatcher{entry: e, policy: e.run.scenario.Policy, inFlight: make(map[*server]int)}
 }
 
+// zoneOf returns the zone of the server or entry with that index: counts holds the number
+// in each zone, and without it the zones take turns.
+func zoneOf(index, zones int, counts []int) int {
+	for zone, n := range counts {
+		if index < n {
+			return zone
+		}
+		index -= n
+	}
+	return index % zones
+}
+
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
 func (r *run) addServer() *server {
 	index := r.serversCreated
 	r.serversCreated++
-	zone := index % r.scenario.Zones
+	zone := zoneOf(index, r.scenario.Zones, r.scenario.ZoneServers)
 	name := fmt.Sprintf("server-%03d", index)
 	vm := fleet.VM{Name: name, Address: name, Zone: zoneName(zone), Service: r.service.Key(), State: fleet.Live}
 	s := newServer(&r.scenario, r.clock, vm, zone, index, r.scenario.Seed)
--- a/bench/simulator/scenario.go
+++ b/bench/simulator/scenario.go
@@ -39,6 +39,16 @@
 	Entries int
 	Servers int
 	Zones   int
+	// ZoneEntries and ZoneServers are the numbers of entries and servers in each zone; if
+	// they are empty the zones take turns.
+	ZoneEntries, ZoneServers []int
+	// ZoneDemand is the demand of each zone's callers, relative to the others; if it is empty
+	// all entries have equal demand.
+	ZoneDemand []float64
+	// Connections describes how entries keep connections.
+	Connections Connections
+	// Events change servers and callers during the run.
+	Events []Event
 	// Load is the offered service time as a share of the capacity of all slots.
 	Load float64
 	// Mix is the share of each rank in the calls of the base load.
@@ -157,7 +167,15 @@
 }
 
 // capacity returns the service time that all servers provide per second, in seconds.
-func (s *Scenario) capacity() float64 { return float64(s.Servers * slotsPerServer) }
+func (s *Scenario) capacity() float64 { return float64(s.Servers * s.slots()) }
+
+// slots returns the number of requests that a server runs concurrently.
+func (s *Scenario) slots() int {
+	if s.Service != nil && s.Service.SlotsPerServer > 0 {
+		return s.Service.SlotsPerServer
+	}
+	return slotsPerServer
+}
 
 // callRate returns the calls per second of a rank in the base load.
 func (s *Scenario) callRate(rank string) float64 {
@@ -175,6 +193,19 @@
 
 // callShare returns the share of all calls that the entry receives.
 func (s *Scenario) callShare(entry int) float64 {
+	if len(s.ZoneDemand) > 0 {
+		zone := zoneOf(entry, s.Zones, s.ZoneEntries)
+		sum, entries := 0.0, 0
+		for _, demand := range s.ZoneDemand {
+			sum += demand
+		}
+		for i := range s.Entries {
+			if zoneOf(i, s.Zones, s.ZoneEntries) == zone {
+				entries++
+			}
+		}
+		return s.ZoneDemand[zone] / sum / float64(entries)
+	}
 	if !s.SkewedCallers {
 		return 1 / float64(s.Entries)
 	}
--- a/bench/simulator/server.go
+++ b/bench/simulator/server.go
@@ -21,6 +21,7 @@
 	clock            *clock
 	vm               fleet.VM
 	zone             int
+	slots            int
 	randomSlowdown   randomSlowdown
 	periodicSlowdown periodicSlowdown
 	faults           *Faults
@@ -43,7 +44,7 @@
 }
 
 func newServer(s *Scenario, c *clock, vm fleet.VM, zone, index int, seed uint64) *server {
-	sv := &server{clock: c, vm: vm, zone: zone, faults: &s.Faults, slowdown: 1, reportsSlowdown: s.Policy == ProductShared}
+	sv := &server{clock: c, vm: vm, zone: zone, slots: s.slots(), faults: &s.Faults, slowdown: 1, reportsSlowdown: s.Policy == ProductShared}
 	sv.randomSlowdown = randomSlowdown{rng: rand.New(rand.NewPCG(seed, uint64(index))), disabled: s.Faults.NoRandomSlowdown}
 	if s.Faults.SlowZoneFactor > 0 && zone == 0 {
 		sv.slowdown = s.Faults.SlowZoneFactor
@@ -64,7 +65,7 @@
 		s.clock.after(failFastDelay, func() { a.respond(balancer.Error) })
 	case len(s.queue) >= shedQueueLength:
 		a.respond(balancer.Shed)
-	case len(s.running) < slotsPerServer:
+	case len(s.running) < s.slots:
 		s.begin(a)
 	default:
 		s.queue = append(s.queue, a)
@@ -79,7 +80,7 @@
 		serviceTime *= coldFactor
 	}
 	serviceTime = time.Duration(float64(serviceTime) * s.periodicSlowdown.factorAt(s.clock.now))
-	if s.periodicSlowdown.enabled && float64(len(s.running)) > kneeShare*slotsPerServer {
+	if s.periodicSlowdown.enabled && float64(len(s.running)) > kneeShare*float64(s.slots) {
 		serviceTime = time.Duration(kneeFactor * float64(serviceTime))
 	}
 	end := s.randomSlowdown.completionTime(s.clock.now, serviceTime)
@@ -130,7 +131,7 @@
 
 // report returns the load as the server reports it.
 func (s *server) report() balancer.Report {
-	r := balancer.Report{Slots: slotsPerServer, Draining: s.draining}
+	r := balancer.Report{Slots: s.slots, Draining: s.draining}
 	if s.reportsSlowdown {
 		r.Slowdown = int(100 * s.slowdown * s.periodicSlowdown.factorAt(s.clock.now))
 	}
--- a/bench/simulator/shared_reports.go
+++ b/bench/simulator/shared_reports.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/phase"
 )
 
@@ -59,3 +60,19 @@
 	entries := d.entry.run.scenario.Entries
 	return (d.entry.index + int(xxhash.Sum64String(server)%uint64(entries))) % entries
 }
+
+// zoneRank returns this entry's place among the entries of its zone.
+func (d *productDispatcher) zoneRank() balancer.ZoneRank {
+	s := d.entry.run.scenario
+	var rank balancer.ZoneRank
+	for i := range s.Entries {
+		if zoneOf(i, s.Zones, s.ZoneEntries) != d.entry.zone {
+			continue
+		}
+		rank.Entries++
+		if i < d.entry.index {
+			rank.Rank++
+		}
+	}
+	return rank
+}
--- a/internal/balancer/backend.go
+++ b/internal/balancer/backend.go
@@ -25,6 +25,7 @@
 	index     int
 	estimate  Estimate
 	startedAt atomic.Int64 // nanoseconds since the Unix epoch
+	endedAt   atomic.Int64 // when the previous request in this slot ended, in the same unit
 }
 
 // backend is this entry's state for one backend server. Picks read it without a
@@ -105,7 +106,7 @@
 	estimate := be.inProgress(reservationMask, p)
 	estimate += be.overdueRequests(reservationMask, p)
 	if be.speed.known() {
-		return be.score(estimate+be.penalty(p), p)
+		return be.score(reservationMask, estimate+be.penalty(p), p)
 	}
 	estimate += be.extraLoad(p)
 	slowness := be.meanLatency.value() * p.inverseLatency
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -91,6 +91,7 @@
 	latencies        *latencyQuantiles
 	pickCount        atomic.Uint64 // increases with each pick from a hash of the entry's name; moves the start of scans
 	limits           atomic.Pointer[limitOrder]
+	rate             requestRate
 	mu               sync.Mutex // guards the construction of a new snapshot
 }
 
@@ -170,6 +171,7 @@
 				continue
 			}
 			be.sent.Add(1)
+			b.rate.add(p.now)
 			reservation.estimate = be.estimate(reservationMask, p)
 			b.options.Observer.Sent(be.vm.Name, b.peersWantSlot(be, p))
 			return reservation, true
@@ -199,18 +201,20 @@
 func (b *Balancer) pickParams(s *snapshot, now time.Time, maxLoad float64) pickParams {
 	mean := b.meanPeerRequests.value()
 	return pickParams{
-		now:              steady.Nanos(now),
-		overdueAfter:     b.overdueAfter(),
-		maxLoad:          maxLoad,
-		inverseLatency:   b.inverseLatency(),
-		slots:            float64(s.slots),
-		meanPeerRequests: mean + min(uncertaintyMargin, mean),
-		confidence:       b.confidence.value(),
-		shedShare:        b.shedShare.value(),
-		kneeFactor:       b.kneeFactor(),
-		crossZoneCost:    crossZoneTimeCost,
-		maxStretch:       math.Inf(1),
-		limits:           b.limits.Load(),
+		now:               steady.Nanos(now),
+		overdueAfter:      b.overdueAfter(),
+		maxLoad:           maxLoad,
+		inverseLatency:    b.inverseLatency(),
+		slots:             float64(s.slots),
+		meanPeerRequests:  mean + min(uncertaintyMargin, mean),
+		confidence:        b.confidence.value(),
+		shedShare:         b.shedShare.value(),
+		kneeFactor:        b.kneeFactor(),
+		crossZoneCost:     crossZoneTimeCost,
+		maxStretch:        math.Inf(1),
+		limits:            b.limits.Load(),
+		preferred:         b.rate.preferredCount(),
+		newConnectionCost: newConnectionCost(s),
 	}
 }
 
--- a/internal/balancer/done.go
+++ b/internal/balancer/done.go
@@ -13,6 +13,11 @@
 	estimate := reservation.estimate // after the release another pick may overwrite it
 	p := b.pickParams(b.snapshot.Load(), now, 0)
 	wasFull := reservation.backend.slotsTaken(reservation.backend.reserved.Load(), &p)
+	if r.Kind == OK || r.Kind == Shed {
+		reservation.endedAt.Store(steady.Nanos(now))
+	} else {
+		reservation.endedAt.Store(0)
+	}
 	ownRequests := reservation.backend.release(reservation)
 	b.options.Observer.Ended(reservation.VM.Name, r, wasFull, now)
 	if r.HasReport {
--- a/internal/balancer/entryorder.go
+++ b/internal/balancer/entryorder.go
@@ -54,6 +54,6 @@
 	for _, be := range next.backends {
 		be.entryOrder.set(position(be.vm.Name), entries)
 	}
-	next.preferred = preferredBackends(next.backends)
+	next.orderNear()
 	b.snapshot.Store(&next)
 }
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -14,29 +13,33 @@
 
 // pickParams holds the parameters by which one pick scores all servers.
 type pickParams struct {
-	now              int64   // nanoseconds since the Unix epoch
-	overdueAfter     int64   // nanoseconds after which a request in progress counts as overdue
-	meanPeerRequests float64 // requests of other entries at a server without a fresh report
-	maxLoad          float64 // estimated load from which a server gets no further request
-	inverseLatency   float64 // 1 / mean latency in nanoseconds; zero if unknown
-	slots            float64 // requests that a server runs concurrently
-	confidence       float64 // confidence in load reports, 0 to 1
-	salt             uint64  // differs for each pick
-	shedShare        float64 // share of requests that the servers of the service shed
-	kneeFactor       float64 // factor on the service time of requests that begin past the knee
-	crossZoneCost    float64 // cost of another availability zone, in nominal service times
-	targetStretch    float64 // PickSpare: greatest stretch that meets the target; otherwise zero
-	maxStretch       float64 // greatest stretch allowed for the request
-	limits           *limitOrder
+	now               int64   // nanoseconds since the Unix epoch
+	overdueAfter      int64   // nanoseconds after which a request in progress counts as overdue
+	meanPeerRequests  float64 // requests of other entries at a server without a fresh report
+	maxLoad           float64 // estimated load from which a server gets no further request
+	inverseLatency    float64 // 1 / mean latency in nanoseconds; zero if unknown
+	slots             float64 // requests that a server runs concurrently
+	confidence        float64 // confidence in load reports, 0 to 1
+	salt              uint64  // differs for each pick
+	shedShare         float64 // share of requests that the servers of the service shed
+	kneeFactor        float64 // factor on the service time of requests that begin past the knee
+	crossZoneCost     float64 // cost of another availability zone, in nominal service times
+	targetStretch     float64 // PickSpare: greatest stretch that meets the target; otherwise zero
+	maxStretch        float64 // greatest stretch allowed for the request
+	limits            *limitOrder
+	newConnectionCost float64 // cost of opening a connection, in nominal service times
+	preferred         int     // servers that this entry prefers in a large service
 }
 
 // snapshot is an immutable set of servers with the service's limits.
 type snapshot struct {
 	backends []*backend
 	byName   map[string]*backend
-	// preferred are the servers that this entry tries first in a large service, so that
-	// its connections to them are used again; empty in a small one.
+	// near are the nearest servers of a large service, in the order in which this entry prefers
+	// them, and preferred the most that it prefers; empty in a small one.
+	near         []*backend
 	preferred    []*backend
+	zoneRank     ZoneRank
 	slots        int
 	maxPerServer int // maximum requests of this entry in progress at one server
 }
@@ -58,7 +61,7 @@
 	if len(s.backends) == 0 {
 		joinedAt = 0
 	}
-	n = &snapshot{slots: defaultSlots, byName: make(map[string]*backend, len(servers))}
+	n = &snapshot{slots: defaultSlots, zoneRank: s.zoneRank, byName: make(map[string]*backend, len(servers))}
 	if svc.SlotsPerServer > 0 {
 		n.slots = svc.SlotsPerServer
 	}
@@ -75,38 +78,10 @@
 		}
 		n.backends, n.byName[vm.Name] = append(n.backends, be), be
 	}
-	n.preferred = preferredBackends(n.backends)
+	n.orderNear()
 	return n, slices.Collect(maps.Values(left))
 }
 
-const (
-	// preferredServers is the number of servers that an entry prefers in a large service.
-	// An entry that sends some requests a second then uses each of them again before an
-	// idle connection to it is closed.
-	preferredServers = 12
-	// maxPreferredScore is the score up to which a preferred server is taken without a
-	// look at others: below that of a server that is slowed or past its knee.
-	maxPreferredScore = 0.6
-)
-
-// preferredBackends returns the nearest servers, and of equally near ones those in whose
-// order this entry comes first, so that each entry prefers others. It returns none in a
-// small service.
-func preferredBackends(backends []*backend) []*backend {
-	if len(backends) <= maxFirstScan {
-		return nil
-	}
-	sorted := slices.Clone(backends)
-	slices.SortFunc(sorted, func(a, b *backend) int {
-		return cmp.Or(
-			cmp.Compare(a.localityCost, b.localityCost),
-			cmp.Compare(a.entryOrder.position.Load(), b.entryOrder.position.Load()),
-			cmp.Compare(a.nameHash, b.nameHash),
-		)
-	})
-	return slices.Clone(sorted[:preferredServers])
-}
-
 // backend returns the backend with that name, or nil.
 func (s *snapshot) backend(name string) *backend { return s.byName[name] }
 
@@ -130,18 +105,15 @@
 // best returns the backend with the lowest estimated load that has a free slot, and the
 // reservation mask that it was scored with, or nil. A preferred backend with a low load
 // comes before all others. Of backends with equal load it is the
-// first one from the given index on. If the first maxFirstScan backends have no free slot,
-// it scans all.
+// first one from the given index on. If the backends of the first scan have no free slot, it
+// scans all.
 func (s *snapshot) best(from int, p *pickParams, exclude []string) (*backend, uint32) {
-	if len(s.preferred) > 0 {
-		limited := *p
-		limited.maxLoad = min(p.maxLoad, maxPreferredScore)
-		if be, reservationMask, _ := scan(s.preferred, from%len(s.preferred), len(s.preferred), s.maxPerServer, &limited, exclude, false); be != nil {
-			return be, reservationMask
-		}
+	if be, reservationMask := s.bestNear(from, p, exclude); be != nil {
+		return be, reservationMask
 	}
 	if len(s.backends) > maxFirstScan {
-		if be, reservationMask := s.bestOf(from, maxFirstScan, p, exclude); be != nil {
+		// The near ones were scanned already.
+		if be, reservationMask := s.bestOf(from, maxFirstScan-min(preferredServers, len(s.near)), p, exclude); be != nil {
 			return be, reservationMask
 		}
 	}
--- a/internal/balancer/speed.go
+++ b/internal/balancer/speed.go
@@ -211,9 +211,12 @@
 // lowest is the best. The unit is the nominal service time. The score is the predicted
 // response time in excess of one nominal service time, plus the costs of requests in
 // progress, staggering order, load shedding and network distance, and the tie break.
-func (be *backend) score(requests float64, p *pickParams) float64 {
+func (be *backend) score(reservationMask uint32, requests float64, p *pickParams) float64 {
 	score := be.stretch(requests, p) - 1 + spreadCost*requests + be.entryOrder.cost() + tieBreakRange*be.tieBreak(p)
 	score += be.shedScore(p)
+	if p.newConnectionCost > 0 && !be.hasIdleConnection(reservationMask, p.now) {
+		score += p.newConnectionCost
+	}
 	if be.localityCost > 0 {
 		score += p.crossZoneCost
 	}
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -66,7 +66,7 @@
 	s := b.snapshot.Load()
 	p := b.pickParams(s, now, math.Inf(1))
 	preferred := make(map[*backend]bool, len(s.preferred))
-	for _, be := range s.preferred {
+	for _, be := range s.preferred[:min(p.preferred, len(s.preferred))] {
 		preferred[be] = true
 	}
 	statuses := make([]ServerStatus, 0, len(s.backends))
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -252,6 +252,30 @@
 	}
 }
 
+// ZoneRank returns a member's place by name among the members of its availability zone that are
+// ready and not leaving, 0 for the first, and their number with the member itself.
+func (v *View) ZoneRank(vm string) (rank, members int) {
+	zone := ""
+	for i := range v.Live {
+		if v.Live[i].VM == vm {
+			zone = v.Live[i].Zone
+		}
+	}
+	for i := range v.Live {
+		m := &v.Live[i]
+		switch {
+		case m.VM == vm:
+			members++
+		case m.Ready && !m.Leaving && m.Zone == zone:
+			members++
+			if m.VM < vm {
+				rank++
+			}
+		}
+	}
+	return rank, members
+}
+
 // ReadyMembers returns the number of live members that are ready and not leaving.
 func (v *View) ReadyMembers() int {
 	ready := 0
--- a/internal/cluster/member_test.go
+++ b/internal/cluster/member_test.go
@@ -166,3 +166,29 @@
 		t.Error("one entry is the first for all keys, want them spread")
 	}
 }
+
+// Each entry of a zone has a rank of its own, so that they prefer different servers. Members
+// that are leaving or not ready take none, except for the entry itself.
+func TestZoneRank(t *testing.T) {
+	var members []LiveMember
+	for i := range 20 {
+		m := member(i, 4)
+		m.Leaving, m.Ready = i == 5, i != 9
+		members = append(members, m)
+	}
+	v := viewOf(members...)
+	taken := map[int]bool{}
+	for _, i := range []int{1, 13, 17} {
+		rank, n := v.ZoneRank(members[i].VM)
+		if n != 3 || rank < 0 || rank >= n {
+			t.Errorf("%s has rank %d of %d, want one of 3", members[i].VM, rank, n)
+		}
+		taken[rank] = true
+	}
+	if len(taken) != 3 {
+		t.Errorf("%d ranks for 3 entries", len(taken))
+	}
+	if rank, n := v.ZoneRank(members[9].VM); n != 4 || rank >= n {
+		t.Errorf("an entry that is not ready has rank %d of %d, want one of 4", rank, n)
+	}
+}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // Errors for which a connection refuses to carry a request.
@@ -41,6 +42,8 @@
 	reading       bool      // the transport's reader is blocked in Read, so its buffer is empty
 	writesStopped bool      // no further Write may start
 	header        headerScanner
+	idleTimeout   time.Duration // how long the connection may be idle; zero means without bound
+	idleSince     time.Time     // when the last response ended; zero while a request uses the connection
 }
 
 // transfer is one request's use of a connection, guarded by the connection's mu.
@@ -83,12 +86,24 @@
 	return c.current
 }
 
+// bindWithin is like bind, for a request that a connection may carry only if it was idle for
+// less than maxAge, unless that is zero. It reports whether the connection can't be used.
+func (c *conn) bindWithin(reused bool, maxAge time.Duration) (t *transfer, tooOld bool) {
+	t = c.bind(reused)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reused && !c.writesStopped {
+		c.endIdle(maxAge)
+	}
+	return t, reused && c.writesStopped
+}
+
 // release marks the connection idle unless it is already bound to another request.
 func (c *conn) release(t *transfer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == t {
-		c.state = connIdle
+		c.startIdle()
 	}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -15,7 +15,10 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/metrics"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/tree"
 	"chestnutrouter.example/chestnutrouter/internal/wire"
@@ -64,6 +67,40 @@
 	// server may close an idle connection just when a request is sent, and a
 	// non-idempotent request can't be retried then. Zero means IdleTimeout.
 	NonIdempotentIdleTimeout time.Duration
+	// MaxAnnouncedIdleTimeout is how long a connection stays in the pool at most if the server
+	// announces how long it keeps it open. Zero ignores such announcements.
+	MaxAnnouncedIdleTimeout time.Duration
+	// NonIdempotentReuseAge is the idle time up to which a connection carries a call that is
+	// not idempotent; an older one is replaced by a new one. A server may have dropped an idle
+	// connection without notice and resets it when a request arrives. Zero means any age.
+	NonIdempotentReuseAge time.Duration
+	// Scope receives the counters; nil discards them.
+	Scope tally.Scope
+
+	connections connectionCounters
+}
+
+// connectionCounters count how the connections of requests were found.
+type connectionCounters struct {
+	opened, reused, replaced tally.Counter
+}
+
+func newConnectionCounters(scope tally.Scope) connectionCounters {
+	counter := func(reason string) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": reason}).Counter(metrics.ServerConnections)
+	}
+	return connectionCounters{opened: counter("opened"), reused: counter("reused"), replaced: counter("replaced")}
+}
+
+func (c *connectionCounters) count(reused, tooOld bool) {
+	switch {
+	case tooOld:
+		c.replaced.Inc(1)
+	case reused:
+		c.reused.Inc(1)
+	default:
+		c.opened.Inc(1)
+	}
 }
 
 // Forwarder holds the connections to all backend servers. It is safe for
@@ -90,6 +127,10 @@
 	if opts.NonIdempotentIdleTimeout == 0 {
 		opts.NonIdempotentIdleTimeout = opts.IdleTimeout
 	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
+	opts.connections = newConnectionCounters(opts.Scope)
 	return &Forwarder{opts: opts, pools: pools{opts: opts}}
 }
 
@@ -102,8 +143,10 @@
 func (f *Forwarder) Send(ctx context.Context, server fleet.VM, m tree.Match, r *http.Request, body io.Reader) (*Response, *SendError) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &attempt{opts: &f.opts, server: server, match: m, cancel: cancel}
-	out := s.buildRequest(ctx, r, body)
-	resp, err := f.pools.transport(m).RoundTrip(out)
+	resp, err := f.pools.transport(m).RoundTrip(s.buildRequest(ctx, r, body))
+	for err != nil && s.needsNewConn(ctx) {
+		resp, err = f.pools.transport(m).RoundTrip(s.buildRequest(ctx, r, body))
+	}
 	if err != nil {
 		failure := s.abort(ctx, err)
 		cancel(nil)
@@ -160,6 +203,7 @@
 // convertResponse returns the server's response as a Response, or a SendError if
 // it is shed, is not the response to this request or switches protocols.
 func (a *attempt) convertResponse(resp *http.Response) (*Response, *SendError) {
+	a.setIdleTimeout(resp.Header)
 	pause := pauseOf(resp)
 	if err := a.opts.Dialect.RewriteResponse(resp, a.header); err != nil {
 		_ = resp.Body.Close()
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -79,7 +79,7 @@
 	if key.nonIdempotent {
 		idle = p.opts.NonIdempotentIdleTimeout
 	}
-	created := &pool{limit: limit, transport: p.newTransport(limit, idle)}
+	created := &pool{limit: limit, transport: p.newTransport(limit, max(idle, p.opts.MaxAnnouncedIdleTimeout))}
 	p.byKey[key] = created
 	return created.transport
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -32,6 +32,7 @@
 	conn     *conn     // connection bound to the request; nil before the first
 	transfer *transfer // the request's use of conn
 	reused   bool      // conn was used by earlier requests
+	tooOld   bool      // conn was idle for too long or closed, so nothing was written on it
 }
 
 // trace makes the transport report the connection that it picks for the attempt.
@@ -52,13 +53,37 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	transfer := c.bind(info.Reused)
+	transfer, tooOld := c.bindWithin(info.Reused, a.opts.reuseAge(a.match))
 	if a.conn != nil && a.conn.stopWrites(a.transfer) > 0 {
 		c.stopWrites(transfer)
 		a.cancel(errTransportRetry)
 		return
 	}
-	a.conn, a.transfer, a.reused = c, transfer, info.Reused
+	a.conn, a.transfer, a.reused, a.tooOld = c, transfer, info.Reused, tooOld
+	if tooOld && a.body != nil {
+		a.body.refused.Store(true)
+	}
+	a.opts.connections.count(info.Reused, tooOld)
+}
+
+// needsNewConn reports whether the transport gave up only because the connection was too old,
+// so that the request may be sent on another one.
+func (a *attempt) needsNewConn(ctx context.Context) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.tooOld || ctx.Err() != nil || a.body != nil && a.body.readStarted.Load() {
+		return false
+	}
+	return a.conn.stopWrites(a.transfer) == 0
+}
+
+// setIdleTimeout sets how long the connection may be idle after the response with that header.
+func (a *attempt) setIdleTimeout(h http.Header) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.setIdleTimeout(a.transfer, a.opts.idleTimeout(h))
+	}
 }
 
 // closeConn closes the connection, so that no further request uses it.
@@ -151,10 +176,15 @@
 type requestBody struct {
 	reader      io.Reader
 	readStarted atomic.Bool
+	refused     atomic.Bool // the connection can't carry the request
 }
 
-// Read records that reading of the body has begun.
+// Read records that reading of the body has begun. It reads nothing for a connection that
+// can't carry the request, so that the body can be sent on another one.
 func (b *requestBody) Read(p []byte) (int, error) {
+	if b.refused.Load() {
+		return 0, errOldConnection
+	}
 	b.readStarted.Store(true)
 	return b.reader.Read(p)
 }
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -37,12 +37,15 @@
 	// maxBufferedResponseBytes is the size of the largest response that is buffered
 	// completely before it is used.
 	maxBufferedResponseBytes = 256 << 10
-	// serverIdleTimeout is how long an idle connection to a backend server is kept.
-	// Servers close theirs somewhat later.
+	// serverIdleTimeout is how long an idle connection to a backend server is kept if the server
+	// does not announce how long it keeps it.
 	serverIdleTimeout = 4 * time.Second
-	// nonIdempotentIdleTimeout is the same for non-idempotent calls. It is shorter, as a
-	// server may close or drop an idle connection sooner than usual.
-	nonIdempotentIdleTimeout = time.Second
+	// maxAnnouncedIdleTimeout bounds the announced time, so that connections to servers that
+	// are not used any more do not add up.
+	maxAnnouncedIdleTimeout = 30 * time.Second
+	// nonIdempotentReuseAge is the idle time up to which a connection carries a non-idempotent
+	// call. Some servers drop idle connections without notice, after 220 ms at the earliest.
+	nonIdempotentReuseAge = 200 * time.Millisecond
 	// serverDialTimeout bounds the opening of a connection to a backend server. This
 	// takes a few milliseconds if the server is up, and after a timeout there is still
 	// time to try another server.
@@ -182,6 +185,7 @@
 	c.services.SetEntryOrder(service.EntryOrder{
 		Position: func(server string) int { return v.Position(c.self, server) },
 		Entries:  max(ready, 1),
+		ZoneRank: zoneRank(v, c.self),
 		Senders: balancer.SenderOrder{
 			Position: func(server, zone string) int { return v.LocalPosition(c.self, server, zone) },
 			Entries:  max(ready, 1),
@@ -192,6 +196,12 @@
 	c.events.Info("members changed", "live", len(v.Live), "ready", ready, "silent", len(v.Silent), "missing", v.Missing, "known", v.Known)
 }
 
+// zoneRank returns an entry's place among the ready entries of its availability zone.
+func zoneRank(v *cluster.View, vm string) balancer.ZoneRank {
+	rank, entries := v.ZoneRank(vm)
+	return balancer.ZoneRank{Rank: rank, Entries: entries}
+}
+
 func newNode(s *Settings, events *eventlog.Logger, scope tally.Scope) (*cluster.Node, *clusterCallbacks, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.DatagramAddress))
 	if err != nil {
@@ -292,7 +302,7 @@
 	}
 }
 
-func newForwarder(adapter *Adapter, node *cluster.Node) *forward.Forwarder {
+func newForwarder(adapter *Adapter, node *cluster.Node, scope tally.Scope) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Entries:                  func() int { return len(node.View().Live) },
 		Dial:                     dialServer,
@@ -301,7 +311,9 @@
 		MaxBufferedResponseBytes: maxBufferedResponseBytes,
 		CorrelatedResponses:      true,
 		IdleTimeout:              serverIdleTimeout,
-		NonIdempotentIdleTimeout: nonIdempotentIdleTimeout,
+		MaxAnnouncedIdleTimeout:  maxAnnouncedIdleTimeout,
+		NonIdempotentReuseAge:    nonIdempotentReuseAge,
+		Scope:                    scope,
 	})
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,8 @@
 	RequestLimits = "request_limits"
 	// Notices counts what backend servers newly say about further requests.
 	Notices = "server_notices"
+	// ServerConnections counts how the connection of a request to a backend server was found.
+	ServerConnections = "server_connections"
 	// Probes counts active load probes, the used part of the probe budget.
 	Probes = "probes"
 )
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -78,6 +78,8 @@
 	Position func(server string) int
 	// Entries is the number of entries.
 	Entries int
+	// ZoneRank is this entry's place among the entries of its availability zone.
+	ZoneRank balancer.ZoneRank
 	// Senders is the order in which entries divide the request limits of servers. If its
 	// Position is nil, all entries have equal shares.
 	Senders balancer.SenderOrder
@@ -96,6 +98,7 @@
 func (s *Set) applyOrder(r *Runtime) {
 	if s.order.Position != nil {
 		r.Balancer.SetEntryOrder(s.order.Position, s.order.Entries)
+		r.Balancer.SetZoneRank(s.order.ZoneRank)
 	}
 	if s.order.Senders.Position != nil {
 		r.Balancer.SetSenderOrder(s.order.Senders)
