Decide from measured loads what leaves an availability zone

Now a share of the requests leaves, which follows the smoothed loads of the zones; single requests leave only while reports are fresh, the zone has few servers or the request was sent before. Counters, a log line and /traffic show what leaves, for which service and why.

--- a/bench/simulator/product.go
+++ b/bench/simulator/product.go
@@ -77,7 +77,10 @@
 	d.balancer.Done(a.reservation, run.clock.time(), result)
 	d.scheduler.Finish(a.item, result, run.clock.time())
 	if d.sharesReports && result.HasReport {
-		run.broadcast(d, func(other *productDispatcher) { other.balancer.AddReport(a.server.vm.Name, run.clock.time(), a.report) })
+		at := run.clock.time()
+		run.broadcast(d, d.entry.zone, func(other *productDispatcher) {
+			other.balancer.AddReport(a.server.vm.Name, at.Add(gossipDelay), a.report)
+		})
 	}
 	d.dispatch()
 }
@@ -112,7 +115,7 @@
 	a.send()
 	if d.sharesReports {
 		at := d.entry.run.clock.time()
-		d.entry.run.broadcast(d, func(other *productDispatcher) {
+		d.entry.run.broadcast(d, d.entry.zone, func(other *productDispatcher) {
 			other.balancer.AddPeerCounts(a.server.vm.Name, at.Add(gossipDelay), balancer.RequestCounts{Sent: 1})
 		})
 	}
--- a/bench/simulator/scenario.go
+++ b/bench/simulator/scenario.go
@@ -47,6 +47,8 @@
 	ZoneDemand []float64
 	// Connections describes how entries keep connections.
 	Connections Connections
+	// OtherZonesDelay is the time until entries of other zones learn of reports and requests.
+	OtherZonesDelay time.Duration
 	// Events change servers and callers during the run.
 	Events []Event
 	// Load is the offered service time as a share of the capacity of all slots.
--- a/bench/simulator/shared_reports.go
+++ b/bench/simulator/shared_reports.go
@@ -33,7 +33,7 @@
 		r.result.Probes++
 		r.result.Bytes += probeBytes
 	}
-	r.broadcast(nil, func(q *productDispatcher) { q.balancer.AddReport(s.vm.Name, at, report) })
+	r.broadcast(nil, s.zone, func(q *productDispatcher) { q.balancer.AddReport(s.vm.Name, at, report) })
 	tracker.Observe(at, report.Slowdown)
 	delay := sharedProbeInterval
 	if tracker.Locked() && !r.scenario.FixedRateProbes {
@@ -43,15 +43,18 @@
 	r.clock.after(delay, func() { r.sharedProbeLoop(s, tracker) })
 }
 
-// broadcast runs do at all entries but the sender after the gossip delay.
-func (r *run) broadcast(from *productDispatcher, do func(*productDispatcher)) {
-	r.clock.after(gossipDelay, func() {
+// broadcast runs do at all entries but the sender after the gossip delay, and after
+// Scenario.OtherZonesDelay in zones other than the given one.
+func (r *run) broadcast(from *productDispatcher, zone int, do func(*productDispatcher)) {
+	deliver := func(inZone bool) {
 		for _, e := range r.entries {
-			if q := e.dispatcher.(*productDispatcher); q != from {
+			if q := e.dispatcher.(*productDispatcher); q != from && (e.zone == zone) == inZone {
 				do(q)
 			}
 		}
-	})
+	}
+	r.clock.after(gossipDelay, func() { deliver(true) })
+	r.clock.after(max(gossipDelay, r.scenario.OtherZonesDelay), func() { deliver(false) })
 }
 
 // staggerPosition returns this entry's position in the order of entries for a server.
--- a/internal/balancer/backend.go
+++ b/internal/balancer/backend.go
@@ -43,6 +43,7 @@
 	requestLimit *requestLimit // of incarnation
 	notices      *notices      // of incarnation
 	incarnation  *incarnation
+	zone         *zoneState
 	nameHash     uint64        // hash of vm.Name
 	probedAt     atomic.Int64  // nanoseconds since the Unix epoch
 	sent         atomic.Uint64 // requests sent by this entry
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -30,6 +30,8 @@
 	Entry string
 	// Zone is the entry's own availability zone.
 	Zone string
+	// Service is the key of the service, for counters and log lines.
+	Service string
 	// Scope receives the counters; nil discards them.
 	Scope tally.Scope
 	// OnDraining, if not nil, is called with the name of each backend server whose
@@ -41,6 +43,9 @@
 	// OnNotices, if not nil, is called when a server first says that it is leaving, and when a
 	// pause begins. It may be called on the request path.
 	OnNotices func(server string, news Notices)
+	// OnZoneShare, if not nil, is called when the share of requests that leaves for another
+	// zone changes by much, at most once a second and zone. It is called on the request path.
+	OnZoneShare func(ZoneShareChange)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -92,6 +97,7 @@
 	pickCount        atomic.Uint64 // increases with each pick from a hash of the entry's name; moves the start of scans
 	limits           atomic.Pointer[limitOrder]
 	rate             requestRate
+	leaving          leaving
 	mu               sync.Mutex // guards the construction of a new snapshot
 }
 
@@ -158,10 +164,12 @@
 }
 
 func (b *Balancer) pick(s *snapshot, p *pickParams, exclude []string) (*Reservation, bool) {
+	b.decideLeaving(s, p)
+	p.again = len(exclude) > 0
 	for range maxReserveTries {
 		pickNumber := b.pickCount.Add(1)
 		p.salt = pickNumber * goldenRatio64
-		be, reservationMask := s.best(s.scanStart(pickNumber), p, exclude)
+		be, reservationMask, byShare := b.best(s, s.scanStart(pickNumber), p, exclude)
 		if be == nil {
 			return nil, false
 		}
@@ -172,6 +180,7 @@
 			}
 			be.sent.Add(1)
 			b.rate.add(p.now)
+			b.countLeft(be, p, byShare)
 			reservation.estimate = be.estimate(reservationMask, p)
 			b.options.Observer.Sent(be.vm.Name, b.peersWantSlot(be, p))
 			return reservation, true
@@ -180,6 +189,18 @@
 	return nil, false
 }
 
+// best returns the best server of the zone that the request goes to. byShare reports whether it
+// leaves its own zone because that one is busier.
+func (b *Balancer) best(s *snapshot, from int, p *pickParams, exclude []string) (be *backend, reservationMask uint32, byShare bool) {
+	if z := b.drawZone(p); z != nil {
+		if be, reservationMask = s.bestIn(z, from, p, exclude); be != nil {
+			return be, reservationMask, true
+		}
+	}
+	be, reservationMask = s.best(from, p, exclude)
+	return be, reservationMask, false
+}
+
 // scarceSlotsUtilization is the busy share of all slots above which other entries are
 // expected to want every slot: few servers at full speed are then free, and all entries
 // choose among the same ones. Normal load is estimated to keep a quarter of the slots
@@ -210,7 +231,6 @@
 		confidence:        b.confidence.value(),
 		shedShare:         b.shedShare.value(),
 		kneeFactor:        b.kneeFactor(),
-		crossZoneCost:     crossZoneTimeCost,
 		maxStretch:        math.Inf(1),
 		limits:            b.limits.Load(),
 		preferred:         b.rate.preferredCount(),
--- a/internal/balancer/preferred.go
+++ b/internal/balancer/preferred.go
@@ -53,6 +53,7 @@
 
 // orderNear sets the order of the near servers.
 func (s *snapshot) orderNear() {
+	s.otherZones = otherZones(s.backends, s.zoneRank)
 	s.near = nearBackends(s.backends, s.zoneRank)
 	s.preferred = s.near[:min(preferredServers, len(s.near))]
 }
@@ -76,14 +77,10 @@
 			rest = append(rest, be)
 		}
 	}
+	ring = ringFrom(ring, rank)
 	if rank.Entries > 0 {
-		slices.SortFunc(ring, func(a, b *backend) int {
-			return cmp.Or(cmp.Compare(a.nameHash, b.nameHash), cmp.Compare(a.vm.Name, b.vm.Name))
-		})
-		start := rank.Rank % rank.Entries * len(ring) / rank.Entries
-		return slices.Concat(ring[start:], ring[:start])
+		return ring
 	}
-	slices.SortFunc(ring, byEntryOrder)
 	if missing := preferredServers - len(ring); missing > 0 {
 		slices.SortFunc(rest, byEntryOrder)
 		ring = append(ring, rest[:min(missing, len(rest))]...)
@@ -91,6 +88,20 @@
 	return ring
 }
 
+// ringFrom returns the backends of a zone in the order of the ring from the entry's start, or by
+// the entry's position in their orders if its rank is unknown.
+func ringFrom(backends []*backend, rank ZoneRank) []*backend {
+	if rank.Entries == 0 {
+		slices.SortFunc(backends, byEntryOrder)
+		return backends
+	}
+	slices.SortFunc(backends, func(a, b *backend) int {
+		return cmp.Or(cmp.Compare(a.nameHash, b.nameHash), cmp.Compare(a.vm.Name, b.vm.Name))
+	})
+	start := rank.Rank % rank.Entries * len(backends) / rank.Entries
+	return slices.Concat(backends[start:], backends[:start])
+}
+
 // byEntryOrder compares by distance, then by this entry's position.
 func byEntryOrder(a, b *backend) int {
 	return cmp.Or(
@@ -131,14 +142,18 @@
 // many again and so on, up to maxNearScan: the next ones in the order are those whose
 // connections were used when the same happened before.
 func (s *snapshot) bestNear(from int, p *pickParams, exclude []string) (*backend, uint32) {
+	return bestOfRing(s.near, s.maxPerServer, from, p, exclude)
+}
+
+func bestOfRing(ring []*backend, maxPerServer, from int, p *pickParams, exclude []string) (*backend, uint32) {
 	limited := *p
 	limited.maxLoad = min(p.maxLoad, maxPreferredScore)
-	near := s.near[:min(maxNearScan, len(s.near))]
-	for count := min(max(p.preferred, 1), len(near)); len(near) > 0; count = min(2*count, len(near)) {
-		if be, reservationMask, _ := scan(near[:count], from%count, count, s.maxPerServer, &limited, exclude, false); be != nil {
+	ring = ring[:min(maxNearScan, len(ring))]
+	for count := min(max(p.preferred, 1), len(ring)); len(ring) > 0; count = min(2*count, len(ring)) {
+		if be, reservationMask, _ := scan(ring[:count], from%count, count, maxPerServer, &limited, exclude, false); be != nil {
 			return be, reservationMask
 		}
-		near = near[count:]
+		ring = ring[count:]
 	}
 	return nil, 0
 }
@@ -167,3 +182,22 @@
 	index := bits.TrailingZeros32(^reservationMask)
 	return index < maxReservations && now-be.reservations[index].endedAt.Load() < int64(idleConnectionAge)
 }
+
+// bestOfPreferred returns the best of the first servers on the rings of all zones of the region,
+// whatever its score, so that a request that finds no room in its own zone uses the connections
+// of those before.
+func (s *snapshot) bestOfPreferred(from int, p *pickParams, exclude []string) (best *backend, bestMask uint32) {
+	limited := *p
+	ring := s.near[:min(maxNearScan, len(s.near))]
+	for i := -1; i < len(s.otherZones); i++ {
+		if i >= 0 {
+			ring = s.otherZones[i].ring
+			ring = ring[:min(p.preferred, len(ring))]
+		}
+		if be, reservationMask, _ := scan(ring, from%len(ring), len(ring), s.maxPerServer, &limited, exclude, false); be != nil {
+			best, bestMask = be, reservationMask
+			limited.maxLoad = be.load(reservationMask, p)
+		}
+	}
+	return best, bestMask
+}
--- a/internal/balancer/snapshot.go
+++ b/internal/balancer/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
@@ -13,19 +14,21 @@
 
 // pickParams holds the parameters by which one pick scores all servers.
 type pickParams struct {
-	now               int64   // nanoseconds since the Unix epoch
-	overdueAfter      int64   // nanoseconds after which a request in progress counts as overdue
-	meanPeerRequests  float64 // requests of other entries at a server without a fresh report
-	maxLoad           float64 // estimated load from which a server gets no further request
-	inverseLatency    float64 // 1 / mean latency in nanoseconds; zero if unknown
-	slots             float64 // requests that a server runs concurrently
-	confidence        float64 // confidence in load reports, 0 to 1
-	salt              uint64  // differs for each pick
-	shedShare         float64 // share of requests that the servers of the service shed
-	kneeFactor        float64 // factor on the service time of requests that begin past the knee
-	crossZoneCost     float64 // cost of another availability zone, in nominal service times
-	targetStretch     float64 // PickSpare: greatest stretch that meets the target; otherwise zero
-	maxStretch        float64 // greatest stretch allowed for the request
+	now               int64      // nanoseconds since the Unix epoch
+	overdueAfter      int64      // nanoseconds after which a request in progress counts as overdue
+	meanPeerRequests  float64    // requests of other entries at a server without a fresh report
+	maxLoad           float64    // estimated load from which a server gets no further request
+	inverseLatency    float64    // 1 / mean latency in nanoseconds; zero if unknown
+	slots             float64    // requests that a server runs concurrently
+	confidence        float64    // confidence in load reports, 0 to 1
+	salt              uint64     // differs for each pick
+	shedShare         float64    // share of requests that the servers of the service shed
+	kneeFactor        float64    // factor on the service time of requests that begin past the knee
+	bodyCost          float64    // cost of the body of a request that goes to another zone, in nominal service times
+	zone              *zoneState // the zone that the request goes to by its share; nil for the own one
+	targetStretch     float64    // PickSpare: greatest stretch that meets the target; otherwise zero
+	maxStretch        float64    // greatest stretch allowed for the request
+	again             bool       // the request was sent before
 	limits            *limitOrder
 	newConnectionCost float64 // cost of opening a connection, in nominal service times
 	preferred         int     // servers that this entry prefers in a large service
@@ -39,6 +42,8 @@
 	// them, and preferred the most that it prefers; empty in a small one.
 	near         []*backend
 	preferred    []*backend
+	otherZones   []*zoneRing // of the region
+	zones        map[string]*zoneState
 	zoneRank     ZoneRank
 	slots        int
 	maxPerServer int // maximum requests of this entry in progress at one server
@@ -61,7 +66,10 @@
 	if len(s.backends) == 0 {
 		joinedAt = 0
 	}
-	n = &snapshot{slots: defaultSlots, zoneRank: s.zoneRank, byName: make(map[string]*backend, len(servers))}
+	n = &snapshot{slots: defaultSlots, zoneRank: s.zoneRank, zones: maps.Clone(s.zones), byName: make(map[string]*backend, len(servers))}
+	if n.zones == nil {
+		n.zones = make(map[string]*zoneState)
+	}
 	if svc.SlotsPerServer > 0 {
 		n.slots = svc.SlotsPerServer
 	}
@@ -73,6 +81,7 @@
 		cost := localityCost(zone, vm.Zone, svc.Regions, n.slots)
 		if be == nil || !sameServer(be.vm, vm) || be.localityCost != cost {
 			be = newBackend(vm, cost, incarnations.list(vm, joinedAt))
+			be.zone = n.zone(vm.Zone)
 		} else {
 			delete(left, vm.Name)
 		}
@@ -82,6 +91,17 @@
 	return n, slices.Collect(maps.Values(left))
 }
 
+// zone returns the state of the availability zone.
+func (s *snapshot) zone(name string) *zoneState {
+	z := s.zones[name]
+	if z == nil {
+		z = &zoneState{name: name}
+		z.timeCost.Store(math.Float64bits(crossZoneTimeCost))
+		s.zones[name] = z
+	}
+	return z
+}
+
 // backend returns the backend with that name, or nil.
 func (s *snapshot) backend(name string) *backend { return s.byName[name] }
 
@@ -111,7 +131,11 @@
 	if be, reservationMask := s.bestNear(from, p, exclude); be != nil {
 		return be, reservationMask
 	}
-	if len(s.backends) > maxFirstScan {
+	if len(s.otherZones) > 0 && len(s.near) > 0 && s.zoneRank.Entries > 0 {
+		if be, reservationMask := s.bestOfPreferred(from, p, exclude); be != nil {
+			return be, reservationMask
+		}
+	} else if len(s.backends) > maxFirstScan {
 		// The near ones were scanned already.
 		if be, reservationMask := s.bestOf(from, maxFirstScan-min(preferredServers, len(s.near)), p, exclude); be != nil {
 			return be, reservationMask
--- a/internal/balancer/speed.go
+++ b/internal/balancer/speed.go
@@ -102,7 +102,7 @@
 func (b *Balancer) PickWithin(now time.Time, exclude []string, serviceTime, within time.Duration, body int64) (*Reservation, bool) {
 	s := b.snapshot.Load()
 	p := b.pickParams(s, now, math.Inf(1))
-	p.crossZoneCost = crossZoneTimeCost + float64(body)/crossZoneBodyBytes
+	p.bodyCost = float64(body) / crossZoneBodyBytes
 	p.maxStretch = float64(within) / float64(max(serviceTime, 1))
 	return b.pick(s, &p, exclude)
 }
@@ -113,7 +113,7 @@
 func (b *Balancer) PickSpare(now time.Time, exclude []string, serviceTime, within, target time.Duration, body int64) (*Reservation, bool) {
 	s := b.snapshot.Load()
 	p := b.pickParams(s, now, math.Inf(1))
-	p.crossZoneCost = crossZoneTimeCost + float64(body)/crossZoneBodyBytes
+	p.bodyCost = float64(body) / crossZoneBodyBytes
 	p.maxStretch = float64(within) / float64(max(serviceTime, 1))
 	p.targetStretch = float64(target) / float64(max(serviceTime, 1))
 	return b.pick(s, &p, exclude)
@@ -217,8 +217,8 @@
 	if p.newConnectionCost > 0 && !be.hasIdleConnection(reservationMask, p.now) {
 		score += p.newConnectionCost
 	}
-	if be.localityCost > 0 {
-		score += p.crossZoneCost
+	if be.localityCost > 0 && be.zone != p.zone {
+		score += be.zone.crossZoneCost(p)
 	}
 	if be.localityCost > crossZoneLoadCost {
 		score += be.localityCost // another region
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -2,6 +2,7 @@
 
 import (
 	stdlog "log"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -165,6 +166,16 @@
 	}
 }
 
+// logZoneShare logs which share of a service's requests leaves for another availability zone, and
+// the loads that it follows from, in requests per slot below the knee.
+func (c *clusterCallbacks) logZoneShare(change balancer.ZoneShareChange) {
+	c.events.Info("share to another zone changed", "service", change.Service, "zone", change.Zone,
+		"share", round(change.Share), "before", round(change.Before), "own_load", round(change.OwnLoad), "load", round(change.Load))
+}
+
+// round rounds to hundredths, for log lines.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
 // minMembersInterval is the minimum time between two changes of members that are
 // applied. A change takes time for each pair of a member and a server, and at a start
 // members join one by one.
@@ -255,6 +266,7 @@
 
 		OnRequestLimit: callbacks.logRequestLimit,
 		OnNotices:      callbacks.logNotices,
+		OnZoneShare:    callbacks.logZoneShare,
 	})
 	callbacks.services = set
 	return set
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,6 +40,8 @@
 	Notices = "server_notices"
 	// ServerConnections counts how the connection of a request to a backend server was found.
 	ServerConnections = "server_connections"
+	// LeftZone counts the requests that were sent to a server of another availability zone.
+	LeftZone = "left_zone"
 	// Probes counts active load probes, the used part of the probe budget.
 	Probes = "probes"
 )
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -51,6 +51,9 @@
 	// OnNotices is called when a backend server first says that it is leaving, and when a
 	// pause begins. It may be nil.
 	OnNotices func(server string, news balancer.Notices)
+	// OnZoneShare is called when the share of a service's requests that leaves for another
+	// availability zone changes by much. It may be nil.
+	OnZoneShare func(balancer.ZoneShareChange)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -184,6 +187,7 @@
 		b := balancer.New(balancer.Options{
 			Entry:        s.options.VM,
 			Zone:         s.options.Zone,
+			Service:      svc.Key(),
 			Scope:        s.options.Scope,
 			OnDraining:   s.options.OnDraining,
 			Entries:      s.options.Entries,
@@ -192,6 +196,7 @@
 
 			OnRequestLimit: s.options.OnRequestLimit,
 			OnNotices:      s.options.OnNotices,
+			OnZoneShare:    s.options.OnZoneShare,
 		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Runtime{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -38,6 +38,9 @@
 	Service string `json:"service"`
 	// Weight is the service's share of the route's requests, relative to the others.
 	Weight int `json:"weight"`
+	// Zones are the availability zones of its servers, the entry's own first, with the share of
+	// requests that leaves; absent if servers report no slowdown or there is one zone.
+	Zones []balancer.ZoneStatus `json:"zones,omitempty"`
 	// Servers are sorted by the requests sent, the most first.
 	Servers []balancer.ServerStatus `json:"servers"`
 }
@@ -96,7 +99,7 @@
 func (s Source) service(key string, weight int, now time.Time) Service {
 	out := Service{Service: key, Weight: weight}
 	if r, ok := s.Services.Get(key); ok {
-		out.Servers = r.Balancer.Status(now)
+		out.Servers, out.Zones = r.Balancer.Status(now), r.Balancer.ZoneStatuses()
 	}
 	slices.SortFunc(out.Servers, func(a, b balancer.ServerStatus) int {
 		return cmp.Or(cmp.Compare(b.Sent, a.Sent), cmp.Compare(a.Server, b.Server))
