--- a/bench/simulator/scenario.go
+++ b/bench/simulator/scenario.go
@@ -63,6 +63,9 @@
 	// FixedRateProbes makes the policy ProductShared probe servers at a fixed rate instead
 	// of right after their speed may have changed.
 	FixedRateProbes bool
+	// ProbeInterval is the time between two probes of a server by the policy ProductShared while
+	// the phase of its speed changes is unknown; zero means that of the product.
+	ProbeInterval time.Duration
 	// Faults of backend servers.
 	Faults Faults
 	// ServiceTime is the distribution of the time for which a call holds a slot.
@@ -120,6 +123,9 @@
 	// every 150 ms. A call keeps the speed at which it starts, and one that starts in
 	// the last free slot takes 1.7 times as long.
 	PeriodicSlowdown bool
+	// EpisodicSlowdown slows each server as PeriodicSlowdown does, for 30% of the time, but 150 ms
+	// at a time that begin at any moment.
+	EpisodicSlowdown bool
 	// SlowShare is the share of the servers whose service time is 12 times as long.
 	SlowShare float64
 	// Restarts is the interval at which a server drains and a cold one joins; zero means
--- a/bench/simulator/server.go
+++ b/bench/simulator/server.go
@@ -49,7 +49,8 @@
 	if s.Faults.SlowZoneFactor > 0 && zone == 0 {
 		sv.slowdown = s.Faults.SlowZoneFactor
 	}
-	sv.periodicSlowdown = newPeriodicSlowdown(rand.New(rand.NewPCG(seed, uint64(2_000_000+index))), s.Faults.PeriodicSlowdown)
+	sv.periodicSlowdown = newPeriodicSlowdown(rand.New(rand.NewPCG(seed, uint64(2_000_000+index))), s.Faults.PeriodicSlowdown || s.Faults.EpisodicSlowdown)
+	sv.periodicSlowdown.episodic = s.Faults.EpisodicSlowdown
 	if float64(index) < s.Faults.SlowShare*float64(s.Servers) {
 		sv.slowdown *= slowServerFactor
 	}
--- a/bench/simulator/shared_reports.go
+++ b/bench/simulator/shared_reports.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,7 +36,7 @@
 	}
 	r.broadcast(nil, s.zone, func(q *productDispatcher) { q.balancer.AddReport(s.vm.Name, at, report) })
 	tracker.Observe(at, report.Slowdown)
-	delay := sharedProbeInterval
+	delay := cmp.Or(r.scenario.ProbeInterval, sharedProbeInterval)
 	if tracker.Locked() && !r.scenario.FixedRateProbes {
 		due, _ := tracker.Next(at)
 		delay = due.Sub(at)
--- a/bench/simulator/slowdown.go
+++ b/bench/simulator/slowdown.go
@@ -16,6 +16,7 @@
 // Parameters of Faults.PeriodicSlowdown and Faults.SlowShare.
 const (
 	slowPeriodShare  = 0.25
+	episodeShare     = 0.3 // of the time, of Faults.EpisodicSlowdown
 	slowdownPeriod   = 150 * time.Millisecond
 	kneeShare        = 0.8
 	kneeFactor       = 1.7
@@ -27,8 +28,10 @@
 type periodicSlowdown struct {
 	rng     *rand.Rand
 	enabled bool
-	factor  float64
-	until   time.Duration
+	// episodic slowdowns begin at any moment instead of at a fixed phase.
+	episodic bool
+	factor   float64
+	until    time.Duration
 }
 
 // newPeriodicSlowdown returns a slowdown that changes at a random phase of the period.
@@ -41,6 +44,14 @@
 	if !p.enabled {
 		return 1
 	}
+	for p.episodic && p.until <= now {
+		p.factor = slowdownFactor + 1 - p.factor // alternates between slowed and full speed
+		length := slowdownPeriod
+		if p.factor == 1 {
+			length = time.Duration(p.rng.ExpFloat64() * float64(slowdownPeriod) * (1 - episodeShare) / episodeShare)
+		}
+		p.until += length
+	}
 	for p.until <= now {
 		p.factor = 1
 		if p.rng.Float64() < slowPeriodShare {
--- a/bench/simulator/zones_test.go
+++ b/bench/simulator/zones_test.go
@@ -59,3 +59,20 @@
 		}
 	}
 }
+
+// Probes cost processor time and bytes. A server that slows down for 150 ms at any moment gets
+// requests at full-speed estimates until the next probe, so fewer probes make the choice worse: half
+// of them must stay worse by a hundredth at least, or the interval is to be weighed anew.
+func TestFewerProbesMakeChoicesWorse(t *testing.T) {
+	within := func(interval time.Duration) float64 {
+		s := threeZones([]int{23, 20, 24}, []int{14, 13, 15}, 138, 220*time.Millisecond, map[string]float64{Lookups: 1})
+		s.Seed, s.ProbeInterval, s.FixedRateProbes = 20, interval, true
+		s.Faults = Faults{NoRandomSlowdown: true, EpisodicSlowdown: true}
+		r := Run(s)
+		t.Logf("probes every %v: %.4f within target, %.1f probes per server and second", interval, r.withinTarget(), float64(r.Probes)/12/42)
+		return r.withinTarget()
+	}
+	if often, seldom := within(sharedProbeInterval), within(2*sharedProbeInterval); often-seldom < 0.01 {
+		t.Errorf("%.4f within target at half of the probes, %.4f with all, want a difference of 0.01", seldom, often)
+	}
+}
