--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -1,8 +1,11 @@
 package cluster
 
 import (
+	"cmp"
 	"math/bits"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -123,17 +126,52 @@
 // CallerAddresses returns the addresses to hand out to callers. An isolated member
 // includes the silent members, as callers may still reach them.
 func (v *View) CallerAddresses() []string {
-	var addresses []string
-	for _, m := range v.Live {
-		if m.Ready && !m.Leaving {
-			addresses = append(addresses, m.CallerAddress)
+	return addressesOf(v.callerMembers())
+}
+
+// SampleCallerAddresses is like CallerAddresses, but returns at most n of them, in random order. If
+// there are more, a member's chance grows with its CPU quota: callers choose any address with
+// equal probability, so each of a large cluster's strong members gets more of them than a weak one.
+func (v *View) SampleCallerAddresses(n int) []string {
+	members := v.callerMembers()
+	if len(members) <= n {
+		return addressesOf(members)
+	}
+	// The n least of exponential times with the weights as rates are a weighted sample.
+	times := make(map[*LiveMember]float64, len(members))
+	for _, m := range members {
+		times[m] = rand.ExpFloat64() / max(m.Weight, minCallerWeight)
+	}
+	slices.SortFunc(members, func(a, b *LiveMember) int { return cmp.Compare(times[a], times[b]) })
+	addresses := addressesOf(members[:n])
+	rand.Shuffle(n, func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// minCallerWeight is the weight of a member with a smaller CPU quota or an unknown one, in cores.
+const minCallerWeight = 0.05
+
+// callerMembers returns the members to hand out to callers.
+func (v *View) callerMembers() []*LiveMember {
+	var members []*LiveMember
+	for i := range v.Live {
+		if m := &v.Live[i]; m.Ready && !m.Leaving {
+			members = append(members, m)
 		}
 	}
 	if v.isolated() {
-		for _, m := range v.Silent {
-			addresses = append(addresses, m.CallerAddress)
+		for i := range v.Silent {
+			members = append(members, &v.Silent[i])
 		}
 	}
+	return members
+}
+
+func addressesOf(members []*LiveMember) []string {
+	var addresses []string
+	for _, m := range members {
+		addresses = append(addresses, m.CallerAddress)
+	}
 	return addresses
 }
 
--- a/internal/cluster/member_test.go
+++ b/internal/cluster/member_test.go
@@ -192,3 +192,43 @@
 		t.Errorf("an entry that is not ready has rank %d of %d, want one of 4", rank, n)
 	}
 }
+
+// Load: the endpoint list of 200 entries has 64 addresses, and six entries have seven times the CPU of the
+// others. Callers choose any address alike, so the strong ones must be on nearly all lists, the
+// others on equally many, and none on a list twice.
+func TestSampleOfCallerAddresses(t *testing.T) {
+	const lists, size = 2000, 64
+	var members []LiveMember
+	for i := range 200 {
+		m := member(i, 3)
+		m.Weight = 0.112
+		if i < 6 {
+			m.Weight = 0.8
+		}
+		members = append(members, m)
+	}
+	v := viewOf(members...)
+	counts := map[string]int{}
+	for range lists {
+		addresses := v.SampleCallerAddresses(size)
+		slices.Sort(addresses)
+		if len(slices.Compact(slices.Clone(addresses))) != size {
+			t.Fatalf("%d addresses, want %d different ones", len(addresses), size)
+		}
+		for _, address := range addresses {
+			counts[address]++
+		}
+	}
+	for i, m := range members {
+		share := float64(counts[m.CallerAddress]) / lists
+		if i < 6 && share < 0.8 {
+			t.Errorf("strong entry %d is on %.2f of the lists, want nearly all", i, share)
+		}
+		if i >= 6 && (share < 0.2 || share > 0.42) {
+			t.Errorf("entry %d is on %.2f of the lists, want about 0.3", i, share)
+		}
+	}
+	if got := viewOf(members[:10]...).SampleCallerAddresses(size); len(got) != 10 {
+		t.Errorf("%d addresses of 10 entries, want all", len(got))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,7 +172,7 @@
 
 // addresses returns the addresses of the entries to hand out to callers.
 func (e *Entry) addresses() []string {
-	return sampleAddresses(e.params.Node.View().CallerAddresses(), maxAddresses)
+	return e.params.Node.View().SampleCallerAddresses(maxAddresses)
 }
 
 // Start binds the sockets and starts the servers and the background work.
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -369,13 +369,3 @@
 
 // IsServerHost implements frontend.ServerHosts.
 func (noServerHosts) IsServerHost(string) bool { return false }
-
-// sampleAddresses returns n random addresses, or all if there are at most n. It may
-// shuffle its argument.
-func sampleAddresses(addresses []string, n int) []string {
-	if len(addresses) <= n {
-		return addresses
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:n]
-}
