--- a/bench/simulator/scenario.go
+++ b/bench/simulator/scenario.go
@@ -39,6 +39,18 @@
 	Entries int
 	Servers int
 	Zones   int
+	// ZoneEntries and ZoneServers are the numbers of entries and servers in each zone; if
+	// they are empty the zones take turns.
+	ZoneEntries, ZoneServers []int
+	// ZoneDemand is the demand of each zone's callers, relative to the others; if it is empty
+	// all entries have equal demand.
+	ZoneDemand []float64
+	// Connections describes how entries keep connections.
+	Connections Connections
+	// OtherZonesDelay is the time until entries of other zones learn of reports and requests.
+	OtherZonesDelay time.Duration
+	// Events change servers and callers during the run.
+	Events []Event
 	// Load is the offered service time as a share of the capacity of all slots.
 	Load float64
 	// Mix is the share of each rank in the calls of the base load.
@@ -51,6 +63,9 @@
 	// FixedRateProbes makes the policy ProductShared probe servers at a fixed rate instead
 	// of right after their speed may have changed.
 	FixedRateProbes bool
+	// ProbeInterval is the time between two probes of a server by the policy ProductShared while
+	// the phase of its speed changes is unknown; zero means that of the product.
+	ProbeInterval time.Duration
 	// Faults of backend servers.
 	Faults Faults
 	// ServiceTime is the distribution of the time for which a call holds a slot.
@@ -108,6 +123,9 @@
 	// every 150 ms. A call keeps the speed at which it starts, and one that starts in
 	// the last free slot takes 1.7 times as long.
 	PeriodicSlowdown bool
+	// EpisodicSlowdown slows each server as PeriodicSlowdown does, for 30% of the time, but 150 ms
+	// at a time that begin at any moment.
+	EpisodicSlowdown bool
 	// SlowShare is the share of the servers whose service time is 12 times as long.
 	SlowShare float64
 	// Restarts is the interval at which a server drains and a cold one joins; zero means
@@ -157,7 +175,15 @@
 }
 
 // capacity returns the service time that all servers provide per second, in seconds.
-func (s *Scenario) capacity() float64 { return float64(s.Servers * slotsPerServer) }
+func (s *Scenario) capacity() float64 { return float64(s.Servers * s.slots()) }
+
+// slots returns the number of requests that a server runs concurrently.
+func (s *Scenario) slots() int {
+	if s.Service != nil && s.Service.SlotsPerServer > 0 {
+		return s.Service.SlotsPerServer
+	}
+	return slotsPerServer
+}
 
 // callRate returns the calls per second of a rank in the base load.
 func (s *Scenario) callRate(rank string) float64 {
@@ -175,6 +201,19 @@
 
 // callShare returns the share of all calls that the entry receives.
 func (s *Scenario) callShare(entry int) float64 {
+	if len(s.ZoneDemand) > 0 {
+		zone := zoneOf(entry, s.Zones, s.ZoneEntries)
+		sum, entries := 0.0, 0
+		for _, demand := range s.ZoneDemand {
+			sum += demand
+		}
+		for i := range s.Entries {
+			if zoneOf(i, s.Zones, s.ZoneEntries) == zone {
+				entries++
+			}
+		}
+		return s.ZoneDemand[zone] / sum / float64(entries)
+	}
 	if !s.SkewedCallers {
 		return 1 / float64(s.Entries)
 	}
--- a/bench/simulator/shared_reports.go
+++ b/bench/simulator/shared_reports.go
@@ -1,10 +1,12 @@
 package simulator
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/phase"
 )
 
@@ -32,9 +34,9 @@
 		r.result.Probes++
 		r.result.Bytes += probeBytes
 	}
-	r.broadcast(nil, func(q *productDispatcher) { q.balancer.AddReport(s.vm.Name, at, report) })
+	r.broadcast(nil, s.zone, func(q *productDispatcher) { q.balancer.AddReport(s.vm.Name, at, report) })
 	tracker.Observe(at, report.Slowdown)
-	delay := sharedProbeInterval
+	delay := cmp.Or(r.scenario.ProbeInterval, sharedProbeInterval)
 	if tracker.Locked() && !r.scenario.FixedRateProbes {
 		due, _ := tracker.Next(at)
 		delay = due.Sub(at)
@@ -42,15 +44,18 @@
 	r.clock.after(delay, func() { r.sharedProbeLoop(s, tracker) })
 }
 
-// broadcast runs do at all entries but the sender after the gossip delay.
-func (r *run) broadcast(from *productDispatcher, do func(*productDispatcher)) {
-	r.clock.after(gossipDelay, func() {
+// broadcast runs do at all entries but the sender after the gossip delay, and after
+// Scenario.OtherZonesDelay in zones other than the given one.
+func (r *run) broadcast(from *productDispatcher, zone int, do func(*productDispatcher)) {
+	deliver := func(inZone bool) {
 		for _, e := range r.entries {
-			if q := e.dispatcher.(*productDispatcher); q != from {
+			if q := e.dispatcher.(*productDispatcher); q != from && (e.zone == zone) == inZone {
 				do(q)
 			}
 		}
-	})
+	}
+	r.clock.after(gossipDelay, func() { deliver(true) })
+	r.clock.after(max(gossipDelay, r.scenario.OtherZonesDelay), func() { deliver(false) })
 }
 
 // staggerPosition returns this entry's position in the order of entries for a server.
@@ -59,3 +64,19 @@
 	entries := d.entry.run.scenario.Entries
 	return (d.entry.index + int(xxhash.Sum64String(server)%uint64(entries))) % entries
 }
+
+// zoneRank returns this entry's place among the entries of its zone.
+func (d *productDispatcher) zoneRank() balancer.ZoneRank {
+	s := d.entry.run.scenario
+	var rank balancer.ZoneRank
+	for i := range s.Entries {
+		if zoneOf(i, s.Zones, s.ZoneEntries) != d.entry.zone {
+			continue
+		}
+		rank.Entries++
+		if i < d.entry.index {
+			rank.Rank++
+		}
+	}
+	return rank
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -30,6 +30,8 @@
 	Entry string
 	// Zone is the entry's own availability zone.
 	Zone string
+	// Service is the key of the service, for counters and log lines.
+	Service string
 	// Scope receives the counters; nil discards them.
 	Scope tally.Scope
 	// OnDraining, if not nil, is called with the name of each backend server whose
@@ -48,6 +50,9 @@
 	// Until then it sends nothing to servers that warm up, as its share of their limits would be
 	// too large. The zero time is that of an entry that knows them.
 	SettledAt time.Time
+	// OnZoneShare, if not nil, is called when the share of requests that leaves for another
+	// zone changes by much, at most once a second and zone. It is called on the request path.
+	OnZoneShare func(ZoneShareChange)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -103,6 +108,8 @@
 	latencies        *latencyQuantiles
 	pickCount        atomic.Uint64 // increases with each pick from a hash of the entry's name; moves the start of scans
 	limits           atomic.Pointer[limitOrder]
+	rate             requestRate
+	leaving          leaving
 	mu               sync.Mutex // guards the construction of a new snapshot
 }
 
@@ -175,10 +182,12 @@
 }
 
 func (b *Balancer) pick(s *snapshot, p *pickParams, exclude []string) (*Reservation, bool) {
+	b.decideLeaving(s, p)
+	p.again = len(exclude) > 0
 	for range maxReserveTries {
 		pickNumber := b.pickCount.Add(1)
 		p.salt = pickNumber * goldenRatio64
-		be, reservationMask := s.best(s.scanStart(pickNumber), p, exclude)
+		be, reservationMask, byShare := b.best(s, s.scanStart(pickNumber), p, exclude)
 		if be == nil {
 			return nil, false
 		}
@@ -188,6 +197,8 @@
 				continue
 			}
 			be.sent.Add(1)
+			b.rate.add(p.now)
+			b.countLeft(be, p, byShare)
 			reservation.estimate = be.estimate(reservationMask, p)
 			b.options.Observer.Sent(be.vm.Name, b.peersWantSlot(be, p))
 			return reservation, true
@@ -196,6 +207,18 @@
 	return nil, false
 }
 
+// best returns the best server of the zone that the request goes to. byShare reports whether it
+// leaves its own zone because that one is busier.
+func (b *Balancer) best(s *snapshot, from int, p *pickParams, exclude []string) (be *backend, reservationMask uint32, byShare bool) {
+	if z := b.drawZone(p); z != nil {
+		if be, reservationMask = s.bestIn(z, from, p, exclude); be != nil {
+			return be, reservationMask, true
+		}
+	}
+	be, reservationMask = s.best(from, p, exclude)
+	return be, reservationMask, false
+}
+
 // scarceSlotsUtilization is the busy share of all slots above which other entries are
 // expected to want every slot: few servers at full speed are then free, and all entries
 // choose among the same ones. Normal load is estimated to keep a quarter of the slots
@@ -217,20 +240,21 @@
 func (b *Balancer) pickParams(s *snapshot, now time.Time, maxLoad float64) pickParams {
 	mean := b.meanPeerRequests.value()
 	return pickParams{
-		now:              steady.Nanos(now),
-		overdueAfter:     b.overdueAfter(),
-		maxLoad:          maxLoad,
-		inverseLatency:   b.inverseLatency(),
-		slots:            float64(s.slots),
-		meanPeerRequests: mean + min(uncertaintyMargin, mean),
-		confidence:       b.confidence.value(),
-		shedShare:        b.shedShare.value(),
-		kneeFactor:       b.kneeFactor(),
-		crossZoneCost:    crossZoneTimeCost,
-		maxStretch:       math.Inf(1),
-		limits:           b.limits.Load(),
-		warmUpPerSecond:  s.warmUp.perSecond,
-		settled:          !now.Before(b.options.SettledAt),
+		now:               steady.Nanos(now),
+		overdueAfter:      b.overdueAfter(),
+		maxLoad:           maxLoad,
+		inverseLatency:    b.inverseLatency(),
+		slots:             float64(s.slots),
+		meanPeerRequests:  mean + min(uncertaintyMargin, mean),
+		confidence:        b.confidence.value(),
+		shedShare:         b.shedShare.value(),
+		kneeFactor:        b.kneeFactor(),
+		maxStretch:        math.Inf(1),
+		limits:            b.limits.Load(),
+		preferred:         b.rate.preferredCount(),
+		newConnectionCost: newConnectionCost(s),
+		warmUpPerSecond:   s.warmUp.perSecond,
+		settled:           !now.Before(b.options.SettledAt),
 	}
 }
 
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	stdlog "log"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -40,12 +41,15 @@
 	// maxBufferedResponseBytes is the size of the largest response that is buffered
 	// completely before it is used.
 	maxBufferedResponseBytes = 256 << 10
-	// serverIdleTimeout is how long an idle connection to a backend server is kept.
-	// Servers close theirs somewhat later.
+	// serverIdleTimeout is how long an idle connection to a backend server is kept if the server
+	// does not announce how long it keeps it.
 	serverIdleTimeout = 4 * time.Second
-	// nonIdempotentIdleTimeout is the same for non-idempotent calls. It is shorter, as a
-	// server may close or drop an idle connection sooner than usual.
-	nonIdempotentIdleTimeout = time.Second
+	// maxAnnouncedIdleTimeout bounds the announced time, so that connections to servers that
+	// are not used any more do not add up.
+	maxAnnouncedIdleTimeout = 30 * time.Second
+	// nonIdempotentReuseAge is the idle time up to which a connection carries a non-idempotent
+	// call. Some servers drop idle connections without notice, after 220 ms at the earliest.
+	nonIdempotentReuseAge = 200 * time.Millisecond
 	// serverDialTimeout bounds the opening of a connection to a backend server. This
 	// takes a few milliseconds if the server is up, and after a timeout there is still
 	// time to try another server.
@@ -175,6 +179,16 @@
 	}
 }
 
+// logZoneShare logs which share of a service's requests leaves for another availability zone, and
+// the loads that it follows from, in requests per slot below the knee.
+func (c *clusterCallbacks) logZoneShare(change balancer.ZoneShareChange) {
+	c.events.Info("share to another zone changed", "service", change.Service, "zone", change.Zone,
+		"share", round(change.Share), "before", round(change.Before), "own_load", round(change.OwnLoad), "load", round(change.Load))
+}
+
+// round rounds to hundredths, for log lines.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
 // minMembersInterval is the minimum time between two changes of members that are
 // applied. A change takes time for each pair of a member and a server, and at a start
 // members join one by one.
@@ -195,6 +209,7 @@
 	c.services.SetEntryOrder(service.EntryOrder{
 		Position: func(server string) int { return v.Position(c.self, server) },
 		Entries:  max(ready, 1),
+		ZoneRank: zoneRank(v, c.self),
 		Senders: balancer.SenderOrder{
 			Position: func(server, zone string) int { return v.LocalPosition(c.self, server, zone) },
 			Entries:  max(ready, 1),
@@ -205,6 +220,12 @@
 	c.events.Info("members changed", "live", len(v.Live), "ready", ready, "silent", len(v.Silent), "missing", v.Missing, "known", v.Known)
 }
 
+// zoneRank returns an entry's place among the ready entries of its availability zone.
+func zoneRank(v *cluster.View, vm string) balancer.ZoneRank {
+	rank, entries := v.ZoneRank(vm)
+	return balancer.ZoneRank{Rank: rank, Entries: entries}
+}
+
 func newNode(s *Settings, events *eventlog.Logger, scope tally.Scope) (*cluster.Node, *clusterCallbacks, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.DatagramAddress))
 	if err != nil {
@@ -267,6 +288,7 @@
 		OnNotices:      callbacks.logNotices,
 		OnWarmUp:       callbacks.logWarmUp,
 		SettledAt:      time.Now().Add(settleTime),
+		OnZoneShare:    callbacks.logZoneShare,
 	})
 	callbacks.services = set
 	return set
@@ -352,7 +374,7 @@
 	}
 }
 
-func newForwarder(adapter *Adapter, node *cluster.Node) *forward.Forwarder {
+func newForwarder(adapter *Adapter, node *cluster.Node, scope tally.Scope) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Entries:                  func() int { return len(node.View().Live) },
 		Dial:                     dialServer,
@@ -361,7 +383,9 @@
 		MaxBufferedResponseBytes: maxBufferedResponseBytes,
 		CorrelatedResponses:      true,
 		IdleTimeout:              serverIdleTimeout,
-		NonIdempotentIdleTimeout: nonIdempotentIdleTimeout,
+		MaxAnnouncedIdleTimeout:  maxAnnouncedIdleTimeout,
+		NonIdempotentReuseAge:    nonIdempotentReuseAge,
+		Scope:                    scope,
 	})
 }
 
@@ -408,13 +432,3 @@
 
 // IsServerHost implements frontend.ServerHosts.
 func (noServerHosts) IsServerHost(string) bool { return false }
-
-// sampleAddresses returns n random addresses, or all if there are at most n. It may
-// shuffle its argument.
-func sampleAddresses(addresses []string, n int) []string {
-	if len(addresses) <= n {
-		return addresses
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:n]
-}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,10 @@
 	Notices = "server_notices"
 	// ZoneEvacuations counts the availability zones that are evacuated and taken back.
 	ZoneEvacuations = "zone_evacuations"
+	// ServerConnections counts how the connection of a request to a backend server was found.
+	ServerConnections = "server_connections"
+	// LeftZone counts the requests that were sent to a server of another availability zone.
+	LeftZone = "left_zone"
 	// Probes counts active load probes, the used part of the probe budget.
 	Probes = "probes"
 )
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -55,6 +55,9 @@
 	OnWarmUp func(balancer.WarmUpChange)
 	// SettledAt is when this entry knows the others; see balancer.Options.
 	SettledAt time.Time
+	// OnZoneShare is called when the share of a service's requests that leaves for another
+	// availability zone changes by much. It may be nil.
+	OnZoneShare func(balancer.ZoneShareChange)
 	// Entries returns the number of live entries, which share each server's
 	// connections; nil means one.
 	Entries func() int
@@ -82,6 +85,8 @@
 	Position func(server string) int
 	// Entries is the number of entries.
 	Entries int
+	// ZoneRank is this entry's place among the entries of its availability zone.
+	ZoneRank balancer.ZoneRank
 	// Senders is the order in which entries divide the request limits of servers. If its
 	// Position is nil, all entries have equal shares.
 	Senders balancer.SenderOrder
@@ -100,6 +105,7 @@
 func (s *Set) applyOrder(r *Runtime) {
 	if s.order.Position != nil {
 		r.Balancer.SetEntryOrder(s.order.Position, s.order.Entries)
+		r.Balancer.SetZoneRank(s.order.ZoneRank)
 	}
 	if s.order.Senders.Position != nil {
 		r.Balancer.SetSenderOrder(s.order.Senders)
@@ -185,6 +191,7 @@
 		b := balancer.New(balancer.Options{
 			Entry:        s.options.VM,
 			Zone:         s.options.Zone,
+			Service:      svc.Key(),
 			Scope:        s.options.Scope,
 			OnDraining:   s.options.OnDraining,
 			Entries:      s.options.Entries,
@@ -195,6 +202,7 @@
 			OnNotices:      s.options.OnNotices,
 			OnWarmUp:       s.options.OnWarmUp,
 			SettledAt:      s.options.SettledAt,
+			OnZoneShare:    s.options.OnZoneShare,
 		})
 		scope := s.options.Scope.Tagged(map[string]string{"service": svc.Key()})
 		r = &Runtime{Balancer: b, Queue: admission.NewQueue(s.options.Workers, b, scope)}
