Test entries with crowds of callers outside the limits

Both programs run as processes for a VM of 96 MB (daemon: memory_limit_mb 76) and 256 or 1,024 descriptors. Each of twelve crowds meets every address; the process must live, stay within 96 MB and 16 descriptors below the limit, and answer ordinary requests while the crowd stays.

Likely causes: no limit of connections, of header lines and of bytes held, no deadlines at the other addresses, and the body budget counts what does not come.

--- a/internal/proctest/entry.go
+++ b/internal/proctest/entry.go
@@ -70,6 +70,9 @@
 	if f.AddressTTL > 0 {
 		e.Settings.AddressTTLMs = f.AddressTTL.Milliseconds()
 	}
+	if f.MemoryLimitMB > 0 {
+		e.Settings.MemoryLimitMB = f.MemoryLimitMB
+	}
 	for _, other := range f.Entries() {
 		e.Settings.Peers = append(e.Settings.Peers, other.VM.PeerAddress)
 	}
@@ -93,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	e.cmd = exec.Command(e.fleet.binaries.Router, "--settings", file)
+	e.cmd = Command(e.fleet.Descriptors, e.fleet.binaries.Router, "--settings", file)
 	e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
 	OwnGroup(e.cmd)
 	if err := e.cmd.Start(); err != nil {
@@ -169,6 +172,9 @@
 // Ended returns a channel that is closed when the process has ended.
 func (e *Entry) Ended() <-chan struct{} { return e.ended }
 
+// PID returns the id of the process.
+func (e *Entry) PID() int { return e.cmd.Process.Pid }
+
 // ExitCode returns the exit code after the process has ended.
 func (e *Entry) ExitCode() int { return e.cmd.ProcessState.ExitCode() }
 
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -31,6 +31,9 @@
 	// AddressTTL is how long callers cache the endpoint list from entries that are
 	// started from now on; zero means 300 ms.
 	AddressTTL time.Duration
+	// MemoryLimitMB and Descriptors are limits of entries that are started from now on: the
+	// setting of that name, and the open descriptors of the process; zero means the default.
+	MemoryLimitMB, Descriptors int64
 
 	dir      string
 	binaries Binaries
--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -85,6 +86,7 @@
 	slowdown     int
 	requestLimit string // of Server-Limit, empty if it names none
 	leaving      bool   // responses carry Server-Leaving
+	padding      int    // bytes after the body of responses
 	retryAfter   string // of responses by which it turns a request away, empty if it names none
 	running      int
 	probes       int
@@ -172,6 +174,13 @@
 	s.retryAfter = seconds
 }
 
+// SetPadding sets how many bytes follow the body of each response.
+func (s *Server) SetPadding(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.padding = bytes
+}
+
 // Shed returns the number of requests that the server turned away.
 func (s *Server) Shed() int {
 	s.mu.Lock()
@@ -382,7 +391,7 @@
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behaviour, id string) {
 	s.mu.Lock()
-	load, limit, previousID := s.loadHeader(), s.requestLimit, s.previousID
+	load, limit, previousID, padding := s.loadHeader(), s.requestLimit, s.previousID, s.padding
 	s.previousID = id
 	s.mu.Unlock()
 	switch b {
@@ -411,7 +420,7 @@
 		if b == Fail {
 			w.WriteHeader(http.StatusInternalServerError)
 		}
-		_, _ = io.WriteString(w, ResponseBody(id))
+		_, _ = io.WriteString(w, ResponseBody(id)+strings.Repeat(" ", padding))
 	}
 }
 
