--- a/internal/buffer/body.go
+++ b/internal/buffer/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+
+	"chestnutrouter.example/chestnutrouter/internal/account"
 )
 
 // ErrNoMemory means that the budget has no memory for the body now.
@@ -19,23 +21,39 @@
 // Body is a complete request body. It keeps its memory until Release.
 type Body struct {
 	budget *Budget
+	holder *account.Conn // nil if the connection is not counted
 	upload bool
 	blocks net.Buffers
 	size   int64
-	held   int64 // bytes taken from the budget
+	// The fields below are guarded by the budget's lock.
+	held int64 // bytes taken from the budget
 	// remaining is how many of the announced bytes have no memory yet.
 	remaining int64
+	evicted   bool
 }
 
 // Read reads a body to its end. length is its announced length in bytes, negative if that is not
 // known. It returns ErrNoMemory, before it reads anything if possible, if the budget does not allow
 // it, or the error of r.
 func (b *Budget) Read(r io.Reader, length int64, upload bool) (*Body, error) {
-	body := &Body{budget: b, upload: upload, remaining: max(0, length)}
-	if !b.admit(body.remaining, upload) {
+	return b.ReadFrom(nil, r, length, upload)
+}
+
+// ReadFrom is Read for a body that comes on a connection, which counts the memory of the body and may be
+// shed while it is read. The error is ErrNoMemory then.
+func (b *Budget) ReadFrom(conn *account.Conn, r io.Reader, length int64, upload bool) (*Body, error) {
+	body := &Body{budget: b, holder: conn, upload: upload, remaining: max(0, length)}
+	ofSameKind := func(other account.Body) bool { return other.Upload() == upload }
+	if !b.makeRoom(ofSameKind, func() bool { return b.admit(max(0, length), upload) }) {
 		return nil, ErrNoMemory
 	}
-	if err := body.readFrom(r, length); err != nil {
+	conn.BeginBody(body)
+	err := body.readFrom(r, length)
+	conn.EndBody()
+	if err != nil {
+		if body.isEvicted() || errors.Is(err, account.ErrShed) {
+			err = ErrNoMemory
+		}
 		body.Release()
 		return nil, err
 	}
@@ -84,15 +102,41 @@
 	if length >= 0 {
 		n = min(n, length-b.size)
 	}
-	announced := min(n, b.remaining)
-	if !b.budget.grow(n, announced, b.upload) {
+	if !b.holder.Hold(n) {
+		return nil, ErrNoMemory
+	}
+	anyBody := func(account.Body) bool { return true }
+	if !b.budget.makeRoom(anyBody, func() bool { return b.budget.grow(b, n) }) {
+		b.holder.Release(n)
 		return nil, ErrNoMemory
 	}
-	b.held += n
-	b.remaining -= announced
 	return make([]byte, n), nil
 }
 
+// Size implements account.Body.
+func (b *Body) Size() int64 {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	return b.held + int64(remainingShare*float64(b.remaining))
+}
+
+// Upload implements account.Body.
+func (b *Body) Upload() bool { return b.upload }
+
+// Evict implements account.Body.
+func (b *Body) Evict() {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	b.budget.release(b)
+	b.evicted = true
+}
+
+func (b *Body) isEvicted() bool {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	return b.evicted
+}
+
 // Len returns the size of the body in bytes.
 func (b *Body) Len() int64 { return b.size }
 
@@ -116,6 +160,9 @@
 
 // Release returns the memory to the budget. It must be called once, when the request has ended.
 func (b *Body) Release() {
-	b.budget.release(b.held, b.remaining, b.upload)
-	b.held, b.remaining = 0, 0
+	b.budget.mu.Lock()
+	held := b.held
+	b.budget.release(b)
+	b.budget.mu.Unlock()
+	b.holder.Release(held)
 }
--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/account"
 )
 
 const (
@@ -23,8 +25,9 @@
 
 // Budget bounds the memory of the bodies that are held at once. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	gauge tally.Gauge
+	limit   int64
+	gauge   tally.Gauge
+	shedder Shedder // nil if there is none
 
 	mu sync.Mutex // guards the fields below
 	// held is the memory of all bodies in bytes.
@@ -35,6 +38,30 @@
 	expectedUploads, expectedOthers float64
 }
 
+// Shedder ends the reading of bodies that do not come.
+type Shedder interface {
+	// ShedBody evicts the largest of the eligible bodies that do not come, and reports whether there
+	// was one.
+	ShedBody(eligible func(account.Body) bool) bool
+}
+
+// WithShedder makes the budget evict bodies that do not come when it has no memory for another one. It
+// must be called before the budget is used.
+func (b *Budget) WithShedder(s Shedder) *Budget {
+	b.shedder = s
+	return b
+}
+
+// makeRoom calls try until it succeeds or there is no eligible body left to evict.
+func (b *Budget) makeRoom(eligible func(account.Body) bool, try func() bool) bool {
+	for !try() {
+		if b.shedder == nil || !b.shedder.ShedBody(eligible) {
+			return false
+		}
+	}
+	return true
+}
+
 // NewBudget returns a budget of limit bytes; zero means no limit.
 func NewBudget(limit int64, scope tally.Scope) *Budget {
 	return &Budget{limit: limit, gauge: scope.Gauge(metricBytes)}
@@ -85,25 +112,27 @@
 	return &b.expectedOthers
 }
 
-// grow takes n bytes, of which announced were counted by admit, or returns false if there is no
-// memory for them.
-func (b *Budget) grow(n, announced int64, upload bool) bool {
+// grow takes n more bytes for a body, some of which may be announced ones that admit counted. It returns
+// false if there is no memory for them or the body was evicted.
+func (b *Budget) grow(body *Body, n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit > 0 && b.held+n > b.MaxBytes(upload) {
+	if body.evicted || b.limit > 0 && b.held+n > b.MaxBytes(body.upload) {
 		return false
 	}
+	announced := min(n, body.remaining)
+	body.held += n
+	body.remaining -= announced
 	b.held += n
-	*b.expected(upload) += float64(n) - remainingShare*float64(announced)
+	*b.expected(body.upload) += float64(n) - remainingShare*float64(announced)
 	b.gauge.Update(float64(b.held))
 	return true
 }
 
-// release returns n bytes, and the count of those that did not come.
-func (b *Budget) release(n, remaining int64, upload bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.held -= n
-	*b.expected(upload) -= float64(n) + remainingShare*float64(remaining)
+// release returns the memory of a body, and the count of what did not come. b.mu must be held.
+func (b *Budget) release(body *Body) {
+	b.held -= body.held
+	*b.expected(body.upload) -= float64(body.held) + remainingShare*float64(body.remaining)
+	body.held, body.remaining = 0, 0
 	b.gauge.Update(float64(b.held))
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -46,10 +46,12 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          p.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
+	p.Account.Prepare(e.caller)
 	e.status = &http.Server{
-		Handler:           status.NewHandler(e, p.Registry.Handler),
-		ReadHeaderTimeout: readHeaderTimeout,
+		Handler:  status.NewHandler(e, p.Registry.Handler),
+		ErrorLog: e.caller.ErrorLog,
 	}
+	p.Account.PrepareSmall(e.status)
 	e.subscribe()
 	return e, e.register()
 }
@@ -86,7 +88,7 @@
 // Start opens the listeners and starts the background work and the servers. It needs
 // neither the platform nor a peer.
 func (e *Entry) Start(context.Context) error {
-	sockets, err := newListeners(e.params.Settings)
+	sockets, err := newListeners(e.params.Settings, e.params.Account, e.params.Limits)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/settings"
 )
 
@@ -12,17 +13,19 @@
 }
 
 // newListeners opens all three listeners, or none if one of them fails.
-func newListeners(s *settings.Settings) (*listeners, error) {
+func newListeners(s *settings.Settings, accounts *account.Account, limits account.Limits) (*listeners, error) {
 	l := &listeners{}
 	for _, side := range []struct {
-		address  string
-		listener *net.Listener
+		name, address  string
+		maxConnections int
+		listener       *net.Listener
 	}{
-		{s.CallerAddress, &l.caller},
-		{s.PeerAddress, &l.peer},
-		{s.StatusAddress, &l.status},
+		// The callers' listener serves the endpoint list, too.
+		{"callers", s.CallerAddress, limits.Callers + limits.Directory, &l.caller},
+		{"peers", s.PeerAddress, limits.Peers, &l.peer},
+		{"status", s.StatusAddress, 2 * limits.Operators, &l.status},
 	} {
-		bound, err := net.Listen("tcp", side.address)
+		bound, err := accounts.Listen(side.name, side.address, side.maxConnections)
 		if err != nil {
 			l.close()
 			return nil, err
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -4,6 +4,7 @@
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/follow"
@@ -42,6 +43,8 @@
 	Forwarder  *forward.Forwarder
 	Handler    *frontend.Handler
 	Drainer    *drain.Drainer
+	Account    *account.Account
+	Limits     account.Limits
 }
 
 // Module provides an *Entry for the settings, with its lifecycle hooks.
@@ -52,6 +55,8 @@
 			newLogger,
 			metrics.NewRegistry,
 			newScope,
+			newLimits,
+			newAccount,
 			newPlatformClient,
 			newPool,
 			newContactTracker,
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/buffer"
@@ -31,6 +32,19 @@
 
 func newScope(registry *metrics.Registry) tally.Scope { return registry.Scope }
 
+func newLimits(s *settings.Settings, logger *log.Logger) account.Limits {
+	descriptors, err := account.Descriptors()
+	if err != nil {
+		logger.Warn("descriptors are not limited", "error", err)
+	}
+	return account.LimitsFor(s.MemoryLimit(), descriptors)
+}
+
+func newAccount(limits account.Limits, logger *log.Logger, scope tally.Scope) *account.Account {
+	write := func(msg string, fields ...any) { logger.Warn(msg, fields...) }
+	return account.New(limits, write, scope)
+}
+
 func newOperationTable() *operation.Table { return operation.New(operation.Options{}) }
 
 func newPool() *peer.Pool { return peer.NewPool(peer.Options{}) }
@@ -225,7 +239,8 @@
 func (s serverHosts) IsServerHost(ip string) bool { return s.members.View().IsServerHost(ip) }
 
 func newHandler(s *settings.Settings, f *follow.Follower, ops *operation.Table, ownerClient *operation.OwnerClient,
-	limiter *quota.Limiter, runner *attempt.Runner, drainer *drain.Drainer, m *membership.Membership, scope tally.Scope,
+	limiter *quota.Limiter, runner *attempt.Runner, drainer *drain.Drainer, m *membership.Membership,
+	accounts *account.Account, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
 		VM:          s.VM,
@@ -238,7 +253,7 @@
 		Runner:      runner,
 		Servers:     serverHosts{m},
 		Drainer:     drainer,
-		Bodies:      buffer.NewBudgetFor(s.MemoryLimit(), scope),
+		Bodies:      buffer.NewBudgetFor(s.MemoryLimit(), scope).WithShedder(accounts),
 		Scope:       scope,
 	})
 }
--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/buffer"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 )
@@ -25,7 +26,7 @@
 	if r.ContentLength > limit {
 		return nil, bodyTooLarge(limit)
 	}
-	body, err := h.Bodies.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, route.Upload)
+	body, err := h.Bodies.ReadFrom(account.FromContext(r.Context()), http.MaxBytesReader(w, r.Body, limit), r.ContentLength, route.Upload)
 	var tooLargeErr *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/fx"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
 	"chestnutrouter.example/chestnutrouter/internal/drain"
@@ -75,6 +76,8 @@
 	Guard     *quarantine.Guard
 	Drainer   *drain.Drainer
 	Tree      *treeHolder
+	Account   *account.Account
+	Limits    account.Limits
 }
 
 // Entry is one running process of the load balancer.
@@ -162,6 +165,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          errorLog(p.Events),
 	}
+	p.Account.Prepare(e.callers)
 	return e, e.peers.Register(storesync.ReceiverName, p.StoreSync.Receiver())
 }
 
@@ -198,31 +202,29 @@
 
 // listen binds all sockets and serves them.
 func (e *Entry) listen() error {
-	s, adapter := e.params.Settings, e.params.Adapter
-	peers, err := net.Listen("tcp", s.PeerAddress)
+	s, adapter, accounts, limits := e.params.Settings, e.params.Adapter, e.params.Account, e.params.Limits
+	peers, err := accounts.Listen("peers", s.PeerAddress, limits.Peers)
 	if err != nil {
 		return err
 	}
 	e.serve("peers", peers, e.peers.Serve)
-	if e.callerListener, err = net.Listen("tcp", s.CallerAddress); err != nil {
+	if e.callerListener, err = accounts.Listen("callers", s.CallerAddress, limits.Callers); err != nil {
 		return err
 	}
 	e.serve("callers", e.callerListener, e.callers.Serve)
 	for _, endpoint := range []struct {
-		side, address string
-		handler       http.Handler
+		side, address  string
+		maxConnections int
+		handler        http.Handler
 	}{
-		{"ready", s.ReadyAddress, adapter.NewReadyHandler(e.Ready)},
-		{"directory", s.DirectoryAddress, adapter.NewDirectoryHandler(e.addresses, s.AddressTTL)},
-		{"metrics", s.MetricsAddress, e.metricsHandler()},
+		{"ready", s.ReadyAddress, limits.Operators, adapter.NewReadyHandler(e.Ready)},
+		{"directory", s.DirectoryAddress, limits.Directory, adapter.NewDirectoryHandler(e.addresses, s.AddressTTL)},
+		{"metrics", s.MetricsAddress, limits.Operators, e.metricsHandler()},
 	} {
-		server := &http.Server{
-			Handler:           endpoint.handler,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ErrorLog:          errorLog(e.params.Events),
-		}
+		server := &http.Server{Handler: endpoint.handler, ErrorLog: errorLog(e.params.Events)}
+		accounts.PrepareSmall(server)
 		e.others = append(e.others, server)
-		if err := e.listenHTTP(endpoint.side, endpoint.address, server); err != nil {
+		if err := e.listenHTTP(endpoint.side, endpoint.address, endpoint.maxConnections, server); err != nil {
 			return err
 		}
 	}
@@ -240,11 +242,11 @@
 	return mux
 }
 
-func (e *Entry) listenHTTP(side, address string, server *http.Server) error {
+func (e *Entry) listenHTTP(side, address string, maxConnections int, server *http.Server) error {
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := e.params.Account.Listen(side, address, maxConnections)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
@@ -63,6 +64,8 @@
 			newPool,
 			newNode,
 			newTreeHolder,
+			newLimits,
+			newAccount,
 			newLoadSync,
 			admission.NewWorkers,
 			newServices,
@@ -106,6 +109,18 @@
 
 func newPool() *peer.Pool { return peer.NewPool(peer.Options{}) }
 
+func newLimits(s *Settings, events *eventlog.Logger) account.Limits {
+	descriptors, err := account.Descriptors()
+	if err != nil {
+		events.Warn("descriptors are not limited", "error", err)
+	}
+	return account.LimitsFor(s.softMemoryLimit(), descriptors)
+}
+
+func newAccount(limits account.Limits, events *eventlog.Logger, scope tally.Scope) *account.Account {
+	return account.New(limits, events.Warn, scope)
+}
+
 func newTreeHolder() *treeHolder { return &treeHolder{} }
 
 // clusterCallbacks breaks the dependency cycle between cluster.Node, which delivers
@@ -322,7 +337,7 @@
 }
 
 func newHandler(s *Settings, holder *treeHolder, storeSync *storesync.Syncer, services *service.Set, forwarder *forward.Forwarder, drainer *drain.Drainer,
-	guard *quarantine.Guard, events *eventlog.Logger, scope tally.Scope,
+	guard *quarantine.Guard, accounts *account.Account, events *eventlog.Logger, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
 		VM:                   s.VM,
@@ -332,7 +347,7 @@
 		Drainer:              drainer,
 		IsBehind:             storeSync.IsBehind,
 		Scope:                scope,
-		Bodies:               buffer.NewBudgetFor(s.softMemoryLimit(), scope),
+		Bodies:               buffer.NewBudgetFor(s.softMemoryLimit(), scope).WithShedder(accounts),
 		BufferUploads:        true,
 		FractionalRetryAfter: true,
 		OnCallEnd:            accessLog{events}.logCall,
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -9,6 +9,8 @@
 	"net/rpc"
 	"sync/atomic"
 	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/account"
 )
 
 // readAheadBytes is the size of the read buffer, which may read that far past the
@@ -32,6 +34,7 @@
 // each received message and sets a deadline for each sent one.
 type gobConn struct {
 	conn      net.Conn
+	counted   *account.Conn // conn, if it was accepted; nil otherwise
 	traffic   *Traffic
 	remaining int // bytes that may still be read for the current message
 	decoder   *gob.Decoder
@@ -41,7 +44,8 @@
 
 func newGobConn(conn net.Conn, traffic *Traffic) *gobConn {
 	c := &gobConn{conn: conn, traffic: traffic}
-	c.decoder = gob.NewDecoder(bufio.NewReaderSize(c, readAheadBytes))
+	c.counted, _ = conn.(*account.Conn)
+	c.decoder = gob.NewDecoder(&messageReader{r: bufio.NewReaderSize(c, readAheadBytes), begin: c.beginMessage})
 	c.buffer = bufio.NewWriter(countingWriter{conn, traffic})
 	c.encoder = gob.NewEncoder(c.buffer)
 	return c
@@ -58,6 +62,22 @@
 	return n, err
 }
 
+// beginMessage checks the length of a message in bytes, before it is read. On an accepted connection it
+// also counts the message and bounds the time in which it must come.
+func (c *gobConn) beginMessage(length uint64) error {
+	if length > MaxMessageBytes {
+		c.counted.RefuseMessage()
+		return errMessageTooLarge
+	}
+	if c.counted == nil || length <= readAheadBytes {
+		return nil
+	}
+	if !c.counted.BeginMessage(int64(length)) {
+		return account.ErrShed
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(messageTimeout))
+}
+
 // nextMessage resets the size limit for the next message.
 func (c *gobConn) nextMessage() { c.remaining = MaxMessageBytes + readAheadBytes }
 
@@ -101,6 +121,7 @@
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.slots <- struct{}{}
+	c.counted.EndMessage()
 	if err := c.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return err
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,6 +27,9 @@
 	handshakeTimeout = time.Second
 	// writeTimeout bounds writing one message.
 	writeTimeout = 2 * time.Second
+	// messageTimeout bounds reading one message that is larger than the read buffer. The largest takes
+	// 14 s on a link of 10 Mbit/s.
+	messageTimeout = 20 * time.Second
 	// idleTimeout is how long the server keeps a connection without calls open.
 	idleTimeout = time.Minute
 	// MaxMessageBytes is the largest message; a connection that sends a larger
