--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -50,6 +50,8 @@
 	scope  tally.Scope
 	bytes  tally.Gauge
 	held   atomic.Int64 // bytes
+	// leaving is the part of held that belongs to shed connections, whose requests have not ended yet.
+	leaving atomic.Int64
 
 	mu    sync.Mutex // guards the fields below and the connections of the sides
 	sides []*side
@@ -83,9 +85,8 @@
 	return s
 }
 
-// remove takes a closed connection out of the account.
+// remove takes a closed connection out of its side.
 func (a *Account) remove(c *Conn) {
-	c.mark()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(c.side.conns, c)
--- a/internal/account/conn.go
+++ b/internal/account/conn.go
@@ -33,6 +33,11 @@
 	// waitedTime is from when a read for the next request shows that the caller waited for the response.
 	waitedTime = time.Millisecond
 
+	// maxMemoryWait bounds the wait for the memory of shed connections; it is looked at after each
+	// memoryWaitInterval.
+	maxMemoryWait      = 200 * time.Millisecond
+	memoryWaitInterval = time.Millisecond
+
 	// progressInterval is the time in which a body must have come by minProgressBytes.
 	progressInterval = time.Second
 	minProgressBytes = 16 << 10
@@ -54,7 +59,7 @@
 	Size() int64
 	// Upload reports whether it is one of the large bodies.
 	Upload() bool
-	// Evict ends the reading of the body and returns its memory to the budget.
+	// Evict ends the reading of the body.
 	Evict()
 }
 
@@ -225,8 +230,18 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The server calls it when the connection's last request has ended, also if
+// it was shed.
 func (c *Conn) Close() error {
+	err := c.closeSocket()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release(c.held)
+	c.shed = true
+	return err
+}
+
+func (c *Conn) closeSocket() error {
 	err := c.Conn.Close()
 	c.closed.Do(func() { c.account.remove(c) })
 	return err
@@ -259,7 +274,18 @@
 		return true
 	}
 	c.account.shedMemory()
-	return !c.isShed()
+	return c.awaitMemory()
+}
+
+// awaitMemory waits, for maxMemoryWait at most, until the requests of shed connections have returned their
+// memory. It returns false if this connection was shed itself.
+func (c *Conn) awaitMemory() bool {
+	for began := clock(); !c.isShed(); time.Sleep(memoryWaitInterval) {
+		if c.account.held.Load() <= c.account.limits.MemoryBytes || clock()-began >= maxMemoryWait {
+			return true
+		}
+	}
+	return false
 }
 
 // Release returns n bytes that Hold counted.
@@ -269,9 +295,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.shed {
-		c.held -= n
-		c.account.held.Add(-n)
+	c.release(min(n, c.held))
+}
+
+// release returns n bytes. c.mu must be held.
+func (c *Conn) release(n int64) {
+	c.held -= n
+	c.account.held.Add(-n)
+	if c.shed {
+		c.account.leaving.Add(-n)
 	}
 }
 
@@ -279,11 +311,8 @@
 func (c *Conn) endRequest() {
 	c.mu.Lock()
 	shed := c.shed
-	if !shed {
-		c.held -= c.request
-		c.account.held.Add(-c.request)
-		c.request = 0
-	}
+	c.release(min(c.request, c.held))
+	c.request = 0
 	c.mu.Unlock()
 	c.reads, c.deadlines = false, 0
 	c.setState(stateIdle)
@@ -346,8 +375,8 @@
 	return c.shed
 }
 
-// mark returns everything that the connection holds to the account, and the body that is being read, if
-// any. ok is false if the connection was shed before.
+// mark makes the connection a shed one, which holds nothing more, and returns the body that is being
+// read, if any. ok is false if the connection was shed or closed before.
 func (c *Conn) mark() (body Body, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -355,7 +384,7 @@
 		return nil, false
 	}
 	c.shed = true
-	c.account.held.Add(-c.held)
+	c.account.leaving.Add(c.held)
 	body, c.body = c.body, nil
 	return body, true
 }
@@ -370,7 +399,7 @@
 // closeNow closes the connection with a reset, which frees the kernel's buffers.
 func (c *Conn) closeNow() {
 	reset(c.Conn)
-	_ = c.Close() // the connection is given up in any case
+	_ = c.closeSocket() // the connection is given up in any case
 }
 
 func reset(conn net.Conn) {
--- a/internal/account/limits.go
+++ b/internal/account/limits.go
@@ -7,9 +7,9 @@
 const (
 	// memoryShare is the part of the soft memory limit that the account may use with processBytes.
 	// The rest is for garbage that is not collected yet.
-	memoryShare = 0.85
+	memoryShare = 0.9
 	// processBytes is the memory of a process without connections.
-	processBytes = 16 << 20
+	processBytes = 20 << 20
 	// minMemoryShare is the least part of the soft memory limit for the account.
 	minMemoryShare = 0.25
 
--- a/internal/account/shed.go
+++ b/internal/account/shed.go
@@ -111,7 +111,7 @@
 // shedMemory sheds the largest holders until a part of the memory is free.
 func (a *Account) shedMemory() {
 	a.mu.Lock()
-	if a.held.Load() <= a.limits.MemoryBytes {
+	if a.staying() <= a.limits.MemoryBytes {
 		a.mu.Unlock()
 		return
 	}
@@ -132,7 +132,7 @@
 	// They are marked while the lock is held, so that what they hold is not shed twice.
 	var shed []victim
 	for _, v := range found {
-		if a.held.Load() <= a.limits.MemoryBytes-a.limits.MemoryBytes/freeShare {
+		if a.staying() <= a.limits.MemoryBytes-a.limits.MemoryBytes/freeShare {
 			break
 		}
 		if body, ok := v.conn.mark(); ok {
@@ -147,6 +147,9 @@
 	}
 }
 
+// staying returns the bytes that connections hold which were not shed.
+func (a *Account) staying() int64 { return a.held.Load() - a.leaving.Load() }
+
 // memoryOrder is lower for connections that are shed first for memory.
 func (v victim) memoryOrder() int {
 	switch v.stage {
--- a/internal/attempt/body.go
+++ b/internal/attempt/body.go
@@ -11,8 +11,9 @@
 	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 )
 
-// releasingBody releases the server's slot when the response body is closed,
-// and reports to the balancer how the response ended.
+// releasingBody releases the server's slot when the response body is closed, or is complete in memory,
+// and reports to the balancer how the response ended. So a caller that does not read its response
+// takes no slot from others.
 type releasingBody struct {
 	body     io.ReadCloser
 	grant    Grant
@@ -22,6 +23,7 @@
 
 	latency   time.Duration // zero until the body has ended
 	truncated bool
+	released  bool
 	closed    bool
 }
 
@@ -43,6 +45,16 @@
 	}
 	b.closed = true
 	err := b.body.Close()
+	b.release()
+	return err
+}
+
+// release releases the slot, once.
+func (b *releasingBody) release() {
+	if b.released {
+		return
+	}
+	b.released = true
 	b.grant.Done(b.result())
 	switch {
 	case b.truncated:
@@ -50,7 +62,6 @@
 	case b.latency > 0:
 		b.tracked.Answered()
 	}
-	return err
 }
 
 func (b *releasingBody) result() balancer.Result {
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -165,7 +165,12 @@
 		return result{failure: failure, server: grant.Server()}
 	}
 	c.trace.add(grant.step(took, strconv.Itoa(response.Status)))
-	response.Body = &releasingBody{body: response.Body, grant: grant, began: began, response: response, tracked: c.tracked}
+	releasing := &releasingBody{body: response.Body, grant: grant, began: began, response: response, tracked: c.tracked}
+	response.Body = releasing
+	if response.Complete {
+		releasing.latency = took
+		releasing.release()
+	}
 	return result{response: response}
 }
 
--- a/internal/buffer/body.go
+++ b/internal/buffer/body.go
@@ -127,8 +127,10 @@
 func (b *Body) Evict() {
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
-	b.budget.release(b)
-	b.evicted = true
+	if !b.evicted {
+		b.evicted = true
+		b.budget.evicted++
+	}
 }
 
 func (b *Body) isEvicted() bool {
@@ -162,6 +164,7 @@
 func (b *Body) Release() {
 	b.budget.mu.Lock()
 	held := b.held
+	b.blocks = nil
 	b.budget.release(b)
 	b.budget.mu.Unlock()
 	b.holder.Release(held)
--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -36,6 +37,10 @@
 	// what is still to come. They are apart because uploads that have begun may be expected to
 	// exceed their share, which is no reason to refuse others.
 	expectedUploads, expectedOthers float64
+	// evicted is the number of bodies that were evicted and not released yet. released is closed at the
+	// next release.
+	evicted  int
+	released chan struct{}
 }
 
 // Shedder ends the reading of bodies that do not come.
@@ -52,14 +57,44 @@
 	return b
 }
 
-// makeRoom calls try until it succeeds or there is no eligible body left to evict.
+// maxReleaseWait bounds the wait for the memory of evicted bodies.
+const maxReleaseWait = 200 * time.Millisecond
+
+// makeRoom calls try until it succeeds, or there is neither an eligible body to evict nor an evicted one
+// whose memory is returned soon.
 func (b *Budget) makeRoom(eligible func(account.Body) bool, try func() bool) bool {
-	for !try() {
-		if b.shedder == nil || !b.shedder.ShedBody(eligible) {
+	if try() {
+		return true
+	}
+	if b.shedder == nil {
+		return false
+	}
+	timeout := time.NewTimer(maxReleaseWait)
+	defer timeout.Stop()
+	for {
+		released, evicted := b.awaitRelease()
+		switch {
+		case try():
+			return true
+		case evicted == 0 && !b.shedder.ShedBody(eligible):
+			return false
+		}
+		select {
+		case <-released:
+		case <-timeout.C:
 			return false
 		}
 	}
-	return true
+}
+
+// awaitRelease returns a channel that is closed at the next release, and the number of evicted bodies.
+func (b *Budget) awaitRelease() (released <-chan struct{}, evicted int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.released == nil {
+		b.released = make(chan struct{})
+	}
+	return b.released, b.evicted
 }
 
 // NewBudget returns a budget of limit bytes; zero means no limit.
@@ -134,5 +169,12 @@
 	b.held -= body.held
 	*b.expected(body.upload) -= float64(body.held) + remainingShare*float64(body.remaining)
 	body.held, body.remaining = 0, 0
+	if body.evicted {
+		b.evicted--
+	}
+	if b.released != nil {
+		close(b.released)
+		b.released = nil
+	}
 	b.gauge.Update(float64(b.held))
 }
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		logger.Warn("descriptors are not limited", "error", err)
 	}
-	return account.LimitsFor(s.MemoryLimit(), descriptors)
+	return account.LimitsFor(softMemoryLimit(s), descriptors)
 }
 
 func newAccount(limits account.Limits, logger *log.Logger, scope tally.Scope) *account.Account {
@@ -207,8 +207,16 @@
 	return peers
 }
 
+// maxBufferedResponseBytes is the size of the largest response that is buffered completely before it is
+// sent to the caller, so that a caller that reads slowly takes no slot of the server.
+const maxBufferedResponseBytes = 256 << 10
+
 func newForwarder(m *membership.Membership) *forward.Forwarder {
-	return forward.New(forward.Options{Entries: func() int { return len(m.View().Entries) }})
+	return forward.New(forward.Options{
+		Entries:                  func() int { return len(m.View().Entries) },
+		MaxBufferedResponseBytes: maxBufferedResponseBytes,
+		BufferSizedOnly:          true,
+	})
 }
 
 func newRunner(services *service.Set, f *forward.Forwarder, drainer *drain.Drainer, scope tally.Scope) *attempt.Runner {
@@ -253,7 +261,7 @@
 		Runner:      runner,
 		Servers:     serverHosts{m},
 		Drainer:     drainer,
-		Bodies:      buffer.NewBudgetFor(s.MemoryLimit(), scope).WithShedder(accounts),
+		Bodies:      buffer.NewBudgetFor(softMemoryLimit(s), scope).WithShedder(accounts),
 		Scope:       scope,
 	})
 }
--- a/internal/forward/buffer.go
+++ b/internal/forward/buffer.go
@@ -31,6 +31,7 @@
 	}
 	resp.Body = &prefixedBody{Reader: bytes.NewReader(prefix), Closer: resp.Body}
 	resp.ContentLength = int64(len(prefix))
+	resp.Complete = true
 	return resp, nil
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -54,6 +54,9 @@
 	// MaxBufferedResponseBytes is the largest response body that is read
 	// completely before Send returns; zero streams every response.
 	MaxBufferedResponseBytes int64
+	// BufferSizedOnly streams responses whose length the server did not announce, as they may be
+	// produced slowly.
+	BufferSizedOnly bool
 	// CorrelatedResponses means that the Dialect detects a response to another
 	// request. Then excess bytes after a complete response are no error, and a
 	// response without a length ends with its connection.
@@ -113,6 +116,9 @@
 	if failure != nil || f.opts.MaxBufferedResponseBytes == 0 {
 		return converted, failure
 	}
+	if f.opts.BufferSizedOnly && (converted.ContentLength < 0 || converted.ContentLength > f.opts.MaxBufferedResponseBytes) {
+		return converted, nil
+	}
 	return bufferResponse(converted, f.opts.MaxBufferedResponseBytes)
 }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -50,6 +50,8 @@
 	// Body streams the response body; reading fails with *TruncatedError if it
 	// is incomplete or longer than announced.
 	Body io.ReadCloser
+	// Complete is set if Body was read completely from the server, and is in memory.
+	Complete bool
 	// ContentLength is the body's length in bytes, or -1 if unknown.
 	ContentLength int64
 	// Server is the name of the backend server.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -70,7 +70,12 @@
 	return min(max(b.Slack*retryMargin/float64(max(entries, 1)), minRetryBurst), maxRetryBurst)
 }
 
+// minOutsideBytes is the least memory of the process that is left outside of the soft limit of the Go
+// runtime: the program's own pages, and what is allocated while garbage is being collected.
+const minOutsideBytes = 28 << 20
+
 // softMemoryLimit returns the soft memory limit of the Go runtime in bytes, zero for none.
 func (s *Settings) softMemoryLimit() int64 {
-	return int64(memoryLimitShare * float64(s.MemoryBytes))
+	soft := int64(memoryLimitShare * float64(s.MemoryBytes))
+	return max(min(soft, s.MemoryBytes-minOutsideBytes), soft/2)
 }
