--- a/internal/account/conn.go
+++ b/internal/account/conn.go
@@ -33,10 +33,11 @@
 	// waitedTime is from when a read for the next request shows that the caller waited for the response.
 	waitedTime = time.Millisecond
 
-	// maxMemoryWait bounds the wait for the memory of shed connections; it is looked at after each
-	// memoryWaitInterval.
-	maxMemoryWait      = 200 * time.Millisecond
+	// maxMemoryWait bounds the wait for the memory of shed connections. It is looked at after each
+	// memoryWaitInterval, and more is shed after each shedInterval.
+	maxMemoryWait      = 500 * time.Millisecond
 	memoryWaitInterval = time.Millisecond
+	shedInterval       = 20 * time.Millisecond
 
 	// progressInterval is the time in which a body must have come by minProgressBytes.
 	progressInterval = time.Second
@@ -273,17 +274,27 @@
 	if limit := c.account.limits.MemoryBytes; limit == 0 || total <= limit {
 		return true
 	}
-	c.account.shedMemory()
 	return c.awaitMemory()
 }
 
-// awaitMemory waits, for maxMemoryWait at most, until the requests of shed connections have returned their
-// memory. It returns false if this connection was shed itself.
+// awaitMemory sheds the largest holders and waits, for maxMemoryWait at most, until their requests have
+// returned their memory. It returns false if this connection was shed itself.
 func (c *Conn) awaitMemory() bool {
-	for began := clock(); !c.isShed(); time.Sleep(memoryWaitInterval) {
-		if c.account.held.Load() <= c.account.limits.MemoryBytes || clock()-began >= maxMemoryWait {
+	a := c.account
+	began := clock()
+	lastShed := time.Duration(0)
+	for !c.isShed() {
+		now := clock()
+		if a.held.Load() <= a.limits.MemoryBytes || now-began >= maxMemoryWait {
 			return true
 		}
+		if now-lastShed >= shedInterval {
+			// Others may have become stalled since the last time.
+			a.shedMemory()
+			lastShed = now
+			continue
+		}
+		time.Sleep(memoryWaitInterval)
 	}
 	return false
 }
--- a/internal/account/shed.go
+++ b/internal/account/shed.go
@@ -14,7 +14,7 @@
 	// stalledWriteTime is the time from which a caller is taken not to read its response.
 	// blockedWriteTime is that from which its connection may be shed for memory.
 	stalledWriteTime = time.Second
-	blockedWriteTime = 200 * time.Millisecond
+	blockedWriteTime = 50 * time.Millisecond
 	// headBatchShare is one over the part of a side's connections that are shed at once if their
 	// heads have stopped.
 	headBatchShare = 32
--- a/internal/forward/buffer.go
+++ b/internal/forward/buffer.go
@@ -10,7 +10,13 @@
 // bufferResponse reads a body of at most limit bytes completely, so that a
 // truncated response can still be retried or refused. A longer body is streamed.
 func bufferResponse(resp *Response, limit int64) (*Response, *SendError) {
-	prefix, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	var buffer bytes.Buffer
+	if resp.ContentLength > 0 {
+		// The buffer grows when less than MinRead bytes are free, also at the end.
+		buffer.Grow(int(min(resp.ContentLength, limit)) + bytes.MinRead)
+	}
+	_, err := buffer.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	prefix := buffer.Bytes()
 	if err != nil {
 		_ = resp.Body.Close()
 		return nil, &SendError{
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -339,7 +339,7 @@
 // descriptors of the users' platform's program from the others.
 func TestCrowdAtTheGateway(t *testing.T) {
 	for _, k := range kinds {
-		t.Run(k.name, func(t *testing.T) { check(t, startGateway(t, k.descriptors), k.descriptors, k.send) })
+		t.Run(k.name, func(t *testing.T) { check(t, startGateway(t, memoryMB, k.descriptors), k.descriptors, k.send) })
 	}
 }
 
--- a/test/crowd/harness_test.go
+++ b/test/crowd/harness_test.go
@@ -113,7 +113,7 @@
 const gatewayHost = "shop.example"
 
 // startGateway starts the program of the users' platform, with the stand-in store and servers.
-func startGateway(t *testing.T, descriptors int64) *site {
+func startGateway(t *testing.T, memory, descriptors int64) *site {
 	t.Helper()
 	dir, store := t.TempDir(), usersplatform.NewStore()
 	for _, service := range []string{"look", "big"} {
@@ -187,7 +187,7 @@
 retryBudgetRatio = 0.2
 retryBudgetSlack = 64
 ttl_max = "1s"
-`, internal.Addr(), memoryMB, internal.Port(), metrics.Port(), front, ready, control, directory, endpoint.Address)
+`, internal.Addr(), memory, internal.Port(), metrics.Port(), front, ready, control, directory, endpoint.Address)
 	file := filepath.Join(dir, "entry.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
