--- a/internal/account/conn.go
+++ b/internal/account/conn.go
@@ -38,6 +38,8 @@
 	maxMemoryWait      = 500 * time.Millisecond
 	memoryWaitInterval = time.Millisecond
 	shedInterval       = 20 * time.Millisecond
+	// largeHoldBytes is the size from which a holder waits although nothing is to be returned yet.
+	largeHoldBytes = 64 << 10
 
 	// progressInterval is the time in which a body must have come by minProgressBytes.
 	progressInterval = time.Second
@@ -167,6 +169,15 @@
 		c.carried = countLines(p[max(0, len(p)-readBufferBytes):])
 		return nil
 	}
+	if c.head.done {
+		// The server reads on, so what was taken for the end, such as an empty line before the
+		// request, was not.
+		c.head.done = false
+		c.head.lines += c.carried
+		if !c.holdRequest(int64(c.carried) * lineBytes) {
+			return io.EOF
+		}
+	}
 	before := c.head.lines
 	rest := c.head.add(p)
 	c.carried = countLines(rest)
@@ -260,29 +271,36 @@
 func (c *Conn) holdRequest(n int64) bool { return c.hold(n, true) }
 
 func (c *Conn) hold(n int64, ofRequest bool) bool {
+	over, ok := c.count(n, ofRequest)
+	if !over {
+		return ok
+	}
+	return c.awaitMemory(n)
+}
+
+// count adds n bytes, unless the connection was shed, and reports whether the memory is exceeded.
+func (c *Conn) count(n int64, ofRequest bool) (over, ok bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.shed {
-		c.mu.Unlock()
-		return false
+		return false, false
 	}
 	c.held += n
 	if ofRequest {
 		c.request += n
 	}
 	total := c.account.held.Add(n)
-	c.mu.Unlock()
-	if limit := c.account.limits.MemoryBytes; limit == 0 || total <= limit {
-		return true
-	}
-	return c.awaitMemory()
+	limit := c.account.limits.MemoryBytes
+	return limit > 0 && total > limit, true
 }
 
 // awaitMemory sheds the largest holders and waits, for maxMemoryWait at most, until their requests have
-// returned their memory. It returns false if this connection was shed itself.
-func (c *Conn) awaitMemory() bool {
+// returned their memory. A small holder does not wait if nothing is to be returned. It returns false if this
+// connection was shed itself.
+func (c *Conn) awaitMemory(n int64) bool {
 	a := c.account
 	began := clock()
-	lastShed := time.Duration(0)
+	lastShed := began - shedInterval
 	for !c.isShed() {
 		now := clock()
 		if a.held.Load() <= a.limits.MemoryBytes || now-began >= maxMemoryWait {
@@ -294,6 +312,9 @@
 			lastShed = now
 			continue
 		}
+		if n < largeHoldBytes && a.leaving.Load() == 0 {
+			return true
+		}
 		time.Sleep(memoryWaitInterval)
 	}
 	return false
--- a/internal/account/listener.go
+++ b/internal/account/listener.go
@@ -89,8 +89,9 @@
 			return nil
 		}
 	}
-	if !c.Hold(connBytes) {
-		return nil
+	if over, _ := c.count(connBytes, false); over {
+		// Other connections are not kept waiting for the memory.
+		a.shedMemory()
 	}
 	return c
 }
--- a/internal/account/server.go
+++ b/internal/account/server.go
@@ -38,7 +38,12 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.ConnState = func(conn net.Conn, s http.ConnState) {
-		if c, ok := conn.(*Conn); ok && s == http.StateIdle {
+		c, ok := conn.(*Conn)
+		switch {
+		case !ok:
+		case s == http.StateActive:
+			c.beginRequest()
+		case s == http.StateIdle:
 			c.endRequest()
 		}
 	}
@@ -63,8 +68,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		c.setState(stateRequest)
-		if c.countPipelined() {
+		if c.pipelined > maxPipelined {
 			a.report(c.side, reasonPipelined)
 			w.Header().Set("Connection", "close")
 		}
@@ -77,13 +81,14 @@
 	})
 }
 
-// countPipelined reports whether the connection has had too many requests in a row that were read
-// with those before, so that their caller can't have waited for the responses.
-func (c *Conn) countPipelined() bool {
+// beginRequest tells that the head of a request was read. The server calls it before it reads anything
+// else from the connection.
+func (c *Conn) beginRequest() {
+	c.setState(stateRequest)
 	if !c.reads {
+		// It was read with the request before, so its caller can't have waited for the response.
 		c.pipelined++
 	}
-	return c.pipelined > maxPipelined
 }
 
 // trackedBody tells when a body is being read.
--- a/internal/account/shed.go
+++ b/internal/account/shed.go
@@ -50,8 +50,9 @@
 		}
 		return youngHead, since
 	case stateBody:
-		// A reader that waits for anything else than the caller is not its fault.
-		if c.readSince.Load() != 0 && c.progress.slow(now) {
+		// If no read is in progress, the server waits for anything else than the caller.
+		began := time.Duration(c.readSince.Load())
+		if began != 0 && (now-began >= progressInterval || c.progress.slow(now)) {
 			return stalled, since
 		}
 		return active, since
--- a/internal/frontend/body_test.go
+++ b/internal/frontend/body_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/buffer"
 	"chestnutrouter.example/chestnutrouter/internal/drain"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
@@ -110,6 +111,39 @@
 	}
 }
 
+// An upload that does not come gives way to one that does, and its caller is told that it did not run.
+func TestUploadThatDoesNotComeGivesWay(t *testing.T) {
+	h, _ := newUploadServer(t)
+	connections := account.New(account.Limits{}, func(string, ...any) {}, tally.NoopScope)
+	h.Bodies = buffer.NewBudget(testUploadBytes*3/2, tally.NoopScope).WithShedder(connections)
+	server := httptest.NewUnstartedServer(h)
+	listener, err := connections.Listen("callers", "127.0.0.1:0", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Listener.Close()
+	server.Listener = listener
+	connections.Prepare(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	stopped := beginUpload(t, server, testUploadBytes-1)
+	waitForHeldBytes(t, h, testUploadBytes)
+	for deadline := time.Now().Add(testTimeout); endUpload(t, beginUpload(t, server, 0), 0, 0).StatusCode != http.StatusOK; {
+		if time.Now().After(deadline) {
+			t.Fatal("an upload that comes was not served beside one that does not")
+		}
+	}
+	got, err := http.ReadResponse(bufio.NewReader(stopped), nil)
+	if err != nil || got.StatusCode != http.StatusServiceUnavailable || got.Header.Get(wire.HeaderReason) != string(outcome.ReasonBodyMemory) ||
+		got.Header.Get(wire.HeaderOutcome) != string(outcome.NotRun) {
+		t.Errorf("upload that does not come: got %+v, error %v; want 503 body_memory, not run", got, err)
+	}
+	if n := h.runs.Load(); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+	waitForHeldBytes(t, h, 0)
+}
+
 // A caller that sends its whole body before it reads gets the refusal. A closed connection would
 // leave open whether the request ran, so that the caller could not try again.
 func TestRefusalReachesACallerThatStillSends(t *testing.T) {
