Deliver the responses of a connection that is closed for pipelining

The look of net/http whether the caller is gone, a read of one byte, hid the lines in the read buffer.

--- a/internal/account/conn.go
+++ b/internal/account/conn.go
@@ -30,6 +30,8 @@
 	// maxPipelined bounds the requests in a row that the caller sent before it had the response to the
 	// one before.
 	maxPipelined = 64
+	// lingerTime bounds how long a connection with too many of these is read before it is closed.
+	lingerTime = 500 * time.Millisecond
 	// waitedTime is from when a read for the next request shows that the caller waited for the response.
 	waitedTime = time.Millisecond
 
@@ -78,6 +80,7 @@
 	stateSince atomic.Int64 // as clock
 	readSince  atomic.Int64 // begin of the read in progress, or 0
 	writeSince atomic.Int64 // begin of the write in progress, or 0
+	lingers    atomic.Bool  // what the caller still sends is read before the connection is closed
 	progress   progress
 
 	// The fields below belong to the goroutine that reads.
@@ -166,7 +169,12 @@
 		c.beginHead()
 	}
 	if state(c.state.Load()) != stateHead {
-		c.carried = countLines(p[max(0, len(p)-readBufferBytes):])
+		lines := countLines(p[max(0, len(p)-readBufferBytes):])
+		if len(p) == 1 {
+			// The server looks whether the caller is gone, and keeps its read buffer.
+			lines = min(lines+c.carried, readBufferBytes)
+		}
+		c.carried = lines
 		return nil
 	}
 	if c.head.done {
@@ -245,6 +253,18 @@
 // Close implements net.Conn. The server calls it when the connection's last request has ended, also if
 // it was shed.
 func (c *Conn) Close() error {
+	if c.lingers.CompareAndSwap(true, false) {
+		go func() {
+			c.linger()
+			_ = c.end() // the connection is given up in any case
+		}()
+		return nil
+	}
+	return c.end()
+}
+
+// end closes the connection and returns what it holds.
+func (c *Conn) end() error {
 	err := c.closeSocket()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -253,6 +273,17 @@
 	return err
 }
 
+// linger reads what the caller still sends, for lingerTime at most. If it were unread, closing the connection
+// would reset it, and the caller might lose responses.
+func (c *Conn) linger() {
+	c.setState(stateBody)
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	// The error tells that the caller has closed, or that the time is over.
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
 func (c *Conn) closeSocket() error {
 	err := c.Conn.Close()
 	c.closed.Do(func() { c.account.remove(c) })
--- a/internal/account/server.go
+++ b/internal/account/server.go
@@ -70,6 +70,7 @@
 		}
 		if c.pipelined > maxPipelined {
 			a.report(c.side, reasonPipelined)
+			c.lingers.Store(true)
 			w.Header().Set("Connection", "close")
 		}
 		if r.Body != nil && r.Body != http.NoBody {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -17,6 +17,9 @@
 // end of one message.
 const readAheadBytes = 4096
 
+// decodedCopies is how often a message is in memory: as it came, and decoded.
+const decodedCopies = 2
+
 var errMessageTooLarge = errors.New("message is too large")
 
 // Traffic counts the bytes of all connections. It is safe for concurrent use.
@@ -72,7 +75,7 @@
 	if c.counted == nil || length <= readAheadBytes {
 		return nil
 	}
-	if !c.counted.BeginMessage(int64(length)) {
+	if !c.counted.BeginMessage(decodedCopies * int64(length)) {
 		return account.ErrShed
 	}
 	return c.conn.SetReadDeadline(time.Now().Add(messageTimeout))
