Refuse messages between entries before they are allocated

The gateway takes messages of up to 256 KiB from other entries, whose calls are a name and some numbers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,9 @@
 	callerIdleTimeout = 2 * time.Minute
 	// readHeaderTimeout bounds how long a caller may take to send a request's header.
 	readHeaderTimeout = 10 * time.Second
+	// maxPeerMessageBytes bounds a message from another entry. The calls have a few numbers and a name;
+	// only their replies are large.
+	maxPeerMessageBytes = 256 << 10
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// dispatchers is the number of goroutines that dispatch queued requests. They never
@@ -157,7 +160,7 @@
 }
 
 func newEntry(p Params) (*Entry, error) {
-	e := &Entry{params: p, peers: peer.NewServer()}
+	e := &Entry{params: p, peers: peer.NewServer().WithMaxMessage(maxPeerMessageBytes)}
 	e.callers = &http.Server{
 		Handler:           p.Adapter.CallerMiddleware(p.Handler),
 		IdleTimeout:       callerIdleTimeout,
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -36,17 +36,19 @@
 // gobConn sends and receives gob messages on a connection. It limits the size of
 // each received message and sets a deadline for each sent one.
 type gobConn struct {
-	conn      net.Conn
-	counted   *account.Conn // conn, if it was accepted; nil otherwise
-	traffic   *Traffic
-	remaining int // bytes that may still be read for the current message
-	decoder   *gob.Decoder
-	buffer    *bufio.Writer
-	encoder   *gob.Encoder
+	conn    net.Conn
+	counted *account.Conn // conn, if it was accepted; nil otherwise
+	traffic *Traffic
+	// maxMessage is the size of the largest message that is received, in bytes.
+	maxMessage uint64
+	remaining  int // bytes that may still be read for the current message
+	decoder    *gob.Decoder
+	buffer     *bufio.Writer
+	encoder    *gob.Encoder
 }
 
 func newGobConn(conn net.Conn, traffic *Traffic) *gobConn {
-	c := &gobConn{conn: conn, traffic: traffic}
+	c := &gobConn{conn: conn, traffic: traffic, maxMessage: MaxMessageBytes}
 	c.counted, _ = conn.(*account.Conn)
 	c.decoder = gob.NewDecoder(&messageReader{r: bufio.NewReaderSize(c, readAheadBytes), begin: c.beginMessage})
 	c.buffer = bufio.NewWriter(countingWriter{conn, traffic})
@@ -68,7 +70,7 @@
 // beginMessage checks the length of a message in bytes, before it is read. On an accepted connection it
 // also counts the message and bounds the time in which it must come.
 func (c *gobConn) beginMessage(length uint64) error {
-	if length > MaxMessageBytes {
+	if length > c.maxMessage {
 		c.counted.RefuseMessage()
 		return errMessageTooLarge
 	}
@@ -118,8 +120,10 @@
 	slots chan struct{}
 }
 
-func newServerCodec(conn net.Conn, traffic *Traffic) *serverCodec {
-	return &serverCodec{gobConn: newGobConn(conn, traffic), slots: make(chan struct{}, maxCallsPerConn)}
+func newServerCodec(conn net.Conn, traffic *Traffic, maxMessage uint64) *serverCodec {
+	c := &serverCodec{gobConn: newGobConn(conn, traffic), slots: make(chan struct{}, maxCallsPerConn)}
+	c.maxMessage = maxMessage
+	return c
 }
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -34,8 +34,12 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := m.addLengthByte(b); err != nil {
+		// With a byte the error would be passed over, and the message allocated.
+		return 0, err
+	}
 	p[0] = b
-	return 1, m.addLengthByte(b)
+	return 1, nil
 }
 
 // ReadByte implements io.ByteReader, without which the decoder reads ahead.
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/gob"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -49,7 +48,8 @@
 			}
 			return nil
 		}}
-		if _, err := io.ReadAll(r); !errors.Is(err, errRefused) && !errors.Is(err, errMessageTooLarge) {
+		var got []byte
+		if err := gob.NewDecoder(r).Decode(&got); !errors.Is(err, errRefused) && !errors.Is(err, errMessageTooLarge) {
 			t.Errorf("% x: got error %v, want a refusal", stream, err)
 		}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,8 @@
 type Server struct {
 	rpc     *rpc.Server
 	traffic Traffic
+	// maxMessage is the size of the largest message that is received, in bytes.
+	maxMessage uint64
 
 	mu        sync.Mutex // guards the fields below
 	listeners []net.Listener
@@ -31,7 +33,14 @@
 
 // NewServer returns a server without receivers.
 func NewServer() *Server {
-	return &Server{rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	return &Server{rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}, maxMessage: MaxMessageBytes}
+}
+
+// WithMaxMessage sets the size in bytes of the largest message that is received, instead of
+// MaxMessageBytes. It must be called before Serve.
+func (s *Server) WithMaxMessage(bytes uint64) *Server {
+	s.maxMessage = bytes
+	return s
 }
 
 // Register makes the receiver's methods callable as "name.Method"; it follows
@@ -84,7 +93,7 @@
 	if handshake(conn) != nil {
 		return
 	}
-	s.rpc.ServeCodec(newServerCodec(conn, &s.traffic))
+	s.rpc.ServeCodec(newServerCodec(conn, &s.traffic, s.maxMessage))
 }
 
 func (s *Server) addListener(l net.Listener) bool {
