--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -11,7 +11,7 @@
 const GCPercent = 400
 
 // programBytes is the memory of the program's own pages, which are not in the Go runtime's limit.
-const programBytes = 12 << 20
+const programBytes = 16 << 20
 
 // softMemoryLimit returns the soft memory limit of the Go runtime in bytes.
 func softMemoryLimit(s *settings.Settings) int64 { return s.MemoryLimit() - programBytes }
