--- a/internal/attempt/body.go
+++ b/internal/attempt/body.go
@@ -5,14 +5,16 @@
 	"net/http"
 	"time"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
 	"chestnutrouter.example/chestnutrouter/internal/quarantine"
 )
 
-// releasingBody releases the server's slot when the response body is closed,
-// and reports to the balancer how the response ended.
+// releasingBody releases the server's slot when the response body is closed, or is complete in memory,
+// and reports to the balancer how the response ended. So a caller that does not read its response
+// takes no slot from others.
 type releasingBody struct {
 	body     io.ReadCloser
 	grant    Grant
@@ -22,6 +24,9 @@
 
 	latency   time.Duration // zero until the body has ended
 	truncated bool
+	released  bool
+	conn      *account.Conn // of the caller, nil if it is not counted
+	held      int64         // bytes that conn counts
 	closed    bool
 }
 
@@ -43,6 +48,25 @@
 	}
 	b.closed = true
 	err := b.body.Close()
+	b.conn.Release(b.held)
+	b.release()
+	return err
+}
+
+// hold counts a response that is complete in memory until Close. If the caller's connection is shed
+// meanwhile, writing the response to it fails.
+func (b *releasingBody) hold(conn *account.Conn, bytes int64) {
+	if conn.Hold(bytes) {
+		b.conn, b.held = conn, bytes
+	}
+}
+
+// release releases the slot, once.
+func (b *releasingBody) release() {
+	if b.released {
+		return
+	}
+	b.released = true
 	b.grant.Done(b.result())
 	switch {
 	case b.truncated:
@@ -50,7 +74,6 @@
 	case b.latency > 0:
 		b.tracked.Answered()
 	}
-	return err
 }
 
 func (b *releasingBody) result() balancer.Result {
--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -3,8 +3,11 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"chestnutrouter.example/chestnutrouter/internal/account"
 )
 
 const (
@@ -23,8 +26,9 @@
 
 // Budget bounds the memory of the bodies that are held at once. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	gauge tally.Gauge
+	limit   int64
+	gauge   tally.Gauge
+	shedder Shedder // nil if there is none
 
 	mu sync.Mutex // guards the fields below
 	// held is the memory of all bodies in bytes.
@@ -33,6 +37,64 @@
 	// what is still to come. They are apart because uploads that have begun may be expected to
 	// exceed their share, which is no reason to refuse others.
 	expectedUploads, expectedOthers float64
+	// evicted is the number of bodies that were evicted and not released yet. released is closed at the
+	// next release.
+	evicted  int
+	released chan struct{}
+}
+
+// Shedder ends the reading of bodies that do not come.
+type Shedder interface {
+	// ShedBody evicts the largest of the eligible bodies that do not come, and reports whether there
+	// was one.
+	ShedBody(eligible func(account.Body) bool) bool
+}
+
+// WithShedder makes the budget evict bodies that do not come when it has no memory for another one. It
+// must be called before the budget is used.
+func (b *Budget) WithShedder(s Shedder) *Budget {
+	b.shedder = s
+	return b
+}
+
+// maxReleaseWait bounds the wait for the memory of evicted bodies.
+const maxReleaseWait = 200 * time.Millisecond
+
+// makeRoom calls try until it succeeds, or there is neither an eligible body to evict nor an evicted one
+// whose memory is returned soon.
+func (b *Budget) makeRoom(eligible func(account.Body) bool, try func() bool) bool {
+	if try() {
+		return true
+	}
+	if b.shedder == nil {
+		return false
+	}
+	timeout := time.NewTimer(maxReleaseWait)
+	defer timeout.Stop()
+	for {
+		released, evicted := b.awaitRelease()
+		switch {
+		case try():
+			return true
+		case evicted == 0 && !b.shedder.ShedBody(eligible):
+			return false
+		}
+		select {
+		case <-released:
+		case <-timeout.C:
+			return false
+		}
+	}
+}
+
+// awaitRelease returns a channel that is closed at the next release, and the number of evicted bodies.
+func (b *Budget) awaitRelease() (released <-chan struct{}, evicted int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.released == nil {
+		b.released = make(chan struct{})
+	}
+	return b.released, b.evicted
 }
 
 // NewBudget returns a budget of limit bytes; zero means no limit.
@@ -85,25 +147,34 @@
 	return &b.expectedOthers
 }
 
-// grow takes n bytes, of which announced were counted by admit, or returns false if there is no
-// memory for them.
-func (b *Budget) grow(n, announced int64, upload bool) bool {
+// grow takes n more bytes for a body, some of which may be announced ones that admit counted. It returns
+// false if there is no memory for them or the body was evicted.
+func (b *Budget) grow(body *Body, n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit > 0 && b.held+n > b.MaxBytes(upload) {
+	if body.evicted || b.limit > 0 && b.held+n > b.MaxBytes(body.upload) {
 		return false
 	}
+	announced := min(n, body.remaining)
+	body.held += n
+	body.remaining -= announced
 	b.held += n
-	*b.expected(upload) += float64(n) - remainingShare*float64(announced)
+	*b.expected(body.upload) += float64(n) - remainingShare*float64(announced)
 	b.gauge.Update(float64(b.held))
 	return true
 }
 
-// release returns n bytes, and the count of those that did not come.
-func (b *Budget) release(n, remaining int64, upload bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.held -= n
-	*b.expected(upload) -= float64(n) + remainingShare*float64(remaining)
+// release returns the memory of a body, and the count of what did not come. b.mu must be held.
+func (b *Budget) release(body *Body) {
+	b.held -= body.held
+	*b.expected(body.upload) -= float64(body.held) + remainingShare*float64(body.remaining)
+	body.held, body.remaining = 0, 0
+	if body.evicted {
+		b.evicted--
+	}
+	if b.released != nil {
+		close(b.released)
+		b.released = nil
+	}
 	b.gauge.Update(float64(b.held))
 }
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/attempt"
 	"chestnutrouter.example/chestnutrouter/internal/buffer"
@@ -31,6 +32,19 @@
 
 func newScope(registry *metrics.Registry) tally.Scope { return registry.Scope }
 
+func newLimits(s *settings.Settings, logger *log.Logger) account.Limits {
+	descriptors, err := account.Descriptors()
+	if err != nil {
+		logger.Warn("descriptors are not limited", "error", err)
+	}
+	return account.LimitsFor(softMemoryLimit(s), descriptors)
+}
+
+func newAccount(limits account.Limits, logger *log.Logger, scope tally.Scope) *account.Account {
+	write := func(msg string, fields ...any) { logger.Warn(msg, fields...) }
+	return account.New(limits, write, scope)
+}
+
 func newOperationTable() *operation.Table { return operation.New(operation.Options{}) }
 
 func newPool() *peer.Pool { return peer.NewPool(peer.Options{}) }
@@ -193,8 +207,16 @@
 	return peers
 }
 
+// maxBufferedResponseBytes is the size of the largest response that is buffered completely before it is
+// sent to the caller, so that a caller that reads slowly takes no slot of the server.
+const maxBufferedResponseBytes = 256 << 10
+
 func newForwarder(m *membership.Membership) *forward.Forwarder {
-	return forward.New(forward.Options{Entries: func() int { return len(m.View().Entries) }})
+	return forward.New(forward.Options{
+		Entries:                  func() int { return len(m.View().Entries) },
+		MaxBufferedResponseBytes: maxBufferedResponseBytes,
+		BufferSizedOnly:          true,
+	})
 }
 
 func newRunner(services *service.Set, f *forward.Forwarder, drainer *drain.Drainer, scope tally.Scope) *attempt.Runner {
@@ -225,7 +247,8 @@
 func (s serverHosts) IsServerHost(ip string) bool { return s.members.View().IsServerHost(ip) }
 
 func newHandler(s *settings.Settings, f *follow.Follower, ops *operation.Table, ownerClient *operation.OwnerClient,
-	limiter *quota.Limiter, runner *attempt.Runner, drainer *drain.Drainer, m *membership.Membership, scope tally.Scope,
+	limiter *quota.Limiter, runner *attempt.Runner, drainer *drain.Drainer, m *membership.Membership,
+	accounts *account.Account, scope tally.Scope,
 ) *frontend.Handler {
 	return frontend.NewHandler(frontend.Options{
 		VM:          s.VM,
@@ -238,7 +261,7 @@
 		Runner:      runner,
 		Servers:     serverHosts{m},
 		Drainer:     drainer,
-		Bodies:      buffer.NewBudgetFor(s.MemoryLimit(), scope),
+		Bodies:      buffer.NewBudgetFor(softMemoryLimit(s), scope).WithShedder(accounts),
 		Scope:       scope,
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/allowance"
 	"chestnutrouter.example/chestnutrouter/internal/cluster"
@@ -47,6 +48,9 @@
 	callerIdleTimeout = 2 * time.Minute
 	// readHeaderTimeout bounds how long a caller may take to send a request's header.
 	readHeaderTimeout = 10 * time.Second
+	// maxPeerMessageBytes bounds a message from another entry. The calls have a few numbers and a name;
+	// only their replies are large.
+	maxPeerMessageBytes = 256 << 10
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// dispatchers is the number of goroutines that dispatch queued requests. They never
@@ -78,6 +82,8 @@
 	Drainer   *drain.Drainer
 	Tree      *treeHolder
 	Owner     *allowance.Owner
+	Account   *account.Account
+	Limits    account.Limits
 }
 
 // Entry is one running process of the load balancer.
@@ -178,7 +184,7 @@
 }
 
 func newEntry(p Params) (*Entry, error) {
-	e := &Entry{params: p, peers: peer.NewServer()}
+	e := &Entry{params: p, peers: peer.NewServer().WithMaxMessage(maxPeerMessageBytes)}
 	e.callers = &http.Server{
 		Handler:           p.Adapter.CallerMiddleware(p.Handler),
 		IdleTimeout:       callerIdleTimeout,
@@ -186,6 +192,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          errorLog(p.Events),
 	}
+	p.Account.Prepare(e.callers)
 	return e, e.peers.Register(storesync.ReceiverName, p.StoreSync.Receiver())
 }
 
@@ -222,31 +229,29 @@
 
 // listen binds all sockets and serves them.
 func (e *Entry) listen() error {
-	s, adapter := e.params.Settings, e.params.Adapter
-	peers, err := net.Listen("tcp", s.PeerAddress)
+	s, adapter, accounts, limits := e.params.Settings, e.params.Adapter, e.params.Account, e.params.Limits
+	peers, err := accounts.Listen("peers", s.PeerAddress, limits.Peers)
 	if err != nil {
 		return err
 	}
 	e.serve("peers", peers, e.peers.Serve)
-	if e.callerListener, err = net.Listen("tcp", s.CallerAddress); err != nil {
+	if e.callerListener, err = accounts.Listen("callers", s.CallerAddress, limits.Callers); err != nil {
 		return err
 	}
 	e.serve("callers", e.callerListener, e.callers.Serve)
 	for _, endpoint := range []struct {
-		side, address string
-		handler       http.Handler
+		side, address  string
+		maxConnections int
+		handler        http.Handler
 	}{
-		{"ready", s.ReadyAddress, adapter.NewReadyHandler(e.Ready)},
-		{"directory", s.DirectoryAddress, adapter.NewDirectoryHandler(e.addresses, s.AddressTTL)},
-		{"metrics", s.MetricsAddress, e.metricsHandler()},
+		{"ready", s.ReadyAddress, limits.Operators, adapter.NewReadyHandler(e.Ready)},
+		{"directory", s.DirectoryAddress, limits.Directory, adapter.NewDirectoryHandler(e.addresses, s.AddressTTL)},
+		{"metrics", s.MetricsAddress, limits.Operators, e.metricsHandler()},
 	} {
-		server := &http.Server{
-			Handler:           endpoint.handler,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ErrorLog:          errorLog(e.params.Events),
-		}
+		server := &http.Server{Handler: endpoint.handler, ErrorLog: errorLog(e.params.Events)}
+		accounts.PrepareSmall(server)
 		e.others = append(e.others, server)
-		if err := e.listenHTTP(endpoint.side, endpoint.address, server); err != nil {
+		if err := e.listenHTTP(endpoint.side, endpoint.address, endpoint.maxConnections, server); err != nil {
 			return err
 		}
 	}
@@ -265,11 +270,11 @@
 	return mux
 }
 
-func (e *Entry) listenHTTP(side, address string, server *http.Server) error {
+func (e *Entry) listenHTTP(side, address string, maxConnections int, server *http.Server) error {
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := e.params.Account.Listen(side, address, maxConnections)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -9,12 +9,17 @@
 	"net/rpc"
 	"sync/atomic"
 	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/account"
 )
 
 // readAheadBytes is the size of the read buffer, which may read that far past the
 // end of one message.
 const readAheadBytes = 4096
 
+// decodedCopies is how often a message is in memory: as it came, and decoded.
+const decodedCopies = 2
+
 var errMessageTooLarge = errors.New("message is too large")
 
 // Traffic counts the bytes of all connections. It is safe for concurrent use.
@@ -31,17 +36,21 @@
 // gobConn sends and receives gob messages on a connection. It limits the size of
 // each received message and sets a deadline for each sent one.
 type gobConn struct {
-	conn      net.Conn
-	traffic   *Traffic
-	remaining int // bytes that may still be read for the current message
-	decoder   *gob.Decoder
-	buffer    *bufio.Writer
-	encoder   *gob.Encoder
+	conn    net.Conn
+	counted *account.Conn // conn, if it was accepted; nil otherwise
+	traffic *Traffic
+	// maxMessage is the size of the largest message that is received, in bytes.
+	maxMessage uint64
+	remaining  int // bytes that may still be read for the current message
+	decoder    *gob.Decoder
+	buffer     *bufio.Writer
+	encoder    *gob.Encoder
 }
 
 func newGobConn(conn net.Conn, traffic *Traffic) *gobConn {
-	c := &gobConn{conn: conn, traffic: traffic}
-	c.decoder = gob.NewDecoder(bufio.NewReaderSize(c, readAheadBytes))
+	c := &gobConn{conn: conn, traffic: traffic, maxMessage: MaxMessageBytes}
+	c.counted, _ = conn.(*account.Conn)
+	c.decoder = gob.NewDecoder(&messageReader{r: bufio.NewReaderSize(c, readAheadBytes), begin: c.beginMessage})
 	c.buffer = bufio.NewWriter(countingWriter{conn, traffic})
 	c.encoder = gob.NewEncoder(c.buffer)
 	return c
@@ -58,6 +67,22 @@
 	return n, err
 }
 
+// beginMessage checks the length of a message in bytes, before it is read. On an accepted connection it
+// also counts the message and bounds the time in which it must come.
+func (c *gobConn) beginMessage(length uint64) error {
+	if length > c.maxMessage {
+		c.counted.RefuseMessage()
+		return errMessageTooLarge
+	}
+	if c.counted == nil || length <= readAheadBytes {
+		return nil
+	}
+	if !c.counted.BeginMessage(decodedCopies * int64(length)) {
+		return account.ErrShed
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(messageTimeout))
+}
+
 // nextMessage resets the size limit for the next message.
 func (c *gobConn) nextMessage() { c.remaining = MaxMessageBytes + readAheadBytes }
 
@@ -95,12 +120,15 @@
 	slots chan struct{}
 }
 
-func newServerCodec(conn net.Conn, traffic *Traffic) *serverCodec {
-	return &serverCodec{gobConn: newGobConn(conn, traffic), slots: make(chan struct{}, maxCallsPerConn)}
+func newServerCodec(conn net.Conn, traffic *Traffic, maxMessage uint64) *serverCodec {
+	c := &serverCodec{gobConn: newGobConn(conn, traffic), slots: make(chan struct{}, maxCallsPerConn)}
+	c.maxMessage = maxMessage
+	return c
 }
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.slots <- struct{}{}
+	c.counted.EndMessage()
 	if err := c.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return err
 	}
