Grant units of very large bursts

A tenant with a burst of about 4e19 or more, as an operator may write for a tenant without a limit, got 429 for every request. The units of its bucket exceed an int, and the conversion gave a negative number of granted units.

--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -67,7 +67,8 @@
 // take removes up to that many whole units and returns how many. reduced is set if more could be
 // granted but for missing members or because this member has not owned the shard for long.
 func (b *bucket) take(wanted int, now time.Duration) (granted int, reduced bool) {
-	granted = min(wanted, int(b.units))
+	// A burst may exceed what an int holds.
+	granted = int(min(float64(wanted), b.units))
 	b.units -= float64(granted)
 	// A request that is denied is denied by all shards, and could have been granted by one.
 	charged := float64(granted) + float64(wanted-granted)/shardCount
--- a/internal/allowance/owner_test.go
+++ b/internal/allowance/owner_test.go
@@ -178,3 +178,15 @@
 		}
 	}
 }
+
+// An operator may write a very large burst for a tenant without a limit. Its bucket then holds more
+// units than an int, and all requests were denied.
+func TestHugeBurstIsGranted(t *testing.T) {
+	for _, limit := range []Limit{{PerSecond: 1e20, Burst: 1e20}, {PerSecond: 1e308, Burst: 1e308}} {
+		c := newOwnerClock(limit)
+		c.run(takeoverDelay + time.Second)
+		if a := c.ask(200); a.status != statusDecided || a.granted != 200 {
+			t.Errorf("limit %v: got %+v, want 200 units", limit, a)
+		}
+	}
+}
