Bound the memory of tenants that an owner does not know

Each question for units made the owner hold a bucket for at least 10 s, also for a tenant that its configuration does not have, as it may not have the newest one. Questions with made-up or malformed names, a few thousand a second with up to 1,170 bytes each, took more memory than a small VM has, and its callers lost the entry.

An owner now keeps at most 4,096 such buckets and answers further questions as while it is not ready, so that entries ask another shard. Tenants of its configuration are not affected.

--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -51,6 +51,8 @@
 	nextRecent int
 	// claims are the parts that other members grant.
 	claims []claim
+	// unknown is set if the owner's configuration does not have the tenant.
+	unknown bool
 	// denied counts the denials since loggedAt.
 	denied   int
 	loggedAt time.Duration
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -17,6 +17,10 @@
 	idleTime = 10 * time.Second
 	// sweepInterval is the time between two searches for what can be dropped.
 	sweepInterval = 5 * time.Second
+	// maxUnknownBuckets bounds the buckets of tenants that the owner's configuration does not have. It
+	// knows the names from questions alone, so anything may be among them; with the longest names
+	// these buckets take about 8 MB.
+	maxUnknownBuckets = 4096
 	// logInterval is the minimum time between two log lines of one bucket or tenant.
 	logInterval = time.Second
 )
@@ -69,6 +73,7 @@
 	claimed  time.Duration // when claims were last sent
 	periods  []period      // the current one last
 	buckets  map[bucketKey]*bucket
+	unknown  int // buckets with bucket.unknown set
 }
 
 // NewOwner returns an Owner. Tick must be called regularly.
@@ -129,6 +134,7 @@
 		o.count("pauses")
 		o.periods = nil
 		clear(o.buckets)
+		o.unknown = 0
 	}
 	o.observed = now
 	alone := o.options.HasPeers && view.Known == 1 && now-o.started < aloneTime
@@ -185,13 +191,31 @@
 		o.periods = append(o.periods[:0], o.periods[1:]...)
 	}
 	o.periods = append(o.periods, next)
-	for key := range o.buckets {
+	for key, b := range o.buckets {
 		if !o.owns(&next, key) {
-			delete(o.buckets, key)
+			o.drop(key, b)
 		}
 	}
 }
 
+// drop deletes a bucket. The caller holds o.mu.
+func (o *Owner) drop(key bucketKey, b *bucket) {
+	delete(o.buckets, key)
+	o.setUnknown(b, false)
+}
+
+// setUnknown records whether this member's configuration lacks the tenant of the bucket. The caller
+// holds o.mu.
+func (o *Owner) setUnknown(b *bucket, unknown bool) {
+	switch {
+	case unknown && !b.unknown:
+		o.unknown++
+	case !unknown && b.unknown:
+		o.unknown--
+	}
+	b.unknown = unknown
+}
+
 // current returns the current period, nil if there is none yet.
 func (o *Owner) current() *period {
 	if len(o.periods) == 0 {
@@ -248,8 +272,14 @@
 		o.count("not_ready")
 		return nil, &answer{status: statusNotReady, wait: readyAt - now}
 	}
+	_, known := o.options.Limit(q.tenant)
+	if !known && o.unknown >= maxUnknownBuckets {
+		o.count("unknown_tenants")
+		return nil, &answer{status: statusNotReady, wait: maxDenial}
+	}
 	b := o.newBucket(o.limitOf(q), filledFrom, now)
 	o.buckets[key] = b
+	o.setUnknown(b, !known)
 	return b, nil
 }
 
@@ -358,15 +388,16 @@
 	o.swept = now
 	for key, b := range o.buckets {
 		scale := b.scale(o.current().scale, now)
+		l, ok := o.options.Limit(key.tenant)
+		o.setUnknown(b, !ok)
 		if now-b.lastAsked < idleTime {
 			continue
 		}
-		l, ok := o.options.Limit(key.tenant)
 		if ok {
 			b.fill(l, scale, now)
 		}
 		if !ok || b.isFull(l, scale) {
-			delete(o.buckets, key)
+			o.drop(key, b)
 		}
 	}
 }
--- a/internal/allowance/owner_test.go
+++ b/internal/allowance/owner_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -190,3 +191,31 @@
 		}
 	}
 }
+
+// Questions name tenants that the owner's configuration does not have. They must not make it hold a
+// bucket for each name, and tenants that it has get their units meanwhile.
+func TestUnknownTenantsTakeLittleMemory(t *testing.T) {
+	const most = 4096
+	limit := Limit{PerSecond: 40, Burst: 40}
+	c := newOwnerClock(limit)
+	c.options.Limit = func(tenant string) (Limit, bool) { return limit, tenant == "t" }
+	c.run(takeoverDelay + time.Second)
+	ask := func(tenant string) answer {
+		q := question{op: opAcquire, units: 1, limit: limit, tenant: tenant}
+		a, _ := decodeAnswer(c.Answer(q.encode()))
+		return a
+	}
+	for i := range 3 * most {
+		ask("unknown" + strconv.Itoa(i))
+	}
+	if n := len(c.buckets); n > most {
+		t.Errorf("%d buckets of unknown tenants, want at most %d", n, most)
+	}
+	if a := ask("t"); a.granted != 1 {
+		t.Errorf("got %+v for a known tenant", a)
+	}
+	c.run(idleTime + 2*sweepInterval)
+	if a := ask("new"); a.granted != 1 {
+		t.Errorf("got %+v for an unknown tenant after the others were dropped", a)
+	}
+}
