Log the detail of a 401 once

Lines of calls refused with 401 had the field detail twice, which strict parsers of JSON refuse. Two changes had each added it; the one for all refusals stays.

--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
@@ -36,9 +35,6 @@
 	fields = append(fields, "outcome", rec.Refusal.Outcome, "reason", rec.Refusal.Reason,
 		"retry_after_ms", rec.Refusal.RetryAfter.Milliseconds(), "detail", rec.Refusal.Detail,
 		"caller", rec.Request.RemoteAddr, "method", rec.Request.Method, "path", cut(rec.Request.URL.Path, maxLoggedPathBytes))
-	if rec.Refusal.Status == http.StatusUnauthorized {
-		fields = append(fields, "detail", rec.Refusal.Detail)
-	}
 	l.events.Warn("call refused", fields...)
 }
 
