Apply evacuations with a configuration that was written again

A member that fetched a configuration which the operator had written again in the same revision could go on sending requests to an evacuated zone: the fetch moved its position in the store behind the record of the evacuation, and left the evacuations in the same update out. Only a later heartbeat of a member that knows the record mended that.

Apply the evacuations before the position, as for other updates, and keep the position where the sender knows nothing of evacuations.

--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -359,7 +359,8 @@
 	if err == nil {
 		var u *update
 		if u, err = decodeUpdate(data); err == nil {
-			s.applyConfig([]logservice.KeyedRecord{u.Config}, u.ConfigNext, m.VM)
+			s.applyPeerEvacuations(u, m.VM)
+			s.applyConfig([]logservice.KeyedRecord{u.Config}, u.configNext(), m.VM)
 		}
 	}
 	if err != nil && ctx.Err() == nil {
--- a/internal/storesync/proof_test.go
+++ b/internal/storesync/proof_test.go
@@ -187,3 +187,28 @@
 		t.Errorf("%d lines about one loss, want 1", n)
 	}
 }
+
+// A member that lacks a configuration because it was written again fetches it. The position in the
+// update is also behind records of evacuations, which must be applied: it would never read them.
+func TestFetchOfAnotherConfigurationBringsEvacuations(t *testing.T) {
+	now := time.Hour
+	log := &fakeLog{}
+	newSyncer := func() *evacuationSyncer {
+		s := newEvacuationSyncer(log)
+		s.proof = newConfigProof(ProofOptions{Bound: proofBound, Current: proofBound / 2, Clock: func() time.Duration { return now }})
+		return s
+	}
+	source, s := newSyncer(), newSyncer()
+	log.put("config", "3")
+	s.read(t, "the lost configuration")
+	log.put("config", "+3")
+	log.put("evacuate/a", "{}")
+	source.read(t, "the other member", "a")
+	s.options.Client = receiverClient{source.Receiver()}
+	e, _ := source.proof.evidence()
+	s.fetchIfOther(t.Context(), cluster.LiveMember{}, e)
+	if string(s.config.Value) != "+3" {
+		t.Fatalf("configuration %q after the fetch", s.config.Value)
+	}
+	s.read(t, "after the fetch", "a")
+}
