Send a configuration that was written again with each pull

After a restore that lost a revision, the operator may write the same revision again without a key. A reader that still had the lost one and pulled servers from a member with the new one did not get it, as the revision was the same, but took over the member's position in the store, which is behind it. Its next read then proved the lost configuration, and the removed key stayed valid there and at entries that asked it, until a question to another member showed the difference.

A pull now states the digest of the caller's configuration, and the update has the member's if it is another one of the same revision. The encoded update that a member keeps is one of a digest, too.

--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -86,6 +86,14 @@
 // isNeeded reports whether the active configuration needs a proof.
 func (p *configProof) isNeeded() bool { return p != nil && p.active.Load().needed }
 
+// digest returns that of the active configuration, zero if no proof is asked for.
+func (p *configProof) digest() uint64 {
+	if p == nil {
+		return 0
+	}
+	return p.active.Load().version.Digest
+}
+
 // now returns the time of the clock, zero if no proof is asked for.
 func (p *configProof) now() time.Duration {
 	if p == nil {
--- a/internal/storesync/proof_test.go
+++ b/internal/storesync/proof_test.go
@@ -212,3 +212,26 @@
 	}
 	s.read(t, "after the fetch", "a")
 }
+
+// A reader has the configuration that a restored store lost, and pulls servers from a member that has
+// read the other one written again in the same revision. The position in the update is behind that
+// configuration, so the reader must get it with the update: it would never read it itself, and take its
+// own for proven.
+func TestPullBringsTheRevisionWrittenAgain(t *testing.T) {
+	now := time.Hour
+	source, s := newProofSyncer(&now), newProofSyncer(&now)
+	s.log, s.options.Log = source.log, source.log
+	source.log.put("config", "3")
+	s.readConfig(t.Context(), 0)
+	source.log.put("config", "+3")
+	source.readConfig(t.Context(), 0)
+	source.log.put("a", "live 1")
+	source.readServers(t.Context())
+	s.options.Client = receiverClient{source.Receiver()}
+	s.Syncer.pull(t.Context(), cluster.LiveMember{Status: cluster.Status{Revision: 3, ServersVersion: source.ServersVersion()}})
+	now += time.Second
+	s.readConfig(t.Context(), 0)
+	if e, ok := s.proof.evidence(); string(s.config.Value) != "+3" {
+		t.Errorf("configuration %q with evidence %+v, %v, want the one that was written again", s.config.Value, e, ok)
+	}
+}
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -53,6 +53,9 @@
 	Caller string
 	// Revision is the revision of the caller's configuration.
 	Revision int64
+	// Digest is that of the caller's configuration, zero if it needs no proof: the member may have
+	// another one of the same revision.
+	Digest uint64
 	// Servers is the version of the caller's list of backend servers.
 	Servers int64
 	// Offset is the number of bytes of the encoded update that the caller has already, and
@@ -89,8 +92,10 @@
 type encodedUpdate struct {
 	id                uint64 // hash of data
 	fromRevision      int64
+	fromDigest        uint64
 	fromServers       int64
 	revision, servers int64
+	digest            uint64
 	evacuations       evacuationVersion
 	data              []byte
 }
@@ -151,10 +156,11 @@
 func (r *Receiver) encoded(args SinceArgs) (*encodedUpdate, error) {
 	s := r.syncer
 	last := r.last
-	if last.data != nil && last.fromRevision == args.Revision && last.fromServers == args.Servers &&
-		last.revision == s.Revision() && last.servers == s.ServersVersion() && last.evacuations == s.evacuations.currentVersion() {
+	if last.data != nil && last.fromRevision == args.Revision && last.fromDigest == args.Digest && last.fromServers == args.Servers &&
+		last.revision == s.Revision() && last.digest == s.proof.digest() && last.servers == s.ServersVersion() && last.evacuations == s.evacuations.currentVersion() {
 		return &last, nil
 	}
+	revision, digest := s.Revision(), s.proof.digest() // of the update or an earlier one
 	u := s.updateSince(args)
 	data, err := u.encode()
 	if err != nil {
@@ -162,8 +168,8 @@
 	}
 	next := encodedUpdate{
 		id: xxhash.Sum64(data), data: data,
-		fromRevision: args.Revision, fromServers: args.Servers,
-		revision: s.Revision(), servers: int64(u.ServersVersion), evacuations: u.Evacuations.version(),
+		fromRevision: args.Revision, fromDigest: args.Digest, fromServers: args.Servers,
+		revision: revision, digest: digest, servers: int64(u.ServersVersion), evacuations: u.Evacuations.version(),
 	}
 	if len(data) > largeUpdateBytes {
 		r.last = next
@@ -175,7 +181,8 @@
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	u := &update{ConfigNext: s.configNext, Evacuations: s.evacuations.state()}
-	if s.revision.Load() > args.Revision {
+	rewritten := s.revision.Load() == args.Revision && args.Digest != 0 && args.Digest != s.proof.digest()
+	if s.revision.Load() > args.Revision || rewritten && s.proof != nil {
 		u.Config = s.config
 	}
 	if !s.deferred.pending() {
@@ -321,7 +328,7 @@
 	if !s.lacks(m) || s.comparesTooSoon(m) {
 		return true
 	}
-	args := SinceArgs{Caller: s.options.Self, Revision: s.Revision(), Servers: s.ServersVersion()}
+	args := SinceArgs{Caller: s.options.Self, Revision: s.Revision(), Digest: s.proof.digest(), Servers: s.ServersVersion()}
 	if s.differs(m) {
 		if !s.comparison.due(time.Now()) {
 			return true
