Ignore evidence of an impossible age

A reply with an age of about 292 years, as a malformed one may have, proved the configuration it names, and removed keys went on to work: the age grows with the time that passes after the reply, overflowed and became negative. Evidence older than 100 times the bound is now ignored, so no age comes near the limit.

--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -36,6 +36,9 @@
 	// newerTimeout is the time, in bounds, after which a newer revision that no member has
 	// named again is forgotten. After a restore of the source it may be lost for good.
 	newerTimeout = 2
+	// maxAge is the age, in bounds, above which evidence is ignored. Malformed evidence may have any
+	// age, and the sum of that and the time since would overflow.
+	maxAge = 100
 )
 
 // Tracker keeps the evidence about one subject. It is safe for concurrent use; its lock is a leaf.
@@ -76,6 +79,9 @@
 	defer t.mu.Unlock()
 	now := t.clock()
 	at = min(at, now)
+	if at < now-maxAge*t.bound {
+		return
+	}
 	if v.Revision < t.newer {
 		if now-t.newerNamed <= newerTimeout*t.bound {
 			// Something newer existed by then, even if the source has lost it since.
--- a/internal/storesync/proof_test.go
+++ b/internal/storesync/proof_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
 	"chestnutrouter.example/chestnutrouter/internal/freshness"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 // The store loses revision 3 and the operator writes another revision 3, without a key. No member
@@ -235,3 +237,24 @@
 		t.Errorf("configuration %q with evidence %+v, %v, want the one that was written again", s.config.Value, e, ok)
 	}
 }
+
+// The age in a malformed answer or update may be any number. Added to the time that has passed since,
+// it must not become negative: the configuration would stay proven for years.
+func TestEvidenceOfImpossibleAgeProvesNothing(t *testing.T) {
+	now := time.Hour
+	s := newProofSyncer(&now)
+	s.log.put("config", "1")
+	s.readConfig(t.Context(), 0)
+	active := &tree.Tree{Revision: 1, Digest: xxhash.Sum64String("1")}
+	now += 2 * proofBound
+	answer := freshness.Evidence{Version: versionOf(active), Age: math.MaxInt64}.Encode()
+	if e, ok := freshness.Decode(answer); ok {
+		s.proof.observe(e, now)
+	}
+	other := newProofSyncer(&now) // without evidence of its own
+	other.proof.observe(freshness.Evidence{Version: versionOf(active), Age: math.MaxInt64}, now)
+	now += time.Second
+	if s.IsProven(active) || other.IsProven(active) {
+		t.Errorf("proven by evidence of an impossible age: %v at a member with older evidence, %v at one without", s.IsProven(active), other.IsProven(active))
+	}
+}
