--- a/internal/allowance/owner_test.go
+++ b/internal/allowance/owner_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -178,3 +179,43 @@
 		}
 	}
 }
+
+// An operator may write a very large burst for a tenant without a limit. Its bucket then holds more
+// units than an int, and all requests were denied.
+func TestHugeBurstIsGranted(t *testing.T) {
+	for _, limit := range []Limit{{PerSecond: 1e20, Burst: 1e20}, {PerSecond: 1e308, Burst: 1e308}} {
+		c := newOwnerClock(limit)
+		c.run(takeoverDelay + time.Second)
+		if a := c.ask(200); a.status != statusDecided || a.granted != 200 {
+			t.Errorf("limit %v: got %+v, want 200 units", limit, a)
+		}
+	}
+}
+
+// Questions name tenants that the owner's configuration does not have. They must not make it hold a
+// bucket for each name, and tenants that it has get their units meanwhile.
+func TestUnknownTenantsTakeLittleMemory(t *testing.T) {
+	const most = 4096
+	limit := Limit{PerSecond: 40, Burst: 40}
+	c := newOwnerClock(limit)
+	c.options.Limit = func(tenant string) (Limit, bool) { return limit, tenant == "t" }
+	c.run(takeoverDelay + time.Second)
+	ask := func(tenant string) answer {
+		q := question{op: opAcquire, units: 1, limit: limit, tenant: tenant}
+		a, _ := decodeAnswer(c.Answer(q.encode()))
+		return a
+	}
+	for i := range 3 * most {
+		ask("unknown" + strconv.Itoa(i))
+	}
+	if n := len(c.buckets); n > most {
+		t.Errorf("%d buckets of unknown tenants, want at most %d", n, most)
+	}
+	if a := ask("t"); a.granted != 1 {
+		t.Errorf("got %+v for a known tenant", a)
+	}
+	c.run(idleTime + 2*sweepInterval)
+	if a := ask("new"); a.granted != 1 {
+		t.Errorf("got %+v for an unknown tenant after the others were dropped", a)
+	}
+}
--- a/internal/storesync/proof_test.go
+++ b/internal/storesync/proof_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"chestnutrouter.example/chestnutrouter/internal/eventlog"
 	"chestnutrouter.example/chestnutrouter/internal/freshness"
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
+	"chestnutrouter.example/chestnutrouter/internal/tree"
 )
 
 // The store loses revision 3 and the operator writes another revision 3, without a key. No member
@@ -187,3 +189,72 @@
 		t.Errorf("%d lines about one loss, want 1", n)
 	}
 }
+
+// A member that lacks a configuration because it was written again fetches it. The position in the
+// update is also behind records of evacuations, which must be applied: it would never read them.
+func TestFetchOfAnotherConfigurationBringsEvacuations(t *testing.T) {
+	now := time.Hour
+	log := &fakeLog{}
+	newSyncer := func() *evacuationSyncer {
+		s := newEvacuationSyncer(log)
+		s.proof = newConfigProof(ProofOptions{Bound: proofBound, Current: proofBound / 2, Clock: func() time.Duration { return now }})
+		return s
+	}
+	source, s := newSyncer(), newSyncer()
+	log.put("config", "3")
+	s.read(t, "the lost configuration")
+	log.put("config", "+3")
+	log.put("evacuate/a", "{}")
+	source.read(t, "the other member", "a")
+	s.options.Client = receiverClient{source.Receiver()}
+	e, _ := source.proof.evidence()
+	s.fetchIfOther(t.Context(), cluster.LiveMember{}, e)
+	if string(s.config.Value) != "+3" {
+		t.Fatalf("configuration %q after the fetch", s.config.Value)
+	}
+	s.read(t, "after the fetch", "a")
+}
+
+// A reader has the configuration that a restored store lost, and pulls servers from a member that has
+// read the other one written again in the same revision. The position in the update is behind that
+// configuration, so the reader must get it with the update: it would never read it itself, and take its
+// own for proven.
+func TestPullBringsTheRevisionWrittenAgain(t *testing.T) {
+	now := time.Hour
+	source, s := newProofSyncer(&now), newProofSyncer(&now)
+	s.log, s.options.Log = source.log, source.log
+	source.log.put("config", "3")
+	s.readConfig(t.Context(), 0)
+	source.log.put("config", "+3")
+	source.readConfig(t.Context(), 0)
+	source.log.put("a", "live 1")
+	source.readServers(t.Context())
+	s.options.Client = receiverClient{source.Receiver()}
+	s.Syncer.pull(t.Context(), cluster.LiveMember{Status: cluster.Status{Revision: 3, ServersVersion: source.ServersVersion()}})
+	now += time.Second
+	s.readConfig(t.Context(), 0)
+	if e, ok := s.proof.evidence(); string(s.config.Value) != "+3" {
+		t.Errorf("configuration %q with evidence %+v, %v, want the one that was written again", s.config.Value, e, ok)
+	}
+}
+
+// The age in a malformed answer or update may be any number. Added to the time that has passed since,
+// it must not become negative: the configuration would stay proven for years.
+func TestEvidenceOfImpossibleAgeProvesNothing(t *testing.T) {
+	now := time.Hour
+	s := newProofSyncer(&now)
+	s.log.put("config", "1")
+	s.readConfig(t.Context(), 0)
+	active := &tree.Tree{Revision: 1, Digest: xxhash.Sum64String("1")}
+	now += 2 * proofBound
+	answer := freshness.Evidence{Version: versionOf(active), Age: math.MaxInt64}.Encode()
+	if e, ok := freshness.Decode(answer); ok {
+		s.proof.observe(e, now)
+	}
+	other := newProofSyncer(&now) // without evidence of its own
+	other.proof.observe(freshness.Evidence{Version: versionOf(active), Age: math.MaxInt64}, now)
+	now += time.Second
+	if s.IsProven(active) || other.IsProven(active) {
+		t.Errorf("proven by evidence of an impossible age: %v at a member with older evidence, %v at one without", s.IsProven(active), other.IsProven(active))
+	}
+}
