Soak: tenants, keys, allowances, evacuations and cold servers

The configuration has tenants, keys and a public route. Beside the faults, whose schedule stays as it is, a seed determines when a key is replaced, a limit changes, a tenant sends several times its allowance, a zone is evacuated and a server is cold. The checker counts at callers and servers what each of these parts promises. The statuses that mean not run now count for idempotent requests too, and 401 is one of them.

--- a/standin/usersplatform/server.go
+++ b/standin/usersplatform/server.go
@@ -123,9 +123,10 @@
 	return startServer(store, address, 0, name, service, zone)
 }
 
-// StartColdServer starts a server that is cold for that long.
-func StartColdServer(store *Store, cold time.Duration, name, service, zone string) (*Server, error) {
-	return startServer(store, "", cold, name, service, zone)
+// StartColdServer starts a server that is cold for that long. It registers the given address as
+// StartServerAdvertising does.
+func StartColdServer(store *Store, address string, cold time.Duration, name, service, zone string) (*Server, error) {
+	return startServer(store, address, cold, name, service, zone)
 }
 
 func startServer(store *Store, address string, cold time.Duration, name, service, zone string) (*Server, error) {
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -32,6 +32,7 @@
 	deadline   time.Duration
 	atMostOnce bool
 	chunked    bool // the body is sent in chunks with pauses
+	public     bool // needs no key
 }
 
 var routes = []route{
@@ -51,6 +52,10 @@
 	addresses []string // last resolved addresses
 	expires   time.Time
 	hold      time.Duration // how many times its TTL a list is kept
+	// tenant is whose key the caller sends. With formerKeys it sends former ones as well, and
+	// requests to the public route.
+	tenant     string
+	formerKeys bool
 }
 
 type callerConn struct {
@@ -63,7 +68,7 @@
 func (w *world) runCallers(n int, seed uint64, stop <-chan struct{}) *sync.WaitGroup {
 	var group sync.WaitGroup
 	for i := range n {
-		c := &caller{world: w, number: i, rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[string]*callerConn{}, hold: 1}
+		c := &caller{world: w, number: i, rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[string]*callerConn{}, hold: 1, tenant: tenantSteady}
 		switch i % 4 {
 		case 0:
 			c.hold = longHold
@@ -114,7 +119,10 @@
 	if c.rand.IntN(4) == 0 {
 		kind = routes[c.rand.IntN(len(routes))]
 	}
-	s := requestRecord{id: fmt.Sprintf("c%d-%d", c.number, requestNumber.Add(1)), atMostOnce: kind.atMostOnce, entry: e, from: time.Now()}
+	if c.formerKeys && c.rand.IntN(3) == 0 {
+		kind = publicRoute
+	}
+	s := requestRecord{key: c.world.keyOf(c.tenant, c.formerKeys, c.rand), public: kind.public, id: fmt.Sprintf("c%d-%d", c.number, requestNumber.Add(1)), atMostOnce: kind.atMostOnce, entry: e, from: time.Now()}
 	c.exchange(e.callers, kind, &s)
 	s.to = time.Now()
 	c.world.checker.record(s)
@@ -160,7 +168,7 @@
 	}
 	delete(c.conns, address)
 	_ = conn.SetDeadline(time.Now().Add(kind.deadline + callerSlack))
-	if err := c.send(conn, kind, s.id); err != nil {
+	if err := c.send(conn, kind, s); err != nil {
 		conn.Close()
 		return
 	}
@@ -181,7 +189,7 @@
 		conn.Close()
 		return
 	}
-	c.check(s.id, response, string(body))
+	c.check(s, response, string(body))
 	if response.Close {
 		conn.Close()
 	} else {
@@ -191,7 +199,7 @@
 }
 
 // send writes the request, a chunked body with pauses.
-func (c *caller) send(conn net.Conn, kind route, id string) error {
+func (c *caller) send(conn net.Conn, kind route, s *requestRecord) error {
 	method, parts, encoding := "GET", []string{""}, "Content-Length: 0"
 	if kind.atMostOnce {
 		method, parts, encoding = "POST", []string{"kit"}, "Content-Length: 3"
@@ -199,8 +207,8 @@
 	if kind.chunked {
 		parts, encoding = []string{"", "1\r\nk\r\n", "2\r\nit\r\n", "0\r\n\r\n"}, "Transfer-Encoding: chunked"
 	}
-	parts[0] = fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n\r\n%s",
-		method, kind.service, host, id, kind.deadline.Milliseconds(), encoding, parts[0])
+	parts[0] = fmt.Sprintf("%s /%s/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nX-Tenant: %s\r\n%s\r\n\r\n%s",
+		method, kind.path(), host, s.id, kind.deadline.Milliseconds(), s.key.value, forgedTenant, encoding, parts[0])
 	for i, part := range parts {
 		if i > 0 {
 			time.Sleep(time.Duration(c.rand.Int64N(int64(maxChunkPause))))
@@ -213,13 +221,15 @@
 }
 
 // check checks one response on its own.
-func (c *caller) check(id string, response *http.Response, body string) {
-	stamp := response.Header.Get("X-Server-Stamp")
+func (c *caller) check(s *requestRecord, response *http.Response, body string) {
+	id, stamp := s.id, response.Header.Get("X-Server-Stamp")
 	switch {
 	case response.StatusCode == 200 && (body != usersplatform.ResponseBody(id) || stamp != "stamp-"+id):
 		c.world.checker.addViolation("mixed: %s got body %q with stamp %q, want its own", id, body, stamp)
 	case stamp != "" && stamp != "stamp-"+id:
 		c.world.checker.addViolation("mixed: %s got status %d with stamp %q, want its own stamp or none", id, response.StatusCode, stamp)
+	case response.StatusCode == http.StatusUnauthorized && !s.public:
+		// Whether the key was valid is checked at the end of the run.
 	case response.StatusCode >= 400 && response.StatusCode < 429:
 		c.world.checker.addViolation("denied: %s got status %d %q", id, response.StatusCode, body)
 	}
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -14,6 +14,8 @@
 	atMostOnce bool
 	entry      *entry
 	from, to   time.Time
+	key        *tenantKey
+	public     bool
 	status     int // zero if there was no complete response
 	// sent is when the whole request was sent to a process that accepted the connection, zero if
 	// that is not certain.
@@ -65,7 +67,7 @@
 
 // meansNotRun reports whether the status guarantees that the request never runs.
 func meansNotRun(status int) bool {
-	return status == 503 || status == 429 || status == 408 || status == 421
+	return status == 503 || status == 429 || status == 408 || status == 421 || status == 401
 }
 
 // checkFinal compares the outcomes that callers received with the requests that servers ran.
@@ -86,7 +88,7 @@
 		if s.atMostOnce && n > 1 {
 			c.addViolation("at most once: %s ran %d times, want at most once: %+v", s.id, n, runs[s.id])
 		}
-		if s.atMostOnce && n > 0 && meansNotRun(s.status) {
+		if n > 0 && meansNotRun(s.status) {
 			c.addViolation("not run: %s got status %d, but ran at %s", s.id, s.status, runs[s.id][0].Server)
 		}
 		if s.status == 200 && n == 0 {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -72,10 +72,12 @@
 		for _, e := range w.entries {
 			e.endpoint.SetFault(f, 0)
 		}
+		began := time.Now()
 		time.Sleep(duration)
 		for _, e := range w.entries {
 			e.endpoint.SetFault(usersplatform.None, 0)
 		}
+		w.recordStoreDown(began)
 	}},
 	{"store refuses some", func(w *world, r *rand.Rand) {
 		a, b, f := w.randomEntry(r), w.randomEntry(r), randomStoreFault(r)
@@ -178,6 +180,7 @@
 // injectConnFault injects one random fault into the connections of a proxy.
 func (w *world) injectConnFault(p *proxy, r *rand.Rand) {
 	duration := randomDuration(r, 100, 2000)
+	defer p.recordHold(time.Now())
 	switch r.IntN(4) {
 	case 0:
 		p.resetAll()
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	target        string
 	conns         map[net.Conn]bool
 	silent        map[net.Conn]bool // connections whose bytes are lost
+	holds         []interval        // when bytes to the target were held back or delayed
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -141,6 +143,22 @@
 	return p.conns[c]
 }
 
+// holdSlack is how long after a hold the bytes may still arrive.
+const holdSlack = 500 * time.Millisecond
+
+func (p *proxy) recordHold(began time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holds = append(p.holds, interval{began, time.Now().Add(holdSlack)})
+}
+
+// wasHeld reports whether what arrived at that time may have been held back.
+func (p *proxy) wasHeld(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.holds, func(h interval) bool { return !at.Before(h.from) && !at.After(h.until) })
+}
+
 // resetAll resets all connections.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
--- a/test/soak/silent_test.go
+++ b/test/soak/silent_test.go
@@ -81,6 +81,7 @@
 	}
 	request.Host = host
 	request.Header.Set("X-Request-Id", fmt.Sprintf("status-%d", requestNumber.Add(1)))
+	request.Header.Set("Authorization", "Token "+w.keyOf(tenantSteady, false, nil).value)
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -79,18 +79,21 @@
 			t.Fatal(err)
 		}
 	}
-	plan := newSchedule(seed, duration)
+	plan := withOperations(newSchedule(seed, duration), seed, duration)
 	w := newWorld(t, binary, dir)
 	defer w.close()
 	w.awaitReady()
 	stop := make(chan struct{})
 	callers := w.runCallers(callerCount, seed, stop)
+	others := w.runTenantCallers(seed, stop)
 	w.runSchedule(plan)
 	w.awaitRecovery()
 	close(stop)
 	callers.Wait()
+	others.Wait()
 	time.Sleep(time.Second) // let requests that still run at a server end and be counted
 	w.checker.checkFinal(w.servers)
+	w.checkPromises()
 	t.Logf("seed %d: %d faults, %d requests, %d served, %d broken promises", seed, len(plan), len(w.checker.requests), w.checker.served, len(w.checker.violations))
 	if len(w.checker.violations) > 0 {
 		var steps []string
@@ -115,7 +118,7 @@
 // awaitReady waits until the directory lists all entries.
 func (w *world) awaitReady() {
 	w.t.Helper()
-	c := &caller{world: w, number: -1, rand: rand.New(rand.NewPCG(0, 0)), conns: map[string]*callerConn{}}
+	c := &caller{world: w, number: -1, rand: rand.New(rand.NewPCG(0, 0)), conns: map[string]*callerConn{}, tenant: tenantSteady}
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		c.resolve()
 		if len(c.addresses) == min(*entryCount, maxListed) {
@@ -133,7 +136,7 @@
 func (w *world) awaitRecovery() {
 	callers := make([]*caller, len(w.entries))
 	for i := range callers {
-		callers[i] = &caller{world: w, number: -2 - i, rand: rand.New(rand.NewPCG(0, uint64(i))), conns: map[string]*callerConn{}}
+		callers[i] = &caller{world: w, number: -2 - i, rand: rand.New(rand.NewPCG(0, uint64(i))), conns: map[string]*callerConn{}, tenant: tenantSteady}
 	}
 	var failed []string
 	good := 0
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -40,6 +40,12 @@
 	servers []*server
 	nextID  int
 	version int
+	// tenants are in the configuration; keys are all that were ever in it.
+	tenants     []*tenant
+	keys        []*tenantKey
+	evacuations []evacuation
+	storeDown   []interval // when no entry can reach the store
+	evacuateMu  sync.Mutex // held while a zone is evacuated, so that the other one serves
 }
 
 // entry is one entry process with its listen addresses, its endpoint of the store and
@@ -71,6 +77,7 @@
 type server struct {
 	*usersplatform.Server
 	proxy *proxy
+	colds []interval // when it was cold; guarded by world.mu
 }
 
 // Offsets of an entry's ports from the first one. As on the users' platform, all
@@ -128,6 +135,7 @@
 			w.addServer(service)
 		}
 	}
+	w.addTenants()
 	w.configure()
 	first := freePorts(t)
 	for i := range *entryCount {
@@ -155,7 +163,10 @@
 }
 
 // addServer starts a backend server that registers the address of its proxy.
-func (w *world) addServer(service string) *server {
+func (w *world) addServer(service string) *server { return w.addColdServer(service, 0) }
+
+// addColdServer starts one that is cold for that long.
+func (w *world) addColdServer(service string, cold time.Duration) *server {
 	w.mu.Lock()
 	w.nextID++
 	name := fmt.Sprintf("%s-%d", service, w.nextID)
@@ -165,13 +176,17 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	s, err := usersplatform.StartServerAdvertising(w.store, p.address, name, service, zone)
+	began := time.Now()
+	s, err := usersplatform.StartColdServer(w.store, p.address, cold, name, service, zone)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	p.setTarget(s.Listen)
 	s.SetServiceTime(serviceTime(service), 100)
-	added := &server{s, p}
+	added := &server{Server: s, proxy: p}
+	if cold > 0 {
+		added.colds = []interval{{began, began.Add(cold)}}
+	}
 	w.mu.Lock()
 	w.servers = append(w.servers, added)
 	w.mu.Unlock()
@@ -209,7 +224,7 @@
 			r["timeout"], r["targetLatency"] = fmt.Sprintf("%dms", slowTimeout.Milliseconds()), "1000ms"
 		}
 	}
-	return config
+	return w.withTenants(config)
 }
 
 // serviceTime returns how long the servers of a service take.
@@ -265,8 +280,10 @@
 retryBudgetRatio = 0.2
 retryBudgetSlack = 64
 ttl_max = "1s"
+strictRevocation = true
+revoke = "%v"
 `, e.name, e.zone, e.ip, first, e.internalPort, e.internalPort, seed.control,
-		e.callers, e.ready, e.control, e.directory, e.storeProxy.address, grace)
+		e.callers, e.ready, e.control, e.directory, e.storeProxy.address, grace, revokeBound)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		e.world.t.Fatal(err)
 	}
