Soak: check keys apart from tenants, and load cold servers

Callers without pauses bring a cold server more than its bound. Each run logs how much of the promises it had.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -22,6 +22,8 @@
 	// until a connection fails.
 	longHold    = 3
 	endlessHold = 1000
+	// callerPause bounds the pause between two requests of the usual callers.
+	callerPause = 40 * time.Millisecond
 	// maxChunkPause bounds the pause between two chunks of a body.
 	maxChunkPause = 150 * time.Millisecond
 )
@@ -55,6 +57,7 @@
 	// tenant is whose key the caller sends. With formerKeys it sends former ones as well, and
 	// requests to the public route.
 	tenant     string
+	pause      time.Duration // the longest between two requests
 	formerKeys bool
 }
 
@@ -68,7 +71,7 @@
 func (w *world) runCallers(n int, seed uint64, stop <-chan struct{}) *sync.WaitGroup {
 	var group sync.WaitGroup
 	for i := range n {
-		c := &caller{world: w, number: i, rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[string]*callerConn{}, hold: 1, tenant: tenantSteady}
+		c := &caller{world: w, number: i, rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[string]*callerConn{}, hold: 1, pause: callerPause, tenant: tenantSteady}
 		switch i % 4 {
 		case 0:
 			c.hold = longHold
@@ -90,7 +93,7 @@
 			return
 		default:
 			c.step()
-			time.Sleep(time.Duration(c.rand.IntN(40)) * time.Millisecond)
+			time.Sleep(time.Duration(c.rand.Int64N(int64(c.pause))))
 		}
 	}
 }
--- a/test/soak/operations_test.go
+++ b/test/soak/operations_test.go
@@ -14,6 +14,9 @@
 	// operationPeriod is the time in which each operation happens once, in its first half, so that
 	// a short run has requests after the bounds.
 	operationPeriod = 6 * time.Second
+	// surgeCallers send many times the allowance of tenantSurge, or what a cold server may get.
+	surgeCallers = 8
+	surgePause   = 4 * time.Millisecond
 )
 
 // evacuation is a zone that was evacuated from the store's acknowledgement until just before the
@@ -47,15 +50,7 @@
 		w.store.PutJSON("keyed.op", "config", w.config())
 	}},
 	{"surge", func(w *world, r *rand.Rand) {
-		stop := make(chan struct{})
-		var group sync.WaitGroup
-		for i := range surgeCallers {
-			c := w.newCaller(tenantSurge, 300+i, r.Uint64())
-			group.Go(func() { c.run(stop) })
-		}
-		time.Sleep(randomDuration(r, 2000, 6000))
-		close(stop)
-		group.Wait()
+		w.surge(tenantSurge, r, randomDuration(r, 2000, 6000))
 	}},
 	{"evacuate", func(w *world, r *rand.Rand) {
 		zone := []string{"z0", "z1"}[r.IntN(2)]
@@ -71,22 +66,49 @@
 		w.store.Put("keyed.op", "evacuate/"+zone, nil)
 	}},
 	{"server becomes cold", func(w *world, r *rand.Rand) {
-		s := w.randomServer(r)
+		s := w.busyServer(r)
 		w.mu.Lock()
-		defer w.mu.Unlock()
 		began := time.Now()
 		s.SetCold(warmUp)
 		s.colds = append(s.colds, interval{began, began.Add(warmUp)})
+		w.mu.Unlock()
+		w.surge(tenantSteady, r, warmUp) // more than a cold server may get
 	}},
 	{"server starts cold", func(w *world, r *rand.Rand) {
-		old := w.randomServer(r)
+		old := w.busyServer(r)
 		w.addColdServer(old.Service, warmUp)
 		old.Drain()
-		time.Sleep(2500 * time.Millisecond)
+		w.surge(tenantSteady, r, 2500*time.Millisecond)
 		old.Close()
 	}},
 }
 
+// busyServer returns one of the newest servers of a service that most requests go to.
+func (w *world) busyServer(r *rand.Rand) *server {
+	service := routes[r.IntN(2)].service
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	of := slices.DeleteFunc(slices.Clone(w.servers), func(s *server) bool { return s.Service != service })
+	return of[len(of)-1-r.IntN(serverCount)]
+}
+
+// surge runs callers of the tenant that do not pause between their requests.
+func (w *world) surge(tenant string, r *rand.Rand, duration time.Duration) {
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for range surgeCallers {
+		w.mu.Lock()
+		w.callers++
+		c := w.newCaller(tenant, 300+w.callers, r.Uint64())
+		w.mu.Unlock()
+		c.pause = surgePause
+		group.Go(func() { c.run(stop) })
+	}
+	time.Sleep(duration)
+	close(stop)
+	group.Wait()
+}
+
 // withOperations adds the operations to the faults, whose schedule they leave as it is.
 func withOperations(faults []scheduledFault, seed uint64, duration time.Duration) []scheduledFault {
 	r := rand.New(rand.NewPCG(seed, 3))
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -95,15 +95,18 @@
 	key := a.request.key
 	isLate := key.isRevoked(a.request.from)
 	hasTenant := slices.Equal(a.Tenant, []string{key.tenant})
-	switch {
-	case len(a.Authorization) > 0:
+	if len(a.Authorization) > 0 {
 		w.checker.addViolation("key: %s reached %s with Authorization", a.ID, a.Server)
-	case a.request.public && len(a.Tenant) > 0 && (isLate || !hasTenant),
-		!a.request.public && !hasTenant:
-		w.checker.addViolation("tenant: %s of %s reached %s with the tenants %q, key revoked %v", a.ID, key.tenant, a.Server, a.Tenant, isLate)
-	case isLate && !a.request.public:
-		w.checker.addViolation("revocation: %s at %s ran at %s, and was sent at %s with a key removed at %s", a.ID, a.request.entry.name, a.Server,
-			a.request.from.Format(time.StampMilli), key.removed.Format(time.StampMilli))
+	}
+	if len(a.Tenant) == 0 && a.request.public {
+		return
+	}
+	if !hasTenant {
+		w.checker.addViolation("tenant: %s of %s reached %s with the tenants %q", a.ID, key.tenant, a.Server, a.Tenant)
+	}
+	if isLate {
+		w.checker.addViolation("revocation: %s at %s ran at %s as of %q, and was sent at %s with a key removed at %s", a.ID, a.request.entry.name,
+			a.Server, a.Tenant, a.request.from.Format(time.StampMilli), key.removed.Format(time.StampMilli))
 	}
 }
 
@@ -147,6 +150,7 @@
 				most, at = n, first.At
 			}
 		}
+		w.t.Logf("cold %s got at most %d requests in any second", s.Name, most)
 		if float64(most) > warmUpPerSecond*coldOver+coldSlack {
 			w.checker.addViolation("cold: %s got %d requests in a second from %s on, cold since %s", s.Name, most, at.Format(time.StampMilli), cold.from.Format(time.StampMilli))
 		}
@@ -167,6 +171,7 @@
 		sent = append(sent, s)
 	}
 	slices.SortFunc(sent, func(a, b *requestRecord) int { return a.from.Compare(b.from) })
+	fullest := 0.0
 	for i, first := range sent {
 		allowed := t.allowed(first.from)
 		if allowed == 0 {
@@ -178,11 +183,13 @@
 				n++
 			}
 		}
+		fullest = max(fullest, float64(n)/allowed)
 		if float64(n) > allowed {
 			w.checker.addViolation("allowance: %d requests of %s were sent and ran within %v from %s on, allowed are %.0f", n, t.name, quotaWindow, first.from.Format(time.StampMilli), allowed)
 			return
 		}
 	}
+	w.t.Logf("tenant %s used at most %.2f of what any %v may have", t.name, fullest, quotaWindow)
 }
 
 // allowed returns how many requests may be sent and run in the window that begins then, zero
--- a/test/soak/tenants_test.go
+++ b/test/soak/tenants_test.go
@@ -24,8 +24,6 @@
 	configBound = 2500 * time.Millisecond
 	// rotatingCallers send present and former keys.
 	rotatingCallers = 3
-	// surgeCallers send many times the allowance of tenantSurge together.
-	surgeCallers = 8
 )
 
 // publicRoute needs no key.
@@ -162,6 +160,6 @@
 func (w *world) newCaller(tenant string, number int, seed uint64) *caller {
 	return &caller{
 		world: w, tenant: tenant, number: number, rand: rand.New(rand.NewPCG(seed, uint64(number))),
-		conns: map[string]*callerConn{}, hold: 1,
+		conns: map[string]*callerConn{}, hold: 1, pause: callerPause,
 	}
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex // guards the fields below
 	servers []*server
 	nextID  int
+	callers int // that ran beside the usual ones
 	version int
 	// tenants are in the configuration; keys are all that were ever in it.
 	tenants     []*tenant
