Find the owners of tenants with long names

Requests of a tenant whose name has more than 1,000 bytes got 503 in a cluster, all of them unless a member happened to be an owner both ways. A question has only the first part of the name, and its receiver, which finds the owner by what it has received, took another member for the owner than the one that asked. Both now use the part in the question. It is at most 900 bytes, so that a claim with a long name fits into a datagram.

--- a/internal/allowance/client.go
+++ b/internal/allowance/client.go
@@ -360,7 +360,7 @@
 		if s.assignment == c.assignment {
 			continue
 		}
-		owner, _ := c.assignment.Owner(cluster.AssignmentKey(t.name, i))
+		owner, _ := c.assignment.Owner(cluster.AssignmentKey(shardName(t.name), i))
 		if owner == nil || s.owner == nil || owner.VM != s.owner.VM {
 			s.deniedUntil, s.skipUntil, s.usedAt = now, now, 0
 		}
--- a/internal/allowance/client_test.go
+++ b/internal/allowance/client_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,24 @@
 	})
 }
 
+// The name of a tenant may be too long for a question. All entries must take the same ones for the owners
+// of its shards, by the part of the name that a question has.
+func TestLongNameHasOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tenant := &tree.Tenant{Name: strings.Repeat("tenant", 400), PerSecond: 100, Burst: 100}
+		w := newWorld(t, 30, tenant)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); w.finish() }()
+		go w.run(ctx)
+		time.Sleep(settleTime)
+		for _, e := range w.entries[:4] {
+			if _, refusal := e.client.Acquire(ctx, tenant); refusal != nil {
+				t.Errorf("%s: got refusal %+v", e.vm, refusal)
+			}
+		}
+	})
+}
+
 // A request that ends while it waits must not keep the unit that arrives for it, and must end at
 // once.
 func TestAcquireEndsWithItsContext(t *testing.T) {
--- a/internal/allowance/message.go
+++ b/internal/allowance/message.go
@@ -30,8 +30,13 @@
 	statusNotOwner status = 4
 )
 
-// maxNameBytes bounds the name of a tenant in a question; the rest of a longer one is cut off.
-const maxNameBytes = 1000
+// maxNameBytes bounds the name of a tenant in a question, so that with the longest name of a claiming
+// member it fits into a datagram. The rest of a longer one is cut off.
+const maxNameBytes = 900
+
+// shardName returns the name by which the owners of a tenant's shards are found: that in a question, as
+// an owner knows no other one.
+func shardName(tenant string) string { return tenant[:min(len(tenant), maxNameBytes)] }
 
 // question asks the owner of a shard for units, returns one, or cancels an earlier question.
 type question struct {
@@ -63,7 +68,7 @@
 		out = append(out, byte(len(from)))
 		out = append(out, from...)
 	}
-	return append(out, q.tenant[:min(len(q.tenant), maxNameBytes-len(q.from))]...)
+	return append(out, shardName(q.tenant)...)
 }
 
 func decodeQuestion(data []byte) (question, bool) {
