--- a/internal/storesync/proofworld_test.go
+++ b/internal/storesync/proofworld_test.go
@@ -66,8 +66,8 @@
 	// pathTime, and regained when it started, was suspended or had one again after an outage;
 	// used by check alone.
 	pathSince, lastPath, regained time.Time
-	asked              atomic.Int64 // questions that it got
-	ended              bool         // guarded by proofWorld.mu
+	asked                         atomic.Int64 // questions that it got
+	ended                         bool         // guarded by proofWorld.mu
 }
 
 // proofWorld plays members that keep their proof young.
