Read the number of descriptors from the platform's settings

The platform names it in self.limits.maxFds and does not promise that it is the limit of the operating system too, which alone bounded the connections.

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -125,6 +125,9 @@
 	if err != nil {
 		events.Warn("descriptors are not limited", "error", err)
 	}
+	if s.Descriptors > 0 && (descriptors == 0 || s.Descriptors < descriptors) {
+		descriptors = s.Descriptors
+	}
 	return account.LimitsFor(s.softMemoryLimit(), descriptors)
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,6 +30,9 @@
 	Seeds []netip.AddrPort
 	// MemoryBytes is the memory limit of the process, zero for none.
 	MemoryBytes int64
+	// Descriptors is how many descriptors the process may have open, zero if only the limit of the
+	// operating system holds.
+	Descriptors int
 	// Cores is the number of processors that the process may use, zero for all.
 	// CPUQuota is its CPU quota in cores.
 	Cores    int
