--- a/internal/gateway/allowances_test.go
+++ b/internal/gateway/allowances_test.go
@@ -29,7 +29,7 @@
 }
 
 // An entry that is its own only seed is alone and may grant to itself; one with another seed must
-// hear of it first.
+// first learn of that member.
 func TestEntryKnowsWhetherItShouldHavePeers(t *testing.T) {
 	self, other := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
 	for _, c := range []struct {
--- a/internal/storesync/evacuations.go
+++ b/internal/storesync/evacuations.go
@@ -20,7 +20,7 @@
 //
 //   - A key that is missing among the newest records of all keys has been removed, unless what
 //     is known of it is of an earlier epoch: the store was then restored from a copy that may be
-//     older than the record. The same holds for a key that a member lacks who knows all records
+//     older than the record. The same holds for a key that is missing at a member with all records
 //     up to a later position.
 //   - After such a restore a removal in the copy does not end an evacuation that was read at a
 //     later offset of the epoch before. It stays until its key is written again.
