An attempt that outlives its request cannot read the released body

A hedge that is abandoned may end after its request. If its connection broke, the guard against requests that end servers asked for the body to identify the request, while the end of the request released it: a data race, and the request could be taken for one with an empty body. Reader now returns ErrReleased then, and such an attempt adds no evidence. TestReleasedBodyCannotBeRead guards it (it did not compile before, as there was no error to return).

--- a/internal/buffer/body.go
+++ b/internal/buffer/body.go
@@ -11,6 +11,9 @@
 // ErrNoMemory means that the budget has no memory for the body now.
 var ErrNoMemory = errors.New("no memory for the request body")
 
+// ErrReleased means that the request of a body has ended.
+var ErrReleased = errors.New("the request has ended and its body was released")
+
 // Sizes in bytes of the blocks that a body is read into. Each block is as large as those before it
 // together, within these bounds.
 const (
@@ -30,6 +33,7 @@
 	// remaining is how many of the announced bytes have no memory yet.
 	remaining int64
 	evicted   bool
+	released  bool
 }
 
 // Read reads a body to its end. length is its announced length in bytes, negative if that is not
@@ -142,10 +146,16 @@
 // Len returns the size of the body in bytes.
 func (b *Body) Len() int64 { return b.size }
 
-// Reader returns a reader of the whole body. Closing it has no effect.
-func (b *Body) Reader() io.ReadCloser {
+// Reader returns a reader of the whole body, or ErrReleased: an attempt that was abandoned may end
+// after its request. Closing the reader has no effect.
+func (b *Body) Reader() (io.ReadCloser, error) {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	if b.released {
+		return nil, ErrReleased
+	}
 	rest := append(net.Buffers(nil), b.blocks...)
-	return io.NopCloser(&rest)
+	return io.NopCloser(&rest), nil
 }
 
 // Bytes returns the body in one piece. It must not be called at the same time as Reader.
@@ -164,7 +174,7 @@
 func (b *Body) Release() {
 	b.budget.mu.Lock()
 	held := b.held
-	b.blocks = nil
+	b.blocks, b.released = nil, true
 	b.budget.release(b)
 	b.budget.mu.Unlock()
 	b.holder.Release(held)
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -40,7 +40,11 @@
 			t.Fatalf("%d bytes, announced %d: %v", len(want), length, err)
 		}
 		for range 2 {
-			got, err := io.ReadAll(body.Reader())
+			reader, err := body.Reader()
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(reader)
 			if err != nil || !bytes.Equal(got, want) || !bytes.Equal(body.Bytes(), want) || body.Len() != int64(len(want)) {
 				t.Fatalf("%d bytes, announced %d: got %d and another content, error %v", len(want), length, len(got), err)
 			}
@@ -194,3 +198,25 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// An attempt that was abandoned may ask for the body after its request has ended and the body was
+// released. It must get an error: an empty body would give the request another identity.
+func TestReleasedBodyCannotBeRead(t *testing.T) {
+	body, err := NewBudget(0, tally.NoopScope).Read(strings.NewReader("order"), 5, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan error)
+	go func() {
+		for {
+			if _, err := body.Reader(); err != nil {
+				asked <- err
+				return
+			}
+		}
+	}()
+	body.Release()
+	if err := <-asked; !errors.Is(err, ErrReleased) {
+		t.Errorf("got error %v, want %v", err, ErrReleased)
+	}
+}
--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -50,8 +49,9 @@
 func setBody(r *http.Request, body *buffer.Body) {
 	r.ContentLength = body.Len()
 	r.TransferEncoding = nil
-	r.GetBody = func() (io.ReadCloser, error) { return body.Reader(), nil }
-	r.Body = body.Reader()
+	r.GetBody = body.Reader
+	// A body that was just read has not been released.
+	r.Body, _ = body.Reader()
 }
 
 func noMemory() *outcome.Refusal {
