--- a/internal/storesync/proofworld_test.go
+++ b/internal/storesync/proofworld_test.go
@@ -321,7 +321,7 @@
 // outage of outagePatience. The runtime of the race detector does not bear that many members.
 func proofMembers() int {
 	if raceEnabled {
-		return 12
+		return 32
 	}
 	return 104
 }
