--- a/internal/storesync/proofworld_test.go
+++ b/internal/storesync/proofworld_test.go
@@ -321,7 +321,7 @@
 // outage of outagePatience. The runtime of the race detector does not bear that many members.
 func proofMembers() int {
 	if raceEnabled {
-		return 32
+		return 36
 	}
 	return 104
 }
@@ -502,7 +502,7 @@
 // of the race detector sometimes ends the process in larger ones (see KNOWN-RED.txt).
 func faultMembers() int {
 	if raceEnabled {
-		return 5
+		return 8
 	}
 	return 24
 }
