--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -109,7 +109,7 @@
 	pickCount        atomic.Uint64 // increases with each pick from a hash of the entry's name; moves the start of scans
 	limits           atomic.Pointer[limitOrder]
 	rate             requestRate
-	leaving          leaving
+	zoneShares       zoneShares
 	mu               sync.Mutex // guards the construction of a new snapshot
 }
 
--- a/internal/balancer/leaving.go
+++ b/internal/balancer/zoneshare.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// leavingInterval is the time between two decisions on what leaves the zone.
-	leavingInterval = 100 * time.Millisecond
+	// zoneShareInterval is the time between two decisions on what leaves the zone.
+	zoneShareInterval = 100 * time.Millisecond
 	// maxFreshAge is the mean age of another zone's load reports up to which single requests may
 	// go there when their own zone's servers can't take them as soon. With older ones all entries
 	// choose servers that others have filled by then, and slow each other down: then requests
@@ -26,10 +26,10 @@
 	// minOwnServers is the number of servers in a zone from which requests may be kept there. A
 	// zone of fewer is often without a server at full speed by chance.
 	minOwnServers = 8
-	// minLeavingLogInterval is the least time between two log lines on a zone, and leavingLogStep
+	// minZoneShareLogInterval is the least time between two log lines on a zone, and zoneShareLogStep
 	// the change of the share from which there is one.
-	minLeavingLogInterval = time.Second
-	leavingLogStep        = 0.1
+	minZoneShareLogInterval = time.Second
+	zoneShareLogStep        = 0.1
 )
 
 // Reasons for which a request leaves the zone, as in the counter.
@@ -74,10 +74,10 @@
 	sent      atomic.Uint64 // requests sent there
 }
 
-// leaving decides what leaves the zone. Its lock is a leaf, and picks never wait for it.
-type leaving struct {
+// zoneShares decides what leaves the zone. Its lock is a leaf, and picks never wait for it.
+type zoneShares struct {
 	decided atomic.Int64 // time of the last decision, in Unix nanoseconds
-	current atomic.Pointer[leavingDecision]
+	current atomic.Pointer[zoneDecision]
 
 	mu         sync.Mutex
 	controller spill.Controller
@@ -90,8 +90,8 @@
 	at    int64
 }
 
-// leavingDecision is an immutable decision.
-type leavingDecision struct {
+// zoneDecision is an immutable decision.
+type zoneDecision struct {
 	spill.Decision
 	zones   []*zoneRing // the other zones, in the order of Decision.Parts
 	servers []int       // usable servers of the own zone and of each other one
@@ -125,14 +125,14 @@
 
 // decideLeaving makes a new decision if one is due. Concurrent picks go by the current one.
 func (b *Balancer) decideLeaving(s *snapshot, p *pickParams) {
-	if len(s.otherZones) == 0 || p.now-b.leaving.decided.Load() < int64(leavingInterval) || !b.leaving.mu.TryLock() {
+	if len(s.otherZones) == 0 || p.now-b.zoneShares.decided.Load() < int64(zoneShareInterval) || !b.zoneShares.mu.TryLock() {
 		return
 	}
-	defer b.leaving.mu.Unlock()
-	if p.now-b.leaving.decided.Load() < int64(leavingInterval) {
+	defer b.zoneShares.mu.Unlock()
+	if p.now-b.zoneShares.decided.Load() < int64(zoneShareInterval) {
 		return
 	}
-	l := &b.leaving
+	l := &b.zoneShares
 	l.decided.Store(p.now)
 	loads := make([]spill.Zone, 1+len(s.otherZones))
 	servers := make([]int, len(loads))
@@ -167,7 +167,7 @@
 	if !slices.Equal(zones, l.zones) {
 		l.controller, l.zones = spill.Controller{}, zones
 	}
-	d := &leavingDecision{Decision: l.controller.Update(steady.Time(p.now), loads[0], loads[1:]), zones: s.otherZones, servers: servers}
+	d := &zoneDecision{Decision: l.controller.Update(steady.Time(p.now), loads[0], loads[1:]), zones: s.otherZones, servers: servers}
 	for i, z := range d.zones {
 		cost := float64(crossZoneTimeCost)
 		z.zone.reportAge.update(ages[1+i]/max(float64(servers[1+i]), 1), ageWeight)
@@ -184,21 +184,21 @@
 }
 
 // notifyShares tells of shares that changed by much since they were last told.
-func (b *Balancer) notifyShares(d *leavingDecision, now int64) {
+func (b *Balancer) notifyShares(d *zoneDecision, now int64) {
 	if b.options.OnZoneShare == nil {
 		return
 	}
 	for i, z := range d.zones {
 		share := d.Share * d.Parts[i]
-		last := b.leaving.logged[z.zone.name]
+		last := b.zoneShares.logged[z.zone.name]
 		ended := share == 0 && last.share > 0
-		if !ended && math.Abs(share-last.share) < leavingLogStep || now-last.at < int64(minLeavingLogInterval) {
+		if !ended && math.Abs(share-last.share) < zoneShareLogStep || now-last.at < int64(minZoneShareLogInterval) {
 			continue
 		}
-		if b.leaving.logged == nil {
-			b.leaving.logged = make(map[string]loggedShare)
+		if b.zoneShares.logged == nil {
+			b.zoneShares.logged = make(map[string]loggedShare)
 		}
-		b.leaving.logged[z.zone.name] = loggedShare{share: share, at: now}
+		b.zoneShares.logged[z.zone.name] = loggedShare{share: share, at: now}
 		b.options.OnZoneShare(ZoneShareChange{
 			Service: b.options.Service, Zone: z.zone.name, Share: share, Before: last.share,
 			OwnLoad: d.OwnLoad, Load: d.Loads[i],
@@ -208,7 +208,7 @@
 
 // drawZone returns the zone that the pick goes to by the shares, or nil for the own one.
 func (b *Balancer) drawZone(p *pickParams) *zoneRing {
-	d := b.leaving.current.Load()
+	d := b.zoneShares.current.Load()
 	if d == nil || d.Share == 0 || d.servers[0] == 0 {
 		return nil
 	}
@@ -246,7 +246,7 @@
 	}
 	be.zone.sent.Add(1)
 	reason := leftForNoRoom
-	switch d := b.leaving.current.Load(); {
+	switch d := b.zoneShares.current.Load(); {
 	case byShare:
 		reason = leftByShare
 	case d == nil || !be.speed.known():
@@ -261,7 +261,7 @@
 // ZoneStatuses returns the status of the own zone, which comes first, and of each other zone of
 // the region; nothing if there is only one zone or servers report no slowdown.
 func (b *Balancer) ZoneStatuses() []ZoneStatus {
-	d := b.leaving.current.Load()
+	d := b.zoneShares.current.Load()
 	if d == nil {
 		return nil
 	}
