Send no probes at a start before another entry is known

After a loss of power of all VMs each entry at first knows no other one, takes all servers for its own and opens a connection to each for its probes: on 200 entries and 225 servers up to 45,000 connections within half a second, while small VMs need their processor time to find each other. An entry that should have others now waits for the first one, 1 s at most. TestEntryThatKnowsNoOtherProbesNothingAtItsStart failed before.

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -55,8 +55,9 @@
 	// takes a few milliseconds if the server is up, and after a timeout there is still
 	// time to try another server.
 	serverDialTimeout = 200 * time.Millisecond
-	// settleTime is how long an entry sends nothing to servers that warm up after its start. Entries
-	// that start together know each other by then, so that their shares of a limit add up to it.
+	// settleTime is how long after its start an entry sends nothing to servers that warm up, and no
+	// probes while it knows no other entry. Entries that start together know each other by then, so
+	// that their shares of a limit add up to it.
 	settleTime = time.Second
 	// unackedTimeout closes a connection whose other side acknowledges nothing.
 	unackedTimeout = time.Second
@@ -283,12 +284,18 @@
 }
 
 func newLoadSync(s *Settings, adapter *Adapter, node *cluster.Node, callbacks *clusterCallbacks, scope tally.Scope) *loadsync.Syncer {
+	settledAt := time.Time{}
+	if hasPeers(s) {
+		settledAt = time.Now().Add(settleTime)
+	}
 	callbacks.loadSync = loadsync.New(loadsync.Options{
 		VM:     s.VM,
 		View:   node.View,
 		Sender: adapter.Prober,
 		Flush:  func() { callbacks.sendNow(node) },
 		Scope:  scope,
+
+		SettledAt: settledAt,
 	})
 	return callbacks.loadSync
 }
--- a/internal/loadsync/syncer.go
+++ b/internal/loadsync/syncer.go
@@ -61,6 +61,10 @@
 	// Flush sends pending reports and counts immediately; if nil, they wait for the next
 	// heartbeat.
 	Flush func()
+	// SettledAt is when this entry should have contact to others after its start. Until then it sends
+	// no probes while it knows no other entry, as it would take all servers for its own. The zero
+	// time is that of an entry without others.
+	SettledAt time.Time
 	// Scope receives the counters; nil discards them.
 	Scope tally.Scope
 }
@@ -201,6 +205,9 @@
 // dueTargets returns the servers to probe in this round and takes them from the budget.
 func (s *Syncer) dueTargets(now time.Time) []*target {
 	view := s.options.View()
+	if view.Known <= 1 && now.Before(s.options.SettledAt) {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.assign(view, now)
--- a/internal/loadsync/syncer_test.go
+++ b/internal/loadsync/syncer_test.go
@@ -86,6 +86,39 @@
 	})
 }
 
+// After a loss of power of all VMs, 200 entries start that know no other one yet. If each took the
+// 225 servers for its own and probed them, that would be 45,000 new connections within half a second.
+func TestEntryThatKnowsNoOtherProbesNothingAtItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const settle = time.Second
+		s, view := &sender{counts: map[string]int{}}, viewOf(1, 1)
+		syncer, _ := newSyncer("vm-0", view, servers(12), s)
+		syncer.options.View = func() *cluster.View { return view }
+		syncer.options.SettledAt = time.Now().Add(settle)
+		syncer.Round(t.Context(), time.Now())
+		if len(s.counts) != 0 {
+			t.Errorf("%d servers probed without contact to another entry, want none", len(s.counts))
+		}
+		view = viewOf(4, 4)
+		for range 8 {
+			syncer.Round(t.Context(), time.Now())
+		}
+		if len(s.counts) == 0 || len(s.counts) == 12 {
+			t.Errorf("%d of 12 servers probed with 4 entries in contact, want this entry's", len(s.counts))
+		}
+		alone := &sender{counts: map[string]int{}}
+		syncer, _ = newSyncer("vm-0", viewOf(1, 1), servers(12), alone)
+		syncer.options.SettledAt = time.Now().Add(settle)
+		time.Sleep(settle)
+		for range 8 {
+			syncer.Round(t.Context(), time.Now())
+		}
+		if len(alone.counts) != 12 {
+			t.Errorf("%d of 12 servers probed by an entry that stays alone, want all", len(alone.counts))
+		}
+	})
+}
+
 // countHook is a scope that calls a function at each count.
 type countHook struct {
 	tally.Scope
