--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -36,7 +36,7 @@
 	// owner goes on as before. Nobody can have granted in its place by then: members take
 	// another one for live for 500 ms at least, and a new owner waits for takeoverDelay.
 	maxPause = time.Second
-	// aloneTime is how long an entry that should have peers and has not heard of any does not
+	// aloneTime is how long an entry that should have peers and knows none does not
 	// grant. After that time members forget each other.
 	aloneTime = 2 * time.Minute
 	// useWindow is the time constant of the recent use of a tenant.
