Let requests wait for shards that begin to grant after a start of all

A request that the first shard denied for want of units was refused at once, though the other three began to grant within 0.2 s, and units accrued only since the last member was found, not since it started.

--- a/internal/allowance/client.go
+++ b/internal/allowance/client.go
@@ -315,7 +315,8 @@
 		case w.gone:
 		case w.denied == allShards && w.reduced == 0:
 			w.decided <- decision{refusal: c.refuse(t, refuseBeyond(untilUnit), now)}
-		case w.denied == allShards, w.denied != 0 && w.denied|unavailable == allShards, now >= w.holdEnd:
+		// Where the denials so far say nothing about the allowance, another shard may still grant.
+		case w.denied == allShards, w.denied&^w.reduced != 0 && w.denied|unavailable == allShards, now >= w.holdEnd:
 			w.decided <- decision{refusal: c.refuse(t, refuseUnavailable(detailNotAsked), now)}
 		default:
 			kept = append(kept, w)
--- a/internal/allowance/client_test.go
+++ b/internal/allowance/client_test.go
@@ -291,3 +291,46 @@
 		_, _ = client.Acquire(b.Context(), tenant)
 	}
 }
+
+// scriptedNode is a cluster of one member, whose answers a test decides.
+type scriptedNode struct {
+	view   *cluster.View
+	answer func(shard byte) answer
+}
+
+func (n *scriptedNode) View() *cluster.View { return n.view }
+
+func (n *scriptedNode) Query(_ context.Context, _ cluster.LiveMember, _ byte, data []byte) ([]byte, error) {
+	q, _ := decodeQuestion(data)
+	a := n.answer(q.shard)
+	return a.encode(), nil
+}
+
+// After a start of all entries, shards begin to grant one after the other, and the first of them may
+// have too few units for the requests that wait. Such a request must wait for the next shards; one
+// that a shard denies as beyond the allowance is refused at once.
+func TestRequestWaitsForShardsThatBeginToGrant(t *testing.T) {
+	for denied, granted := range map[status]bool{statusReduced: true, statusDecided: false} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			node := &scriptedNode{
+				view: cluster.NewView([]cluster.LiveMember{{Member: cluster.Member{VM: "a"}}}, 0),
+				answer: func(shard byte) answer {
+					switch {
+					case shard == 0:
+						return answer{status: denied, wait: maxDenial}
+					case time.Since(began) < 100*time.Millisecond:
+						return answer{status: statusNotReady, wait: 100*time.Millisecond - time.Since(began)}
+					default:
+						return answer{status: statusDecided, granted: 1}
+					}
+				},
+			}
+			client := NewClient(ClientOptions{Node: node, Now: func() time.Duration { return time.Since(began) }})
+			_, refusal := client.Acquire(t.Context(), &tree.Tenant{Name: "t", PerSecond: 10, Burst: 10})
+			if (refusal == nil) != granted {
+				t.Errorf("status %d: got refusal %+v, want a grant: %v", denied, refusal, granted)
+			}
+		})
+	}
+}
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -342,8 +342,9 @@
 func (o *Owner) grantsFrom(since time.Duration) (readyAt, filledFrom time.Duration) {
 	readyAt, filledFrom = since+takeoverDelay, since+takeoverDelay
 	if p := o.current(); p.allStarted > 0 && p.since+startDelay < readyAt {
-		// The owners before the start have ended by then, and nobody has granted since.
-		return p.since + startDelay, p.since
+		// The owners before the start had ended when the last member started, and those that did not
+		// see all members yet have granted next to nothing.
+		return p.since + startDelay, min(p.allStarted, p.since)
 	}
 	return readyAt, filledFrom
 }
--- a/internal/allowance/owner_test.go
+++ b/internal/allowance/owner_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// Load: requests that wait since all VMs lost power. What accrued since the last member started must be
+// there for them, also where the members found each other later: nobody has granted it.
+func TestUnitsAccrueSinceAStartOfAll(t *testing.T) {
+	const discovery = 600 * time.Millisecond
+	c := newOwnerClock(Limit{PerSecond: 40, Burst: 40})
+	c.Owner = NewOwner(OwnerOptions{
+		Self: "a", View: func() *cluster.View { return c.view }, Now: func() time.Duration { return c.now },
+		Limit:     func(string) (Limit, bool) { return c.limit, true },
+		StartedAt: func(cluster.Member) time.Duration { return time.Hour },
+	})
+	c.run(discovery)
+	live := []cluster.LiveMember{{Member: cluster.Member{VM: "a", Weight: 100}}, {Member: cluster.Member{VM: "b", Weight: 1e-6}}}
+	c.view = cluster.NewView(live, 0)
+	c.run(startDelay + 100*time.Millisecond)
+	if a := c.ask(50); a.granted != 10 {
+		t.Errorf("%d units granted, want %v and a quarter of 40 a second for 0.9 s", a.granted, initialUnits)
+	}
+}
+
 // After a pause of its process, an owner must not grant what accrued meanwhile, as another member
 // has granted it: it starts anew. A pause too short for a takeover changes nothing.
 func TestOwnerStartsAnewAfterAPause(t *testing.T) {
