--- a/internal/attempt/retry.go
+++ b/internal/attempt/retry.go
@@ -67,7 +67,7 @@
 	if c.match.Route.MaxAttempts > 0 {
 		return c.match.Route.MaxAttempts
 	}
-	return defaultMaxAttempts
+	return DefaultMaxAttempts
 }
 
 // retryDenial returns why a wanted retry can't be made, or "" if it can. Under
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -26,9 +26,9 @@
 	"chestnutrouter.example/chestnutrouter/internal/wire"
 )
 
-// defaultMaxAttempts bounds the attempts of one call at one layer, hedges
+// DefaultMaxAttempts bounds the attempts of one call at one layer, hedges
 // included. A route can set another limit.
-const defaultMaxAttempts = 3
+const DefaultMaxAttempts = 3
 
 // maxUnsentAttempts bounds the attempts of one call that reached no server.
 const maxUnsentAttempts = 4
--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -9,8 +9,20 @@
 	"strings"
 )
 
+// Severity says whether a finding keeps a document from being used.
+type Severity string
+
+const (
+	// Error is the severity of a problem that has to be solved before the document is used.
+	Error Severity = "error"
+	// Warning is the severity of a value that is probably not what its author means.
+	Warning Severity = "warning"
+)
+
 // Finding is one problem of a document.
 type Finding struct {
+	// Severity is empty where all findings of a check are errors.
+	Severity Severity `json:"severity,omitempty"`
 	// File is the name of the document, usually a file name.
 	File string `json:"file"`
 	// Line and Column start at one; Column counts bytes. Both are zero if the
@@ -21,9 +33,11 @@
 	Path string `json:"path,omitempty"`
 	// Message describes the problem and, where it helps, what is expected.
 	Message string `json:"message"`
+	// Remedy says what to do, if the message does not.
+	Remedy string `json:"remedy,omitempty"`
 }
 
-// String returns "file:line:column: path: message".
+// String returns "file:line:column: severity: path: message".
 func (f Finding) String() string {
 	var b strings.Builder
 	b.WriteString(f.File)
@@ -31,6 +45,9 @@
 		fmt.Fprintf(&b, ":%d:%d", f.Line, f.Column)
 	}
 	b.WriteString(": ")
+	if f.Severity != "" {
+		b.WriteString(string(f.Severity) + ": ")
+	}
 	if f.Path != "" {
 		b.WriteString(f.Path + ": ")
 	}
@@ -58,8 +75,8 @@
 	return l
 }
 
-// Sorted returns the findings without duplicates, sorted by file, line, column,
-// path and message.
+// Sorted returns the findings without duplicates, sorted by severity (errors first), file, line,
+// column, path and message.
 func (l List) Sorted() List {
 	sorted := slices.Clone(l)
 	slices.SortStableFunc(sorted, compare)
@@ -68,6 +85,7 @@
 
 func compare(a, b Finding) int {
 	return cmp.Or(
+		cmp.Compare(a.Severity, b.Severity), // "error" is less than "warning"
 		cmp.Compare(a.File, b.File),
 		cmp.Compare(a.Line, b.Line),
 		cmp.Compare(a.Column, b.Column),
--- a/internal/tree/tenant.go
+++ b/internal/tree/tenant.go
@@ -52,20 +52,29 @@
 // AddTenant adds a tenant with its keys. It returns a *KeyConflictError if one of the keys is
 // another tenant's. It must not be called once the tree is in use.
 func (t *Tree) AddTenant(tenant *Tenant, keys ...string) error {
-	if t.tenantsByKey == nil {
-		t.tenantsByKey = map[keyHash]*Tenant{}
-	}
 	for _, key := range keys {
-		hash := hashKey(key)
-		if other := t.tenantsByKey[hash]; other != nil && other != tenant {
-			return &KeyConflictError{Tenants: [2]string{other.Name, tenant.Name}}
+		if err := t.AddKey(tenant, key); err != nil {
+			return err
 		}
-		t.tenantsByKey[hash] = tenant
 	}
 	t.Tenants = append(t.Tenants, tenant)
 	return nil
 }
 
+// AddKey makes the key one of the tenant's. It returns a *KeyConflictError if the key is another
+// tenant's. It must not be called once the tree is in use.
+func (t *Tree) AddKey(tenant *Tenant, key string) error {
+	if t.tenantsByKey == nil {
+		t.tenantsByKey = map[keyHash]*Tenant{}
+	}
+	hash := hashKey(key)
+	if other := t.tenantsByKey[hash]; other != nil && other != tenant {
+		return &KeyConflictError{Tenants: [2]string{other.Name, tenant.Name}}
+	}
+	t.tenantsByKey[hash] = tenant
+	return nil
+}
+
 // HasTenants reports whether requests must carry a tenant's key, unless their route is public.
 func (t *Tree) HasTenants() bool { return len(t.Tenants) > 0 }
 
