Check a configuration of the users' platform before it is written

chestnutctl check-config FILE [--in-force FILE] reports every fault for which entries would ignore the configuration, what violates the documented format, entries that never match, limits that contradict each other, and the differences from the version in force.

--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -35,6 +35,7 @@
 	wait      bool
 	dryRun    bool
 	remove    bool
+	inForce   string
 	traffic   TrafficOptions
 }
 
@@ -72,6 +73,10 @@
 	check.AddPositionalValue(&cmd.argument, "path", 1, true, "directory of branches, or one file")
 	check.String(&cmd.branch, "b", "branch", "check the file as the document of this branch")
 
+	checkConfig := subcommand("check-config", "check a configuration for the users' platform before it is written to the store")
+	checkConfig.AddPositionalValue(&cmd.argument, "file", 1, true, "value of the configuration's record, as JSON")
+	checkConfig.String(&cmd.inForce, "", "in-force", "file with the version in force, to compare with")
+
 	publish := subcommand("publish", "publish what differs from what is in force")
 	publish.AddPositionalValue(&cmd.argument, "directory", 1, true, "directory of branches")
 	publish.String(&cmd.branch, "b", "branch", "publish this branch only")
@@ -100,7 +105,7 @@
 	traffic.String(&cmd.traffic.Path, "", "path", "path of the route")
 	traffic.String(&cmd.traffic.Method, "m", "method", "method of the route; default GET")
 
-	all := []*flaggy.Subcommand{check, publish, approve, show, history, status, traffic}
+	all := []*flaggy.Subcommand{check, checkConfig, publish, approve, show, history, status, traffic}
 	for _, sub := range all {
 		parser.AttachSubcommand(sub, 1)
 	}
@@ -117,7 +122,7 @@
 // which of them the command needs.
 func (cmd *command) validate() error {
 	if cmd.name == "" {
-		return &UsageError{Detail: "name a command: check, publish, approve, show, history, status or traffic"}
+		return &UsageError{Detail: "name a command: check, check-config, publish, approve, show, history, status or traffic"}
 	}
 	if cmd.branch != "" {
 		if _, err := tree.ParseBranch(cmd.branch); err != nil {
@@ -135,7 +140,8 @@
 	if cmd.traffic.Path != "" && cmd.traffic.Host == "" {
 		return &UsageError{Detail: "--path needs --host"}
 	}
-	needsPlatform := cmd.name != "check" && cmd.name != "traffic" && (cmd.name != "status" || cmd.argument == "")
+	isLocal := cmd.name == "check" || cmd.name == "check-config"
+	needsPlatform := !isLocal && cmd.name != "traffic" && (cmd.name != "status" || cmd.argument == "")
 	if needsPlatform && len(cmd.endpoints) == 0 {
 		return &UsageError{Detail: "name the platform with --platform or $" + platformVariable}
 	}
@@ -147,6 +153,8 @@
 	switch cmd.name {
 	case "check":
 		return printable(Check(cmd.argument, branch))
+	case "check-config":
+		return printable(CheckConfig(c.ConfigRules, cmd.argument, cmd.inForce))
 	case "publish":
 		return printable(c.Publish(ctx, PublishOptions{
 			Directory: cmd.argument,
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,6 +1,7 @@
 // Package ctl implements chestnutctl, with which operators check a directory of
 // branches, publish its differences from the active configuration, approve
-// proposals and inspect the active state.
+// proposals and inspect the active state. Operators of the users' platform check a
+// configuration before they write it.
 package ctl
 
 import (
@@ -32,8 +33,20 @@
 // pollInterval is the pause between two reads of the log or of an entry's status.
 const pollInterval = 200 * time.Millisecond
 
-// Main runs chestnutctl with its arguments and returns the exit code.
+// Main runs chestnutctl with its arguments and returns the exit code. It has no rules of
+// configurations; see Program.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) ExitCode {
+	return Program{}.Main(ctx, args, stdout, stderr)
+}
+
+// Program is chestnutctl with what depends on the users' platform.
+type Program struct {
+	// ConfigRules are the rules of check-config, nil if there are none.
+	ConfigRules ConfigRules
+}
+
+// Main runs chestnutctl with its arguments and returns the exit code.
+func (p Program) Main(ctx context.Context, args []string, stdout, stderr io.Writer) ExitCode {
 	cmd, err := parse(args)
 	if err != nil {
 		fmt.Fprintln(stderr, "chestnutctl:", err)
@@ -41,7 +54,7 @@
 	}
 	client := logservice.NewClient(cmd.endpoints, logservice.Options{ClientName: "chestnutctl"})
 	defer client.Close()
-	c := &Client{Log: client, VMs: client, Publisher: cmd.publisher, Timeout: cmd.timeout}
+	c := &Client{Log: client, VMs: client, Publisher: cmd.publisher, Timeout: cmd.timeout, ConfigRules: p.ConfigRules}
 	result, err := cmd.run(ctx, c)
 	if result != nil {
 		write(stdout, result, cmd.json)
@@ -62,6 +75,8 @@
 	Publisher string
 	// Timeout bounds the wait for the platform, votes and entries.
 	Timeout time.Duration
+	// ConfigRules are the rules of check-config, nil if there are none.
+	ConfigRules ConfigRules
 }
 
 // result is printed by a command, either as lines of text or encoded as JSON.
--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -3,6 +3,7 @@
 package finding
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"slices"
@@ -55,6 +56,13 @@
 	return b.String()
 }
 
+// Position returns the line and the column of an offset in a document, as a Finding has them. An
+// offset beyond the document is taken as its end.
+func Position(document []byte, offset int) (line, column int) {
+	before := document[:min(max(offset, 0), len(document))]
+	return 1 + bytes.Count(before, []byte("\n")), len(before) - bytes.LastIndexByte(before, '\n')
+}
+
 // List is a list of findings. An empty List means that there are no problems.
 type List []Finding
 
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -79,14 +79,8 @@
 }
 
 func (d *Document) finding(offset int, path, message string) finding.Finding {
-	before := d.data[:offset]
-	return finding.Finding{
-		File:    d.file,
-		Line:    1 + bytes.Count(before, []byte("\n")),
-		Column:  offset - bytes.LastIndexByte(before, '\n'),
-		Path:    path,
-		Message: message,
-	}
+	line, column := finding.Position(d.data, offset)
+	return finding.Finding{File: d.file, Line: line, Column: column, Path: path, Message: message}
 }
 
 // duplicates returns a finding for every name that is repeated within its object.
