Take no page without the newest configuration as proof

A record that can't be decoded was passed over: the next page, and for records of the same page even that one, counted as proof that the configuration before it was the newest one, so a removed key could stay in use. A member now reads the newest record of each key then, and keeps its position and proves nothing if the configuration is not among those. Records of other keys cost one call and no proof. A page that reaches beyond the end that the store names is no proof either.

--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,12 +161,44 @@
 }
 
 // isComplete reports whether a page holds all there was from a position on. A read that could not
-// fetch the history after a refused position returns that position as the next one.
+// fetch the history after a refused position returns that position as the next one. A page that
+// reaches beyond the end, if that is known, is not one of the stream as it is now.
 func isComplete(page logservice.KeyedPage, from logservice.Position, known, refused bool) bool {
 	if (refused || !known) && page.Next == from {
 		return false
 	}
-	return page.Next >= page.End
+	return page.End == 0 || page.Next == page.End
+}
+
+// lacksConfig reports whether the newest configuration may be among the records of a page that can't
+// be read, so that the page proves nothing. If the page does not hold the newest record of each key,
+// these are read, and added to the page.
+func (s *Syncer) lacksConfig(ctx context.Context, page *configPage) bool {
+	if s.proof == nil || page.Unreadable == 0 {
+		return false
+	}
+	newest := page.newest
+	if newest == nil {
+		all, _, err := s.readConfigPage(ctx, 0, false, 0)
+		if err != nil {
+			if ctx.Err() == nil {
+				s.storeFailed("read newest configuration", err)
+			}
+			return true
+		}
+		if all.Next.Epoch() != page.Next.Epoch() || all.Next < page.Next {
+			return true // the store was restored meanwhile, so the next read is refused
+		}
+		page.Records = append(page.Records, all.Records...)
+		newest = all.newest
+	}
+	isConfig := func(r logservice.KeyedRecord) bool { return r.Key == s.options.ConfigKey }
+	if newest.Unreadable == 0 || slices.ContainsFunc(newest.Records, isConfig) {
+		return false
+	}
+	s.count("config_missing")
+	s.options.Events.Warn("newest configuration may be among the records that can't be read", "records", newest.Unreadable, "next", page.Next.String())
+	return true
 }
 
 // IsProven reports whether the tree is proven to have been the newest one within the bound, or
--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -358,8 +358,8 @@
 	return wait
 }
 
-// readConfig reads and applies the configuration. It reports whether the read succeeded, and
-// whether the store first refused the position to continue from.
+// readConfig reads and applies the configuration. It reports whether the read succeeded, which it
+// did not if lacksConfig, and whether the store first refused the position to continue from.
 func (s *Syncer) readConfig(ctx context.Context, wait time.Duration) (ok, refused bool) {
 	s.applyMu.Lock()
 	next, known := s.configNext, s.configRead
@@ -375,6 +375,11 @@
 	s.lastConfigRead.Store(steady.Nanos(time.Now()))
 	s.logUnreadable(s.options.ConfigStream, page.KeyedPage)
 	s.applyEvacuations(page, "store")
+	if s.lacksConfig(ctx, &page) {
+		// The position stays, also for members that get it from this one.
+		s.applyConfig(page.Records, next, "store")
+		return false, refused
+	}
 	s.applyConfig(page.Records, page.Next, "store")
 	if isComplete(page.KeyedPage, next, known, refused) {
 		s.proof.observeRead(sent)
@@ -399,7 +404,8 @@
 		refused = true
 		if epoch := presentEpoch(err); epoch > next.Epoch() {
 			history, complete, historyErr := s.readConfigHistory(ctx, epoch)
-			if historyErr == nil && complete {
+			// A record of the history that can't be read may be the newest one of its key.
+			if historyErr == nil && complete && history.Unreadable == 0 {
 				return configPage{KeyedPage: history, newest: newestInHistory(history)}, true, nil
 			}
 		}
