Keep an entry proven over an outage of the store that it alone reaches

An entry that got no answers of others read the store when its evidence was 0.38 of the bound old, waited 0.8 s for each read that was lost, and paused for up to 3 s after failed ones. After an outage of just under 0.6 of the bound it lost its proof although the store was back; an entry that knew no other one did too, by the waits of a reader. Both now read again every 0.04 of the bound while they still have a proof, without waiting for lost reads, as do readers, and entries without answers read at 0.29 and ask from 0.2 on. Other entries pause as before, so that an outage for all costs little more.

TestOwnReads demanded that an entry without answers does not read before 0.36 of the bound, which is too late for this; it now checks the same on both sides of 0.29, and that such an entry asks before it reads. TestProofInCombinedFaults accepts keys refused after 2.3 s instead of 2 s. It can't be 3 s: evidence is up to half of the bound old when the readers have just ended, or when an entry has just lost all others.

--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -242,8 +242,12 @@
 		p.Choose(time.Hour, Other, members(1), nil)
 		p.Silent(time.Hour, "vm-0")
 	}
-	if p.ReadDue(1800*time.Millisecond, 99, 100) || !p.ReadDue(1950*time.Millisecond, 99, 100) {
-		t.Error("an entry without answers must read before its evidence is 0.4 of the bound old")
+	if p.ReadDue(1400*time.Millisecond, 99, 100) || !p.ReadDue(1500*time.Millisecond, 99, 100) {
+		t.Error("an entry without answers must read before its evidence is 0.3 of the bound old")
+	}
+	// Otherwise its own reads would keep it from finding that it gets answers again.
+	if p.Due(2*time.Hour, 800*time.Millisecond, Other) || !p.Due(2*time.Hour, 1100*time.Millisecond, Other) {
+		t.Error("an entry without answers must ask before it reads")
 	}
 	p.Answered("vm-0", time.Hour, true, false)
 	if p.ReadDue(2*time.Second, 99, 100) {
--- a/internal/freshness/planner.go
+++ b/internal/freshness/planner.go
@@ -14,6 +14,9 @@
 	readerShare = 0.18
 	helperShare = 0.2
 	otherShare  = 0.36
+	// cutOffShare is the share of an entry that gets no answers. It is below silentReadShare, as
+	// its reads would otherwise keep it from finding that it gets answers again.
+	cutOffShare = 0.2
 	// repeatShare is the time after which a question without an answer, or with one that did not
 	// help, is asked again elsewhere. Without proof it is idleShare, as others have none either.
 	repeatShare = 0.03
@@ -28,10 +31,11 @@
 	maxSilenceShare = 0.4
 	// ownReadShare is the age of the evidence above which an entry reads the source itself.
 	// ownReadSpread is added for the last one in the order of readers, so that not all entries
-	// read at once when readers have ended. An entry that gets no answers reads at silentReadShare.
+	// read at once when readers have ended. An entry that gets no answers reads at silentReadShare, so
+	// that after an outage of the source of 0.6 it still has 0.1 of the bound for the next read.
 	ownReadShare    = 0.4
 	ownReadSpread   = 0.1
-	silentReadShare = 0.38
+	silentReadShare = 0.29
 )
 
 const (
@@ -107,10 +111,14 @@
 // Timeout returns how long an answer is waited for.
 func (p *Planner) Timeout() time.Duration { return p.share(timeoutShare) }
 
+// IsCutOff reports whether the last questions had no answer, so that the entry takes itself to be cut
+// off from the others.
+func (p *Planner) IsCutOff() bool { return p.silent >= unanswered }
+
 // ReadDue reports whether an entry whose evidence has that age must read the source itself. Its
 // position in the order of readers is that of all entries.
 func (p *Planner) ReadDue(age time.Duration, position, entries int) bool {
-	if p.silent >= unanswered {
+	if p.IsCutOff() {
 		return age > p.share(silentReadShare)
 	}
 	spread := ownReadSpread * float64(position) / float64(max(entries, 1))
@@ -137,6 +145,9 @@
 // bound if there is none.
 func (p *Planner) Due(now, age time.Duration, role Role) bool {
 	limit := map[Role]float64{Reader: readerShare, Helper: helperShare, Other: otherShare}[role]
+	if p.IsCutOff() {
+		limit = cutOffShare
+	}
 	limit *= 1 - float64(p.spread)/1000
 	if age <= p.share(limit) || p.open >= maxOpen {
 		return false
--- a/internal/storesync/configworld_test.go
+++ b/internal/storesync/configworld_test.go
@@ -376,10 +376,12 @@
 	return l.cut
 }
 
-func (m *livesMember) setRefused(refused bool) {
-	m.log.mu.Lock()
-	defer m.log.mu.Unlock()
-	m.log.refused = refused
+func (m *livesMember) setRefused(refused bool) { m.log.setRefused(refused) }
+
+func (l *memberLog) setRefused(refused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused = refused
 }
 
 // isCut reports whether the member can't use the store.
--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -42,6 +42,13 @@
 	// refetchShare is the least time, in bounds, between two fetches of the configuration of a
 	// member that has another one of the same revision.
 	refetchShare = 0.1
+	// urgentReadShare is the time, in bounds, between two reads of a member that loses its proof
+	// unless it reads the store soon, and idleReadShare the longest one after it has lost it.
+	urgentReadShare = 0.04
+	idleReadShare   = 0.2
+	// maxOpenReads bounds such reads that wait for a response. The store's client waits 800 ms,
+	// which are four reads of the standard bound.
+	maxOpenReads = 4
 )
 
 // roleShare is the time, in bounds, after which a member finds its role and the helpers anew.
@@ -110,6 +117,18 @@
 	return p.planner.ReadDue(age, position, entries)
 }
 
+// isCutOff is freshness.Planner.IsCutOff.
+func (p *configProof) isCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.planner.IsCutOff()
+}
+
+// share returns a part of the bound.
+func (p *configProof) share(s float64) time.Duration {
+	return time.Duration(s * float64(p.options.Bound))
+}
+
 // poll returns the time between two checks of the age of the evidence.
 func (p *configProof) poll() time.Duration { return min(proofPoll, p.options.Bound/100) }
 
@@ -412,34 +431,56 @@
 // readWhileUnproven reads the configuration from the store while neither the readers nor other
 // members keep the evidence young, until ctx is done.
 func (s *Syncer) readWhileUnproven(ctx context.Context) {
-	failures := 0
+	var failures atomic.Int64
+	read := func() {
+		s.count("proof_reads")
+		if ok, _ := s.readConfig(ctx, 0); ok {
+			failures.Store(0)
+		} else {
+			failures.Add(1)
+		}
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	open := make(chan struct{}, maxOpenReads)
 	for ctx.Err() == nil {
-		if !s.ownReadDue() {
+		age := s.proofAge()
+		due, urgent := s.ownReadDue(age)
+		if !due {
 			sleep(ctx, s.proof.poll())
 			continue
 		}
-		s.count("proof_reads")
-		if ok, _ := s.readConfig(ctx, 0); ok {
-			failures = 0
-		} else {
-			failures++
+		if urgent && age <= s.proof.options.Bound {
+			// A read that was lost with the path to the store must not hold up the next one.
+			select {
+			case open <- struct{}{}:
+				group.Go(func() {
+					defer func() { <-open }()
+					read()
+				})
+			default:
+			}
+			sleep(ctx, s.proof.share(urgentReadShare))
+			continue
+		}
+		read()
+		pause := min(readInterval<<min(failures.Load(), maxDoublings), maxBackoff)
+		if urgent {
+			pause = min(pause, s.proof.share(idleReadShare))
 		}
-		pause := min(readInterval<<min(failures, maxDoublings), maxBackoff)
 		sleep(ctx, pause/2+rand.N(pause/2))
 	}
 }
 
-// ownReadDue reports whether this member must read the configuration although it is no reader.
-func (s *Syncer) ownReadDue() bool {
-	if !s.proof.isNeeded() {
-		return false
-	}
-	age := s.proofAge()
-	if !s.proof.readDue(age, 0, 1) {
-		return false // without the pass over all members that finds the position
+// ownReadDue reports whether this member must read the configuration besides the reads of the
+// readers, as its evidence has that age, and whether its next read must not be delayed by failed
+// ones: it is a reader, or no other member can be asked.
+func (s *Syncer) ownReadDue(age time.Duration) (due, urgent bool) {
+	if !s.proof.isNeeded() || !s.proof.readDue(age, 0, 1) {
+		return false, false // without the pass over all members that finds the position
 	}
-	position := s.readerPosition()
-	return position >= activeReaders && s.proof.readDue(age, position, len(s.options.View().Live))
+	position, live := s.readerPosition(), len(s.options.View().Live)
+	return s.proof.readDue(age, position, live), position < activeReaders || s.proof.isCutOff()
 }
 
 // logProof logs when the active configuration is no longer proven, and when it is again.
--- a/internal/storesync/proofworld_test.go
+++ b/internal/storesync/proofworld_test.go
@@ -520,9 +520,9 @@
 	for seed := range combinedSeeds() {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			play(t, faultMembers(), func(_ *testing.T, w *proofWorld) {
-				// The readers may have ended just before the store is lost to all: evidence is then
-				// up to half of the bound old, and a question older.
-				w.patience = 2 * time.Second
+				// The readers may have ended, or the member may have lost its contacts, just before the
+				// store is lost to all: evidence is then up to half of the bound old, and a question older.
+				w.patience = 2300 * time.Millisecond
 				rng := rand.New(rand.NewPCG(seed, 0))
 				for range 40 {
 					live := w.live()
