--- a/internal/storesync/read.go
+++ b/internal/storesync/read.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
@@ -313,37 +312,6 @@
 	}
 }
 
-// restartableRead lets another goroutine restart a read that waits at the store. The zero value
-// is ready for use.
-type restartableRead struct {
-	mu     sync.Mutex // guards cancel
-	cancel context.CancelCauseFunc
-}
-
-var errRestarted = errors.New("the read was restarted")
-
-// begin returns the context of a new read, and a function that ends it and reports whether it
-// was restarted.
-func (r *restartableRead) begin(parent context.Context) (ctx context.Context, restarted func() bool) {
-	ctx, cancel := context.WithCancelCause(parent)
-	r.mu.Lock()
-	r.cancel = cancel
-	r.mu.Unlock()
-	return ctx, func() bool {
-		cancel(nil)
-		return errors.Is(context.Cause(ctx), errRestarted)
-	}
-}
-
-// restart ends the read in progress, if there is one.
-func (r *restartableRead) restart() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cancel != nil {
-		r.cancel(errRestarted)
-	}
-}
-
 // staggeredWait returns the wait of a reader's next read of the configuration. The waits of
 // both readers end at different times of a common period, so that one of them begins a
 // read at least every half of configWait. The time of day only sets these times; if it
@@ -358,8 +326,8 @@
 	return wait
 }
 
-// readConfig reads and applies the configuration. It reports whether the read succeeded, and
-// whether the store first refused the position to continue from.
+// readConfig reads and applies the configuration. It reports whether the read succeeded, which it
+// did not if lacksConfig, and whether the store first refused the position to continue from.
 func (s *Syncer) readConfig(ctx context.Context, wait time.Duration) (ok, refused bool) {
 	s.applyMu.Lock()
 	next, known := s.configNext, s.configRead
@@ -375,6 +343,11 @@
 	s.lastConfigRead.Store(steady.Nanos(time.Now()))
 	s.logUnreadable(s.options.ConfigStream, page.KeyedPage)
 	s.applyEvacuations(page, "store")
+	if s.lacksConfig(ctx, &page) {
+		// The position stays, also for members that get it from this one.
+		s.applyConfig(page.Records, next, "store")
+		return false, refused
+	}
 	s.applyConfig(page.Records, page.Next, "store")
 	if isComplete(page.KeyedPage, next, known, refused) {
 		s.proof.observeRead(sent)
@@ -399,7 +372,8 @@
 		refused = true
 		if epoch := presentEpoch(err); epoch > next.Epoch() {
 			history, complete, historyErr := s.readConfigHistory(ctx, epoch)
-			if historyErr == nil && complete {
+			// A record of the history that can't be read may be the newest one of its key.
+			if historyErr == nil && complete && history.Unreadable == 0 {
 				return configPage{KeyedPage: history, newest: newestInHistory(history)}, true, nil
 			}
 		}
