Hold requests that come before the first configuration

After a start an entry refused requests with a Retry-After of 1 s for 0.1 to 0.4 s, until it had read the configuration. They now wait for it, for the first second of the process and half of the caller's timeout at most.

--- a/internal/frontend/call.go
+++ b/internal/frontend/call.go
@@ -56,15 +56,23 @@
 
 // effectiveTimeout returns the shorter of the route's timeout and the caller's.
 func effectiveTimeout(route *tree.Route, r *http.Request) (time.Duration, *outcome.Refusal) {
-	value := r.Header.Get(wire.HeaderTimeoutMs)
-	if value == "" {
+	if r.Header.Get(wire.HeaderTimeoutMs) == "" {
 		return route.Timeout, nil
 	}
-	ms, err := strconv.Atoi(value)
-	if err != nil || ms < 1 || ms > maxTimeoutMs {
+	timeout, ok := callerTimeout(r)
+	if !ok {
 		return 0, malformedHeader(wire.HeaderTimeoutMs, "whole milliseconds from 1 to 86400000")
 	}
-	return min(time.Duration(ms)*time.Millisecond, route.Timeout), nil
+	return min(timeout, route.Timeout), nil
+}
+
+// callerTimeout returns the timeout that the caller sets, and false if it sets none that is valid.
+func callerTimeout(r *http.Request) (time.Duration, bool) {
+	ms, err := strconv.Atoi(r.Header.Get(wire.HeaderTimeoutMs))
+	if err != nil || ms < 1 || ms > maxTimeoutMs {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
 }
 
 func checkAttempt(r *http.Request) *outcome.Refusal {
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -62,6 +62,9 @@
 	VM string
 	// Tree returns the current tree.
 	Tree TreeSource
+	// FirstTree is closed once Tree returns a tree. If it is nil, requests before that are refused
+	// at once.
+	FirstTree <-chan struct{}
 	// Operations is the table of non-idempotent operations. If nil, each request
 	// is an operation of its own, which a retry by the caller can't refer to; then
 	// only the rules for attempts make it run at most once.
@@ -108,6 +111,7 @@
 // Handler serves callers' requests. It is safe for concurrent use.
 type Handler struct {
 	Options
+	started            time.Time
 	endpoints          http.Handler
 	stats              stats
 	destinationCounter atomic.Uint64 // rotates calls over a route's destinations
@@ -115,7 +119,7 @@
 
 // NewHandler returns a Handler that is ready for use.
 func NewHandler(options Options) *Handler {
-	h := &Handler{Options: options, stats: stats{scope: options.Scope}}
+	h := &Handler{Options: options, started: time.Now(), stats: stats{scope: options.Scope}}
 	if h.Bodies == nil {
 		h.Bodies = buffer.NewBudget(0, options.Scope)
 	}
@@ -154,12 +158,13 @@
 func (h *Handler) respond(w *statusRecorder, r *http.Request, rec *AccessRecord) {
 	defer h.reportCallEnd(rec)
 	r = r.WithContext(attempt.WithTrace(r.Context(), &rec.Trace))
-	t := h.Tree.Tree()
+	arrived := time.Now()
+	t := h.currentTree(r)
 	if t == nil {
 		h.refuse(w, h.settleEarlyRefusal(r, noConfiguration()))
 		return
 	}
-	c, refusal := newCall(t, r, time.Now())
+	c, refusal := newCall(t, r, arrived)
 	if refusal != nil {
 		if refusal.Reason == outcome.ReasonNoRoute && h.isBehind() {
 			refusal = configurationBehind()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,8 @@
 
 // treeHolder holds the active configuration tree and the current backend servers.
 type treeHolder struct {
-	tree atomic.Pointer[tree.Tree]
+	tree  atomic.Pointer[tree.Tree]
+	first chan struct{} // closed once there is a tree
 
 	mu         sync.Mutex // serializes changes of all; guards the fields below
 	listed     []fleet.VM // the servers as the store lists them
@@ -153,7 +154,9 @@
 	a.holder.mu.Lock()
 	defer a.holder.mu.Unlock()
 	a.services.SetTree(t)
-	a.holder.tree.Store(t)
+	if a.holder.tree.Swap(t) == nil {
+		close(a.holder.first)
+	}
 	a.loadSync.Update(t, a.services, a.holder.servers)
 }
 
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -136,7 +136,7 @@
 	return account.New(limits, events.Warn, scope)
 }
 
-func newTreeHolder() *treeHolder { return &treeHolder{} }
+func newTreeHolder() *treeHolder { return &treeHolder{first: make(chan struct{})} }
 
 // clusterCallbacks breaks the dependency cycle between cluster.Node, which delivers
 // heartbeats and view changes, and the components that handle these and use the node.
@@ -436,6 +436,7 @@
 	return frontend.NewHandler(frontend.Options{
 		VM:                   s.VM,
 		Tree:                 holder,
+		FirstTree:            holder.first,
 		Allowances:           allowances,
 		Runner:               attempt.New(attempt.QueueAdmitter{Services: services}, forwarder, scope).WithGuard(guard).WithDrainer(drainer),
 		Servers:              noServerHosts{},
