--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -47,11 +47,11 @@
 	// tenant had not used the shard before this member owned it. Units denied meanwhile are taken
 	// off it too.
 	units, unreduced float64
-	// steady takes the place of units while nobody else can have granted units of the shard in the
-	// window: it also has what accrues at extraRate. units then has a debt, which counts again
-	// when that ends.
-	steady   float64
-	isSteady bool
+	// soleUnits takes the place of units while isSole: it also has what accrues at extraRate. units
+	// then has a debt, which counts again when that ends. isSole is set while nobody else can have
+	// granted units of the shard in the window.
+	soleUnits float64
+	isSole    bool
 	// granted are the units granted in the window.
 	granted window
 	// ownedFrom is the time from which this member has owned the shard; claimedUntil is when the
@@ -88,25 +88,25 @@
 	b.filled = max(b.filled, now)
 	b.units = min(b.units+seconds*l.shardRate()*scale, l.capacity(scale))
 	b.unreduced = min(b.unreduced+seconds*l.shardRate(), l.shardBurst())
-	if b.isSteady {
-		b.steady = min(b.steady+seconds*(l.shardRate()+l.extraRate(b.granted.span))*scale, l.capacity(scale))
+	if b.isSole {
+		b.soleUnits = min(b.soleUnits+seconds*(l.shardRate()+l.extraRate(b.granted.span))*scale, l.capacity(scale))
 	}
 }
 
-// setSteady sets whether nobody else can have granted units of the shard in the window.
-func (b *bucket) setSteady(isSteady bool) {
-	if isSteady && !b.isSteady {
-		b.steady = b.units
+// setSole sets isSole.
+func (b *bucket) setSole(isSole bool) {
+	if isSole && !b.isSole {
+		b.soleUnits = b.units
 	}
-	b.isSteady = isSteady
+	b.isSole = isSole
 }
 
 // available returns the units that can be granted.
 func (b *bucket) available(l Limit, scale float64, now time.Duration) float64 {
-	if !b.isSteady {
+	if !b.isSole {
 		return b.units
 	}
-	return min(b.steady, l.shardWindow(b.granted.span)*scale-b.granted.sum(now))
+	return min(b.soleUnits, l.shardWindow(b.granted.span)*scale-b.granted.sum(now))
 }
 
 // take removes up to that many whole units and returns how many. reduced is set if more could be
@@ -115,11 +115,11 @@
 	// A burst may exceed what an int holds.
 	granted = int(max(min(float64(wanted), b.available(l, scale, now)), 0))
 	b.units = max(b.units-float64(granted), -l.maxDebt())
-	b.steady -= float64(granted)
+	b.soleUnits -= float64(granted)
 	b.granted.add(float64(granted), now)
 	// A request that is denied is denied by all shards, and could have been granted by one.
 	charged := float64(granted) + float64(wanted-granted)/shardCount
-	reduced = granted < wanted && b.unreduced-float64(granted) >= 1 && !b.isSteady
+	reduced = granted < wanted && b.unreduced-float64(granted) >= 1 && !b.isSole
 	b.unreduced = max(b.unreduced-charged, 0)
 	b.used = b.usedSince(now) + float64(granted)
 	b.usedAt = now
@@ -143,12 +143,12 @@
 		return maxDenial
 	}
 	units := b.units
-	if b.isSteady {
-		units = b.steady
+	if b.isSole {
+		units = b.soleUnits
 		rate += l.extraRate(b.granted.span) * scale
 	}
 	untilUnit := time.Duration(min((1-units)/rate, maxDenial.Seconds()) * float64(time.Second))
-	if b.isSteady {
+	if b.isSole {
 		untilUnit = max(untilUnit, b.granted.untilSum(l.shardWindow(b.granted.span)*scale-1, now))
 	}
 	next := max(now+untilUnit, b.nextTurn)
@@ -201,7 +201,7 @@
 func (b *bucket) add(l Limit, scale float64, units int) {
 	b.units = min(b.units+float64(units), l.capacity(scale))
 	b.unreduced = min(b.unreduced+float64(units), l.shardBurst())
-	b.steady = min(b.steady+float64(units), l.capacity(scale))
+	b.soleUnits = min(b.soleUnits+float64(units), l.capacity(scale))
 	b.granted.remove(float64(units))
 	b.used = max(b.used-float64(units), 0)
 }
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -36,9 +36,9 @@
 	// owner goes on as before. Nobody can have granted in its place by then: members take
 	// another one for live for 500 ms at least, and a new owner waits for takeoverDelay.
 	maxPause = time.Second
-	// minSteadyScale is the part of the members that an owner must see to take what it has granted
+	// minSoleScale is the part of the members that an owner must see to take what it has granted
 	// itself for all that was granted. The others cannot grant more than the rest.
-	minSteadyScale = 0.95
+	minSoleScale = 0.95
 	// aloneTime is how long an entry that should have peers and knows none does not
 	// grant. After that time members forget each other.
 	aloneTime = 2 * time.Minute
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -72,7 +72,7 @@
 	mu       sync.Mutex // guards the fields below
 	started  time.Duration
 	observed time.Duration // of the last call of observe
-	parted   time.Duration // when more members than minSteadyScale permits were last missing
+	parted   time.Duration // when more members than minSoleScale permits were last missing
 	swept    time.Duration
 	claimed  time.Duration // when claims were last sent
 	periods  []period      // the current one last
@@ -143,7 +143,7 @@
 	o.observed = now
 	alone := o.options.HasPeers && view.Known == 1 && now-o.started < aloneTime
 	scale := float64(len(view.Live)) / float64(len(view.Live)+view.Missing)
-	if scale < minSteadyScale {
+	if scale < minSoleScale {
 		o.parted = now
 	}
 	if current := o.current(); current != nil {
@@ -253,7 +253,7 @@
 // o.mu.
 func (o *Owner) fill(b *bucket, l Limit, now time.Duration) float64 {
 	scale, window := b.scale(o.current().scale, now), o.options.Window
-	b.setSteady(window > 0 && now-max(b.ownedFrom, b.claimedUntil, o.parted) >= window)
+	b.setSole(window > 0 && now-max(b.ownedFrom, b.claimedUntil, o.parted) >= window)
 	b.fill(l, scale, now)
 	return scale
 }
