Bound the wait of the forwarder's stand-in server

TestEndlessAnswers also counts the connections that the forwarder dialed and fails if one is open 2 s after Close; the check that the bad server sees its connection closed within the deadline is as before. A second request to the bad server is an error of the test instead of a panic.

The stand-in listens on the loopback address of its process.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -14,14 +14,19 @@
 )
 
 // endless writes the start and then the filler again and again until the connection is
-// closed, and reports that on closed. It counts what the kernel took.
+// closed, and reports that on closed. It answers one request only, and counts the requests and
+// what the kernel took.
 type endless struct {
 	start, filler string
+	requests      atomic.Int32
 	written       atomic.Int64
 	closed        chan struct{}
 }
 
 func (e *endless) handle(_ int, _ *http.Request, c net.Conn) bool {
+	if e.requests.Add(1) > 1 {
+		return false
+	}
 	defer close(e.closed)
 	if _, err := io.WriteString(c, e.start); err != nil {
 		return false
@@ -69,7 +74,8 @@
 			t.Run(answer.name, func(t *testing.T) {
 				e := &endless{start: answer.start, filler: answer.filler, closed: make(chan struct{})}
 				bad, good := startRawServer(t, e.handle), startRawServer(t, respondWith(okResponse))
-				f := New(Options{MaxBufferedResponseBytes: buffered, CorrelatedResponses: buffered > 0})
+				var dialed openConns
+				f := New(Options{Dial: dialed.dial, MaxBufferedResponseBytes: buffered, CorrelatedResponses: buffered > 0})
 				defer f.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), deadline)
 				defer cancel()
@@ -96,17 +102,26 @@
 				case <-time.After(deadline):
 					t.Error("the connection is still open after the end of the call")
 				}
+				if n := e.requests.Load(); n > 1 {
+					t.Errorf("the server got the request %d times", n)
+				}
 				if n := e.written.Load(); n > maxWritten {
 					t.Errorf("the server got rid of %d B, want at most %d", n, maxWritten)
 				}
 				if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 					t.Error(ctx.Err())
 				}
-				if resp, failure := f.Send(t.Context(), good.vm(), ordersMatch(false), newRequest("GET", "/", 0), nil); failure != nil {
+				ctxGood, cancelGood := context.WithTimeout(t.Context(), closeTimeout)
+				defer cancelGood()
+				if resp, failure := f.Send(ctxGood, good.vm(), ordersMatch(false), newRequest("GET", "/", 0), nil); failure != nil {
 					t.Errorf("a request to another server failed: %v", failure)
 				} else {
 					_ = resp.Body.Close()
 				}
+				f.Close()
+				if n := dialed.waitUntilClosed(deadline); n > 0 {
+					t.Errorf("the forwarder left %d connections open", n)
+				}
 			})
 		}
 	}
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -55,6 +55,12 @@
 	return netip.AddrPort{}, errNoPort
 }
 
+// Listen listens for TCP on a free port of this process's loopback address. Another process
+// that still dials a port on which an earlier server listened on 127.0.0.1 does not reach it.
+func Listen() (net.Listener, error) {
+	return net.Listen("tcp", netip.AddrPortFrom(ownIP(), 0).String())
+}
+
 func isFree(address netip.AddrPort) bool {
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
