Bound other waits of the forwarder's tests for a closed connection

TestCancelReachesTheServer, TestBrokenUploadReachesTheServerBroken and the callers of exchange waited without a bound for the other end.

--- a/internal/forward/message_test.go
+++ b/internal/forward/message_test.go
@@ -44,6 +44,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(closeTimeout))
 	if _, err := io.WriteString(c, raw); err != nil {
 		t.Fatal(err)
 	}
@@ -195,8 +196,14 @@
 		if failure == nil || failure.Outcome != outcome.Unknown {
 			t.Errorf("failure %v, want outcome unknown", failure)
 		}
-		if err := <-readErrs; err == nil {
-			t.Errorf("length %d: the server read a complete body, want an error", length)
+		select {
+		case err := <-readErrs:
+			if err == nil {
+				t.Errorf("length %d: the server read a complete body, want an error", length)
+			}
+		case <-time.After(closeTimeout):
+			server.CloseClientConnections() // Close waits for the handler
+			t.Fatalf("length %d: the server still waits for the body", length)
 		}
 	}
 }
@@ -213,13 +220,18 @@
 		close(ended)
 		return false
 	})
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithTimeout(t.Context(), closeTimeout)
+	defer cancel()
 	go func() { <-started; cancel() }()
 	_, failure := newForwarder(t).Send(ctx, s.vm(), ordersMatch(false), newRequest("POST", "/", 0), nil)
 	if failure == nil || failure.Outcome != outcome.Unknown || failure.Reason != outcome.ReasonCallerGone {
 		t.Fatalf("failure %v, want outcome unknown, reason caller_gone", failure)
 	}
-	<-ended
+	select {
+	case <-ended:
+	case <-time.After(closeTimeout):
+		t.Error("the connection to the server is still open")
+	}
 }
 
 func TestDeadlineIsForwardedWithoutTheTimeSpent(t *testing.T) {
