Test that a dial that ends after the deadline leaves no connection

It was one suspect for the listed hang of TestEndlessAnswers, and is not its cause: the connection is closed, before and after Close. The test fails with a conn.Close that closes nothing.

--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -1,11 +1,16 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"chestnutrouter.example/chestnutrouter/internal/fleet"
+	"chestnutrouter.example/chestnutrouter/internal/outcome"
 )
 
 // pipeConn returns a conn and the server's end of its pipe.
@@ -91,3 +96,39 @@
 		}
 	}
 }
+
+// A dial may end after the attempt gave up on it, before or after Close. The server must not be
+// left with a connection that carries no request and is in no pool.
+func TestConnectionOpenedAfterTheDeadlineIsClosed(t *testing.T) {
+	for name, closedFirst := range map[string]bool{"dial ends before Close": false, "dial ends after Close": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client, server := net.Pipe()
+				defer server.Close()
+				opened := make(chan struct{})
+				f := New(Options{Dial: func(context.Context, string, string) (net.Conn, error) {
+					<-opened
+					return client, nil
+				}})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, failure := f.Send(ctx, fleet.VM{Name: "server-1", Address: "server-1:80"}, ordersMatch(false), newRequest("GET", "/", 0), nil)
+				if failure == nil || failure.Outcome != outcome.NotRun || failure.Stage != StageDial {
+					t.Errorf("got %v, want not run at stage dial", failure)
+				}
+				if closedFirst {
+					f.Close()
+				}
+				close(opened)
+				synctest.Wait()
+				if !closedFirst {
+					f.Close()
+				}
+				_ = server.SetReadDeadline(time.Now().Add(time.Second))
+				if n, err := server.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+					t.Errorf("the server read %d bytes, error %v, want the end of the connection", n, err)
+				}
+			})
+		})
+	}
+}
