--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	errWritesStopped  = errors.New("writing on the connection was stopped")
 	errUnsolicited    = errors.New("server sent bytes while no request was written")
 	errTransportRetry = errors.New("transport tried to retry the request")
+	errReset          = errors.New("server reset the connection while the request was written")
 )
 
 // connState is whether a request uses the connection and has started writing.
@@ -50,6 +52,7 @@
 type transfer struct {
 	written int64 // bytes handed to the kernel
 	writing bool  // a Write is in progress
+	failed  bool  // a Write has failed
 }
 
 // maxDelivered is zero only if no byte can have reached the server. A Write in
@@ -152,6 +155,7 @@
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	t.writing = false
+	t.failed = t.failed || err != nil
 	t.written += int64(n)
 	c.mu.Unlock()
 	return n, err
@@ -186,9 +190,20 @@
 		return 0, errUnsolicited
 	}
 	c.header.feed(p[:n])
+	if err == io.EOF && c.isResetDuringWrite() {
+		err = errReset
+	}
 	return n, err
 }
 
+// isResetDuringWrite reports whether the end of the stream is that of a reset. The kernel reports a
+// reset once: if a Write gets it, the next Read returns io.EOF, and a response without a length would
+// look complete. The caller holds c.mu.
+func (c *conn) isResetDuringWrite() bool {
+	t := c.current
+	return t != nil && (t.failed || t.writing && isReset(c.Conn))
+}
+
 // Close closes the connection and wakes a bind that waits for its reader.
 func (c *conn) Close() error {
 	c.mu.Lock()
