Send nothing to a zone that is evacuated after a share of it was decided

Where an evacuated zone was the only other one, no further decision was made, and the last one went on to send its share to the servers that the zone had then. It also held for servers that leave. Shares now go to servers of the current list only.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -210,7 +210,7 @@
 // best returns the best server of the zone that the request goes to. byShare reports whether it
 // leaves its own zone because that one is busier.
 func (b *Balancer) best(s *snapshot, from int, p *pickParams, exclude []string) (be *backend, reservationMask uint32, byShare bool) {
-	if z := b.drawZone(p); z != nil {
+	if z := b.drawZone(s, p); z != nil {
 		if be, reservationMask = s.bestIn(z, from, p, exclude); be != nil {
 			return be, reservationMask, true
 		}
--- a/internal/balancer/zoneshare.go
+++ b/internal/balancer/zoneshare.go
@@ -125,7 +125,13 @@
 
 // decideLeaving makes a new decision if one is due. Concurrent picks go by the current one.
 func (b *Balancer) decideLeaving(s *snapshot, p *pickParams) {
-	if len(s.otherZones) == 0 || p.now-b.zoneShares.decided.Load() < int64(zoneShareInterval) || !b.zoneShares.mu.TryLock() {
+	if len(s.otherZones) == 0 {
+		if b.zoneShares.current.Load() != nil {
+			b.zoneShares.current.Store(nil)
+		}
+		return
+	}
+	if p.now-b.zoneShares.decided.Load() < int64(zoneShareInterval) || !b.zoneShares.mu.TryLock() {
 		return
 	}
 	defer b.zoneShares.mu.Unlock()
@@ -206,17 +212,22 @@
 	}
 }
 
-// drawZone returns the zone that the pick goes to by the shares, or nil for the own one.
-func (b *Balancer) drawZone(p *pickParams) *zoneRing {
+// drawZone returns the zone that the pick goes to by the shares, or nil for the own one. The servers
+// are those of the snapshot: the zone may have lost its servers, or been evacuated, since the decision.
+func (b *Balancer) drawZone(s *snapshot, p *pickParams) *zoneRing {
 	d := b.zoneShares.current.Load()
 	if d == nil || d.Share == 0 || d.servers[0] == 0 {
 		return nil
 	}
 	at := float64(p.salt>>11) / (1 << 53)
 	for i, z := range d.zones {
-		if at -= d.Share * d.Parts[i]; at < 0 {
-			return z
+		if at -= d.Share * d.Parts[i]; at >= 0 {
+			continue
+		}
+		if i := slices.IndexFunc(s.otherZones, func(other *zoneRing) bool { return other.zone == z.zone }); i >= 0 {
+			return s.otherZones[i]
 		}
+		return nil
 	}
 	return nil
 }
--- a/internal/balancer/zoneshare_test.go
+++ b/internal/balancer/zoneshare_test.go
@@ -143,3 +143,57 @@
 		t.Errorf("counters %v, want 50 requests that left as the zone has no server", scope.Snapshot().Counters())
 	}
 }
+
+// A zone to which a part of the requests goes may be evacuated or lose its servers. Nothing may go
+// there from then on, also where it was the only other zone, so that no further decision is made.
+func TestNothingLeavesForAZoneThatIsGone(t *testing.T) {
+	for _, zones := range []int{2, 3} {
+		for _, state := range []fleet.State{fleet.Evacuated, fleet.Leaving} {
+			now := time.Now()
+			var vms []fleet.VM
+			for i := range 20 * zones {
+				vms = append(vms, fleet.VM{Name: fmt.Sprintf("s%d", i), Address: "a", Zone: fmt.Sprintf("zone-%d", i%zones), Slots: 4})
+			}
+			b := New(Options{Entry: "entry", Zone: "zone-0", Service: "shop/orders"})
+			b.UpdateAt(now, vms, slowdownService)
+			b.SetZoneRank(ZoneRank{Rank: 1, Entries: 5})
+			play := func(picks int) (sent int) {
+				for range picks {
+					now = now.Add(time.Millisecond)
+					for _, vm := range vms {
+						inFlight := 1
+						if vm.Zone == "zone-0" {
+							inFlight = 3
+						}
+						b.AddReport(vm.Name, now, Report{InFlight: inFlight, Slots: 4, Slowdown: 100})
+					}
+					r, ok := b.PickWithin(now, nil, nominalServiceTime, target, 0)
+					if !ok {
+						continue
+					}
+					if r.VM.Zone == "zone-1" {
+						sent++
+					}
+					b.Done(r, now, Result{Kind: OK, Latency: nominalServiceTime})
+				}
+				return sent
+			}
+			play(2000)
+			if play(450) == 0 {
+				t.Fatalf("%d zones: nothing left the busy zone for zone-1", zones)
+			}
+			for i := range vms {
+				if vms[i].Zone == "zone-1" {
+					vms[i].State = state
+				}
+			}
+			b.UpdateAt(now, vms, slowdownService)
+			if sent := play(400); sent > 0 {
+				t.Errorf("%d zones, %s: %d requests went to the zone", zones, state, sent)
+			}
+			if statuses := b.ZoneStatuses(); zones == 2 && len(statuses) > 1 {
+				t.Errorf("%s: statuses %+v still have the zone", state, statuses)
+			}
+		}
+	}
+}
