cluster: let members that are silent to each other find each other again

Cause: heartbeats go only to members that their sender sees live, and a hello of a known incarnation changes nothing at its receiver. Two members that have both taken each other for silent therefore never hear a heartbeat of each other again, until one of them restarts or is forgotten after two minutes.

Change: a hello to a member whose regular heartbeats do not arrive asks for direct heartbeats. Its receiver sends them for 3 s whatever it thinks of the sender, and asks for the sender's in turn if that is silent. A hello alone still makes nobody live: a member counts as live only where its heartbeats arrive, so a link that works one way does not make a view change with each hello, and LastSeen stays the arrival of a heartbeat, to which ages in it may be added. A member heard only by direct heartbeats is asked again before they end. A record of another member that is younger than the own knowledge leads to a hello at once, so one pair that meets is enough; hellos stay bounded at 8 an interval, reported members first, and the pause between two to a silent member at 1 s, or 250 ms for each silent member. Seeds of the settings are seeds again once forgotten as members, and the pause between hellos to a seed is 2 s at most, below the 3 s of stability. The network of the tests moves to memnet, for use by other packages, and can freeze a member.

--- a/internal/cluster/datagram.go
+++ b/internal/cluster/datagram.go
@@ -29,12 +29,15 @@
 	maxHeartbeatBytes = 1300
 	// ageUnit is the resolution of ages in a heartbeat.
 	ageUnit = time.Millisecond
+	// maxAge bounds the ages in a datagram; older ones are read as this age.
+	maxAge = time.Hour
 )
 
 const (
 	flagReady        = 1
 	flagLeaving      = 2
 	flagStoreFailing = 4
+	flagDirect       = 8
 )
 
 // ServerID identifies a backend server in heartbeats by a hash. With 40 servers, two
@@ -95,6 +98,9 @@
 	Sequence uint64
 	// MembersHash is a hash of the set of members that the sender sees live.
 	MembersHash uint32
+	// Direct is set in a heartbeat without reports that the receiver asked for by a hello. It
+	// does not come by the path of regular heartbeats.
+	Direct bool
 	Status
 	Reports       []LoadReport
 	RequestCounts []RequestCounts
@@ -174,6 +180,9 @@
 	if hb.StoreFailing {
 		flags |= flagStoreFailing
 	}
+	if hb.Direct {
+		flags |= flagDirect
+	}
 	return flags
 }
 
@@ -258,8 +267,7 @@
 func (d *decoder) cappedInt() int { return int(min(d.uvarint(), 1<<20)) }
 
 func (d *decoder) age() time.Duration {
-	const maxAge = uint64(time.Hour / ageUnit)
-	return time.Duration(min(d.uvarint(), maxAge)) * ageUnit
+	return time.Duration(min(d.uvarint(), uint64(maxAge/ageUnit))) * ageUnit
 }
 
 // decodeHeartbeat decodes a heartbeat, without its leading kind byte.
@@ -269,6 +277,7 @@
 	hb.MembersHash = binary.LittleEndian.Uint32(d.fixed(4))
 	flags := d.fixed(1)[0]
 	hb.Ready, hb.Leaving, hb.StoreFailing = flags&flagReady != 0, flags&flagLeaving != 0, flags&flagStoreFailing != 0
+	hb.Direct = flags&flagDirect != 0
 	hb.Revision, hb.ServersVersion = int64(d.uvarint()), int64(d.uvarint())
 	hb.StoreReadAge = d.age()
 	for range d.count() {
@@ -334,6 +343,9 @@
 	From Member
 	// WantHello requests a hello in return.
 	WantHello bool
+	// WantHeartbeats requests heartbeats that are sent to the sender directly for directPeriod,
+	// as no regular ones of the receiver reach it.
+	WantHeartbeats bool
 	// WantMembers requests the records of the members that the receiver sees live and
 	// that are not in Known.
 	WantMembers bool
@@ -353,8 +365,9 @@
 }
 
 const (
-	flagWantHello   = 1
-	flagWantMembers = 2
+	flagWantHello      = 1
+	flagWantMembers    = 2
+	flagWantHeartbeats = 4
 )
 
 // append appends the encoded hello to out.
@@ -366,6 +379,9 @@
 	if h.WantMembers {
 		flags |= flagWantMembers
 	}
+	if h.WantHeartbeats {
+		flags |= flagWantHeartbeats
+	}
 	out = append(out, kindHello, flags)
 	out = h.From.append(out)
 	out = appendIDs(out, h.Known)
@@ -402,7 +418,10 @@
 func decodeHello(data []byte) (*hello, error) {
 	d := &decoder{data: data}
 	flags := d.fixed(1)[0]
-	h := &hello{WantHello: flags&flagWantHello != 0, WantMembers: flags&flagWantMembers != 0, From: d.member()}
+	h := &hello{
+		WantHello: flags&flagWantHello != 0, WantMembers: flags&flagWantMembers != 0,
+		WantHeartbeats: flags&flagWantHeartbeats != 0, From: d.member(),
+	}
 	h.Known, h.Wanted = d.ids(), d.ids()
 	for range d.count() {
 		h.Members = append(h.Members, memberRecord{Member: d.member(), Age: d.age()})
--- a/internal/cluster/datagram_test.go
+++ b/internal/cluster/datagram_test.go
@@ -13,6 +13,7 @@
 	Incarnation: 1 << 60,
 	Sequence:    1 << 40,
 	MembersHash: 7,
+	Direct:      true,
 	Status:      Status{Ready: true, Leaving: true, Revision: 12, ServersVersion: 900, ServersHash: 1 << 30, StoreReadAge: 450 * time.Millisecond, StoreFailing: true, EvacuationsVersion: 1 << 50, EvacuationsHash: 1 << 31},
 	Reports: []LoadReport{
 		{Server: 1, InFlight: 3, Queue: 2, Slowdown: 500, Age: 4 * time.Millisecond},
@@ -173,7 +174,7 @@
 		VM: "front-a-1", Zone: "a", CallerAddress: "10.0.0.1:8161", PeerAddress: "10.0.0.1:7720",
 		DatagramAddress: netip.MustParseAddrPort("10.0.0.1:7720"), Incarnation: 1 << 60, Weight: 0.5,
 	},
-	WantHello: true, WantMembers: true, Known: []uint32{1, 1 << 31}, Wanted: []uint32{7},
+	WantHello: true, WantMembers: true, WantHeartbeats: true, Known: []uint32{1, 1 << 31}, Wanted: []uint32{7},
 	Members: []memberRecord{{Member: Member{
 		VM: "front-b-1", Zone: "b", DatagramAddress: netip.MustParseAddrPort("10.0.0.2:7720"), Incarnation: 3,
 	}, Age: 20 * time.Millisecond}},
--- a/internal/cluster/hello.go
+++ b/internal/cluster/hello.go
@@ -27,13 +27,14 @@
 	localSyncShare = 0.75
 	// maxSeedInterval bounds the interval between two hellos to a seed, which doubles
 	// with each of them.
-	maxSeedInterval = 4 * time.Second
+	maxSeedInterval = 2 * time.Second
 )
 
 // seed is an address at which another member may be reached.
 type seed struct {
 	lastHello time.Time
 	interval  time.Duration // until the next hello
+	expires   time.Time     // zero for never
 }
 
 // due reports whether a hello must be sent to the seed now, and then doubles the interval.
@@ -52,9 +53,29 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, a := range addresses {
-		if n.seeds[a] == nil && n.members[a] == nil && a != n.options.Self.DatagramAddress {
-			n.seeds[a] = &seed{}
-		}
+		n.configured[a] = true
+		n.addSeed(a, time.Time{})
+	}
+}
+
+// SuggestSeeds is like AddSeeds, but the addresses are forgotten after some minutes unless they
+// are suggested again.
+func (n *Node) SuggestSeeds(now time.Time, addresses ...netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range addresses {
+		n.addSeed(a, now.Add(forgetAfter))
+	}
+}
+
+// addSeed adds a seed or extends the time until it expires. The caller holds n.mu.
+func (n *Node) addSeed(a netip.AddrPort, expires time.Time) {
+	switch s := n.seeds[a]; {
+	case n.members[a] != nil || a == n.options.Self.DatagramAddress:
+	case s == nil:
+		n.seeds[a] = &seed{expires: expires}
+	case !s.expires.IsZero():
+		s.expires = expires
 	}
 }
 
@@ -84,7 +105,7 @@
 	request := false
 	if n.directRequests < maxDirectRequests {
 		if n.seeds[to] == nil {
-			n.seeds[to] = &seed{}
+			n.seeds[to] = &seed{expires: now.Add(forgetAfter)}
 		}
 		request = n.seeds[to].due(now)
 	}
@@ -112,7 +133,8 @@
 	n.syncWanted = n.syncWanted || added
 	large := len(n.members) > maxFullMesh
 	n.mu.Unlock()
-	n.reply(from, h, now)
+	silent := n.answerDirect(h, now)
+	n.reply(from, h, silent, now)
 	// In a large cluster the next heartbeat refreshes the view: many members join at a
 	// start, and each refresh takes time in proportion to their number.
 	if added && !large {
@@ -127,9 +149,12 @@
 		return false
 	}
 	if old := n.members[m.DatagramAddress]; old != nil && !n.replaces(old, m, seen, now) {
+		if m.Incarnation == old.Incarnation && seen.After(old.reportedAt) {
+			old.reportedAt = seen
+		}
 		return false
 	}
-	n.members[m.DatagramAddress] = &memberState{LiveMember: newLiveMember(m, Status{}, seen)}
+	n.members[m.DatagramAddress] = &memberState{LiveMember: newLiveMember(m, Status{}, seen), lastRegular: seen}
 	n.order = nil
 	delete(n.seeds, m.DatagramAddress)
 	n.count("met")
@@ -148,12 +173,13 @@
 }
 
 // reply sends what a hello requests: a hello in return, the records that the sender
-// lacks, and a request for those that this node lacks.
-func (n *Node) reply(to netip.AddrPort, h *hello, now time.Time) {
+// lacks, and a request for those that this node lacks. If the sender is silent, it is asked for
+// its heartbeats.
+func (n *Node) reply(to netip.AddrPort, h *hello, silent bool, now time.Time) {
 	if !h.WantHello && !h.WantMembers && len(h.Wanted) == 0 {
 		return
 	}
-	answer := &hello{From: n.options.Self}
+	answer := &hello{From: n.options.Self, WantHeartbeats: silent}
 	requested := make(map[uint32]bool, len(h.Wanted))
 	for _, id := range h.Wanted {
 		requested[id] = true
@@ -237,56 +263,68 @@
 	}
 }
 
-// dueHellos returns the addresses to send a hello to now: seeds and silent members.
-// It drops members that have been silent for longer than forgetAfter.
-func (n *Node) dueHellos(now time.Time) []netip.AddrPort {
+// dueHellos returns the addresses of the seeds and of the members to send a hello to now.
+func (n *Node) dueHellos(now time.Time) (seeds, members []netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var due []netip.AddrPort
+	n.forget(now)
 	for address, s := range n.seeds {
-		if len(due) >= maxHellos {
+		if len(seeds) >= maxHellos {
 			break
 		}
 		if s.due(now) {
-			due = append(due, address)
+			seeds = append(seeds, address)
 		}
 	}
-	limit := len(due) + maxHellos
+	return seeds, n.dueMemberHellos(now)
+}
+
+// forget drops members that have been silent for longer than forgetAfter, and expired seeds. The
+// caller holds n.mu.
+func (n *Node) forget(now time.Time) {
 	for address, m := range n.members {
-		silent := now.Sub(m.LastSeen)
-		if silent > forgetAfter {
-			delete(n.members, address)
-			n.order = nil
+		if now.Sub(m.LastSeen) <= forgetAfter {
 			continue
 		}
-		// The longer a member is silent, the less often a hello is sent to it.
-		if silent > n.timeoutOf(&m.LiveMember) && len(due) < limit && now.Sub(m.lastHello) > max(helloInterval, silent/4) {
-			m.lastHello = now
-			due = append(due, address)
+		delete(n.members, address)
+		delete(n.relaying.usedSince, address)
+		delete(n.relaying.lastBatch, address)
+		n.order = nil
+		if n.configured[address] {
+			n.addSeed(address, time.Time{})
+		}
+	}
+	for address, s := range n.seeds {
+		if !s.expires.IsZero() && now.After(s.expires) {
+			delete(n.seeds, address)
 		}
 	}
-	return due
 }
 
 // Join sends the first hellos to the seeds, without waiting for the first heartbeat.
 func (n *Node) Join(now time.Time) { n.sendDueHellos(now) }
 
-// sendDueHellos sends hellos to seeds and silent members, and begins an exchange of
-// members where one is due. A node without any other member asks its seeds for theirs.
+// sendDueHellos sends hellos to seeds and to members whose regular heartbeats do not arrive, and
+// begins an exchange of members where one is due. A node without any other member asks its seeds for theirs.
 func (n *Node) sendDueHellos(now time.Time) {
-	due := n.dueHellos(now)
-	if len(due) > 0 {
-		h := &hello{From: n.options.Self, WantHello: true, WantMembers: len(n.View().Live) == 1}
-		data := h.append(nil)
-		for _, to := range due {
-			n.send(to, data)
-		}
-	}
+	seeds, members := n.dueHellos(now)
+	n.sendHello(seeds, &hello{From: n.options.Self, WantHello: true, WantMembers: len(n.View().Live) == 1})
+	n.sendHello(members, &hello{From: n.options.Self, WantHello: true, WantHeartbeats: true})
 	if to, ok := n.syncPartner(now); ok {
 		n.sendSync(to)
 	}
 }
 
+func (n *Node) sendHello(to []netip.AddrPort, h *hello) {
+	if len(to) == 0 {
+		return
+	}
+	data := h.append(nil)
+	for _, address := range to {
+		n.send(address, data)
+	}
+}
+
 // sortedMembers returns the members in the order of their VMs' names. The caller holds
 // n.mu.
 func (n *Node) sortedMembers() []*memberState {
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -97,6 +97,13 @@
 	// minutes and were not leaving when last seen. They may still run, on the other side of
 	// a network partition.
 	Missing int
+	// LongestSilence is the longest time since the last heartbeat of a missing member, zero if
+	// none is missing.
+	LongestSilence time.Duration
+	// Returned counts the members that were heard again after they had been silent, since this
+	// process started. ReturnedAfter is how long the last of them had been silent.
+	Returned      int
+	ReturnedAfter time.Duration
 	// Silent are members that were ready when last seen and have since exceeded the
 	// liveness timeout, but not yet silentGrace.
 	Silent []LiveMember
--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -3,96 +3,19 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
-)
-
-// network carries datagrams between nodes in memory, so that a cluster runs in virtual
-// time. It counts what each kind of datagram takes.
-type network struct {
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*memoryConn
-	bytes map[byte]int // sent, by kind of datagram
-	count map[byte]int
-	// drop reports whether a datagram is lost; nil loses none.
-	drop func(from, to netip.AddrPort) bool
-}
-
-func newNetwork() *network {
-	return &network{conns: map[netip.AddrPort]*memoryConn{}, bytes: map[byte]int{}, count: map[byte]int{}}
-}
-
-// linkDelay is the time that a datagram takes.
-const linkDelay = time.Millisecond
-
-type packet struct {
-	data    []byte
-	from    netip.AddrPort
-	arrival time.Time
-}
-
-// memoryConn is one node's end of a network.
-type memoryConn struct {
-	network *network
-	address netip.AddrPort
-	packets chan packet
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (w *network) listen(address netip.AddrPort) *memoryConn {
-	c := &memoryConn{network: w, address: address, packets: make(chan packet, 1<<14), closed: make(chan struct{})}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.conns[address] = c
-	return c
-}
-
-func (c *memoryConn) WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error) {
-	w := c.network
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.bytes[data[0]] += len(data)
-	w.count[data[0]]++
-	target := w.conns[to]
-	if target == nil || w.drop != nil && w.drop(c.address, to) {
-		return len(data), nil
-	}
-	select {
-	case target.packets <- packet{append([]byte(nil), data...), c.address, time.Now().Add(linkDelay)}:
-	default: // a full receive buffer drops the datagram
-	}
-	return len(data), nil
-}
 
-func (c *memoryConn) ReadFromUDPAddrPort(buf []byte) (int, netip.AddrPort, error) {
-	select {
-	case <-c.closed:
-		return 0, netip.AddrPort{}, net.ErrClosed
-	case p := <-c.packets:
-		time.Sleep(time.Until(p.arrival))
-		return copy(buf, p.data), p.from, nil
-	}
-}
+	"chestnutrouter.example/chestnutrouter/internal/cluster/memnet"
+)
 
-func (c *memoryConn) SetReadBuffer(int) error { return nil }
+// network is a cluster in virtual time.
+type network struct{ *memnet.Network }
 
-func (c *memoryConn) Close() error {
-	c.once.Do(func() {
-		close(c.closed)
-		c.network.mu.Lock()
-		defer c.network.mu.Unlock()
-		if c.network.conns[c.address] == c {
-			delete(c.network.conns, c.address)
-		}
-	})
-	return nil
-}
+func newNetwork() network { return network{memnet.New()} }
 
 // memoryAddress returns the address of the i-th node.
 func memoryAddress(i int) netip.AddrPort {
@@ -103,28 +26,31 @@
 const heartbeatInterval = 66 * time.Millisecond
 
 // startMember starts the i-th node of a cluster with that many zones.
-func (w *network) startMember(i, zones int, incarnation uint64, seeds ...netip.AddrPort) *testNode {
+func (w network) startMember(i, zones int, incarnation uint64, seeds ...netip.AddrPort) *testNode {
 	weight := 0.16
 	if i%25 == 0 {
 		weight = 0.8
 	}
 	n := &testNode{heartbeats: map[string]int{}}
+	conn := w.Listen(memoryAddress(i))
 	n.Node = NewNode(Options{
 		Self: Member{
 			VM: fmt.Sprintf("front-zone-%d-%d", i%zones, i), Zone: fmt.Sprintf("zone-%d", i%zones),
 			CallerAddress: fmt.Sprintf("10.0.%d.%d:8161", i>>8, i&255), PeerAddress: fmt.Sprintf("10.0.%d.%d:7720", i>>8, i&255),
 			DatagramAddress: memoryAddress(i), Incarnation: incarnation, Weight: weight,
 		},
-		Conn:        w.listen(memoryAddress(i)),
+		Conn:        conn,
 		OnHeartbeat: n.handle,
+		OnChange:    func(*View) { n.changes.Add(1) },
 	})
+	n.freeze = conn.Freeze
 	n.AddSeeds(seeds...)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.done.Go(func() { _ = n.Receive() })
 	n.done.Go(func() {
 		RunEvery(ctx, heartbeatInterval, func(_ context.Context, now time.Time) {
-			if status := (Status{Ready: true}); n.HeartbeatDue(status) {
+			if status := (Status{Ready: true, Leaving: n.leaving.Load()}); n.HeartbeatDue(status) {
 				n.SendHeartbeat(&Heartbeat{Status: status}, now)
 			}
 		})
@@ -133,7 +59,7 @@
 }
 
 // startCluster starts all members within 300 ms, with the first three as seeds.
-func (w *network) startCluster(count, zones int) []*testNode {
+func (w network) startCluster(count, zones int) []*testNode {
 	var nodes []*testNode
 	seeds := []netip.AddrPort{memoryAddress(0), memoryAddress(1), memoryAddress(2)}
 	for i := range count {
@@ -178,10 +104,9 @@
 			if missing := incomplete(nodes, count); missing != 0 {
 				t.Errorf("%d of %d nodes do not see all members 3 s after the start", missing, count)
 			}
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			helloBytes[count] = w.bytes[kindHello] / count
-			t.Logf("%d nodes: %d hellos and %d B of hellos a node", count, w.count[kindHello]/count, helloBytes[count])
+			hellos := w.Sent(kindHello)
+			helloBytes[count] = hellos.Bytes / count
+			t.Logf("%d nodes: %d hellos and %d B of hellos a node", count, hellos.Datagrams/count, helloBytes[count])
 		})
 	}
 	for i := 1; i < len(sizes); i++ {
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -64,13 +64,6 @@
 	Scope tally.Scope
 }
 
-// memberState is the local record of a known member.
-type memberState struct {
-	LiveMember
-	sequence  uint64
-	lastHello time.Time
-}
-
 // Node is this process's end of the cluster protocol. It is safe for concurrent use,
 // except that SendHeartbeat must not be called concurrently with itself.
 type Node struct {
@@ -86,7 +79,11 @@
 	members map[netip.AddrPort]*memberState
 	order   []*memberState // members by VM name, nil after a change; see sortedMembers
 	seeds   map[netip.AddrPort]*seed
-	status  Status
+	// configured are the seeds of the settings. They become seeds again once they are forgotten
+	// as members.
+	configured map[netip.AddrPort]bool
+	status     Status    // of the last regular heartbeat
+	statusAt   time.Time // when it was announced
 	// syncWanted is set if other members may know members that this node does not.
 	// lastExchange is when the node last began an exchange for that reason.
 	syncWanted   bool
@@ -101,6 +98,10 @@
 	heartbeats           int           // sent by SendHeartbeat
 	intervals            int           // counted by HeartbeatDue
 	relaying             relayState
+	// returned counts the members that were heard again after they had been silent, and
+	// returnedAfter is how long the last of them had been.
+	returned      int
+	returnedAfter time.Duration
 }
 
 // NewNode returns a node whose view contains only itself.
@@ -108,7 +109,10 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
-	n := &Node{options: options, members: map[netip.AddrPort]*memberState{}, seeds: map[netip.AddrPort]*seed{}}
+	n := &Node{
+		options: options, members: map[netip.AddrPort]*memberState{},
+		seeds: map[netip.AddrPort]*seed{}, configured: map[netip.AddrPort]bool{},
+	}
 	n.relaying.usedSince, n.relaying.lastBatch = map[netip.AddrPort]time.Time{}, map[netip.AddrPort]time.Time{}
 	n.view.Store(&View{Live: []LiveMember{newLiveMember(options.Self, Status{}, time.Time{})}, Known: 1})
 	return n
@@ -152,12 +156,13 @@
 func (n *Node) SendHeartbeat(hb *Heartbeat, now time.Time) {
 	n.mu.Lock()
 	announces := !hb.sameAnnouncement(n.status) && hb.StoreReadAge < announceAge
-	n.status = hb.Status
+	n.status, n.statusAt = hb.Status, now
 	n.mu.Unlock()
 	n.Refresh(now)
 	parts := n.encode(hb)
 	n.broadcast(parts, now)
 	n.sendCrossZone(parts, announces)
+	n.sendDirect(now)
 	n.sendDueHellos(now)
 }
 
@@ -198,7 +203,10 @@
 func (n *Node) Refresh(now time.Time) {
 	n.mu.Lock()
 	self := newLiveMember(n.options.Self, n.status, now)
-	v := &View{Live: make([]LiveMember, 0, 1+len(n.members)), Known: 1 + len(n.members)}
+	v := &View{
+		Live: make([]LiveMember, 0, 1+len(n.members)), Known: 1 + len(n.members),
+		Returned: n.returned, ReturnedAfter: n.returnedAfter,
+	}
 	selfAdded := false
 	for _, m := range n.sortedMembers() {
 		if !selfAdded && compareVM(self.VM, m.VM) < 0 {
@@ -213,6 +221,7 @@
 		}
 		if silent > n.timeoutOf(&m.LiveMember) && !m.Leaving {
 			v.Missing++
+			v.LongestSilence = max(v.LongestSilence, silent)
 		}
 	}
 	if !selfAdded {
@@ -251,6 +260,15 @@
 	}
 }
 
+// noteReturn records that a silent member is heard again. The members that it knows may be others.
+// The caller holds n.mu.
+func (n *Node) noteReturn(silence time.Duration) {
+	n.syncWanted = true
+	n.returned++
+	n.returnedAfter = silence
+	n.count("returned")
+}
+
 func (n *Node) count(name string) { n.options.Scope.Counter("mesh_" + name).Inc(1) }
 
 // Close closes the socket, which ends Receive.
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -16,6 +17,11 @@
 	*Node
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	// leaving is announced by a member of a network in memory, which also has freeze and counts
+	// the changes of its view.
+	leaving atomic.Bool
+	freeze  func(time.Duration)
+	changes atomic.Int64
 
 	mu         sync.Mutex
 	heartbeats map[string]int // received, by VM of the sender
--- a/internal/cluster/query_test.go
+++ b/internal/cluster/query_test.go
@@ -11,7 +11,7 @@
 )
 
 // startQueryNode starts a node whose handler answers with the question and its VM.
-func (w *network) startQueryNode(t *testing.T, i int) *Node {
+func (w network) startQueryNode(t *testing.T, i int) *Node {
 	t.Helper()
 	n := w.startMember(i, 1, 1)
 	n.HandleQueries(TopicAllowance, func(question []byte) []byte {
@@ -47,9 +47,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newNetwork()
 		a, b := w.startQueryNode(t, 1), w.startQueryNode(t, 2)
-		w.mu.Lock()
-		w.drop = func(from, _ netip.AddrPort) bool { return from == b.options.Self.DatagramAddress }
-		w.mu.Unlock()
+		w.SetDrop(func(from, _ netip.AddrPort) bool { return from == b.options.Self.DatagramAddress })
 		if _, err := queryFor(a, b, 50*time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
 			t.Errorf("got error %v, want a deadline", err)
 		}
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -67,6 +67,9 @@
 		n.requestHello(from, now)
 		return
 	}
+	if !hb.Direct {
+		m.lastRegular = now
+	}
 	if hb.Sequence <= m.sequence {
 		// A later heartbeat has arrived first by another path. The reports of this one
 		// are still new, but the record of the member stays unchanged.
@@ -77,7 +80,11 @@
 		return
 	}
 	syncDue := n.needsSync(hb, now)
-	stateChanged := now.Sub(m.LastSeen) > n.timeoutOf(&m.LiveMember) || m.Ready != hb.Ready || m.Leaving != hb.Leaving
+	returned := n.isSilent(m, now)
+	if returned {
+		n.noteReturn(now.Sub(m.LastSeen))
+	}
+	stateChanged := returned || m.Ready != hb.Ready || m.Leaving != hb.Leaving
 	m.sequence = hb.Sequence
 	m.Status = hb.Status
 	m.LastSeen = now
