cluster: do not make a member's last read of the store look younger than it is

Others add the time since a heartbeat arrived to the age of the read that came in it (storesync: newestReadAge, proofMemberOf), to decide whether a fallback reads the store and whom to ask for a proof.

Cause: SendUpdate, the heartbeat between the regular ones, repeated the status of the last regular one with its age as of then. After the process did not run for a while the read looks younger by that time. A member known by its hello only had a status with a read just now.

--- a/internal/cluster/hello.go
+++ b/internal/cluster/hello.go
@@ -142,6 +142,9 @@
 	}
 }
 
+// unknownStatus is the status of a member of which no heartbeat has arrived.
+var unknownStatus = Status{StoreReadAge: maxAge}
+
 // addMember adds a member that was seen live at that time, or replaces the record of an
 // earlier start. It reports whether it did. The caller holds n.mu.
 func (n *Node) addMember(m Member, seen, now time.Time) bool {
@@ -154,7 +157,7 @@
 		}
 		return false
 	}
-	n.members[m.DatagramAddress] = &memberState{LiveMember: newLiveMember(m, Status{}, seen), lastRegular: seen}
+	n.members[m.DatagramAddress] = &memberState{LiveMember: newLiveMember(m, unknownStatus, seen), lastRegular: seen}
 	n.order = nil
 	delete(n.seeds, m.DatagramAddress)
 	n.count("met")
--- a/internal/cluster/partition_test.go
+++ b/internal/cluster/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +80,60 @@
 		})
 	}
 }
+
+// Guards against a read of the store that looks younger than it is: heartbeats between the regular
+// ones, and those that a hello asks for, repeat the status of the last regular one, which may be
+// old after this process did not run.
+func TestStoreReadAgeGrowsBetweenRegularHeartbeats(t *testing.T) {
+	const readAge, pause = time.Second, 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork()
+		reads := map[bool]time.Duration{} // StoreReadAge by Heartbeat.Direct
+		var mu sync.Mutex
+		receiver := NewNode(Options{
+			Self: Member{VM: "receiver", Zone: "a", DatagramAddress: memoryAddress(1), Incarnation: 1}, Conn: w.Listen(memoryAddress(1)),
+			OnHeartbeat: func(_ LiveMember, hb *Heartbeat) {
+				mu.Lock()
+				defer mu.Unlock()
+				reads[hb.Direct] = hb.StoreReadAge
+			},
+		})
+		sender := NewNode(Options{
+			Self: Member{VM: "sender", Zone: "a", DatagramAddress: memoryAddress(2), Incarnation: 1}, Conn: w.Listen(memoryAddress(2)),
+			OnHeartbeat: func(LiveMember, *Heartbeat) {},
+		})
+		var done sync.WaitGroup
+		for _, n := range []*Node{receiver, sender} {
+			done.Go(func() { _ = n.Receive() })
+			defer func() { _ = n.Close() }()
+		}
+		receiver.AddSeeds(memoryAddress(2))
+		receiver.Join(time.Now())
+		time.Sleep(10 * time.Millisecond)
+		sender.SendHeartbeat(&Heartbeat{Status: Status{Ready: true, StoreReadAge: readAge}}, time.Now())
+		time.Sleep(pause)
+		sender.SendUpdate(&Heartbeat{}, time.Now())
+		receiver.sendDueHellos(time.Now()) // asks for heartbeats
+		time.Sleep(10 * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		for direct, kind := range map[bool]string{false: "an update", true: "a direct heartbeat"} {
+			if got, ok := reads[direct]; !ok || got < readAge+pause {
+				t.Errorf("%s %v after the last regular heartbeat: store read age %v (received %v), want at least %v", kind, pause, got, ok, readAge+pause)
+			}
+		}
+	})
+}
+
+// Guards against a member of which no heartbeat has arrived that looks as if it had just read the
+// store.
+func TestMemberWithoutHeartbeatHasNoYoungRead(t *testing.T) {
+	n := NewNode(Options{Self: Member{VM: "vm-a", Zone: "a", DatagramAddress: memoryAddress(1), Incarnation: 1}, Conn: newNetwork().Listen(memoryAddress(1))})
+	now := time.Now()
+	n.handleHello(memoryAddress(2), &hello{From: Member{VM: "vm-b", Zone: "a", DatagramAddress: memoryAddress(2), Incarnation: 1}}, now)
+	for _, m := range n.View().Live {
+		if m.VM == "vm-b" && m.StoreReadAge < maxAge {
+			t.Errorf("store read age %v of a member known by its hello only, want %v", m.StoreReadAge, maxAge)
+		}
+	}
+}
