gateway: bring parts of the cluster together by the member list after a long cut

After a cut of more than two minutes the members of two parts have forgotten each other, and each part stays by itself for good and grants all allowances whole.

Cause: only a member that sees no other one read the member list in the store. A part of two and more never did, and its first reader wrote its own members as the list, which removed the addresses of the other part.

Evidence: in virtual time, eight members, a cut of 5 min, and the seed of the settings gone before: with the former list no view is whole 13 s after the cut for parts of 2 and 4 ("a member sees 6 live members 13s after the cut, want 8"); a single member came back, as it read the list.

Change: the first reader of each part reads the list every 10 s, makes the listed addresses at which it sees no live member its seeds for two minutes, and writes the list with them. An address without a live member stays listed for two minutes; a part that was dropped adds itself again at its next read. A part that just became the first reader's and finds the list right does not write it any more.

Measured: all eight views whole within 13 s (a read and stability) for parts of 1, 2 and 4; the list keeps the other part's address, drops it after two minutes, and is written at most three times for that.

--- /dev/null
+++ b/internal/gateway/memberlist_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"chestnutrouter.example/chestnutrouter/internal/cluster"
+	"chestnutrouter.example/chestnutrouter/internal/cluster/memnet"
+	"chestnutrouter.example/chestnutrouter/internal/eventlog"
+	"chestnutrouter.example/chestnutrouter/internal/logservice"
+)
+
+// memberStore is a store with one keyed stream in memory.
+type memberStore struct {
+	logservice.CompactedLog
+	mu      sync.Mutex
+	records map[string][]byte
+	puts    int
+}
+
+func (s *memberStore) Newest(context.Context, string) (logservice.KeyedPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var page logservice.KeyedPage
+	for key, value := range s.records {
+		page.Records = append(page.Records, logservice.KeyedRecord{Key: key, Value: value})
+	}
+	return page, nil
+}
+
+func (s *memberStore) Put(_ context.Context, _, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.puts++
+	s.records[key] = value
+	return nil
+}
+
+// listedMember is a cluster member that maintains the member list.
+type listedMember struct {
+	node *cluster.Node
+	stop func()
+}
+
+func startListedMember(network *memnet.Network, store logservice.CompactedLog, i int, seeds ...netip.AddrPort) *listedMember {
+	address := listedAddress(i)
+	vm := fmt.Sprintf("vm-%d", i)
+	node := cluster.NewNode(cluster.Options{
+		Self:        cluster.Member{VM: vm, Zone: fmt.Sprintf("zone-%d", i%2), DatagramAddress: address, Incarnation: uint64(i + 1)},
+		Conn:        network.Listen(address),
+		OnHeartbeat: func(cluster.LiveMember, *cluster.Heartbeat) {},
+	})
+	node.AddSeeds(seeds...)
+	events := eventlog.New(&bytes.Buffer{}, log.InfoLevel)
+	list := &memberList{log: store, stream: "entries", node: node, self: vm, events: events, storeEpoch: func() int64 { return 0 }}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = node.Receive() })
+	done.Go(func() { list.run(ctx) })
+	done.Go(func() {
+		cluster.RunEvery(ctx, 66*time.Millisecond, func(_ context.Context, now time.Time) {
+			node.SendHeartbeat(&cluster.Heartbeat{Status: cluster.Status{Ready: true}}, now)
+		})
+	})
+	return &listedMember{node, func() {
+		cancel()
+		_ = node.Close()
+		done.Wait()
+		events.Close()
+	}}
+}
+
+func listedAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+}
+
+// Guards against parts of the cluster that stay apart for good after a cut that outlasted the
+// time until members forget each other: each part of two and more members wrote its own members as
+// the list in the store, and none read it.
+func TestPartsFindEachOtherByTheMemberListAfterALongCut(t *testing.T) {
+	const cut = 5 * time.Minute
+	for _, partSize := range []int{1, 2, 4} {
+		t.Run(fmt.Sprintf("%d of 8", partSize), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, store := memnet.New(), &memberStore{records: map[string][]byte{}}
+				// The only seed of the settings is replaced at another address before the cut.
+				seed := startListedMember(network, store, 8)
+				var members []*listedMember
+				for i := range 8 {
+					members = append(members, startListedMember(network, store, i, listedAddress(8)))
+				}
+				time.Sleep(time.Second)
+				seed.stop()
+				defer func() {
+					for _, m := range members {
+						m.stop()
+					}
+				}()
+				time.Sleep(10 * time.Second)
+				isInPart := func(a netip.AddrPort) bool { return a.Addr().As4()[3] <= byte(partSize) }
+				network.SetDrop(func(from, to netip.AddrPort) bool { return isInPart(from) != isInPart(to) })
+				time.Sleep(cut)
+				for _, m := range members {
+					if known := m.node.View().Known; known > 8-partSize && known > partSize {
+						t.Fatalf("a member still knows %d members at the end of the cut", known)
+					}
+				}
+				network.SetDrop(nil)
+				const bound = memberListCheckInterval + 3*time.Second
+				time.Sleep(bound)
+				for _, m := range members {
+					if live := len(m.node.View().Live); live != 8 {
+						t.Errorf("a member sees %d live members %v after the cut, want 8", live, bound)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a part that removes the addresses of another one from the list in the store, and
+// against addresses of members that are gone for good that stay there.
+func TestMemberListKeepsOtherPartsAndDropsGoneMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memberStore{records: map[string][]byte{memberListKey: []byte(`["10.0.0.200:7000"]`)}}
+		network := memnet.New()
+		members := []*listedMember{startListedMember(network, store, 0), startListedMember(network, store, 1, listedAddress(0))}
+		defer func() {
+			for _, m := range members {
+				m.stop()
+			}
+		}()
+		time.Sleep(2 * memberListCheckInterval)
+		listed := func() []netip.AddrPort {
+			l := &memberList{log: store, events: eventlog.New(&bytes.Buffer{}, log.InfoLevel)}
+			defer l.events.Close()
+			addresses, err := l.read(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			return addresses
+		}
+		other := netip.MustParseAddrPort("10.0.0.200:7000")
+		if got := listed(); len(got) != 3 || !slices.Contains(got, other) {
+			t.Errorf("list %v, want both members and %v", got, other)
+		}
+		time.Sleep(memberListRetention + 2*memberListCheckInterval)
+		if got := listed(); len(got) != 2 || slices.Contains(got, other) {
+			t.Errorf("list %v after %v without %v, want both members only", got, memberListRetention, other)
+		}
+		if store.puts > 3 {
+			t.Errorf("the list was written %d times for two members and one that is gone, want at most 3", store.puts)
+		}
+	})
+}
