peer, storesync: bound what a faulty entry can send in reply to a pull

Cause: an entry accepts replies of 16 MB from another one, though the largest that the gateway asks for is a chunk of 64 KB, and an update of 64 MB, which is more than the memory of the smallest VMs leaves. A chunk could have any length: an update that comes byte by byte kept the one goroutine that pulls busy for as many calls, and no other member was asked meanwhile.

Evidence: before, a reply of 1 MB was taken where 4 KB are allowed, and an update of single bytes took 67,108,864 calls (TestMalformedUpdates, 49 s with calls in memory).

Change: the pool has a limit for replies, 256 KB in the gateway as for requests; an update has at most 16 MB, as what is read from the store at once; a chunk must be the last one or have at least 16 KB, and not more than is missing.

Measured: both tests pass, the second with one call.

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -119,7 +119,9 @@
 
 func newScope(registry *metrics.Registry) tally.Scope { return registry.Scope }
 
-func newPool() *peer.Pool { return peer.NewPool(peer.Options{}) }
+func newPool() *peer.Pool {
+	return peer.NewPool(peer.Options{MaxMessageBytes: maxPeerMessageBytes})
+}
 
 func newLimits(s *Settings, events *eventlog.Logger) account.Limits {
 	descriptors, err := account.Descriptors()
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -54,3 +54,29 @@
 		}
 	}
 }
+
+// Guards against a peer in trouble whose replies take the memory of the VM that called it.
+func TestReplyLargerThanTheLimitEndsTheConnection(t *testing.T) {
+	const limit = 4 << 10
+	_, _, address := startServer(t)
+	pool := NewPool(Options{MaxMessageBytes: limit})
+	defer pool.Close()
+	size := limit / 2
+	var reply []byte
+	if err := pool.Call(t.Context(), address, "Echo.Fill", &size, &reply); err != nil || len(reply) != size {
+		t.Errorf("a reply of %d B: got %d B, error %v", size, len(reply), err)
+	}
+	size = 1 << 20
+	before := pool.Traffic().ReceivedBytes()
+	var unreachable *UnreachableError
+	if err := pool.Call(t.Context(), address, "Echo.Fill", &size, &reply); !errors.As(err, &unreachable) {
+		t.Errorf("a reply of %d B: got error %v, want *UnreachableError", size, err)
+	}
+	if got := pool.Traffic().ReceivedBytes() - before; got > 2*limit+readAheadBytes {
+		t.Errorf("received %d B, want at most %d", got, 2*limit+readAheadBytes)
+	}
+	size = 1
+	if err := pool.Call(t.Context(), address, "Echo.Fill", &size, &reply); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -34,6 +34,11 @@
 	return nil
 }
 
+func (e *echo) Fill(args *int, reply *[]byte) error {
+	*reply = make([]byte, *args)
+	return nil
+}
+
 func (e *echo) Size(args *[]byte, reply *int) error {
 	*reply = len(*args)
 	return nil
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -28,6 +28,9 @@
 type Options struct {
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// MaxMessageBytes is the size of the largest reply that is received, in bytes; a peer that
+	// sends a larger one is disconnected. Zero means the constant MaxMessageBytes.
+	MaxMessageBytes uint64
 }
 
 // Pool keeps one connection for each address that is called. It implements
@@ -37,8 +40,9 @@
 // a reply, new calls open another connection. So a connection that died in a
 // network partition is not reused, and the timeout of one call fails no other call.
 type Pool struct {
-	dial    func(ctx context.Context, address string) (net.Conn, error)
-	traffic Traffic
+	dial       func(ctx context.Context, address string) (net.Conn, error)
+	maxMessage uint64
+	traffic    Traffic
 
 	mu     sync.Mutex // guards the fields below and those of each poolConn
 	conns  map[string]*poolConn
@@ -62,7 +66,10 @@
 	if opts.Dial == nil {
 		opts.Dial = dialTCP
 	}
-	return &Pool{dial: opts.Dial, conns: map[string]*poolConn{}}
+	if opts.MaxMessageBytes == 0 {
+		opts.MaxMessageBytes = MaxMessageBytes
+	}
+	return &Pool{dial: opts.Dial, maxMessage: opts.MaxMessageBytes, conns: map[string]*poolConn{}}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -203,7 +210,9 @@
 		err = errPoolClosed
 	}
 	if err == nil {
-		c.client = rpc.NewClientWithCodec(&clientCodec{newGobConn(conn, &p.traffic)})
+		codec := &clientCodec{newGobConn(conn, &p.traffic)}
+		codec.maxMessage = p.maxMessage
+		c.client = rpc.NewClientWithCodec(codec)
 	}
 	c.err = err
 	close(c.ready)
--- a/internal/storesync/chunk_test.go
+++ b/internal/storesync/chunk_test.go
@@ -49,14 +49,17 @@
 	}
 }
 
-// Replies that make no sense end the fetch.
+// Replies that make no sense end the fetch. Guards against a peer that sends an update byte by byte,
+// which would keep this member from asking others, and against one that sends more than it announced.
 func TestMalformedUpdates(t *testing.T) {
 	for name, reply := range map[string]SinceReply{
-		"nothing":           {},
-		"no chunk":          {Size: 100},
-		"too large":         {Size: maxUpdateBytes + 1, Chunk: []byte("x")},
-		"not compressed":    {Size: 5, Chunk: []byte("hello")},
-		"an endless length": {Size: 10, Chunk: []byte(strings.Repeat("\xff", 10))},
+		"nothing":            {},
+		"no chunk":           {Size: 100},
+		"too large":          {Size: maxUpdateBytes + 1, Chunk: []byte("x")},
+		"more than its size": {Size: 10, Chunk: make([]byte, 1<<20)},
+		"a byte a call":      {Size: maxUpdateBytes, Chunk: []byte("x")},
+		"not compressed":     {Size: 5, Chunk: []byte("hello")},
+		"an endless length":  {Size: 10, Chunk: []byte(strings.Repeat("\xff", 10))},
 	} {
 		s, calls := newTestSyncer(), 0
 		s.options.Client = callFunc(func(_ SinceArgs, out *SinceReply) error {
--- a/internal/storesync/pull.go
+++ b/internal/storesync/pull.go
@@ -25,6 +25,8 @@
 	pullTimeout = 800 * time.Millisecond
 	// chunkBytes is the part of an encoded update that one call returns.
 	chunkBytes = 64 << 10
+	// minChunkBytes bounds the calls for an update: a smaller chunk must be the last one.
+	minChunkBytes = 16 << 10
 	// largeUpdateBytes is the size of an encoded update above which it counts as a large
 	// transfer.
 	largeUpdateBytes = 4 << 10
@@ -385,7 +387,8 @@
 			data, args.Update = nil, 0
 			restarts++
 			continue
-		case reply.Size > maxUpdateBytes || len(reply.Chunk) == 0 && len(data) < reply.Size:
+		case reply.Size > maxUpdateBytes || len(data)+len(reply.Chunk) > reply.Size ||
+			len(reply.Chunk) < min(minChunkBytes, reply.Size-len(data)):
 			return nil, &UpdateError{Cause: fmt.Sprintf("chunk of %d bytes at %d of %d", len(reply.Chunk), len(data), reply.Size)}
 		}
 		args.Update = reply.Update
--- a/internal/storesync/update.go
+++ b/internal/storesync/update.go
@@ -10,8 +10,9 @@
 	"chestnutrouter.example/chestnutrouter/internal/logservice"
 )
 
-// maxUpdateBytes bounds the decompressed size of an update from another member.
-const maxUpdateBytes = 64 << 20
+// maxUpdateBytes bounds the size of an update from another member, compressed and decompressed. It
+// is that of all records that may be read from the store at once.
+const maxUpdateBytes = 16 << 20
 
 // update holds the changes since a member's versions.
 type update struct {
