probe, logservice: bound the head of a response

Cause: both leave the bound of a response's head to net/http, whose default is 10 MB for each request. Probes go to many servers at the same time, so a few servers that send a head without end take more than a small VM has.

Change: 16 KB for a probe, 64 KB for the log service, as for the servers' responses.

--- a/internal/logservice/http.go
+++ b/internal/logservice/http.go
@@ -30,6 +30,8 @@
 	maxConnsPerEndpoint = 8
 	// maxResponseBytes bounds the body of a response.
 	maxResponseBytes = 32 << 20
+	// maxHeaderBytes bounds the header section of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Options configures a Client.
@@ -70,6 +72,8 @@
 		DialContext:     h.traffic.dial,
 		IdleConnTimeout: idleConnTimeout,
 		MaxConnsPerHost: maxConnsPerEndpoint,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 	return h
 }
--- a/internal/probe/http.go
+++ b/internal/probe/http.go
@@ -22,6 +22,8 @@
 	loadPath = "/load"
 	// maxBodyBytes bounds how much of a response body is read.
 	maxBodyBytes = 1 << 10
+	// maxHeaderBytes bounds the header section of a response.
+	maxHeaderBytes = 16 << 10
 )
 
 // ErrNoLoad is returned by a Sender if the server responded successfully without a load
@@ -42,7 +44,7 @@
 // NewHTTP returns a sender without keep-alive connections, as it rarely probes the same
 // server and a server's connections are limited.
 func NewHTTP() *HTTP {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &HTTP{client: &http.Client{Transport: transport}}
 }
 
