forward: bound the lines of a server's response head

Cause: the bound counts bytes. A head of 64 KB of short lines takes 397,261 B (one name) or 978,911 B (many names) once decoded, for as long as its request lasts: 150 requests at servers in trouble exceed the 136 MB of the smallest VM.

Change: a connection whose response head exceeds 512 lines is closed, and the request fails as with any other answer that is none. Interim answers count too.

Measured: the test passes, 256 lines are taken, and the lines of a body do not count. Heads that come a byte at a time, also while an upload is sent or after the call was abandoned, already ended with their call and left no connection (TestSlowEndlessHeadEndsWithItsCall passes before and after).

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -14,6 +15,8 @@
 	errUnsolicited    = errors.New("server sent bytes while no request was written")
 	errTransportRetry = errors.New("transport tried to retry the request")
 	errReset          = errors.New("server reset the connection while the request was written")
+
+	errTooManyHeaderLines = fmt.Errorf("server sent more than %d header lines", maxResponseHeaderLines)
 )
 
 // connState is whether a request uses the connection and has started writing.
@@ -190,6 +193,9 @@
 		return 0, errUnsolicited
 	}
 	c.header.feed(p[:n])
+	if c.header.lines > maxResponseHeaderLines {
+		return 0, errTooManyHeaderLines
+	}
 	if err == io.EOF && c.isResetDuringWrite() {
 		err = errReset
 	}
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -126,3 +127,85 @@
 		}
 	}
 }
+
+// Guards against heads of many short lines, which take more than ten times their bytes in memory: with
+// hundreds of requests at servers in trouble they would exceed the memory of a small VM.
+func TestHeadOfManyShortLinesIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		lines int
+		taken bool
+	}{{maxResponseHeaderLines / 2, true}, {2 * maxResponseHeaderLines, false}} {
+		var head strings.Builder
+		head.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 2048\r\n")
+		for i := range c.lines {
+			fmt.Fprintf(&head, "%x:\r\n", i)
+		}
+		// The lines of the body do not count.
+		server := startRawServer(t, respondWith(head.String()+"\r\n"+strings.Repeat("\n", 2048)))
+		f := New(Options{CorrelatedResponses: true})
+		resp, failure := f.Send(t.Context(), server.vm(), ordersMatch(false), newRequest("GET", "/", 0), nil)
+		if (failure == nil) != c.taken {
+			t.Errorf("head of %d lines: failure %v, want the answer taken: %v", c.lines, failure, c.taken)
+		}
+		if failure == nil {
+			if n, err := io.Copy(io.Discard, resp.Body); n != 2048 || err != nil {
+				t.Errorf("body of %d B, error %v", n, err)
+			}
+			_ = resp.Body.Close()
+		}
+		f.Close()
+	}
+}
+
+// Guards against a connection and a slot that stay taken by a server that sends a head so slowly that
+// it does not end: the call ends with its time, or when it is abandoned, and closes the connection.
+func TestSlowEndlessHeadEndsWithItsCall(t *testing.T) {
+	const (
+		callTime = 300 * time.Millisecond
+		pause    = 10 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name      string
+		bodySize  int64
+		abandoned bool
+	}{{"deadline", 0, false}, {"abandoned", 0, true}, {"while an upload is sent", 64 << 20, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			server := startRawServer(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+				defer close(closed)
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Fill: ")
+				for err == nil {
+					time.Sleep(pause)
+					_, err = io.WriteString(conn, "a")
+				}
+				return false
+			})
+			var dialed openConns
+			f := New(Options{Dial: dialed.dial, CorrelatedResponses: true, DisableExpectContinue: true})
+			defer f.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), callTime)
+			if c.abandoned {
+				ctx, cancel = context.WithCancel(t.Context())
+				time.AfterFunc(callTime, cancel)
+			}
+			defer cancel()
+			request := newRequest("POST", "/slow", c.bodySize)
+			began := time.Now()
+			_, failure := f.Send(ctx, server.vm(), ordersMatch(false), request, io.LimitReader(zeros{}, c.bodySize))
+			if failure == nil {
+				t.Error("a head without end was taken as complete")
+			}
+			if took := time.Since(began); took > callTime+closeTimeout/2 {
+				t.Errorf("the call took %v, want about %v", took, callTime)
+			}
+			select {
+			case <-closed:
+			case <-time.After(closeTimeout):
+				t.Error("the connection is still open after the end of the call")
+			}
+			if n := dialed.waitUntilClosed(closeTimeout); n > 0 {
+				t.Errorf("the forwarder left %d connections open", n)
+			}
+		})
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -33,6 +33,8 @@
 	continueTimeout = time.Second
 	// maxResponseHeaderBytes bounds the header section of a server's response.
 	maxResponseHeaderBytes = 64 << 10
+	// maxResponseHeaderLines bounds its lines. Decoded, a short line takes more than ten times its bytes.
+	maxResponseHeaderLines = 512
 	// minExpectBodyBytes is the smallest body that is sent with Expect: 100-continue.
 	minExpectBodyBytes = 64 << 10
 	// maxShedDrainBytes is the largest body of a shed response that is read so
--- a/internal/forward/headerscanner.go
+++ b/internal/forward/headerscanner.go
@@ -13,6 +13,7 @@
 // responses.
 type headerScanner struct {
 	done      bool
+	lines     int   // in header sections so far, also of informational responses
 	bodyBytes int64 // bytes after the final header section
 	prefix    [len(informationalPrefix)]byte
 	prefixLen int    // bytes in prefix
@@ -29,14 +30,17 @@
 // scan consumes bytes up to the end of one header section and returns the rest.
 func (s *headerScanner) scan(p []byte) []byte {
 	s.prefixLen += copy(s.prefix[s.prefixLen:], p)
-	if len(s.tail) > 0 {
+	counted := len(s.tail)
+	if counted > 0 {
 		p = append(s.tail, p...)
 	}
 	end := bytes.Index(p, headerEnd)
 	if end < 0 {
+		s.lines += bytes.Count(p[counted:], []byte{'\n'})
 		s.tail = bytes.Clone(p[max(0, len(p)-len(headerEnd)+1):])
 		return nil
 	}
+	s.lines += bytes.Count(p[min(counted, end):end], []byte{'\n'})
 	s.done = string(s.prefix[:s.prefixLen]) != informationalPrefix
 	s.prefixLen, s.tail = 0, nil
 	return p[end+len(headerEnd):]
