forward: count the memory of a response before it is read

Cause: up to 256 KiB of a response are read into memory before it is passed on. They were counted at the caller's connection after they had been read, and only if the response was not longer; a response without a length was read into a doubling buffer, of which the bytes were counted and not the capacity. The buffer of 32 KiB that copies a response to its caller was not counted at all. The account so took the process to be within its limit and shed too late.

Change: a response is read into blocks of its length, or that double up to 64 KiB where the length is not known, and each block is counted before it is allocated, which sheds other holders or waits for their memory. The count ends once the caller has read the blocks. The buffer that copies the response counts until its end.

TestBufferedResponsesAreCounted compares the count with the memory in use for six kinds of response; it names the blocks, so it does not compile on the former code.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -123,3 +123,6 @@
 
 // clock returns the time since start, never zero.
 func clock() time.Duration { return cmp.Or(time.Since(start), 1) }
+
+// HeldBytes returns the memory that connections and requests hold together.
+func (a *Account) HeldBytes() int64 { return a.held.Load() }
--- a/internal/attempt/body.go
+++ b/internal/attempt/body.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/forward"
 	"chestnutrouter.example/chestnutrouter/internal/outcome"
@@ -25,8 +24,6 @@
 	latency   time.Duration // zero until the body has ended
 	truncated bool
 	released  bool
-	conn      *account.Conn // of the caller, nil if it is not counted
-	held      int64         // bytes that conn counts
 	closed    bool
 }
 
@@ -48,19 +45,10 @@
 	}
 	b.closed = true
 	err := b.body.Close()
-	b.conn.Release(b.held)
 	b.release()
 	return err
 }
 
-// hold counts a response that is complete in memory until Close. If the caller's connection is shed
-// meanwhile, writing the response to it fails.
-func (b *releasingBody) hold(conn *account.Conn, bytes int64) {
-	if conn.Hold(bytes) {
-		b.conn, b.held = conn, bytes
-	}
-}
-
 // release releases the slot, once.
 func (b *releasingBody) release() {
 	if b.released {
--- a/internal/attempt/call.go
+++ b/internal/attempt/call.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"chestnutrouter.example/chestnutrouter/internal/account"
 	"chestnutrouter.example/chestnutrouter/internal/admission"
 	"chestnutrouter.example/chestnutrouter/internal/balancer"
 	"chestnutrouter.example/chestnutrouter/internal/fleet"
@@ -170,8 +169,6 @@
 	response.Body = releasing
 	if response.Complete {
 		releasing.latency = took
-		// This may wait for memory, so that no more responses come than there is memory for.
-		releasing.hold(account.FromContext(ctx), response.ContentLength)
 		releasing.release()
 	}
 	return result{response: response}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -164,7 +164,7 @@
 	if f.opts.BufferSizedOnly && (converted.ContentLength < 0 || converted.ContentLength > f.opts.MaxBufferedResponseBytes) {
 		return converted, nil
 	}
-	return bufferResponse(converted, f.opts.MaxBufferedResponseBytes)
+	return bufferResponse(ctx, converted, f.opts.MaxBufferedResponseBytes)
 }
 
 // buildRequest returns the request for the server, made from the caller's.
