--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -322,7 +322,7 @@
 // probeRound runs one round of probes of the servers assigned to this member, and sends
 // the regular heartbeat after every heartbeatRounds-th round.
 func (e *Entry) probeRound(ctx context.Context, now time.Time) {
-	e.params.Callbacks.applyMembers(now)
+	e.params.Callbacks.applyMembers(now, e.params.Node.View())
 	e.params.Owner.Tick()
 	e.params.LoadSync.Round(ctx, now)
 	e.rounds++
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -26,7 +26,7 @@
 		var out bytes.Buffer
 		events := eventlog.New(&out, log.InfoLevel)
 		set := service.NewSet(service.Options{VM: "vm-0", Zone: "z", Scope: tally.NoopScope, Workers: admission.NewWorkers()})
-		callbacks := &clusterCallbacks{self: "vm-0", services: set, events: events}
+		callbacks := &clusterCallbacks{self: "vm-0", services: set, events: events, members: newMemberGauges(tally.NoopScope)}
 		v := &cluster.View{}
 		const members, rounds = 30, 31
 		for i := range rounds {
@@ -34,11 +34,11 @@
 				v = &cluster.View{Live: append(append([]cluster.LiveMember(nil), v.Live...), cluster.LiveMember{Status: cluster.Status{Ready: true}})}
 				callbacks.onViewChange(v)
 			}
-			callbacks.applyMembers(time.Now())
+			callbacks.applyMembers(time.Now(), v)
 			time.Sleep(probeInterval)
 		}
 		time.Sleep(minMembersInterval)
-		callbacks.applyMembers(time.Now())
+		callbacks.applyMembers(time.Now(), v)
 		events.Close()
 		lines := strings.Count(out.String(), "members changed")
 		if maxLines := int(rounds*probeInterval/minMembersInterval) + 2; lines > maxLines {
@@ -82,3 +82,33 @@
 	l.puts++
 	return nil
 }
+
+// A split cluster must be seen in one entry's metrics and log: how many members are missing and for how
+// long, and that they are heard again.
+func TestSplitClusterIsSeenInMetricsAndLog(t *testing.T) {
+	var out bytes.Buffer
+	events := eventlog.New(&out, log.InfoLevel)
+	scope := tally.NewTestScope("", nil)
+	set := service.NewSet(service.Options{VM: "vm-0", Zone: "z", Scope: tally.NoopScope, Workers: admission.NewWorkers()})
+	callbacks := &clusterCallbacks{self: "vm-0", services: set, events: events, members: newMemberGauges(scope)}
+	now := time.Now()
+	apply := func(v *cluster.View) {
+		callbacks.onViewChange(v)
+		now = now.Add(2 * minMembersInterval)
+		callbacks.applyMembers(now, v)
+	}
+	apply(&cluster.View{Live: make([]cluster.LiveMember, 1), Known: 3, Missing: 2, LongestSilence: 4 * time.Second, Silent: make([]cluster.LiveMember, 2)})
+	for name, want := range map[string]float64{
+		"members_live": 1, "members_silent": 2, "members_missing": 2, "members_known": 3, "members_longest_silence_seconds": 4,
+	} {
+		if got := scope.Snapshot().Gauges()[name+"+"]; got == nil || got.Value() != want {
+			t.Errorf("gauge %s: %v, want %v", name, got, want)
+		}
+	}
+	apply(&cluster.View{Live: make([]cluster.LiveMember, 3), Known: 3, Returned: 2, ReturnedAfter: 5 * time.Second})
+	apply(&cluster.View{Live: make([]cluster.LiveMember, 2), Known: 3, Returned: 2})
+	events.Close()
+	if lines := strings.Count(out.String(), "members heard again"); lines != 1 || !strings.Contains(out.String(), `"silence_ms":5000`) {
+		t.Errorf("%d lines of members heard again, want one after 5 s, log:\n%s", lines, out.String())
+	}
+}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -150,9 +150,31 @@
 	services  *service.Set
 	guard     *quarantine.Guard
 	events    *eventlog.Logger
+	members   memberGauges
 
 	pendingView      atomic.Pointer[cluster.View] // not applied yet, nil if there is none
 	membersAppliedAt time.Time                    // see applyMembers
+	returned         int                          // of the last view applied, see cluster.View.Returned
+}
+
+// memberGauges show the cluster as this entry sees it.
+type memberGauges struct {
+	live, silent, missing, known, longestSilence tally.Gauge
+}
+
+func newMemberGauges(scope tally.Scope) memberGauges {
+	return memberGauges{
+		live: scope.Gauge("members_live"), silent: scope.Gauge("members_silent"), missing: scope.Gauge("members_missing"),
+		known: scope.Gauge("members_known"), longestSilence: scope.Gauge("members_longest_silence_seconds"),
+	}
+}
+
+func (g *memberGauges) update(v *cluster.View) {
+	g.live.Update(float64(len(v.Live)))
+	g.silent.Update(float64(len(v.Silent)))
+	g.missing.Update(float64(v.Missing))
+	g.known.Update(float64(v.Known))
+	g.longestSilence.Update(v.LongestSilence.Seconds())
 }
 
 func (c *clusterCallbacks) onHeartbeat(from cluster.LiveMember, hb *cluster.Heartbeat) {
@@ -215,9 +237,10 @@
 // members join one by one.
 const minMembersInterval = 200 * time.Millisecond
 
-// applyMembers applies the latest changed view, if any. It must not be called
-// concurrently.
-func (c *clusterCallbacks) applyMembers(now time.Time) {
+// applyMembers applies the latest changed view, if any, and updates the gauges from the current one.
+// It must not be called concurrently.
+func (c *clusterCallbacks) applyMembers(now time.Time, current *cluster.View) {
+	c.members.update(current)
 	if now.Sub(c.membersAppliedAt) < minMembersInterval {
 		return
 	}
@@ -238,7 +261,13 @@
 			Missing:  v.Missing,
 		},
 	})
-	c.events.Info("members changed", "live", len(v.Live), "ready", ready, "silent", len(v.Silent), "missing", v.Missing, "known", v.Known)
+	c.events.Info("members changed", "live", len(v.Live), "ready", ready, "silent", len(v.Silent), "missing", v.Missing, "known", v.Known,
+		"longest_silence_ms", v.LongestSilence.Milliseconds())
+	if v.Returned != c.returned {
+		c.events.Info("members heard again", "members", v.Returned-c.returned, "live", len(v.Live),
+			"silence_ms", v.ReturnedAfter.Milliseconds())
+		c.returned = v.Returned
+	}
 }
 
 // zoneRank returns an entry's place among the ready entries of its availability zone.
@@ -252,7 +281,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	callbacks := &clusterCallbacks{self: s.VM, events: events}
+	callbacks := &clusterCallbacks{self: s.VM, events: events, members: newMemberGauges(scope)}
 	node := cluster.NewNode(cluster.Options{
 		Self: cluster.Member{
 			VM:              s.VM,
