--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -128,7 +128,8 @@
 }
 
 // SendUpdate sends a heartbeat outside the regular interval, with the status of the
-// last regular one, in which only the age of the last read of the store is that of now. In a large cluster it goes to this zone only.
+// last regular one, in which only the age of the last read of the store is that of now.
+// In a large cluster it goes to this zone only.
 func (n *Node) SendUpdate(hb *Heartbeat, now time.Time) {
 	hb.Status = n.currentStatus(now)
 	n.broadcast(n.encode(hb), now)
