--- a/internal/cluster/partition_test.go
+++ b/internal/cluster/partition_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// stability is the time after the end of a disturbance within which all running members see each
+// stability is the time after the end of a fault within which all running members see each
 // other again.
 const stability = 3 * time.Second
 
