--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Each returns the exit status.
 var cases = map[string]func(recordFile string, trouble bool) (int, error){
 	"foreign": foreignRecord,
+	"islands": islands,
 	"path":    rawPath,
 	"tenants": lastTenant,
 }
--- a/review/cases3/world.go
+++ b/review/cases3/world.go
@@ -42,14 +42,18 @@
 
 // world is one small deployment on loopback addresses.
 type world struct {
-	dir     string
-	record  *record
-	store   *usersplatform.Store
-	first   int // first port
-	ips     []string
-	entries []*entry
-	servers []*server
-	bounds  string // further lines of terms.bounds
+	dir         string
+	record      *record
+	store       *usersplatform.Store
+	first       int // first port
+	ips         []string
+	entries     []*entry
+	servers     []*server
+	bounds      string                // further lines of terms.bounds
+	storeDelay  time.Duration         // of each answer
+	pauseBefore map[int]time.Duration // before the start of the entry with that number
+	// seedsOf returns the seeds of an entry; if it is nil, the first entry is the seed of all.
+	seedsOf func(number int) []string
 }
 
 // entry is one process of the load balancer.
@@ -101,10 +105,12 @@
 // startEntries starts one entry for each address, with zones in turn.
 func (w *world) startEntries() error {
 	for i, ip := range w.ips {
+		time.Sleep(w.pauseBefore[i])
 		endpoint, err := w.store.NewEndpoint()
 		if err != nil {
 			return err
 		}
+		endpoint.SetFault(usersplatform.None, w.storeDelay)
 		e := &entry{name: fmt.Sprintf("front-%d", i+1), ip: ip, endpoint: endpoint}
 		e.settings = filepath.Join(w.dir, e.name+".toml")
 		if err := os.WriteFile(e.settings, []byte(w.settings(e, i)), 0o600); err != nil {
@@ -138,6 +144,13 @@
 	return nil
 }
 
+// setStoreDelay changes the time that the store takes for an answer.
+func (w *world) setStoreDelay(delay time.Duration) {
+	for _, e := range w.entries {
+		e.endpoint.SetFault(usersplatform.None, delay)
+	}
+}
+
 // settings returns the settings of a small deployment.
 func (w *world) settings(e *entry, number int) string {
 	return fmt.Sprintf(`[self]
@@ -159,7 +172,7 @@
 diskMb = 0
 [network]
 internalPorts = [%d,%d]
-seeds = [%q]
+seeds = %s
 [network.listen]
 front = %q
 ready = %q
@@ -193,10 +206,19 @@
 recover = "15s"
 ttl_max = "5s"
 probesPerS = 60
-%s`, e.name, e.ip, number%2, w.first+portInternal, w.first+portInternal+1, w.at(w.ips[0], portControl),
+%s`, e.name, e.ip, number%2, w.first+portInternal, w.first+portInternal+1, w.seeds(number),
 		w.at(e.ip, portFront), w.at(e.ip, portReady), w.at(e.ip, portControl), w.at(e.ip, portDirectory), e.endpoint.Address, w.bounds)
 }
 
+// seeds returns the seeds of an entry as a list in its settings.
+func (w *world) seeds(number int) string {
+	seeds := []string{w.at(w.ips[0], portControl)}
+	if w.seedsOf != nil {
+		seeds = w.seedsOf(number)
+	}
+	return `["` + strings.Join(seeds, `","`) + `"]`
+}
+
 // awaitReady waits until all entries say that they are ready, and a little longer.
 func (w *world) awaitReady() error {
 	deadline := time.Now().Add(15 * time.Second)
@@ -479,11 +501,19 @@
 	}
 }
 
+// fail records that the rule is broken by the run as a whole.
+func (r *record) fail(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, what)
+	r.note("BROKEN: %s", what)
+}
+
 // finish writes the record to a file and returns the exit status.
 func (r *record) finish(file string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	summary := fmt.Sprintf("%d requests sent, answers by status (0: none) %v, %d runs, %d of them break the rule", len(r.sent), r.answers, r.runs, len(r.broken))
+	summary := fmt.Sprintf("%d requests sent, answers by status (0: none) %v, %d runs, the rule broken %d times", len(r.sent), r.answers, r.runs, len(r.broken))
 	r.note("%s", summary)
 	fmt.Println(summary)
 	if err := os.WriteFile(file, r.lines.Bytes(), 0o600); err != nil {
