--- a/review/cases3/path.go
+++ b/review/cases3/path.go
@@ -20,6 +20,9 @@
 		if !strings.HasPrefix(q.target, "/look/") {
 			return "no configuration has a route for " + q.target
 		}
+		if x.server.service != serviceShop {
+			return q.target + " is routed to " + serviceShop + ", and ran at " + x.server.service
+		}
 		return ""
 	})
 	w, err := newWorld(record, 3)
@@ -27,9 +30,11 @@
 		return exitNotRun, err
 	}
 	defer w.close()
-	w.putConfig(1, []map[string]any{route(shopHost, "/look/", "idempotent", serviceShop)}, []map[string]any{service(serviceShop)})
-	for i := range 2 {
-		if err := w.startServer(fmt.Sprintf("i-%d", i+1), serviceShop, fmt.Sprintf("zone-%d", i)); err != nil {
+	w.putConfig(1, []map[string]any{
+		route(shopHost, "/look/", "idempotent", serviceShop), route(shopHost, "/look/scans/", "idempotent", serviceScans),
+	}, []map[string]any{service(serviceShop), service(serviceScans)})
+	for i, name := range []string{serviceShop, serviceShop, serviceScans} {
+		if err := w.startServer(fmt.Sprintf("i-%d", i+1), name, fmt.Sprintf("zone-%d", i%2)); err != nil {
 			return exitNotRun, err
 		}
 	}
@@ -46,7 +51,7 @@
 	n := 0
 	for range 20 {
 		for _, target := range []string{
-			"/look/kits?colour=red|blue", "/look/jars%2Flids/7", "/look/red|blue", "/look/jars%2Flids/red|blue", "/look%2Fkits/red|blue",
+			"/look/kits?colour=red|blue", "/look/jars%2Flids/7", "/look/red|blue", "/look/jars%2Flids/red|blue", "/look%2Fkits/red|blue", "/look/scans%2F7/red|blue",
 		} {
 			path, query, _ := strings.Cut(target, "?")
 			if !trouble {
