--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -18,10 +18,11 @@
 
 // cases are the cases by name. Each returns the exit status.
 var cases = map[string]func(recordFile string, trouble bool) (int, error){
-	"foreign": foreignRecord,
-	"islands": islands,
-	"path":    rawPath,
-	"tenants": lastTenant,
+	"directory": removedMachines,
+	"foreign":   foreignRecord,
+	"islands":   islands,
+	"path":      rawPath,
+	"tenants":   lastTenant,
 }
 
 func main() {
--- a/review/cases3/world.go
+++ b/review/cases3/world.go
@@ -244,9 +244,12 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// fronts returns the addresses that the endpoint list hands out.
-func (w *world) fronts(host string) ([]string, error) {
-	response, err := http.Get("http://" + w.at(w.ips[0], portDirectory) + "/chestnutrouter/resolve?name=" + host + "&region=region&zone=zone-0")
+// fronts returns the addresses that the endpoint list of the first entry hands out.
+func (w *world) fronts(host string) ([]string, error) { return w.frontsFrom(w.entries[0], host) }
+
+// frontsFrom returns the addresses that the endpoint list of the entry hands out.
+func (w *world) frontsFrom(e *entry, host string) ([]string, error) {
+	response, err := http.Get("http://" + w.at(e.ip, portDirectory) + "/chestnutrouter/resolve?name=" + host + "&region=region&zone=zone-0")
 	if err != nil {
 		return nil, err
 	}
@@ -287,6 +290,7 @@
 	server *http.Server
 	born   int64
 	stop   chan struct{}
+	closed bool
 	done   sync.WaitGroup
 
 	mu       sync.Mutex
@@ -342,6 +346,10 @@
 }
 
 func (s *server) close() {
+	if s.closed {
+		return
+	}
+	s.closed = true
 	close(s.stop)
 	_ = s.server.Close() // nothing more is asked of it
 	s.done.Wait()
