--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -21,7 +21,6 @@
 	"directory": removedMachines,
 	"foreign":   foreignRecord,
 	"islands":   islands,
-	"path":      rawPath,
 	"tenants":   lastTenant,
 }
 
