Require keys by the presence of the list of tenants, not by its length

Cause: Tree.HasTenants was false for an empty list, and the adapter decoded an empty list, null and an absent field alike. The refusal, the proof, and the removal of Authorization and X-Tenant from requests to servers went by it. Ruled out: a late configuration (all entries logged r2 in force) and one that is changed on the way (an update has the record's bytes).

Change: Tree.KeysRequired, set by the presence of the list. Logs and gauges tell whether keys are required, how many tenants there are and from which revision, which they did not.

Why it works: all readers of the property now see whether the operator wrote the list.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -183,7 +183,7 @@
 	if body != nil && body != http.NoBody && r.ContentLength != 0 {
 		a.body = &requestBody{reader: body}
 		out.Body = a.body
-		if !a.match.HasTenants {
+		if !a.match.KeysRequired {
 			// A trailer could name a tenant that the entry has not authenticated.
 			out.Trailer = r.Trailer
 		}
--- a/internal/frontend/authenticate.go
+++ b/internal/frontend/authenticate.go
@@ -15,13 +15,13 @@
 )
 
 // authenticate returns the tenant of a request, nil if its route is public and no tenant is
-// known, or if there are no tenants. With a refusal, it returns the tenant that the key had last.
+// known, or if no keys are required. With a refusal, it returns the tenant that the key had last.
 // It must be called after the request's header has been read: a proof that holds now covers the
 // time at which the caller sent the request.
 //
 // A key that the entry cannot prove to be valid makes a public request no tenant's.
 func (h *Handler) authenticate(t *tree.Tree, route *tree.Route, r *http.Request) (*tree.Tenant, *outcome.Refusal) {
-	if !t.HasTenants() {
+	if !t.KeysRequired {
 		return nil, nil
 	}
 	key, sent := wire.TenantKey(r.Context())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,12 +154,29 @@
 	a.holder.mu.Lock()
 	defer a.holder.mu.Unlock()
 	a.services.SetTree(t)
-	if a.holder.tree.Swap(t) == nil {
+	previous := a.holder.tree.Swap(t)
+	if previous == nil {
 		close(a.holder.first)
 	}
+	a.reportTree(previous, t)
 	a.loadSync.Update(t, a.services, a.holder.servers)
 }
 
+// reportTree updates the gauges of the active tree, and warns if it no longer requires the keys that
+// the previous one did. Previous is nil for the first tree.
+func (a applier) reportTree(previous, t *tree.Tree) {
+	if previous != nil && previous.KeysRequired && !t.KeysRequired {
+		a.events.Warn("keys no longer required", "revision", t.Revision, "previous", previous.Revision)
+	}
+	keysRequired := 0.0
+	if t.KeysRequired {
+		keysRequired = 1
+	}
+	a.scope.Gauge("configuration_revision").Update(float64(t.Revision))
+	a.scope.Gauge("configuration_keys_required").Update(keysRequired)
+	a.scope.Gauge("configuration_tenants").Update(float64(len(t.Tenants)))
+}
+
 func (a applier) setServers(vms []fleet.VM) {
 	a.holder.mu.Lock()
 	defer a.holder.mu.Unlock()
--- a/internal/storesync/proof.go
+++ b/internal/storesync/proof.go
@@ -71,7 +71,7 @@
 // activeConfig is the active configuration as far as its proof goes.
 type activeConfig struct {
 	version freshness.Version
-	// needed is set if the configuration has tenants.
+	// needed is set if the configuration requires keys.
 	needed bool
 }
 
@@ -133,7 +133,7 @@
 // setActive records that the tree becomes active.
 func (p *configProof) setActive(t *tree.Tree) {
 	if p != nil {
-		p.active.Store(&activeConfig{version: versionOf(t), needed: t.HasTenants()})
+		p.active.Store(&activeConfig{version: versionOf(t), needed: t.KeysRequired})
 	}
 }
 
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -249,7 +249,7 @@
 	s.appliedAt.Store(steady.Nanos(now))
 	s.count("config_applied")
 	s.options.Events.Info("configuration in force", "revision", t.Revision, "position", r.Position.String(), "source", source,
-		"bytes", len(r.Value), "apply_ms", now.Sub(began).Milliseconds())
+		"bytes", len(r.Value), "apply_ms", now.Sub(began).Milliseconds(), "keys_required", t.KeysRequired, "tenants", len(t.Tenants))
 	return true
 }
 
--- a/internal/tree/hostroute.go
+++ b/internal/tree/hostroute.go
@@ -74,7 +74,7 @@
 		point -= d.Weight
 		if point < 0 {
 			if picked, ok := m.weighted.matchService(d.Service); ok {
-				picked.HasTenants = m.HasTenants
+				picked.KeysRequired = m.KeysRequired
 				return picked
 			}
 			return m
--- a/internal/tree/match.go
+++ b/internal/tree/match.go
@@ -14,9 +14,9 @@
 	Rank    Rank
 	// Tenant is the tenant of an authenticated request, otherwise nil.
 	Tenant *Tenant
-	// HasTenants is set if the tree has tenants, so that the headers by which callers and
-	// entries name a tenant must not be forwarded as the caller sent them.
-	HasTenants bool
+	// KeysRequired is set if the tree requires keys. The headers by which callers and entries name
+	// a tenant must not be forwarded then as the caller sent them.
+	KeysRequired bool
 
 	weighted *HostRoute // nil unless a HostRoute matched
 }
@@ -46,7 +46,7 @@
 // the host is ignored.
 func (t *Tree) Match(host, method, path string) (Match, bool) {
 	m, ok := t.match(host, method, path)
-	m.HasTenants = t.HasTenants()
+	m.KeysRequired = t.KeysRequired
 	return m, ok
 }
 
--- a/internal/tree/tenant.go
+++ b/internal/tree/tenant.go
@@ -49,7 +49,7 @@
 	return sha256.Sum256(append(input, key...))
 }
 
-// AddTenant adds a tenant with its keys. It returns a *KeyConflictError if one of the keys is
+// AddTenant adds a tenant with its keys, and requires keys from then on. It returns a *KeyConflictError if one of the keys is
 // another tenant's. It must not be called once the tree is in use.
 func (t *Tree) AddTenant(tenant *Tenant, keys ...string) error {
 	for _, key := range keys {
@@ -57,6 +57,7 @@
 			return err
 		}
 	}
+	t.KeysRequired = true
 	t.Tenants = append(t.Tenants, tenant)
 	return nil
 }
@@ -75,9 +76,6 @@
 	return nil
 }
 
-// HasTenants reports whether requests must carry a tenant's key, unless their route is public.
-func (t *Tree) HasTenants() bool { return len(t.Tenants) > 0 }
-
 // TenantOf returns the tenant of a key.
 func (t *Tree) TenantOf(key string) (*Tenant, bool) {
 	tenant, ok := t.tenantsByKey[hashKey(key)]
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -32,8 +32,10 @@
 	// not matched against the routes of the services. See IndexHostRoutes.
 	HostRoutes map[string][]*HostRoute
 
-	// Tenants are the customers whose callers send keys; if there are none, requests carry none.
-	// See AddTenant.
+	// KeysRequired is set if requests must carry the key of a tenant, unless their route is public.
+	// If there are no tenants then, every key is refused.
+	KeysRequired bool
+	// Tenants are the customers whose callers send keys. See AddTenant.
 	Tenants []*Tenant
 	// Digest identifies the content of the tree among those of the same revision.
 	Digest uint64
@@ -112,7 +114,7 @@
 	// MaxAttempts is the maximum number of backend servers that one call is sent to;
 	// zero uses the default of package attempt.
 	MaxAttempts int
-	// Public calls need no key in a tree with tenants.
+	// Public calls need no key, even if the tree requires keys.
 	Public bool
 }
 
