List silent members only where no other member is heard, for 3 s

Cause: a member with more silent members than live ones took itself to be cut off and handed out the silent ones for 20 s. That is a guess from numbers: a part of a cut cluster and the rest after a loss see the same. Ruled out: members that stay live in the view (0.5 to 2.5 s), records of lost members that exchanges bring back (not ready, so not listed), caches of callers.

Change: only a member that hears no other one lists silent members, and for 3 s after their last heartbeat, so that with the list's ttl of 2 s the sum stays below 6 s (docs/PLATFORM.md). View.Silent keeps its 20 s for the claims of allowances. The product's own membership, the same guess a second time, lists silent entries for 20 s in place of 10 minutes.

--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -107,6 +107,8 @@
 	// Silent are members that were ready when last seen and have since exceeded the
 	// liveness timeout, but not yet silentGrace.
 	Silent []LiveMember
+	// computedAt is the time for which the view was computed.
+	computedAt time.Time
 	// liveHash is a hash of the set of live members, assignmentHash of those that are
 	// not leaving.
 	liveHash, assignmentHash uint32
@@ -131,12 +133,13 @@
 	return uint32(xxhash.Sum64String(m.VM + "\x00" + strconv.FormatUint(m.Incarnation, 16)))
 }
 
-// isolated reports whether most members became silent at about the same time. It is
-// then more likely that a network partition separates this member from the others.
-func (v *View) isolated() bool { return len(v.Silent) > len(v.Live) }
+// isIsolated reports whether no other member is live. That most members are silent is no sign of
+// isolation: to a member that hears others, a network partition and the loss of the silent ones
+// look the same, and it has others to hand out.
+func (v *View) isIsolated() bool { return len(v.Live) <= 1 }
 
 // CallerAddresses returns the addresses to hand out to callers. An isolated member
-// includes the silent members, as callers may still reach them.
+// includes the silent members for maxListedSilence, as callers may still reach them.
 func (v *View) CallerAddresses() []string {
 	return addressesOf(v.callerMembers())
 }
@@ -171,9 +174,11 @@
 			members = append(members, m)
 		}
 	}
-	if v.isolated() {
+	if v.isIsolated() {
 		for i := range v.Silent {
-			members = append(members, &v.Silent[i])
+			if m := &v.Silent[i]; v.computedAt.Sub(m.LastSeen) <= maxListedSilence {
+				members = append(members, m)
+			}
 		}
 	}
 	return members
--- a/internal/cluster/member_test.go
+++ b/internal/cluster/member_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -111,18 +112,35 @@
 	}
 }
 
-// An isolated member, to which most others are silent, also hands out the addresses of
-// the silent members. A member to which only a few are silent does not.
+// An isolated member, to which all others are silent, also hands out the addresses of the silent
+// members, as callers may reach them, but not for longer than it may list one that is lost. A member
+// that hears another one does not, however many are silent.
 func TestIsolatedMemberListsSilentMembers(t *testing.T) {
-	v := viewOf(member(0, 2))
-	v.Silent = []LiveMember{member(1, 2), member(2, 2)}
-	if got := v.CallerAddresses(); len(got) != 3 {
-		t.Errorf("isolated member: caller addresses %v, want 3", got)
-	}
-	v = viewOf(member(0, 2), member(1, 2), member(2, 2))
-	v.Silent = []LiveMember{member(3, 2)}
-	if got := v.CallerAddresses(); len(got) != 3 {
-		t.Errorf("one of four members silent: caller addresses %v, want 3", got)
+	now := time.Now()
+	silent := func(i int, silence time.Duration) LiveMember {
+		m := member(i, 2)
+		m.LastSeen = now.Add(-silence)
+		return m
+	}
+	isolated := []LiveMember{member(0, 2)}
+	few := []LiveMember{member(0, 2), member(1, 2)}
+	for _, c := range []struct {
+		live    []LiveMember
+		silence time.Duration
+		want    int
+	}{
+		{isolated, livenessTimeout, 4},
+		{isolated, maxListedSilence, 4},
+		{isolated, maxListedSilence + time.Millisecond, 1},
+		{few, livenessTimeout, 2},
+		{few, maxListedSilence + time.Millisecond, 2},
+	} {
+		v := viewOf(c.live...)
+		v.computedAt = now
+		v.Silent = []LiveMember{silent(2, c.silence), silent(3, c.silence), silent(4, c.silence)}
+		if got := v.CallerAddresses(); len(got) != c.want {
+			t.Errorf("%d members live, 3 silent for %v: caller addresses %v, want %d", len(c.live), c.silence, got, c.want)
+		}
 	}
 }
 
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -19,9 +19,13 @@
 	livenessTimeout = 500 * time.Millisecond
 	// forgetAfter is how long a silent member stays in the member table.
 	forgetAfter = 2 * time.Minute
-	// silentGrace is how long after its last heartbeat an isolated member may still
-	// hand out the address of a silent member to callers.
+	// silentGrace is how long after its last heartbeat a member may be among the silent ones of
+	// a View.
 	silentGrace = 20 * time.Second
+	// maxListedSilence is how long after its last heartbeat an isolated member may still hand out
+	// the address of a silent member to callers. A lost member must be in no endpoint list 6 s
+	// after its loss, and callers use a list for up to 2 s.
+	maxListedSilence = 3 * time.Second
 	// helloInterval is the minimum time between two hellos to the same seed or silent
 	// member.
 	helloInterval = 250 * time.Millisecond
@@ -204,7 +208,7 @@
 	self := newLiveMember(n.options.Self, n.status, now)
 	v := &View{
 		Live: make([]LiveMember, 0, 1+len(n.members)), Known: 1 + len(n.members),
-		Returned: n.returned, ReturnedAfter: n.returnedAfter,
+		Returned: n.returned, ReturnedAfter: n.returnedAfter, computedAt: now,
 	}
 	selfAdded := false
 	for _, m := range n.sortedMembers() {
--- a/internal/membership/address.go
+++ b/internal/membership/address.go
@@ -45,8 +45,8 @@
 // in its own zone, in its region, then the others, each class ordered by
 // rendezvous hashing of the caller. Entries that are draining, leaving, silent
 // or without a configuration are omitted. If all other entries are silent, this
-// entry itself is probably partitioned, so the silent ones are appended: the
-// caller may still reach them.
+// entry itself is probably partitioned, so those that are not silent for longer than
+// maxListedSilence are appended: the caller may still reach them.
 func (v *View) Addresses(zone, caller string, sameRegion SameRegion) []EntryAddress {
 	candidates := make([]candidate, 0, len(v.Entries))
 	for _, e := range v.Entries {
@@ -56,7 +56,7 @@
 	}
 	if v.isIsolated() {
 		for _, e := range v.silent {
-			if e.takesCallers() {
+			if e.takesCallers() && v.builtAt.Sub(e.LastSeen) <= maxListedSilence {
 				c := newCandidate(e, zone, caller, sameRegion)
 				c.class = classSilent
 				candidates = append(candidates, c)
--- a/internal/membership/build.go
+++ b/internal/membership/build.go
@@ -12,6 +12,7 @@
 // buildView returns a View of the table at the given time.
 func (t *table) buildView(now time.Time, servers *serverView) *View {
 	v := &View{
+		builtAt: now,
 		self:    t.self.Row.Incarnation,
 		known:   make(map[string]Entry, len(t.members)+1),
 		servers: servers,
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -286,5 +286,11 @@
 		if len(addresses) != 4 || addresses[0].Address != isolated.Address {
 			t.Errorf("got addresses %v, want all 4 entries with the isolated one first", addresses)
 		}
+		// The others may be lost, so they are not listed for as long as they are remembered.
+		time.Sleep(maxListedSilence)
+		addresses = entries[2].View().Addresses("zone-1", "caller", oneRegion)
+		if len(addresses) != 1 || addresses[0].Address != isolated.Address {
+			t.Errorf("got addresses %v after %v of silence, want the isolated entry only", addresses, 2*livenessTimeout+maxListedSilence)
+		}
 	})
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -20,6 +20,9 @@
 	// suspectProbeInterval is the minimum time between two such heartbeats to one
 	// entry.
 	suspectProbeInterval = time.Second
+	// maxListedSilence is the time since the last rise of an entry's liveness counter up to which
+	// an entry to which all others are silent still lists it for callers.
+	maxListedSilence = 20 * time.Second
 	// forgetAfter is how long a silent process and an outdated notice are retained.
 	forgetAfter = 10 * time.Minute
 	// slowStartTime is how long a new or returned entry takes to reach its full
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -37,6 +37,7 @@
 	// Entries are the live entries, including this one and draining ones, sorted
 	// by VM name.
 	Entries []Entry
+	builtAt time.Time
 	self    string
 	silent  []Entry
 	known   map[string]Entry
