Replace a connection between entries that was idle for 0.5 s

Cause: an entry keeps a connection to each member that it pulled from. A pull over one that died without notice waits for 0.8 s, and the next member is asked mostly over a dead connection too; three such pulls take 2.4 s.

Change: peer.Options.ReuseAge; the gateway replaces a connection that had no call for 0.5 s. A new one works where the old one went silent.

Evidence: TestIdleConnectionThatDiedIsReplaced fails before ("context deadline exceeded").

--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -119,8 +119,13 @@
 
 func newScope(registry *metrics.Registry) tally.Scope { return registry.Scope }
 
+// peerReuseAge is the idle time after which a connection to another entry is replaced. It is short
+// compared with the time in which a new configuration must be in force, and longer than the pauses
+// between the calls for one update.
+const peerReuseAge = 500 * time.Millisecond
+
 func newPool() *peer.Pool {
-	return peer.NewPool(peer.Options{MaxMessageBytes: maxPeerMessageBytes})
+	return peer.NewPool(peer.Options{MaxMessageBytes: maxPeerMessageBytes, ReuseAge: peerReuseAge})
 }
 
 func newLimits(s *Settings, events *eventlog.Logger) account.Limits {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -31,6 +31,10 @@
 	// MaxMessageBytes is the size of the largest reply that is received, in bytes; a peer that
 	// sends a larger one is disconnected. Zero means the constant MaxMessageBytes.
 	MaxMessageBytes uint64
+	// ReuseAge is the idle time up to which a connection carries a further call; an older one is
+	// replaced, as it may have died without notice, and the call would wait for its deadline.
+	// Zero means any age.
+	ReuseAge time.Duration
 }
 
 // Pool keeps one connection for each address that is called. It implements
@@ -42,6 +46,7 @@
 type Pool struct {
 	dial       func(ctx context.Context, address string) (net.Conn, error)
 	maxMessage uint64
+	reuseAge   time.Duration
 	traffic    Traffic
 
 	mu     sync.Mutex // guards the fields below and those of each poolConn
@@ -69,7 +74,7 @@
 	if opts.MaxMessageBytes == 0 {
 		opts.MaxMessageBytes = MaxMessageBytes
 	}
-	return &Pool{dial: opts.Dial, maxMessage: opts.MaxMessageBytes, conns: map[string]*poolConn{}}
+	return &Pool{dial: opts.Dial, maxMessage: opts.MaxMessageBytes, reuseAge: opts.ReuseAge, conns: map[string]*poolConn{}}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -179,6 +184,10 @@
 		return nil, false, errPoolClosed
 	}
 	c = p.conns[address]
+	if c != nil && p.isTooOld(c) {
+		p.remove(address, c)
+		c = nil
+	}
 	if c == nil {
 		p.closeIdle()
 		c = &poolConn{ready: make(chan struct{})}
@@ -250,9 +259,20 @@
 func (p *Pool) closeIdle() {
 	for address, c := range p.conns {
 		if c.pending == 0 && time.Since(c.lastUsed) > idleTimeout/2 {
-			delete(p.conns, address)
-			c.retired = true
-			p.closeIfUnused(address, c)
+			p.remove(address, c)
 		}
 	}
 }
+
+// isTooOld reports whether the connection was idle for too long to carry another call; the caller
+// holds mu.
+func (p *Pool) isTooOld(c *poolConn) bool {
+	return p.reuseAge > 0 && c.pending == 0 && time.Since(c.lastUsed) > p.reuseAge
+}
+
+// remove retires a connection without pending calls and closes it; the caller holds mu.
+func (p *Pool) remove(address string, c *poolConn) {
+	delete(p.conns, address)
+	c.retired = true
+	p.closeIfUnused(address, c)
+}
--- a/internal/peer/staleconn_test.go
+++ b/internal/peer/staleconn_test.go
@@ -45,3 +45,47 @@
 		t.Errorf("got %d connections, want 2", len(dialed))
 	}
 }
+
+// silentConn delivers nothing more once silent is set, in either direction and without an error.
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against calls that wait for their deadline on kept connections that died without notice:
+// three such pulls in a row make a configuration late. One that was idle for longer than ReuseAge is
+// replaced, and one that was not is used again.
+func TestIdleConnectionThatDiedIsReplaced(t *testing.T) {
+	const reuseAge = time.Hour
+	_, _, address := startServer(t)
+	var dialed []*silentConn
+	p := NewPool(Options{ReuseAge: reuseAge, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		c := &silentConn{Conn: conn}
+		dialed = append(dialed, c)
+		return c, err
+	}})
+	defer p.Close()
+	for _, step := range []struct {
+		idle  time.Duration
+		dies  bool
+		conns int
+	}{{0, false, 1}, {reuseAge / 2, false, 1}, {reuseAge + time.Second, true, 2}, {0, false, 2}, {2 * reuseAge, true, 3}} {
+		if c := p.conns[address]; c != nil {
+			c.lastUsed = time.Now().Add(-step.idle)
+		}
+		for _, c := range dialed {
+			c.silent.Store(step.dies || c.silent.Load())
+		}
+		if got, err := twice(p, address, 21); err != nil || got != 42 || len(dialed) != step.conns {
+			t.Errorf("idle for %v, dead %v: got %d, error %v, %d connections, want 42 and %d", step.idle, step.dies, got, err, len(dialed), step.conns)
+		}
+	}
+}
