Read the member list again soon after a write

Cause: the first reader of each group reads the list and writes its own. If both read before either has written, the later write replaces the earlier one, and neither read the list again for 10 s.

Change: after a write the pause until the next read begins at 0.5 s and doubles up to 10 s. Weighed: a conditional write; the adapter has none for keyed records, and after a lost answer a second read is needed all the same.

--- a/internal/gateway/memberlist.go
+++ b/internal/gateway/memberlist.go
@@ -19,7 +19,9 @@
 	// or written.
 	memberListInterval = 500 * time.Millisecond
 	// memberListCheckInterval is how often the first reader of a part of the cluster reads the
-	// record, to learn of other parts.
+	// record, to learn of other parts. After a write the interval begins at memberListInterval and
+	// doubles up to this one: another part may have written its record at the same time, and the
+	// later write replaces the earlier one.
 	memberListCheckInterval = 10 * time.Second
 	// memberListRetention is how long an address stays in the record while the writer does not
 	// see a member there. It may belong to another part, which would add it again.
@@ -54,6 +56,8 @@
 	lastWrite time.Time
 	lastRead  time.Time
 	readPause time.Duration
+	// checkPause is the pause between two reads of the first reader.
+	checkPause time.Duration
 	// absentSince holds the listed addresses at which this member sees no live one, with the
 	// time from which on it saw none, for memberListRetention. expired is set if others are still
 	// listed.
@@ -63,7 +67,7 @@
 
 // run reads or writes the list as needed until ctx is done.
 func (l *memberList) run(ctx context.Context) {
-	l.readPause = memberListInterval
+	l.readPause, l.checkPause = memberListInterval, memberListInterval
 	cluster.RunEvery(ctx, memberListInterval, l.step)
 }
 
@@ -82,14 +86,15 @@
 	}
 	mayWrite := now.Sub(l.lastWrite) > minWriteInterval
 	writeDue := mayWrite && l.incomplete(v)
-	if !writeDue && now.Sub(l.lastRead) < memberListCheckInterval {
+	if !writeDue && now.Sub(l.lastRead) < l.checkPause {
 		return
 	}
+	l.checkPause = min(2*l.checkPause, memberListCheckInterval)
 	if writeDue {
 		l.lastWrite = now // also if the store does not answer
 	}
 	if l.discover(ctx, v, now) && mayWrite && (l.expired || l.incomplete(v)) {
-		l.lastWrite = now
+		l.lastWrite, l.checkPause = now, memberListInterval
 		l.write(ctx, v)
 	}
 }
--- a/internal/gateway/memberlist_test.go
+++ b/internal/gateway/memberlist_test.go
@@ -25,9 +25,11 @@
 	mu      sync.Mutex
 	records map[string][]byte
 	puts    int
+	latency time.Duration // of each call
 }
 
 func (s *memberStore) Newest(context.Context, string) (logservice.KeyedPage, error) {
+	defer time.Sleep(s.latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var page logservice.KeyedPage
@@ -38,6 +40,7 @@
 }
 
 func (s *memberStore) Put(_ context.Context, _, key string, value []byte) error {
+	time.Sleep(s.latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.puts++
@@ -127,6 +130,41 @@
 	}
 }
 
+// Guards against groups of entries without a common seed that stay apart after a start beside a slow
+// store: both read the list before either has written it, and the later write replaces the earlier
+// one. Each group then grants all allowances.
+func TestGroupsThatWriteTheMemberListAtTheSameTimeMeet(t *testing.T) {
+	const bound = 3 * time.Second // in which members find each other where a common seed runs
+	for _, latency := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond, 400 * time.Millisecond} {
+		for _, offset := range []time.Duration{0, 150 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(fmt.Sprintf("latency %v, offset %v", latency, offset), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					network, store := memnet.New(), &memberStore{records: map[string][]byte{}, latency: latency}
+					var members []*listedMember
+					for group := range 2 {
+						first := listedAddress(2 * group)
+						for i := range 2 {
+							members = append(members, startListedMember(network, store, 2*group+i, first))
+						}
+						time.Sleep(offset)
+					}
+					defer func() {
+						for _, m := range members {
+							m.stop()
+						}
+					}()
+					time.Sleep(bound)
+					for i, m := range members {
+						if live := len(m.node.View().Live); live != len(members) {
+							t.Errorf("member %d sees %d live members after %v, want %d", i, live, bound, len(members))
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a part that removes the addresses of another one from the list in the store, and
 // against addresses of members that are gone for good that stay there.
 func TestMemberListKeepsOtherPartsAndDropsGoneMembers(t *testing.T) {
