Write the member list on the condition that none was written since its read

Cause: let the first reader read the list again 0.5, 1.5, 3.5 and 7.5 s after each write.

Change: the write of the list has the store's condition (`asOf`): it is refused if anything was appended since the read. The refused group reads the list of the other one and writes both. The further reads are gone. Put of CompactedLog takes the end of the stream and fails with ConflictError; the stand-in store checks `asOf`.

Evidence: TestMemberListIsReadOncePerCheckInterval fails on (4 reads in the 9.5 s after a write) and passes now. TestGroupsThatWriteTheMemberListAtTheSameTimeMeet fails on 7 of its 9 cases if the condition is ignored, and passes with it.

--- a/internal/gateway/memberlist.go
+++ b/internal/gateway/memberlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
@@ -19,15 +20,16 @@
 	// or written.
 	memberListInterval = 500 * time.Millisecond
 	// memberListCheckInterval is how often the first reader of a part of the cluster reads the
-	// record, to learn of other parts. After a write the interval begins at memberListInterval and
-	// doubles up to this one: another part may have written its record at the same time, and the
-	// later write replaces the earlier one.
+	// record, to learn of other parts.
 	memberListCheckInterval = 10 * time.Second
 	// memberListRetention is how long an address stays in the record while the writer does not
 	// see a member there. It may belong to another part, which would add it again.
 	memberListRetention = 2 * time.Minute
 	// memberListTimeout bounds one call to the store.
 	memberListTimeout = time.Second
+	// maxWriteAttempts bounds the writes that follow one another while other parts write the record
+	// between this member's read and its write.
+	maxWriteAttempts = 3
 	// minWriteInterval is the minimum time between two writes, so that a rolling restart
 	// causes few of them.
 	minWriteInterval = 5 * time.Second
@@ -56,8 +58,9 @@
 	lastWrite time.Time
 	lastRead  time.Time
 	readPause time.Duration
-	// checkPause is the pause between two reads of the first reader.
-	checkPause time.Duration
+	// end is the end of the stream at the last read. A write takes effect only if the stream still
+	// ends there, as it would replace what another part has written since.
+	end logservice.Position
 	// absentSince holds the listed addresses at which this member sees no live one, with the
 	// time from which on it saw none, for memberListRetention. expired is set if others are still
 	// listed.
@@ -67,7 +70,7 @@
 
 // run reads or writes the list as needed until ctx is done.
 func (l *memberList) run(ctx context.Context) {
-	l.readPause, l.checkPause = memberListInterval, memberListInterval
+	l.readPause = memberListInterval
 	cluster.RunEvery(ctx, memberListInterval, l.step)
 }
 
@@ -86,16 +89,21 @@
 	}
 	mayWrite := now.Sub(l.lastWrite) > minWriteInterval
 	writeDue := mayWrite && l.incomplete(v)
-	if !writeDue && now.Sub(l.lastRead) < l.checkPause {
+	if !writeDue && now.Sub(l.lastRead) < memberListCheckInterval {
 		return
 	}
-	l.checkPause = min(2*l.checkPause, memberListCheckInterval)
 	if writeDue {
 		l.lastWrite = now // also if the store does not answer
 	}
-	if l.discover(ctx, v, now) && mayWrite && (l.expired || l.incomplete(v)) {
-		l.lastWrite, l.checkPause = now, memberListInterval
-		l.write(ctx, v)
+	for range maxWriteAttempts {
+		if !l.discover(ctx, v, now) || !mayWrite || !l.expired && !l.incomplete(v) {
+			return
+		}
+		l.lastWrite = now
+		var conflict *logservice.ConflictError
+		if !errors.As(l.write(ctx, v), &conflict) {
+			return
+		}
 	}
 }
 
@@ -114,8 +122,8 @@
 }
 
 // write writes the list: the live members, and the addresses that may belong to other parts of the
-// cluster.
-func (l *memberList) write(ctx context.Context, v *cluster.View) {
+// cluster. Its error is one of logservice.CompactedLog, or that of ctx.
+func (l *memberList) write(ctx context.Context, v *cluster.View) error {
 	ctx, cancel := context.WithTimeout(ctx, memberListTimeout)
 	defer cancel()
 	epoch := l.storeEpoch()
@@ -128,15 +136,16 @@
 	}
 	value, err := json.Marshal(addresses)
 	if err == nil {
-		err = l.log.Put(ctx, l.stream, memberListKey, value)
+		err = l.log.Put(ctx, l.stream, memberListKey, value, l.end)
 	}
 	if err != nil {
 		l.events.Warn("writing the member list failed", "members", len(addresses), "error", err)
-		return
+		return err
 	}
 	l.setWritten(addresses, epoch)
 	l.expired = false
 	l.events.Info("member list written", "members", len(addresses), "not_seen", len(l.absentSince))
+	return nil
 }
 
 func (l *memberList) setWritten(addresses []netip.AddrPort, epoch int64) {
@@ -151,11 +160,12 @@
 func (l *memberList) discover(ctx context.Context, v *cluster.View, now time.Time) bool {
 	l.lastRead = now
 	epoch := l.storeEpoch()
-	listed, err := l.read(ctx)
+	listed, end, err := l.read(ctx)
 	if err != nil {
 		l.events.Warn("reading the member list failed", "error", err)
 		return false
 	}
+	l.end = end
 	l.setWritten(listed, epoch)
 	before := l.absentSince
 	l.absentSince, l.expired = map[netip.AddrPort]time.Time{}, false
@@ -188,14 +198,14 @@
 	return slices.DeleteFunc(addresses, func(a netip.AddrPort) bool { return live[a] })
 }
 
-// read returns the addresses in the list. Its error is one of logservice.CompactedLog, or that of
-// ctx. What can't be decoded is logged and left out.
-func (l *memberList) read(ctx context.Context) ([]netip.AddrPort, error) {
+// read returns the addresses in the list and the end of its stream. Its error is one of
+// logservice.CompactedLog, or that of ctx. What can't be decoded is logged and left out.
+func (l *memberList) read(ctx context.Context) ([]netip.AddrPort, logservice.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, memberListTimeout)
 	defer cancel()
 	page, err := l.log.Newest(ctx, l.stream)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	var listed []netip.AddrPort
 	for _, record := range page.Records {
@@ -209,5 +219,5 @@
 		}
 		listed = append(listed, addresses...)
 	}
-	return listed, nil
+	return listed, page.Next, nil
 }
--- a/internal/gateway/memberlist_test.go
+++ b/internal/gateway/memberlist_test.go
@@ -24,25 +24,39 @@
 	logservice.CompactedLog
 	mu      sync.Mutex
 	records map[string][]byte
-	puts    int
+	puts    int // appended records
+	reads   int
 	latency time.Duration // of each call
 }
 
+// end returns the position after the newest record. The caller holds mu.
+func (s *memberStore) end() logservice.Position {
+	end, err := logservice.NewPosition(0, int64(s.puts))
+	if err != nil {
+		panic(err)
+	}
+	return end
+}
+
 func (s *memberStore) Newest(context.Context, string) (logservice.KeyedPage, error) {
 	defer time.Sleep(s.latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var page logservice.KeyedPage
+	s.reads++
+	page := logservice.KeyedPage{Next: s.end()}
 	for key, value := range s.records {
 		page.Records = append(page.Records, logservice.KeyedRecord{Key: key, Value: value})
 	}
 	return page, nil
 }
 
-func (s *memberStore) Put(_ context.Context, _, key string, value []byte) error {
+func (s *memberStore) Put(_ context.Context, stream, key string, value []byte, end logservice.Position) error {
 	time.Sleep(s.latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if end != s.end() {
+		return &logservice.ConflictError{Stream: stream, End: end}
+	}
 	s.puts++
 	s.records[key] = value
 	return nil
@@ -165,6 +179,31 @@
 	}
 }
 
+// Guards against calls of the store that grow with each write of the list: the first reader of a cluster
+// that is complete reads the list once each memberListCheckInterval.
+func TestMemberListIsReadOncePerCheckInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, store := memnet.New(), &memberStore{records: map[string][]byte{}, latency: 4 * time.Millisecond}
+		for i := range 6 {
+			defer startListedMember(network, store, i, listedAddress(0)).stop()
+		}
+		calls := func() (reads, puts int) {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			return store.reads, store.puts
+		}
+		for _, puts := calls(); puts == 0; _, puts = calls() {
+			time.Sleep(time.Millisecond)
+		}
+		readsBefore, putsBefore := calls()
+		time.Sleep(memberListCheckInterval - memberListInterval)
+		if reads, puts := calls(); reads != readsBefore || puts != putsBefore {
+			t.Errorf("%d reads and %d writes in the %v after the list was written, want none",
+				reads-readsBefore, puts-putsBefore, memberListCheckInterval-memberListInterval)
+		}
+	})
+}
+
 // Guards against a part that removes the addresses of another one from the list in the store, and
 // against addresses of members that are gone for good that stay there.
 func TestMemberListKeepsOtherPartsAndDropsGoneMembers(t *testing.T) {
@@ -181,7 +220,7 @@
 		listed := func() []netip.AddrPort {
 			l := &memberList{log: store, events: eventlog.New(&bytes.Buffer{}, log.InfoLevel)}
 			defer l.events.Close()
-			addresses, err := l.read(t.Context())
+			addresses, _, err := l.read(t.Context())
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -58,16 +58,14 @@
 	v := &cluster.View{Live: []cluster.LiveMember{{Member: cluster.Member{VM: "vm-0", DatagramAddress: address}}}}
 	store := &putLog{}
 	list := &memberList{log: store, stream: "entries", events: eventlog.New(&bytes.Buffer{}, log.InfoLevel), storeEpoch: func() int64 { return epoch }}
-	list.write(t.Context(), v)
-	if list.incomplete(v) {
+	if err := list.write(t.Context(), v); err != nil || list.incomplete(v) {
 		t.Error("the list is incomplete right after it was written")
 	}
 	epoch++
 	if !list.incomplete(v) {
 		t.Error("the list counts as complete although the store was restored")
 	}
-	list.write(t.Context(), v)
-	if list.incomplete(v) || store.puts != 2 {
+	if err := list.write(t.Context(), v); err != nil || list.incomplete(v) || store.puts != 2 {
 		t.Errorf("incomplete %v after %d writes, want a complete list after 2", list.incomplete(v), store.puts)
 	}
 }
@@ -78,7 +76,7 @@
 	puts int
 }
 
-func (l *putLog) Put(context.Context, string, string, []byte) error {
+func (l *putLog) Put(context.Context, string, string, []byte, logservice.Position) error {
 	l.puts++
 	return nil
 }
--- a/internal/logservice/keyed.go
+++ b/internal/logservice/keyed.go
@@ -34,7 +34,7 @@
 
 // CompactedLog is a log service that keeps the newest record of each key forever.
 // Implementations are safe for concurrent use. Their errors are *ExpiredError,
-// *EpochError, *MalformedError and *UnavailableError.
+// *EpochError, *MalformedError, *ConflictError and *UnavailableError.
 type CompactedLog interface {
 	// Newest returns the newest record of each key. Every change that it lacks has
 	// a position of Next or higher; a change that it contains may be there too.
@@ -43,6 +43,7 @@
 	// waits for the first one for up to the given time. It fails with *EpochError if
 	// the position is of another epoch than the log's present one.
 	ReadKeyed(ctx context.Context, stream string, from Position, wait time.Duration) (KeyedPage, error)
-	// Put appends a record.
-	Put(ctx context.Context, stream, key string, value []byte) error
+	// Put appends a record if the stream still ends at that position, the Next of a page that
+	// Newest returned. Otherwise it fails with *ConflictError and appends nothing.
+	Put(ctx context.Context, stream, key string, value []byte, end Position) error
 }
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -87,6 +87,19 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
+// ConflictError reports that a stream did not end at the expected position, as another record
+// was appended before.
+type ConflictError struct {
+	// Stream is the stream that was to be appended to, and End the expected position.
+	Stream string
+	End    Position
+}
+
+// Error returns the stream and the expected position.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("platform: append to %s: the stream does not end at %v", e.Stream, e.End)
+}
+
 // EpochError reports that a position is of another epoch than the log's present one.
 type EpochError struct {
 	// Stream is the stream that was read.
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -95,7 +95,9 @@
 	return logservice.KeyedPage{Records: l.from(from.Offset()), Next: position(l.epoch, int64(len(l.records)))}, nil
 }
 
-func (l *fakeLog) Put(context.Context, string, string, []byte) error { return errDown }
+func (l *fakeLog) Put(context.Context, string, string, []byte, logservice.Position) error {
+	return errDown
+}
 
 // decode decodes a server from the text "STATE SEQUENCE".
 func decode(key string, value []byte) (fleet.VM, error) {
--- a/standin/usersplatform/store.go
+++ b/standin/usersplatform/store.go
@@ -55,6 +55,11 @@
 func (s *Store) Put(name, key string, value []byte) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.put(name, key, value)
+}
+
+// put is Put for a caller that holds mu.
+func (s *Store) put(name, key string, value []byte) int64 {
 	t := s.topic(name)
 	r := record{key: key, value: value, offset: t.next, at: time.Now()}
 	t.add(r)
@@ -279,7 +284,19 @@
 	}
 	data := body[4:]
 	end := 1 + int(data[0])
-	offset := s.Put(name, string(data[1:end]), data[end:])
+	asOf := r.URL.Query().Get("asOf")
+	s.mu.Lock()
+	offset := s.topic(name).next
+	conflict := asOf != "" && asOf != strconv.FormatInt(offset, 10)
+	if !conflict {
+		s.put(name, string(data[1:end]), data[end:])
+	}
+	s.mu.Unlock()
+	if conflict {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(w).Encode(map[string]int64{"end": offset})
+		return
+	}
 	_ = json.NewEncoder(w).Encode(map[string]int64{"offset": offset, "end": offset + 1})
 }
 
