tree: break the lines of a comment

No change of behaviour. The doc comment of AddTenant exceeded the width of the file's comments; found when the diff was read as a newcomer would. go build ./... and the tests of internal/tree pass.

--- a/internal/tree/tenant.go
+++ b/internal/tree/tenant.go
@@ -49,8 +49,8 @@
 	return sha256.Sum256(append(input, key...))
 }
 
-// AddTenant adds a tenant with its keys, and requires keys from then on. It returns a *KeyConflictError if one of the keys is
-// another tenant's. It must not be called once the tree is in use.
+// AddTenant adds a tenant with its keys, and requires keys from then on. It returns a
+// *KeyConflictError if one of the keys is another tenant's. It must not be called once the tree is in use.
 func (t *Tree) AddTenant(tenant *Tenant, keys ...string) error {
 	for _, key := range keys {
 		if err := t.AddKey(tenant, key); err != nil {
